--- /dev/null
+++ b/packages/base/include/heathersaddle/base/Error.h
@@ -0,0 +1,50 @@
+#ifndef HEATHERSADDLE_BASE_ERROR_H
+#define HEATHERSADDLE_BASE_ERROR_H
+
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace heathersaddle::base {
+
+/// What kind of error arose; adapters map it to an HTTP status.
+enum class ErrorCode {
+  InvalidArgument,   ///< 400: the input is wrong; Field names where.
+  Unauthenticated,   ///< 401
+  PermissionDenied,  ///< 403
+  NotFound,          ///< 404
+  Conflict,          ///< 409: the key or the version is taken.
+  TooLarge,          ///< 413
+  ResourceExhausted, ///< 429: a quota or rate limit of the account.
+  Unavailable,       ///< 503: nothing took effect; try again later.
+  Unresolved,        ///< 503: may have taken effect.
+  Timeout,           ///< 504
+  Internal           ///< 500
+};
+
+/// The lower-case name of \p Code, as it appears in JSON.
+std::string_view name(ErrorCode Code);
+
+/// An error as a value: what happened, in which step, with which peer.
+struct Error {
+  ErrorCode Code = ErrorCode::Internal;
+  std::string Step;    ///< What was being done, e.g. "append".
+  std::string Peer;    ///< The other side's name or address; may be empty.
+  std::string Message; ///< One plain sentence.
+  std::string Field;   ///< The input field at fault; may be empty.
+
+  /// "STEP (PEER): MESSAGE" for logs.
+  std::string toString() const;
+};
+
+template <class T> using Expected = tl::expected<T, Error>;
+
+/// Shorthand for returning an error from a function of type Expected<T>.
+tl::unexpected<Error> makeError(ErrorCode Code, std::string_view Step,
+                                std::string_view Message,
+                                std::string_view Peer = {},
+                                std::string_view Field = {});
+
+} // namespace heathersaddle::base
+
+#endif
--- /dev/null
+++ b/packages/policy/include/heathersaddle/policy/Scheduler.h
@@ -0,0 +1,145 @@
+#ifndef HEATHERSADDLE_POLICY_SCHEDULER_H
+#define HEATHERSADDLE_POLICY_SCHEDULER_H
+
+#include "heathersaddle/base/Time.h"
+#include "heathersaddle/pool/Pool.h"
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace heathersaddle::policy {
+
+/// What a plan grants one account beyond its guarantee.
+struct AccountTerms {
+  unsigned Share = 1;    ///< Weight for capacity over the guarantee.
+  unsigned MaxSlots = 0; ///< Most slots at once; 0 means no limit.
+  bool Departed = false;
+};
+
+/// A job as the scheduler sees it.
+struct JobView {
+  std::string Id;
+  std::string Account;
+  std::string Kind;
+  pool::Shape Shape;
+  bool Urgent = false;
+  bool Idempotent = false; ///< May be stopped, resumed and retried.
+  base::WallMs AcceptedMs = 0;
+  base::WallMs DeadlineMs = 0;    ///< 0: none.
+  std::int64_t DeclaredRunMs = 0; ///< A hint only.
+  std::int64_t ProgressMs = 0;    ///< Kept by its last checkpoint.
+  unsigned Attempt = 0;           ///< Attempts made so far.
+};
+
+/// Why an attempt ended without a result.
+enum class AttemptEnd {
+  Stopped,      ///< Reclaimed or moved; progress kept.
+  TaskFailed,   ///< A task reported an error.
+  WorkerLost,   ///< The worker went away or restarted.
+  NotStarted    ///< A reservation or start was refused; nothing ran.
+};
+
+/// Starts a job on the given slots.
+struct PlaceDecision {
+  std::string Job;
+  std::vector<pool::Placement> Tasks;
+};
+/// Stops a placed job after a checkpoint and a grace period.
+struct StopDecision {
+  std::string Job;
+  std::string Reason;     ///< "reclaim", "urgent", "defragment", "overrun".
+  std::string ForAccount; ///< Who gets the slots.
+};
+/// Replaces the homes of the cell (a swap).
+struct HomesDecision {
+  std::vector<pool::Home> Homes;
+};
+/// Ends a pending job that cannot run.
+struct EndDecision {
+  std::string Job;
+  bool Failed = false; ///< false: not run.
+  std::string Reason;
+};
+/// Changes a worker's status (quarantine, or Up again for a probe).
+struct WorkerDecision {
+  std::string Worker;
+  pool::WorkerStatus Status = pool::WorkerStatus::Up;
+  std::string Reason;
+};
+using Decision = std::variant<PlaceDecision, StopDecision, HomesDecision,
+                              EndDecision, WorkerDecision>;
+
+/// Why a pending job waits, for `explain`.
+struct Explanation {
+  std::string Limit;  ///< "slots_quota", "shape", "guarantee", "retry_budget",
+                      ///< "order", "worker_health" or "none".
+  std::string Detail; ///< One sentence; names no other account's job.
+};
+
+struct Settings {
+  base::Millis ReclaimGrace{10'000};
+  base::Millis GangReservationAfter{60'000};
+  base::Millis QuarantineFirst{60'000};
+  base::Millis QuarantineMost{3'600'000};
+  unsigned FailuresToQuarantine = 3;  ///< In a row, of distinct jobs.
+  unsigned FailuresToEndJob = 3;      ///< On distinct sound workers.
+  unsigned RetryPercentOfStarts = 10; ///< Retry budget.
+  unsigned RetryBurst = 10;
+  unsigned MaxExaminedPerPass = 256; ///< Queue entries looked at per pass.
+};
+
+/// Decides for one cell. Deterministic given its inputs; has no clock, thread
+/// or socket. Feed it every event of the cell, then ask for decisions:
+///
+/// \code
+///   Scheduler S(Settings{});
+///   S.setTerms("maison-a", {.Share = 2});
+///   S.jobPending(Job, Now);
+///   for (const Decision &D : S.decide(Pool, Now))
+///     record(D); // take effect through the log, then feed back the event
+/// \endcode
+///
+/// Decisions take effect only through the events: a PlaceDecision is repeated
+/// by the next pass unless jobPlaced(), jobRemoved() or deferred() is called.
+class Scheduler {
+public:
+  explicit Scheduler(const Settings &S);
+  ~Scheduler();
+  Scheduler(Scheduler &&) noexcept;
+  Scheduler &operator=(Scheduler &&) noexcept;
+
+  void setTerms(std::string_view Account, const AccountTerms &Terms);
+
+  void jobPending(const JobView &Job, base::WallMs Now);
+  void jobPlaced(std::string_view Job, std::span<const pool::Placement> Tasks,
+                 base::WallMs Now);
+  void jobStopping(std::string_view Job);
+  /// The attempt ended; the job is pending again (follow with jobPending()).
+  void attemptEnded(std::string_view Job, AttemptEnd Why,
+                    std::span<const std::string> FailedWorkers,
+                    base::WallMs Now);
+  void jobFinished(std::string_view Job, base::WallMs Now);
+  void jobRemoved(std::string_view Job); ///< Cancelled, rerouted or not run.
+  /// A delayed usage report of a running job.
+  void usage(std::string_view Job, std::int64_t ProgressMs, base::WallMs Now);
+
+  /// Decisions for the present state; \p P must reflect the same events.
+  std::vector<Decision> decide(const pool::Pool &P, base::WallMs Now);
+  /// Whether work was left over for another pass at once.
+  bool hasMore() const;
+
+  Explanation explain(std::string_view Job, const pool::Pool &P,
+                      base::WallMs Now) const;
+  std::size_t pendingCount() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> I;
+};
+
+} // namespace heathersaddle::policy
+
+#endif
