--- a/packages/policy/include/heathersaddle/policy/Scheduler.h
+++ b/packages/policy/include/heathersaddle/policy/Scheduler.h
@@ -36,10 +36,10 @@
 
 /// Why an attempt ended without a result.
 enum class AttemptEnd {
-  Stopped,      ///< Reclaimed or moved; progress kept.
-  TaskFailed,   ///< A task reported an error.
-  WorkerLost,   ///< The worker went away or restarted.
-  NotStarted    ///< A reservation or start was refused; nothing ran.
+  Stopped,    ///< Reclaimed or moved; progress kept.
+  TaskFailed, ///< A task reported an error.
+  WorkerLost, ///< The worker went away or restarted.
+  NotStarted  ///< A reservation or start was refused; nothing ran.
 };
 
 /// Starts a job on the given slots.
--- a/packages/pool/include/heathersaddle/pool/Pool.h
+++ b/packages/pool/include/heathersaddle/pool/Pool.h
@@ -57,7 +57,7 @@
 
   const WorkerSpec *worker(std::string_view Name) const;
   std::optional<WorkerStatus> status(std::string_view Name) const;
-  std::vector<WorkerSpec> workers() const; ///< In name order.
+  std::vector<WorkerSpec> workers() const;           ///< In name order.
   SlotMask freeSlots(std::string_view Worker) const; ///< 0 unless Up.
   /// Account whose home covers \p Slot of \p Worker; empty for spare slots.
   std::string_view homeOf(std::string_view Worker, unsigned Slot) const;
@@ -87,14 +87,25 @@
   std::unique_ptr<Impl> I;
 };
 
+/// One instance of a guarantee unit that has no home.
+struct Unmet {
+  std::string Account;
+  unsigned Unit = 0;
+  unsigned Instance = 0;
+};
+
+struct PackResult {
+  std::vector<Home> Homes;
+  std::vector<Unmet> Missing;
+};
+
 /// Binds all guarantees to disjoint homes on the Up workers of \p Cells,
-/// largest unit first, cells, racks, workers and blocks in name order. With
-/// \p Current, keeps each home that is still valid. Fails, naming the account
-/// and unit, when they cannot all be met at once.
-base::Expected<std::vector<Home>>
-packHomes(const std::map<std::string, const Pool *> &Cells,
-          std::span<const Guarantee> Guarantees,
-          std::span<const Home> Current = {});
+/// largest unit first, cells, racks, workers and blocks in name order. Keeps
+/// each home of \p Current that is still asked for and lies on Up workers,
+/// unless keeping them leaves a unit unmet that packing afresh would meet.
+PackResult packHomes(const std::map<std::string, const Pool *> &Cells,
+                     std::span<const Guarantee> Guarantees,
+                     std::span<const Home> Current = {});
 
 } // namespace heathersaddle::pool
 
--- /dev/null
+++ b/packages/state/include/heathersaddle/state/State.h
@@ -0,0 +1,195 @@
+#ifndef HEATHERSADDLE_STATE_STATE_H
+#define HEATHERSADDLE_STATE_STATE_H
+
+#include "heathersaddle/pool/Pool.h"
+#include "heathersaddle/state/Lists.h"
+#include "heathersaddle/state/Record.h"
+#include <array>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace heathersaddle::state {
+
+inline constexpr std::size_t MaxInputBytes = 64 * 1024;
+inline constexpr std::size_t MaxAnswerBytes = 64 * 1024; ///< All parts.
+inline constexpr std::size_t MaxLiveJobs = 50'000;
+inline constexpr std::size_t MaxListHistory = 64;
+/// How long ended jobs, their answers and their keys are kept.
+inline constexpr base::WallMs AnswerWindowMs = 24 * 3600 * 1000;
+/// One record moves the state clock forward by at most this much, so that one
+/// daemon with a wrong clock cannot expire what others still need.
+inline constexpr base::WallMs MaxClockStepMs = 60'000;
+
+enum class JobStatus { Pending, Reserved, Running, Stopping, Ended };
+std::string_view name(JobStatus Status);
+std::string_view name(Outcome Result);
+
+struct Job {
+  JobSpec Spec;
+  std::string Cell;
+  JobStatus Status = JobStatus::Pending;
+  unsigned Attempt = 0; ///< Number of the present or last attempt; from 1.
+  bool Started = false; ///< The present attempt's start is recorded.
+  bool EverStarted = false;
+  bool CancelWanted = false;
+  std::int64_t ProgressMs = 0;
+  std::vector<pool::Placement> Tasks; ///< Of the present attempt.
+  std::string StopReason;
+  std::string StopForAccount;
+  Outcome Result = Outcome::None;
+  std::string Reason;
+  bool Ran = false;
+  std::vector<std::string> Parts;
+  base::WallMs PlacedMs = 0; ///< Last attempt's placement.
+  base::WallMs FirstStartMs = 0;
+  base::WallMs EndedMs = 0;
+
+  bool live() const { return Status != JobStatus::Ended; }
+  bool placed() const { return live() && Status != JobStatus::Pending; }
+};
+
+struct Worker {
+  pool::WorkerSpec Spec;
+  std::string Address;
+  unsigned Cores = 0;
+  std::uint64_t MemoryMb = 0;
+  pool::WorkerStatus Status = pool::WorkerStatus::Up;
+};
+
+struct Cell {
+  std::uint64_t Epoch = 0;
+  std::string Owner; ///< Empty: none.
+  base::WallMs HeartbeatMs = 0;
+  pool::Pool Pool;
+  std::map<std::string, Worker, std::less<>> Workers;
+  /// Live jobs of the cell, in order of acceptance.
+  std::set<std::pair<std::uint64_t, std::string>> Live;
+};
+
+struct Daemon {
+  std::string Address;
+  std::string DataCentre;
+};
+
+/// A version of a list that was offered, and what became of it.
+struct ListVerdict {
+  ListKind Kind = ListKind::Customers;
+  std::uint64_t Offset = 0;
+  std::uint64_t Base = 0;
+  std::uint64_t Version = 0; ///< In force after it.
+  bool Accepted = false;
+  std::string Reason;
+  base::WallMs At = 0;
+};
+
+/// The terms a departed account keeps while its work runs.
+struct HeldTerms {
+  Plan Terms;
+  base::WallMs SinceMs = 0;
+};
+
+/// What an account got, lent and had reclaimed from it, in slot milliseconds.
+struct Usage {
+  std::int64_t GuaranteedSlotMs = 0;
+  std::int64_t BorrowedSlotMs = 0;
+  std::uint64_t Reclaimed = 0; ///< Attempts of it stopped for other accounts.
+  std::uint64_t ReclaimedFor = 0; ///< Attempts of others stopped for it.
+};
+
+/// What applying a record did.
+struct Verdict {
+  bool Applied = false;
+  bool Duplicate = false; ///< The writer's sequence number was seen before.
+  base::Error Why;        ///< When not applied.
+  std::string Job;        ///< The job it concerns, if any.
+  std::string Cell;       ///< The cell it concerns, if any.
+};
+
+/// The state that all daemons derive from the log.
+///
+/// apply() is deterministic: the same texts at the same offsets give the same
+/// state and the same verdicts everywhere. A record that is not valid at its
+/// place changes nothing but the clock and the writer's sequence number.
+class State {
+public:
+  State();
+
+  /// Applies the record \p Text found at \p Offset, which must be next().
+  Verdict apply(std::uint64_t Offset, std::string_view Text);
+  Verdict apply(std::uint64_t Offset, const Record &R);
+
+  std::uint64_t next() const { return NextOffset; }
+  base::WallMs clock() const { return Clock; }
+  std::uint64_t lastSequence(std::uint64_t Writer) const;
+
+  const Job *job(std::string_view Id) const;
+  const std::map<std::string, Job, std::less<>> &jobs() const { return Jobs; }
+  const Cell *cell(std::string_view Name) const;
+  const std::map<std::string, Cell, std::less<>> &cells() const {
+    return Cells;
+  }
+  const std::map<std::string, Daemon, std::less<>> &daemons() const {
+    return Daemons;
+  }
+
+  const PlanMap &plans() const { return Plans; }
+  const CustomerMap &customers() const { return Customers; }
+  std::uint64_t version(ListKind Kind) const;
+  std::uint64_t versionOffset(ListKind Kind) const;
+  const std::deque<ListVerdict> &listHistory() const { return History; }
+  /// The terms in force for \p Account: its plan's, or those it held when it
+  /// departed; null when it has none.
+  const Plan *terms(std::string_view Account) const;
+  bool departed(std::string_view Account) const;
+  /// Guarantee units that the live workers cannot hold at present.
+  const std::vector<std::string> &degraded() const { return Degraded; }
+
+  std::size_t liveJobs(std::string_view Account) const;
+  std::size_t liveJobs() const { return LiveTotal; }
+  const std::map<std::string, Usage, std::less<>> &usage() const {
+    return UsageByAccount;
+  }
+
+  /// The whole state as text, for a snapshot; see restore().
+  std::string serialize() const;
+  /// A state equal to the one that serialize() wrote.
+  static base::Expected<State> restore(std::string_view Text);
+  /// Equal digests mean equal states.
+  std::string digest() const;
+
+private:
+  friend class Applier;
+  friend class SnapshotCodec;
+
+  std::uint64_t NextOffset = 0;
+  base::WallMs Clock = 0;
+  struct WriterMark {
+    std::uint64_t Sequence = 0;
+    base::WallMs SeenMs = 0;
+  };
+  std::map<std::uint64_t, WriterMark> Writers;
+  std::map<std::string, Job, std::less<>> Jobs;
+  std::map<std::string, Cell, std::less<>> Cells;
+  std::map<std::string, Daemon, std::less<>> Daemons;
+  PlanMap Plans;
+  CustomerMap Customers;
+  std::map<std::string, HeldTerms, std::less<>> Held;
+  std::array<std::uint64_t, 2> Versions{};
+  std::array<std::uint64_t, 2> VersionOffsets{};
+  std::deque<ListVerdict> History;
+  std::vector<std::string> Degraded;
+  std::map<std::string, std::size_t, std::less<>> LiveByAccount;
+  std::size_t LiveTotal = 0;
+  std::map<std::string, Usage, std::less<>> UsageByAccount;
+};
+
+} // namespace heathersaddle::state
+
+#endif
