--- a/packages/base/include/heathersaddle/base/Json.h
+++ b/packages/base/include/heathersaddle/base/Json.h
@@ -41,6 +41,8 @@
   /// An optional integer within [Min, Max].
   std::int64_t integerOr(std::string_view Field, std::int64_t Default,
                          std::int64_t Min, std::int64_t Max);
+  /// A required unsigned 64-bit integer.
+  std::uint64_t unsigned64(std::string_view Field);
   bool booleanOr(std::string_view Field, bool Default);
   /// The array at \p Field, or null when absent or wrong.
   const boost::json::array *array(std::string_view Field, bool Required,
--- a/packages/base/lib/Json.cpp
+++ b/packages/base/lib/Json.cpp
@@ -91,6 +91,17 @@
   return Number;
 }
 
+std::uint64_t JsonReader::unsigned64(std::string_view Field) {
+  const json::value *Value = find(Field);
+  boost::system::error_code Ec;
+  std::uint64_t Number = 0;
+  if (Value)
+    Number = Value->to_number<std::uint64_t>(Ec);
+  if (!Value || Ec)
+    fail(Field, "must be an unsigned integer");
+  return Number;
+}
+
 bool JsonReader::booleanOr(std::string_view Field, bool Default) {
   const json::value *Value = find(Field);
   if (!Value)
--- a/packages/state/include/heathersaddle/state/State.h
+++ b/packages/state/include/heathersaddle/state/State.h
@@ -65,7 +65,8 @@
 
 struct Cell {
   std::uint64_t Epoch = 0;
-  std::string Owner; ///< Empty: none.
+  std::string Owner;             ///< Empty: none.
+  std::uint64_t OwnerWriter = 0; ///< Incarnation of the owner's process.
   base::WallMs HeartbeatMs = 0;
   pool::Pool Pool;
   std::map<std::string, Worker, std::less<>> Workers;
