--- a/packages/state/include/heathersaddle/state/State.h
+++ b/packages/state/include/heathersaddle/state/State.h
@@ -34,6 +34,7 @@
 struct Job {
   JobSpec Spec;
   std::string Cell;
+  std::uint64_t AcceptedOffset = 0; ///< Offset of its job_accepted record.
   JobStatus Status = JobStatus::Pending;
   unsigned Attempt = 0; ///< Number of the present or last attempt; from 1.
   bool Started = false; ///< The present attempt's start is recorded.
--- /dev/null
+++ b/packages/state/lib/ApplyJobs.cpp
@@ -0,0 +1,334 @@
+// The life of a job: pending -> reserved -> running -> stopping -> pending or
+// ended. Every check that keeps a promise to callers is made here, at the
+// record's place in the log, whatever the writing daemon believed: a
+// non-idempotent job is placed again only when its earlier attempt certainly
+// did not start, and "not run" is refused for a job that may have run.
+
+#include "Applier.h"
+#include "JsonFields.h"
+#include <bit>
+
+namespace heathersaddle::state {
+
+using base::ErrorCode;
+using base::makeError;
+
+namespace {
+
+auto invalid(std::string_view Message, std::string_view Field = {}) {
+  return makeError(ErrorCode::InvalidArgument, "apply", Message, "", Field);
+}
+
+auto conflict(std::string_view Message, std::string_view Field = {}) {
+  return makeError(ErrorCode::Conflict, "apply", Message, "", Field);
+}
+
+std::size_t totalBytes(const std::vector<std::string> &Parts) {
+  std::size_t Bytes = 0;
+  for (const std::string &Part : Parts)
+    Bytes += Part.size();
+  return Bytes;
+}
+
+/// Whether all tasks lie on one worker or in one rack, as the shape asks.
+bool adjacent(const Cell &C, const pool::Shape &Shape,
+              std::span<const pool::Placement> Tasks) {
+  for (const pool::Placement &P : Tasks) {
+    const pool::WorkerSpec *First = C.Pool.worker(Tasks.front().Worker);
+    const pool::WorkerSpec *Here = C.Pool.worker(P.Worker);
+    if (!First || !Here)
+      return false;
+    if (Shape.Within == pool::Adjacency::Worker && First->Name != Here->Name)
+      return false;
+    if (Shape.Within == pool::Adjacency::Rack && First->Rack != Here->Rack)
+      return false;
+  }
+  return true;
+}
+
+pool::SlotMask acceleratorSlots(const pool::WorkerSpec &W) {
+  return W.Accelerators >= 64 ? ~pool::SlotMask{0}
+                              : (pool::SlotMask{1} << W.Accelerators) - 1;
+}
+
+} // namespace
+
+base::Expected<Job *>
+Applier::attemptOf(const Authority &By, std::string_view Id, unsigned Attempt) {
+  V.Job = Id;
+  auto C = owned(By);
+  if (!C)
+    return tl::unexpected(C.error());
+  auto Found = S.Jobs.find(Id);
+  if (Found == S.Jobs.end() || Found->second.Cell != By.Cell)
+    return makeError(ErrorCode::NotFound, "apply",
+                     "the cell has no job " + std::string(Id));
+  Job &J = Found->second;
+  if (!J.live())
+    return conflict("the job has ended");
+  if (J.Attempt != Attempt)
+    return conflict("the job is in attempt " + std::to_string(J.Attempt),
+                    "attempt");
+  return &J;
+}
+
+Applier::Result Applier::on(const JobAccepted &B) {
+  V.Job = B.Spec.Id;
+  V.Cell = B.Cell;
+  if (const Job *Known = S.job(B.Spec.Id)) {
+    bool Same = Known->Spec.Digest == B.Spec.Digest &&
+                Known->Spec.Account == B.Spec.Account;
+    return conflict("the job is known already",
+                    Same ? "repeat" : "idempotency_key");
+  }
+  auto Customer = S.Customers.find(B.Spec.Account);
+  const Plan *Terms = S.terms(B.Spec.Account);
+  if (Customer == S.Customers.end() || Customer->second.Departed || !Terms)
+    return makeError(ErrorCode::PermissionDenied, "apply",
+                     "the account may submit nothing", "", "account");
+  if (B.Spec.Id.empty() || B.Spec.Input.size() > MaxInputBytes)
+    return invalid("the job has no id or too large an input", "input");
+  if (!S.Cells.count(B.Cell))
+    return makeError(ErrorCode::Unavailable, "apply", "unknown cell " + B.Cell,
+                     "", "cell");
+  if (S.liveJobs(B.Spec.Account) >= Terms->MaxJobs)
+    return makeError(ErrorCode::ResourceExhausted, "apply",
+                     "the account has " + std::to_string(Terms->MaxJobs) +
+                         " live jobs, the most its plan allows",
+                     "", "max_jobs");
+  if (S.LiveTotal >= MaxLiveJobs)
+    return makeError(ErrorCode::Unavailable, "apply",
+                     "the pool has too many live jobs");
+  Job J;
+  J.Spec = B.Spec;
+  J.Cell = B.Cell;
+  S.Cells[B.Cell].Live.emplace(Offset, J.Spec.Id);
+  J.AcceptedOffset = Offset;
+  ++S.LiveByAccount[J.Spec.Account];
+  ++S.LiveTotal;
+  S.Jobs.emplace(J.Spec.Id, std::move(J));
+  return {};
+}
+
+Applier::Result Applier::on(const CancelRequested &B) {
+  V.Job = B.Job;
+  auto Found = S.Jobs.find(B.Job);
+  if (Found == S.Jobs.end())
+    return makeError(ErrorCode::NotFound, "apply", "unknown job " + B.Job);
+  if (!Found->second.live())
+    return conflict("the job has ended");
+  V.Cell = Found->second.Cell;
+  Found->second.CancelWanted = true;
+  return {};
+}
+
+Applier::Result Applier::checkPlacement(const Cell &C, const Job &J,
+                                        const Placed &B) const {
+  const pool::Shape &Shape = J.Spec.Shape;
+  if (B.Tasks.size() != Shape.Tasks)
+    return invalid("the whole gang must be placed", "tasks");
+  if (B.Start && Shape.Tasks != 1)
+    return invalid("a gang is reserved before it starts", "start");
+  if (!adjacent(C, Shape, B.Tasks))
+    return invalid("the tasks are not as close as the shape asks", "tasks");
+  for (const pool::Placement &P : B.Tasks) {
+    if (std::popcount(P.Slots) != static_cast<int>(Shape.SlotsPerTask))
+      return invalid("a task has the wrong number of slots", "tasks");
+    if (Shape.Accelerators &&
+        (P.Slots & ~acceleratorSlots(*C.Pool.worker(P.Worker))) != 0)
+      return invalid("a task has slots without accelerators", "tasks");
+    // A job that cannot be repeated must not be reclaimable.
+    for (unsigned I = 0; I < pool::MaxSlots && !J.Spec.Idempotent; ++I) {
+      std::string_view Home =
+          (P.Slots >> I) & 1 ? C.Pool.homeOf(P.Worker, I) : "";
+      if (!Home.empty() && Home != J.Spec.Account)
+        return invalid("a non-idempotent job may not borrow", "tasks");
+    }
+  }
+  return {};
+}
+
+Applier::Result Applier::on(const Placed &B) {
+  V.Job = B.Job;
+  auto C = owned(B.By);
+  if (!C)
+    return tl::unexpected(C.error());
+  auto Found = S.Jobs.find(B.Job);
+  if (Found == S.Jobs.end() || Found->second.Cell != B.By.Cell)
+    return makeError(ErrorCode::NotFound, "apply",
+                     "the cell has no job " + B.Job);
+  Job &J = Found->second;
+  if (J.Status != JobStatus::Pending || J.CancelWanted)
+    return conflict("the job is not waiting for a placement");
+  if (B.Attempt != J.Attempt + 1)
+    return conflict("the next attempt is " + std::to_string(J.Attempt + 1),
+                    "attempt");
+  if (J.EverStarted && !J.Spec.Idempotent)
+    return conflict("a non-idempotent job may have run already");
+  if (Result Ok = checkPlacement(**C, J, B); !Ok)
+    return Ok;
+  if (Result Ok = (*C)->Pool.allocate(J.Spec.Id, J.Spec.Account, B.Tasks); !Ok)
+    return Ok;
+  J.Attempt = B.Attempt;
+  J.Tasks = B.Tasks;
+  J.Status = B.Start ? JobStatus::Running : JobStatus::Reserved;
+  J.Started = B.Start;
+  J.PlacedMs = S.Clock;
+  if (J.Started && J.FirstStartMs == 0)
+    J.FirstStartMs = S.Clock;
+  return {};
+}
+
+Applier::Result Applier::on(const StartCommitted &B) {
+  auto J = attemptOf(B.By, B.Job, B.Attempt);
+  if (!J)
+    return tl::unexpected(J.error());
+  if ((*J)->Status != JobStatus::Reserved || (*J)->CancelWanted)
+    return conflict("the job is not reserved");
+  (*J)->Status = JobStatus::Running;
+  (*J)->Started = true;
+  if ((*J)->FirstStartMs == 0)
+    (*J)->FirstStartMs = S.Clock;
+  return {};
+}
+
+Applier::Result Applier::on(const StopRequested &B) {
+  auto J = attemptOf(B.By, B.Job, B.Attempt);
+  if (!J)
+    return tl::unexpected(J.error());
+  if ((*J)->Status != JobStatus::Reserved && (*J)->Status != JobStatus::Running)
+    return conflict("the job is not reserved or running");
+  const std::string &Account = (*J)->Spec.Account;
+  bool ForOther = !B.ForAccount.empty() && B.ForAccount != Account;
+  if (ForOther && S.Cells[B.By.Cell].Pool.isGuaranteed(B.Job))
+    return conflict("guaranteed work is not reclaimed");
+  (*J)->Status = JobStatus::Stopping;
+  (*J)->StopReason = B.Reason;
+  (*J)->StopForAccount = B.ForAccount;
+  if (ForOther) {
+    ++S.UsageByAccount[Account].Reclaimed;
+    ++S.UsageByAccount[B.ForAccount].ReclaimedFor;
+  }
+  return {};
+}
+
+void Applier::leavePool(Cell &C, Job &J) {
+  if (J.Tasks.empty())
+    return;
+  std::int64_t SlotMs = static_cast<std::int64_t>(J.Spec.Shape.totalSlots()) *
+                        (S.Clock - J.PlacedMs);
+  Usage &U = S.UsageByAccount[J.Spec.Account];
+  (C.Pool.isGuaranteed(J.Spec.Id) ? U.GuaranteedSlotMs : U.BorrowedSlotMs) +=
+      SlotMs;
+  C.Pool.release(J.Spec.Id);
+  std::vector<pool::Placement> Tasks = std::move(J.Tasks);
+  J.Tasks.clear();
+  for (const pool::Placement &P : Tasks)
+    removeIfLostAndIdle(C, P.Worker);
+}
+
+Applier::Result Applier::on(const AttemptEnded &B) {
+  auto Found = attemptOf(B.By, B.Job, B.Attempt);
+  if (!Found)
+    return tl::unexpected(Found.error());
+  Job &J = **Found;
+  if (!J.placed())
+    return conflict("the job is not placed");
+  bool MayHaveRun = J.Started && B.Why != AttemptEnd::NotStarted;
+  if (MayHaveRun && !J.Spec.Idempotent)
+    return conflict("a non-idempotent job that may have run must end");
+  J.EverStarted |= MayHaveRun;
+  if (MayHaveRun)
+    J.ProgressMs = std::max(J.ProgressMs, B.ProgressMs);
+  J.Started = false;
+  J.Status = JobStatus::Pending;
+  leavePool(S.Cells[B.By.Cell], J);
+  return {};
+}
+
+void Applier::endJob(Job &J, const JobEnded &B) {
+  Cell &C = S.Cells[J.Cell];
+  leavePool(C, J);
+  C.Live.erase({J.AcceptedOffset, J.Spec.Id});
+  J.Status = JobStatus::Ended;
+  J.Result = B.Result;
+  J.Reason = B.Reason;
+  J.Ran = B.Ran;
+  J.Parts = B.Parts;
+  J.EndedMs = S.Clock;
+  // The input is needed for dispatch only.
+  J.Spec.Input.clear();
+  J.Spec.Input.shrink_to_fit();
+  --S.LiveTotal;
+  auto Live = S.LiveByAccount.find(J.Spec.Account);
+  if (--Live->second == 0) {
+    S.LiveByAccount.erase(Live);
+    dropHeldTerms(J.Spec.Account);
+  }
+}
+
+Applier::Result Applier::on(const JobEnded &B) {
+  auto Found = attemptOf(B.By, B.Job, B.Attempt);
+  if (!Found)
+    return tl::unexpected(Found.error());
+  Job &J = **Found;
+  switch (B.Result) {
+  case Outcome::None:
+    return invalid("an ended job needs an outcome", "outcome");
+  case Outcome::Finished:
+    if (!J.Started || B.Parts.size() != J.Spec.Shape.Tasks)
+      return invalid("a finished job has one part a task", "parts");
+    break;
+  case Outcome::NotRun:
+    if (J.EverStarted || B.Ran)
+      return conflict("the job may have run");
+    break;
+  case Outcome::Failed:
+  case Outcome::Cancelled:
+    if (J.EverStarted && !B.Ran)
+      return conflict("the job may have run");
+    break;
+  case Outcome::Unknown:
+    if (!J.Started && !J.EverStarted)
+      return conflict("the job certainly did not run");
+    break;
+  }
+  if (totalBytes(B.Parts) > MaxAnswerBytes)
+    return makeError(ErrorCode::TooLarge, "apply", "the answer is too large",
+                     "", "parts");
+  endJob(J, B);
+  return {};
+}
+
+Applier::Result Applier::on(const Rerouted &B) {
+  V.Job = B.Job;
+  auto C = owned(B.By);
+  if (!C)
+    return tl::unexpected(C.error());
+  auto Found = S.Jobs.find(B.Job);
+  auto To = S.Cells.find(B.ToCell);
+  if (Found == S.Jobs.end() || Found->second.Cell != B.By.Cell ||
+      To == S.Cells.end())
+    return makeError(ErrorCode::NotFound, "apply", "unknown job or cell");
+  Job &J = Found->second;
+  if (J.Status != JobStatus::Pending)
+    return conflict("only a pending job can move to another cell");
+  (*C)->Live.erase({J.AcceptedOffset, J.Spec.Id});
+  To->second.Live.emplace(J.AcceptedOffset, J.Spec.Id);
+  J.Cell = B.ToCell;
+  return {};
+}
+
+Applier::Result Applier::on(const Forgotten &B) {
+  if (auto C = owned(B.By); !C)
+    return tl::unexpected(C.error());
+  for (const std::string &Id : B.Jobs) {
+    auto Found = S.Jobs.find(Id);
+    if (Found != S.Jobs.end() && !Found->second.live() &&
+        S.Clock - Found->second.EndedMs >= AnswerWindowMs)
+      S.Jobs.erase(Found);
+  }
+  return {};
+}
+
+} // namespace heathersaddle::state
--- /dev/null
+++ b/packages/state/lib/ApplyLists.cpp
@@ -0,0 +1,186 @@
+// Versions of the two lists. A version is checked as a whole at its place in
+// the log: against the other list in force, the live workers' shapes and the
+// terms still owed to departed accounts. A rejected version changes nothing
+// but the history.
+
+#include "Applier.h"
+#include <algorithm>
+#include <set>
+
+namespace heathersaddle::state {
+
+using base::ErrorCode;
+using base::makeError;
+
+namespace {
+
+using HeldMap = std::map<std::string, HeldTerms, std::less<>>;
+using Result = base::Expected<void>;
+
+Result checkReferences(const PlanMap &Plans, const CustomerMap &Customers) {
+  std::map<std::string, std::string> ByToken;
+  for (const auto &[Account, C] : Customers) {
+    if (!Plans.count(C.Plan))
+      return makeError(ErrorCode::InvalidArgument, "check lists",
+                       "account " + Account + " has the unknown plan " + C.Plan,
+                       "", "plan");
+    auto [Other, New] = ByToken.emplace(C.TokenSha256, Account);
+    if (!New)
+      return makeError(ErrorCode::InvalidArgument, "check lists",
+                       "accounts " + Other->second + " and " + Account +
+                           " have the same token",
+                       "", "token_sha256");
+  }
+  return {};
+}
+
+/// Accounts whose guarantee changes. Their running work outside their new
+/// homes is no longer guaranteed.
+std::set<std::string, std::less<>>
+changedAccounts(std::span<const pool::Guarantee> Before,
+                std::span<const pool::Guarantee> After) {
+  std::map<std::string, std::vector<pool::GuaranteeUnit>> Old, New;
+  for (const pool::Guarantee &G : Before)
+    Old[G.Account] = G.Units;
+  for (const pool::Guarantee &G : After)
+    New[G.Account] = G.Units;
+  std::set<std::string, std::less<>> Changed;
+  for (const auto &[Account, Units] : Old)
+    if (New[Account] != Units)
+      Changed.insert(Account);
+  for (const auto &[Account, Units] : New)
+    if (Old[Account] != Units)
+      Changed.insert(Account);
+  return Changed;
+}
+
+HeldMap heldAfter(const HeldMap &Held, const PlanMap &OldPlans,
+                  const CustomerMap &OldCustomers, const CustomerMap &Customers,
+                  const std::map<std::string, std::size_t, std::less<>> &Live,
+                  base::WallMs Clock) {
+  HeldMap After = Held;
+  for (const auto &[Account, Old] : OldCustomers) {
+    auto New = Customers.find(Account);
+    bool Left = New == Customers.end() || New->second.Departed;
+    if (!Left || Old.Departed || !Live.count(Account))
+      continue;
+    if (auto Plan = OldPlans.find(Old.Plan); Plan != OldPlans.end())
+      After[Account] = {Plan->second, Clock};
+  }
+  // An account that is back has the terms of its plan.
+  std::erase_if(After, [&](const auto &Entry) {
+    auto New = Customers.find(Entry.first);
+    return New != Customers.end() && !New->second.Departed;
+  });
+  return After;
+}
+
+} // namespace
+
+std::vector<pool::Guarantee> guaranteesOwed(const PlanMap &Plans,
+                                            const CustomerMap &Customers,
+                                            const HeldMap &Held) {
+  std::map<std::string, std::vector<pool::GuaranteeUnit>> Units;
+  for (const auto &[Account, C] : Customers) {
+    auto Plan = Plans.find(C.Plan);
+    if (!C.Departed && Plan != Plans.end())
+      Units[Account] = Plan->second.Guarantee;
+  }
+  for (const auto &[Account, Kept] : Held)
+    Units[Account] = Kept.Terms.Guarantee;
+  std::vector<pool::Guarantee> Owed;
+  for (auto &[Account, List] : Units)
+    if (!List.empty())
+      Owed.push_back({Account, List});
+  return Owed;
+}
+
+Applier::Result Applier::on(const ListPublished &B) {
+  const ListChange &Change = B.Change;
+  auto Kind = static_cast<std::size_t>(Change.Kind);
+  ListVerdict Entry{Change.Kind, Offset, Change.Base, S.Versions[Kind],
+                    false,       "",     S.Clock};
+  Result Outcome = tryPublish(Change);
+  if (Outcome) {
+    Entry.Accepted = true;
+    Entry.Version = ++S.Versions[Kind];
+    S.VersionOffsets[Kind] = Offset;
+  } else {
+    Entry.Reason = Outcome.error().Message;
+  }
+  S.History.push_back(Entry);
+  if (S.History.size() > MaxListHistory)
+    S.History.pop_front();
+  return Outcome;
+}
+
+Applier::Result Applier::tryPublish(const ListChange &Change) {
+  std::uint64_t Version = S.Versions[static_cast<std::size_t>(Change.Kind)];
+  if (Change.Base != Version)
+    return makeError(ErrorCode::Conflict, "check lists",
+                     "the change is based on version " +
+                         std::to_string(Change.Base) + " but version " +
+                         std::to_string(Version) + " is in force",
+                     "", "base");
+  PlanMap Plans = S.Plans;
+  CustomerMap Customers = S.Customers;
+  for (const Plan &P : Change.PutPlans)
+    Plans[P.Name] = P;
+  for (const Customer &C : Change.PutCustomers)
+    Customers[C.Account] = C;
+  for (const std::string &Name : Change.Remove) {
+    if (Change.Kind == ListKind::Plans)
+      Plans.erase(Name);
+    else
+      Customers.erase(Name);
+  }
+  if (Result Ok = checkReferences(Plans, Customers); !Ok)
+    return Ok;
+  HeldMap Held = heldAfter(S.Held, S.Plans, S.Customers, Customers,
+                           S.LiveByAccount, S.Clock);
+  std::vector<pool::Guarantee> Before =
+      guaranteesOwed(S.Plans, S.Customers, S.Held);
+  std::vector<pool::Guarantee> Owed = guaranteesOwed(Plans, Customers, Held);
+  std::map<std::string, const pool::Pool *> Pools;
+  for (const auto &[Name, C] : S.Cells)
+    Pools.emplace(Name, &C.Pool);
+  pool::PackResult Packed = pool::packHomes(Pools, Owed, allHomes(S.Cells));
+  auto Changed = changedAccounts(Before, Owed);
+  std::vector<std::string> Degraded;
+  for (const pool::Unmet &U : Packed.Missing) {
+    Degraded.push_back(unitName(U));
+    // Units that lost workers had degraded before must not block changes that
+    // do not concern them.
+    bool Before =
+        std::count(S.Degraded.begin(), S.Degraded.end(), Degraded.back()) != 0;
+    if (!Before || Changed.count(U.Account))
+      return makeError(ErrorCode::Conflict, "check lists",
+                       "the live workers cannot hold the guarantee of " +
+                           unitName(U) + " together with all others",
+                       "", "guarantee");
+  }
+  if (std::string Account = displacedBy(S.Cells, S.Jobs, Packed.Homes, Changed);
+      !Account.empty())
+    return makeError(ErrorCode::Conflict, "check lists",
+                     "running work of account " + Account +
+                         " occupies slots that the new guarantees need; "
+                         "publish again when it has ended",
+                     "", "guarantee");
+  S.Plans = std::move(Plans);
+  S.Customers = std::move(Customers);
+  S.Held = std::move(Held);
+  S.Degraded = std::move(Degraded);
+  setHomes(S.Cells, Packed.Homes);
+  return {};
+}
+
+void Applier::dropHeldTerms(std::string_view Account) {
+  auto Kept = S.Held.find(Account);
+  if (Kept == S.Held.end())
+    return;
+  S.Held.erase(Kept);
+  rebindHomes(S.Cells, S.Jobs, guaranteesOwed(S.Plans, S.Customers, S.Held),
+              S.Degraded);
+}
+
+} // namespace heathersaddle::state
--- /dev/null
+++ b/packages/state/lib/ApplyOwnership.cpp
@@ -0,0 +1,87 @@
+// Ownership of cells and membership of daemons. The log's order decides
+// between claims: only the first claim that names the current epoch wins.
+
+#include "Applier.h"
+
+namespace heathersaddle::state {
+
+using base::ErrorCode;
+using base::makeError;
+
+base::Expected<Cell *> Applier::owned(const Authority &By) {
+  V.Cell = By.Cell;
+  auto Found = S.Cells.find(By.Cell);
+  if (Found == S.Cells.end())
+    return makeError(ErrorCode::NotFound, "apply", "unknown cell " + By.Cell);
+  Cell &C = Found->second;
+  if (By.Epoch != C.Epoch || C.OwnerWriter != R.Writer || C.Owner.empty())
+    return makeError(ErrorCode::PermissionDenied, "apply",
+                     "the writer does not own cell " + By.Cell + " in epoch " +
+                         std::to_string(By.Epoch) + "; the epoch is " +
+                         std::to_string(C.Epoch),
+                     C.Owner, "epoch");
+  return &C;
+}
+
+Applier::Result Applier::on(const Claim &B) {
+  V.Cell = B.Cell;
+  if (B.Cell.empty() || !S.Daemons.count(B.Daemon))
+    return makeError(ErrorCode::NotFound, "apply", "unknown daemon " + B.Daemon,
+                     B.Daemon, "daemon");
+  auto Found = S.Cells.find(B.Cell);
+  std::uint64_t Epoch = Found == S.Cells.end() ? 0 : Found->second.Epoch;
+  if (B.BaseEpoch != Epoch)
+    return makeError(ErrorCode::Conflict, "apply",
+                     "cell " + B.Cell + " is in epoch " +
+                         std::to_string(Epoch) + " already",
+                     Found == S.Cells.end() ? "" : Found->second.Owner, "base");
+  Cell &C = S.Cells[B.Cell];
+  C.Epoch = Epoch + 1;
+  C.Owner = B.Daemon;
+  C.OwnerWriter = R.Writer;
+  C.HeartbeatMs = S.Clock;
+  return {};
+}
+
+Applier::Result Applier::on(const Released &B) {
+  auto C = owned(B.By);
+  if (!C)
+    return tl::unexpected(C.error());
+  (*C)->Owner.clear();
+  return {};
+}
+
+Applier::Result Applier::on(const Heartbeat &B) {
+  auto C = owned(B.By);
+  if (!C)
+    return tl::unexpected(C.error());
+  (*C)->HeartbeatMs = S.Clock;
+  return {};
+}
+
+Applier::Result Applier::on(const DaemonJoined &B) {
+  if (B.Daemon.empty() || B.DataCentre.empty())
+    return makeError(ErrorCode::InvalidArgument, "apply",
+                     "a daemon needs a name and a data centre");
+  // A process that took over a name ends the ownership of the earlier one,
+  // which is gone or was replaced.
+  for (auto &[Name, C] : S.Cells)
+    if (C.Owner == B.Daemon && C.OwnerWriter != R.Writer)
+      C.Owner.clear();
+  S.Daemons[B.Daemon] = {B.Address, B.DataCentre};
+  return {};
+}
+
+Applier::Result Applier::on(const DaemonLeft &B) {
+  for (auto &[Name, C] : S.Cells)
+    if (C.Owner == B.Daemon)
+      C.Owner.clear();
+  S.Daemons.erase(B.Daemon);
+  return {};
+}
+
+Applier::Result Applier::on(const SnapshotTaken &) { return {}; }
+
+Applier::Result Applier::on(const Noop &) { return {}; }
+
+} // namespace heathersaddle::state
--- /dev/null
+++ b/packages/state/lib/State.cpp
@@ -0,0 +1,118 @@
+// State::apply dispatches a record to its handler. Cost of a record: O(log n)
+// map operations plus the size of the job's placement; worker and list records
+// may pack homes again, which is bounded by workers times guarantee units.
+
+#include "heathersaddle/state/State.h"
+#include "Applier.h"
+#include "heathersaddle/base/Hash.h"
+#include <algorithm>
+#include <cassert>
+
+namespace heathersaddle::state {
+
+namespace {
+
+/// Marks of writers silent for longer than this are dropped: no append stays
+/// in flight for a day.
+constexpr base::WallMs WriterWindowMs = 24 * 3600 * 1000;
+/// Marks are swept only above this number, to bound the work per record.
+constexpr std::size_t WriterSweepAbove = 4096;
+
+template <class Map> void sweepWriters(Map &Writers, base::WallMs Clock) {
+  if (Writers.size() <= WriterSweepAbove)
+    return;
+  std::erase_if(Writers, [&](const auto &Entry) {
+    return Clock - Entry.second.SeenMs > WriterWindowMs;
+  });
+}
+
+} // namespace
+
+State::State() = default;
+
+Verdict State::apply(std::uint64_t Offset, std::string_view Text) {
+  base::Expected<Record> R = decode(Text);
+  if (R)
+    return apply(Offset, *R);
+  // A text that no daemon can read is skipped by all daemons alike.
+  assert(Offset == NextOffset);
+  NextOffset = Offset + 1;
+  Verdict V;
+  V.Why = R.error();
+  return V;
+}
+
+Verdict State::apply(std::uint64_t Offset, const Record &R) {
+  assert(Offset == NextOffset);
+  NextOffset = Offset + 1;
+  return Applier(*this, R, Offset).run();
+}
+
+Verdict Applier::run() {
+  State::WriterMark &Mark = S.Writers[R.Writer];
+  if (R.Sequence <= Mark.Sequence) {
+    V.Duplicate = true;
+    V.Why = base::Error{base::ErrorCode::Conflict, "apply", "",
+                        "the writer's sequence number was seen before", ""};
+    return V;
+  }
+  base::WallMs Limit = S.Clock + MaxClockStepMs;
+  S.Clock = std::max(S.Clock, S.Clock == 0 ? R.At : std::min(R.At, Limit));
+  Mark.Sequence = R.Sequence;
+  Mark.SeenMs = S.Clock;
+  sweepWriters(S.Writers, S.Clock);
+  Result Done = std::visit([this](const auto &B) { return on(B); }, R.What);
+  V.Applied = Done.has_value();
+  if (!Done)
+    V.Why = Done.error();
+  return V;
+}
+
+std::uint64_t State::lastSequence(std::uint64_t Writer) const {
+  auto Mark = Writers.find(Writer);
+  return Mark == Writers.end() ? 0 : Mark->second.Sequence;
+}
+
+const Job *State::job(std::string_view Id) const {
+  auto Found = Jobs.find(Id);
+  return Found == Jobs.end() ? nullptr : &Found->second;
+}
+
+const Cell *State::cell(std::string_view Name) const {
+  auto Found = Cells.find(Name);
+  return Found == Cells.end() ? nullptr : &Found->second;
+}
+
+std::uint64_t State::version(ListKind Kind) const {
+  return Versions[static_cast<std::size_t>(Kind)];
+}
+
+std::uint64_t State::versionOffset(ListKind Kind) const {
+  return VersionOffsets[static_cast<std::size_t>(Kind)];
+}
+
+const Plan *State::terms(std::string_view Account) const {
+  if (auto Kept = Held.find(Account); Kept != Held.end())
+    return &Kept->second.Terms;
+  auto Customer = Customers.find(Account);
+  if (Customer == Customers.end() || Customer->second.Departed)
+    return nullptr;
+  auto Plan = Plans.find(Customer->second.Plan);
+  return Plan == Plans.end() ? nullptr : &Plan->second;
+}
+
+bool State::departed(std::string_view Account) const {
+  if (Held.count(Account))
+    return true;
+  auto Customer = Customers.find(Account);
+  return Customer != Customers.end() && Customer->second.Departed;
+}
+
+std::size_t State::liveJobs(std::string_view Account) const {
+  auto Found = LiveByAccount.find(Account);
+  return Found == LiveByAccount.end() ? 0 : Found->second;
+}
+
+std::string State::digest() const { return base::sha256Hex(serialize()); }
+
+} // namespace heathersaddle::state
