Add pool: workers, allocations, homes and shape search

Cause: the state machine and the scheduler need one deterministic account of who holds which slots, fast enough for 3,600 workers. Change: Pool over interned tables (PoolAccess.h, internal to the scheduler), an index of workers by free block order, buddy arithmetic (Blocks.h), packHomes.

--- /dev/null
+++ b/packages/pool/include/heathersaddle/pool/Blocks.h
@@ -0,0 +1,41 @@
+#ifndef HEATHERSADDLE_POOL_BLOCKS_H
+#define HEATHERSADDLE_POOL_BLOCKS_H
+
+#include "heathersaddle/pool/Shape.h"
+
+namespace heathersaddle::pool {
+
+/// The lowest \p Count slots.
+constexpr SlotMask lowSlots(unsigned Count) {
+  return Count >= MaxSlots ? ~SlotMask{0} : (SlotMask{1} << Count) - 1;
+}
+
+/// Whether \p Slots is one contiguous range inside an aligned power-of-two
+/// block of the smallest size that can hold it.
+bool isTaskRange(SlotMask Slots);
+
+/// Starts of the aligned, wholly free blocks of 2^\p Order slots.
+SlotMask freeBlocks(SlotMask Free, unsigned Order);
+
+/// Bit K is set when a free block of 2^K slots is not part of a larger one.
+unsigned maximalOrders(SlotMask Free);
+
+/// Order of the largest free aligned block; -1 when nothing is free.
+int largestOrder(SlotMask Free);
+
+/// A range of slots and the order of the free block that it is cut from.
+struct Cut {
+  SlotMask Slots = 0; ///< 0: does not fit.
+  unsigned Order = 0;
+};
+
+/// The range of \p Size slots that breaks up the smallest free block, the
+/// lowest one when several do.
+Cut bestCut(SlotMask Free, unsigned Size);
+
+/// How many tasks of \p Size slots fit at once.
+unsigned countFits(SlotMask Free, unsigned Size);
+
+} // namespace heathersaddle::pool
+
+#endif
--- /dev/null
+++ b/packages/pool/include/heathersaddle/pool/PoolAccess.h
@@ -0,0 +1,155 @@
+#ifndef HEATHERSADDLE_POOL_POOLACCESS_H
+#define HEATHERSADDLE_POOL_POOLACCESS_H
+
+#include "heathersaddle/pool/Blocks.h"
+#include "heathersaddle/pool/Pool.h"
+#include <array>
+#include <unordered_map>
+
+namespace heathersaddle::pool {
+
+/// The tables behind Pool. Only the scheduler reads them directly; names are
+/// interned, so that a slot costs four bytes and comparisons are of integers.
+using RowId = std::uint32_t;
+using JobId = std::uint32_t;
+using AccountId = std::uint32_t;
+inline constexpr std::uint32_t NoId = ~std::uint32_t{0};
+
+struct NameHash {
+  using is_transparent = void;
+  std::size_t operator()(std::string_view Name) const {
+    return std::hash<std::string_view>{}(Name);
+  }
+};
+/// For lookups only: nothing iterates over it, since its order is arbitrary.
+using NameMap =
+    std::unordered_map<std::string, std::uint32_t, NameHash, std::equal_to<>>;
+
+/// One home's slots on one worker.
+struct HomePart {
+  AccountId Account = NoId;
+  SlotMask Slots = 0;
+  std::uint32_t Home = 0; ///< Index into Table::Homes.
+};
+
+struct Row {
+  WorkerSpec Spec;
+  WorkerStatus Status = WorkerStatus::Up;
+  bool Present = false; ///< False after removeWorker().
+  std::uint32_t Rank = 0;
+  SlotMask All = 0;
+  SlotMask Accelerated = 0;
+  SlotMask Unheld = 0; ///< Held by no job, whatever the status.
+  SlotMask Homed = 0;  ///< In anybody's home.
+  std::vector<JobId> JobAt;
+  std::vector<HomePart> Homes;
+
+  SlotMask open() const { return Status == WorkerStatus::Up ? Unheld : 0; }
+  SlotMask homeOf(AccountId Account) const {
+    SlotMask Slots = 0;
+    for (const HomePart &H : Homes)
+      Slots |= H.Account == Account ? H.Slots : 0;
+    return Slots;
+  }
+};
+
+struct TaskSlots {
+  RowId Worker = NoId;
+  SlotMask Slots = 0;
+};
+
+struct JobRow {
+  std::string Name;
+  AccountId Account = NoId;
+  std::vector<Placement> Tasks;
+  std::vector<TaskSlots> Where;
+};
+
+/// Which free slots a search may use.
+enum class Domain { Own, Spare, OwnOrSpare, Any };
+
+struct Query {
+  Domain In = Domain::Any;
+  AccountId Account = NoId;
+  /// Slots to leave out, by row; may be null.
+  const std::vector<SlotMask> *Blocked = nullptr;
+  std::span<const RowId> Avoid = {};
+};
+
+using Tasks = std::vector<TaskSlots>;
+
+class Table;
+/// Places \p S on the slots \p Free (a mask per row), workers in name order,
+/// cutting from the smallest free blocks first.
+std::optional<Tasks> placeOn(const Table &T, const Shape &S,
+                             std::vector<SlotMask> Free);
+
+class Table {
+public:
+  std::vector<Row> Rows; ///< Never shrinks; ids stay valid.
+  std::vector<JobRow> Jobs;
+  std::vector<std::string> Accounts;
+  std::vector<Home> Homes;
+  std::map<std::string, std::vector<RowId>, std::less<>> Racks;
+  std::vector<std::vector<RowId>> HomeRows; ///< By account, by name.
+  std::vector<RowId> Order;                 ///< Present rows by name.
+  unsigned UpSlots = 0;
+  unsigned UsedSlots = 0;
+  unsigned OpenSlots = 0;
+
+  RowId row(std::string_view Worker) const;
+  JobId job(std::string_view Name) const;
+  AccountId account(std::string_view Name) const;
+  AccountId internAccount(std::string_view Name);
+  JobId internJob(std::string_view Name, AccountId Account);
+  void dropJob(JobId Job);
+
+  bool isGuaranteed(const JobRow &Job) const;
+  /// Slots of \p Job in homes of other accounts.
+  bool isBorrowing(const JobRow &Job) const;
+
+  std::optional<Tasks> find(const Shape &S, const Query &Q) const;
+  /// The mask that \p Q allows on \p Worker.
+  SlotMask allowed(RowId Worker, const Query &Q) const;
+  std::vector<Placement> named(const Tasks &Where) const;
+
+  /// To be called after any change of a row's slots, homes or status.
+  void refresh(RowId Worker);
+  std::span<const RowId> homeRows(AccountId Account) const {
+    if (Account >= HomeRows.size())
+      return {};
+    return HomeRows[Account];
+  }
+  void reorder();
+
+private:
+  static constexpr unsigned Orders = 7;
+  using Bits = std::vector<std::uint64_t>;
+  struct Buckets {
+    std::array<Bits, Orders> ByOrder;
+  };
+  std::optional<Tasks> findOne(unsigned Size, bool Accelerators,
+                               const Query &Q) const;
+  /// A task placed by looking at the account's home workers only.
+  std::optional<Tasks> findOneOwn(const Shape &S, const Query &Q) const;
+  std::optional<Tasks> scanOwn(const Shape &S, const Query &Q) const;
+
+  NameMap RowByName;
+  NameMap JobByName;
+  NameMap AccountByName;
+  std::vector<JobId> FreeJobIds;
+  /// Ranks of workers with a maximal free block of each order, for
+  /// [any, spare][plain, accelerated] slots.
+  Buckets Index[2][2];
+  friend class Pool;
+};
+
+/// Gives the scheduler the tables of a pool.
+class PoolAccess {
+public:
+  static const Table &table(const Pool &P);
+};
+
+} // namespace heathersaddle::pool
+
+#endif
--- /dev/null
+++ b/packages/pool/lib/PackHomes.cpp
@@ -0,0 +1,175 @@
+// Binding guarantee units to homes: first fit, largest unit first, over cells,
+// racks, workers and blocks in name order. One pass costs the number of unit
+// instances times the number of workers.
+#include "heathersaddle/pool/PoolAccess.h"
+#include <algorithm>
+#include <bit>
+#include <set>
+#include <tuple>
+
+namespace heathersaddle::pool {
+namespace {
+
+struct Wanted {
+  std::string Account;
+  unsigned Unit = 0;
+  unsigned Instance = 0;
+  GuaranteeUnit Shape;
+};
+
+using Key = std::tuple<std::string, unsigned, unsigned>;
+
+std::vector<Wanted> largestFirst(std::span<const Guarantee> Guarantees) {
+  std::vector<Wanted> All;
+  for (const Guarantee &G : Guarantees)
+    for (unsigned U = 0; U != G.Units.size(); ++U)
+      for (unsigned N = 0; N != G.Units[U].Count; ++N)
+        All.push_back({G.Account, U, N, G.Units[U]});
+  auto Rank = [](const Wanted &W) {
+    const GuaranteeUnit &S = W.Shape;
+    return std::tuple(~(S.Accelerators * S.Workers), ~S.Accelerators,
+                      !S.WithinRack, std::string_view(W.Account), W.Unit,
+                      W.Instance);
+  };
+  std::sort(All.begin(), All.end(), [&](const Wanted &A, const Wanted &B) {
+    return Rank(A) < Rank(B);
+  });
+  return All;
+}
+
+class Packer {
+public:
+  explicit Packer(const std::map<std::string, const Pool *> &Cells) {
+    for (const auto &[Name, P] : Cells)
+      if (P) {
+        const Table &T = PoolAccess::table(*P);
+        std::vector<SlotMask> Free(T.Rows.size(), 0);
+        for (RowId W : T.Order)
+          if (T.Rows[W].Status == WorkerStatus::Up)
+            Free[W] = T.Rows[W].Accelerated;
+        Places.push_back({Name, &T, std::move(Free)});
+      }
+  }
+
+  bool keep(const Home &H, const GuaranteeUnit &S);
+  std::optional<Home> bind(const Wanted &W);
+
+private:
+  struct Cell {
+    std::string Name;
+    const Table *T = nullptr;
+    std::vector<SlotMask> Free;
+  };
+  std::optional<Home> bindAmong(const Wanted &W, Cell &C,
+                                std::span<const RowId> Rows);
+  std::vector<Cell> Places;
+};
+
+// Whether the home has the unit's shape on free slots; takes them if so.
+bool Packer::keep(const Home &H, const GuaranteeUnit &S) {
+  auto C = std::find_if(Places.begin(), Places.end(),
+                        [&](const Cell &Each) { return Each.Name == H.Cell; });
+  if (C == Places.end() || H.Slots.size() != S.Workers)
+    return false;
+  std::set<RowId> Rows;
+  std::set<std::string> Racks;
+  for (const Placement &P : H.Slots) {
+    RowId W = C->T->row(P.Worker);
+    if (W == NoId || (P.Slots & ~C->Free[W]) || !isTaskRange(P.Slots) ||
+        std::popcount(P.Slots) != static_cast<int>(S.Accelerators))
+      return false;
+    Rows.insert(W);
+    Racks.insert(C->T->Rows[W].Spec.Rack);
+  }
+  if (Rows.size() != S.Workers || (S.WithinRack && Racks.size() > 1))
+    return false;
+  for (const Placement &P : H.Slots)
+    C->Free[C->T->row(P.Worker)] &= ~P.Slots;
+  return true;
+}
+
+static SlotMask firstRange(SlotMask Free, unsigned Size) {
+  unsigned Block = std::bit_ceil(Size);
+  for (unsigned Base = 0; Base + Size <= MaxSlots; Base += Block)
+    for (unsigned Low = Base; Low + Size <= Base + Block; ++Low)
+      if (SlotMask M = lowSlots(Size) << Low; (Free & M) == M)
+        return M;
+  return 0;
+}
+
+std::optional<Home> Packer::bindAmong(const Wanted &W, Cell &C,
+                                      std::span<const RowId> Rows) {
+  Home H{W.Account, W.Unit, W.Instance, C.Name, {}};
+  Tasks Cuts;
+  for (RowId R : Rows) {
+    if (Cuts.size() == W.Shape.Workers)
+      break;
+    if (SlotMask M = firstRange(C.Free[R], W.Shape.Accelerators))
+      Cuts.push_back({R, M});
+  }
+  if (Cuts.size() != W.Shape.Workers)
+    return std::nullopt;
+  for (const TaskSlots &Cut : Cuts)
+    C.Free[Cut.Worker] &= ~Cut.Slots;
+  H.Slots = C.T->named(Cuts);
+  return H;
+}
+
+std::optional<Home> Packer::bind(const Wanted &W) {
+  if (W.Shape.Accelerators == 0 || W.Shape.Accelerators > MaxSlots ||
+      W.Shape.Workers == 0)
+    return std::nullopt;
+  for (Cell &C : Places) {
+    if (!W.Shape.WithinRack || W.Shape.Workers == 1) {
+      if (auto H = bindAmong(W, C, C.T->Order))
+        return H;
+      continue;
+    }
+    for (const auto &[Rack, Rows] : C.T->Racks)
+      if (auto H = bindAmong(W, C, Rows))
+        return H;
+  }
+  return std::nullopt;
+}
+
+PackResult pack(const std::map<std::string, const Pool *> &Cells,
+                std::span<const Wanted> All, std::span<const Home> Current) {
+  std::map<Key, const Home *> Old;
+  for (const Home &H : Current)
+    Old.emplace(Key(H.Account, H.Unit, H.Instance), &H);
+  Packer P(Cells);
+  std::map<Key, Home> Bound;
+  for (const Wanted &W : All) {
+    Key K(W.Account, W.Unit, W.Instance);
+    if (auto H = Old.find(K); H != Old.end() && P.keep(*H->second, W.Shape))
+      Bound.emplace(K, *H->second);
+  }
+  PackResult Result;
+  for (const Wanted &W : All) {
+    Key K(W.Account, W.Unit, W.Instance);
+    if (Bound.contains(K))
+      continue;
+    if (auto H = P.bind(W))
+      Bound.emplace(K, std::move(*H));
+    else
+      Result.Missing.push_back({W.Account, W.Unit, W.Instance});
+  }
+  for (auto &[K, H] : Bound)
+    Result.Homes.push_back(std::move(H));
+  return Result;
+}
+
+} // namespace
+
+PackResult packHomes(const std::map<std::string, const Pool *> &Cells,
+                     std::span<const Guarantee> Guarantees,
+                     std::span<const Home> Current) {
+  std::vector<Wanted> All = largestFirst(Guarantees);
+  PackResult Kept = pack(Cells, All, Current);
+  if (Kept.Missing.empty() || Current.empty())
+    return Kept;
+  PackResult Fresh = pack(Cells, All, {});
+  return Fresh.Missing.size() < Kept.Missing.size() ? Fresh : Kept;
+}
+
+} // namespace heathersaddle::pool
--- /dev/null
+++ b/packages/pool/lib/Search.cpp
@@ -0,0 +1,185 @@
+// Finding room for a shape. A single task reads the index of free block orders
+// and touches a handful of workers; gangs and unusual domains copy one mask per
+// worker and scan it, which takes microseconds at 3,600 workers.
+#include "heathersaddle/pool/PoolAccess.h"
+#include <algorithm>
+#include <bit>
+
+namespace heathersaddle::pool {
+
+SlotMask Table::allowed(RowId Worker, const Query &Q) const {
+  const Row &R = Rows[Worker];
+  SlotMask Free = R.open();
+  if (Q.In == Domain::Spare)
+    Free &= ~R.Homed;
+  else if (Q.In == Domain::Own)
+    Free &= R.homeOf(Q.Account);
+  else if (Q.In == Domain::OwnOrSpare)
+    Free &= ~R.Homed | R.homeOf(Q.Account);
+  if (Q.Blocked)
+    Free &= ~(*Q.Blocked)[Worker];
+  if (std::find(Q.Avoid.begin(), Q.Avoid.end(), Worker) != Q.Avoid.end())
+    return 0;
+  return Free;
+}
+
+// Takes up to Left tasks from the worker's blocks of at most MaxOrder.
+static void takeFrom(RowId Worker, SlotMask &Free, unsigned Size,
+                     unsigned MaxOrder, unsigned &Left, Tasks &Out) {
+  while (Left) {
+    Cut C = bestCut(Free, Size);
+    if (!C.Slots || C.Order > MaxOrder)
+      return;
+    Free &= ~C.Slots;
+    Out.push_back({Worker, C.Slots});
+    --Left;
+  }
+}
+
+static std::optional<Tasks> placeWithin(const Shape &S,
+                                        std::span<const RowId> Among,
+                                        std::vector<SlotMask> &Free) {
+  unsigned Fits = 0;
+  for (RowId W : Among)
+    if ((Fits += countFits(Free[W], S.SlotsPerTask)) >= S.Tasks)
+      break;
+  if (Fits < S.Tasks)
+    return std::nullopt;
+  Tasks Out;
+  unsigned Left = S.Tasks;
+  unsigned First = std::bit_width(S.SlotsPerTask) - 1;
+  for (unsigned K = First; Left && K != 7; ++K)
+    for (RowId W : Among)
+      if (Left && Free[W])
+        takeFrom(W, Free[W], S.SlotsPerTask, K, Left, Out);
+  return Left ? std::nullopt : std::optional(std::move(Out));
+}
+
+static std::optional<Tasks> placeOnOneWorker(const Table &T, const Shape &S,
+                                             std::vector<SlotMask> &Free) {
+  RowId Best = NoId;
+  for (RowId W : T.Order)
+    if (Free[W] && countFits(Free[W], S.SlotsPerTask) >= S.Tasks &&
+        (Best == NoId || std::popcount(Free[W]) < std::popcount(Free[Best])))
+      Best = W;
+  if (Best == NoId)
+    return std::nullopt;
+  return placeWithin(S, {&Best, 1}, Free);
+}
+
+// The rack with the least room that suffices, so that roomy racks stay whole.
+static std::optional<Tasks> placeInOneRack(const Table &T, const Shape &S,
+                                           std::vector<SlotMask> &Free) {
+  const std::vector<RowId> *Best = nullptr;
+  unsigned BestFits = 0;
+  for (const auto &[Name, Members] : T.Racks) {
+    unsigned Fits = 0;
+    for (RowId W : Members)
+      Fits += countFits(Free[W], S.SlotsPerTask);
+    if (Fits >= S.Tasks && (!Best || Fits < BestFits)) {
+      Best = &Members;
+      BestFits = Fits;
+    }
+  }
+  if (!Best)
+    return std::nullopt;
+  return placeWithin(S, *Best, Free);
+}
+
+static std::optional<Tasks> placeMasks(const Table &T, const Shape &S,
+                                       std::vector<SlotMask> &Free) {
+  if (S.Within == Adjacency::Worker || S.Tasks == 1)
+    return S.Tasks == 1 ? placeWithin(S, T.Order, Free)
+                        : placeOnOneWorker(T, S, Free);
+  if (S.Within == Adjacency::Rack)
+    return placeInOneRack(T, S, Free);
+  return placeWithin(S, T.Order, Free);
+}
+
+std::optional<Tasks> placeOn(const Table &T, const Shape &S,
+                             std::vector<SlotMask> Free) {
+  if (S.Accelerators) {
+    for (RowId W : T.Order)
+      Free[W] &= T.Rows[W].Accelerated;
+    return placeMasks(T, S, Free);
+  }
+  std::vector<SlotMask> Plain = Free;
+  for (RowId W : T.Order)
+    Plain[W] &= ~T.Rows[W].Accelerated;
+  if (auto Found = placeMasks(T, S, Plain))
+    return Found;
+  return placeMasks(T, S, Free);
+}
+
+std::optional<Tasks> Table::findOne(unsigned Size, bool Accelerators,
+                                    const Query &Q) const {
+  const Buckets &B = Index[Q.In == Domain::Spare][Accelerators];
+  unsigned First = std::bit_width(Size) - 1;
+  for (unsigned K = First; K != Orders; ++K) {
+    const Bits &Words = B.ByOrder[K];
+    for (std::size_t I = 0; I != Words.size(); ++I) {
+      for (std::uint64_t W = Words[I]; W; W &= W - 1) {
+        RowId Worker = Order[I * 64 + std::countr_zero(W)];
+        SlotMask Fast = Rows[Worker].Accelerated;
+        SlotMask Free = allowed(Worker, Q) & (Accelerators ? Fast : ~Fast);
+        if (Cut C = bestCut(Free, Size); C.Slots)
+          return Tasks{{Worker, C.Slots}};
+      }
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<Tasks> Table::findOneOwn(const Shape &S, const Query &Q) const {
+  TaskSlots Best;
+  unsigned BestRank = ~0U;
+  for (RowId W : homeRows(Q.Account)) {
+    SlotMask Fast = Rows[W].Accelerated;
+    SlotMask Free = allowed(W, Q);
+    for (bool OnPlain : {true, false}) {
+      if (OnPlain && S.Accelerators)
+        continue;
+      SlotMask Usable = S.Accelerators ? Free & Fast
+                        : OnPlain      ? Free & ~Fast
+                                       : Free;
+      Cut C = bestCut(Usable, S.SlotsPerTask);
+      unsigned Rank = C.Order + (OnPlain ? 0 : Orders);
+      if (C.Slots && Rank < BestRank) {
+        Best = {W, C.Slots};
+        BestRank = Rank;
+      }
+    }
+  }
+  return Best.Slots ? std::optional(Tasks{Best}) : std::nullopt;
+}
+
+std::optional<Tasks> Table::scanOwn(const Shape &S, const Query &Q) const {
+  unsigned Fits = 0;
+  for (RowId W : homeRows(Q.Account))
+    Fits += countFits(allowed(W, Q), S.SlotsPerTask);
+  if (Fits < S.Tasks)
+    return std::nullopt;
+  std::vector<SlotMask> Free(Rows.size(), 0);
+  for (RowId W : homeRows(Q.Account))
+    Free[W] = allowed(W, Q);
+  return placeOn(*this, S, std::move(Free));
+}
+
+std::optional<Tasks> Table::find(const Shape &S, const Query &Q) const {
+  if (S.Tasks == 0 || S.Tasks > MaxTasks || S.SlotsPerTask == 0 ||
+      S.SlotsPerTask > MaxSlots)
+    return std::nullopt;
+  if (Q.In == Domain::Own)
+    return S.Tasks == 1 ? findOneOwn(S, Q) : scanOwn(S, Q);
+  if (S.Tasks == 1 && Q.In != Domain::OwnOrSpare) {
+    auto Found = findOne(S.SlotsPerTask, S.Accelerators, Q);
+    if (Found || S.Accelerators)
+      return Found;
+  }
+  std::vector<SlotMask> Free(Rows.size(), 0);
+  for (RowId W : Order)
+    Free[W] = allowed(W, Q);
+  return placeOn(*this, S, std::move(Free));
+}
+
+} // namespace heathersaddle::pool
--- /dev/null
+++ b/packages/pool/lib/Table.cpp
@@ -0,0 +1,123 @@
+// The tables behind Pool: interned names, rows and the index of workers by
+// free block order. A change of one worker costs a few dozen bit operations;
+// adding a worker rebuilds the ranks.
+#include "heathersaddle/pool/PoolAccess.h"
+#include <algorithm>
+#include <bit>
+
+namespace heathersaddle::pool {
+
+static std::uint32_t lookUp(const NameMap &Map, std::string_view Name) {
+  auto Found = Map.find(Name);
+  return Found == Map.end() ? NoId : Found->second;
+}
+
+RowId Table::row(std::string_view Worker) const {
+  RowId Id = lookUp(RowByName, Worker);
+  return Id != NoId && Rows[Id].Present ? Id : NoId;
+}
+
+JobId Table::job(std::string_view Name) const {
+  return lookUp(JobByName, Name);
+}
+
+AccountId Table::account(std::string_view Name) const {
+  return lookUp(AccountByName, Name);
+}
+
+AccountId Table::internAccount(std::string_view Name) {
+  if (AccountId Known = account(Name); Known != NoId)
+    return Known;
+  Accounts.emplace_back(Name);
+  AccountByName.emplace(Name, Accounts.size() - 1);
+  return Accounts.size() - 1;
+}
+
+JobId Table::internJob(std::string_view Name, AccountId Account) {
+  JobId Id = Jobs.size();
+  if (FreeJobIds.empty()) {
+    Jobs.emplace_back();
+  } else {
+    Id = FreeJobIds.back();
+    FreeJobIds.pop_back();
+  }
+  Jobs[Id] = JobRow{std::string(Name), Account, {}, {}};
+  JobByName.emplace(Name, Id);
+  return Id;
+}
+
+void Table::dropJob(JobId Job) {
+  JobByName.erase(Jobs[Job].Name);
+  Jobs[Job] = JobRow{};
+  FreeJobIds.push_back(Job);
+}
+
+bool Table::isGuaranteed(const JobRow &Job) const {
+  for (const TaskSlots &T : Job.Where)
+    if (T.Slots & ~Rows[T.Worker].homeOf(Job.Account))
+      return false;
+  return !Job.Where.empty();
+}
+
+bool Table::isBorrowing(const JobRow &Job) const {
+  for (const TaskSlots &T : Job.Where) {
+    const Row &R = Rows[T.Worker];
+    if (T.Slots & R.Homed & ~R.homeOf(Job.Account))
+      return true;
+  }
+  return false;
+}
+
+void Table::refresh(RowId Worker) {
+  const Row &R = Rows[Worker];
+  SlotMask Open = R.Present ? R.open() : 0;
+  std::size_t Word = R.Rank / 64;
+  std::uint64_t Bit = std::uint64_t{1} << R.Rank % 64;
+  for (unsigned Spare = 0; Spare != 2; ++Spare) {
+    for (unsigned Fast = 0; Fast != 2; ++Fast) {
+      SlotMask Free = Spare ? Open & ~R.Homed : Open;
+      Free &= Fast ? R.Accelerated : ~R.Accelerated;
+      unsigned Found = maximalOrders(Free);
+      for (unsigned K = 0; K != Orders; ++K) {
+        std::uint64_t &W = Index[Spare][Fast].ByOrder[K][Word];
+        W = Found >> K & 1 ? W | Bit : W & ~Bit;
+      }
+    }
+  }
+}
+
+void Table::reorder() {
+  Order.clear();
+  Racks.clear();
+  for (RowId Id = 0; Id != Rows.size(); ++Id)
+    if (Rows[Id].Present)
+      Order.push_back(Id);
+  std::sort(Order.begin(), Order.end(), [this](RowId A, RowId B) {
+    return Rows[A].Spec.Name < Rows[B].Spec.Name;
+  });
+  for (auto &Kind : Index)
+    for (Buckets &B : Kind)
+      for (Bits &Words : B.ByOrder)
+        Words.assign(Order.size() / 64 + 1, 0);
+  for (std::uint32_t Rank = 0; Rank != Order.size(); ++Rank) {
+    Row &R = Rows[Order[Rank]];
+    R.Rank = Rank;
+    Racks[R.Spec.Rack].push_back(Order[Rank]);
+    refresh(Order[Rank]);
+  }
+  HomeRows.assign(Accounts.size(), {});
+  for (RowId Id : Order)
+    for (const HomePart &H : Rows[Id].Homes)
+      if (HomeRows[H.Account].empty() || HomeRows[H.Account].back() != Id)
+        HomeRows[H.Account].push_back(Id);
+}
+
+std::vector<Placement> Table::named(const Tasks &Where) const {
+  std::vector<Placement> Result;
+  Result.reserve(Where.size());
+  for (const TaskSlots &T : Where)
+    Result.push_back({Rows[T.Worker].Spec.Name, T.Slots});
+  return Result;
+}
+
+} // namespace heathersaddle::pool
