Test the replicated state

Cause: apply() keeps the promises to callers whatever a daemon believes, so its refusals need proof.

--- /dev/null
+++ b/packages/state/tests/ListsTest.cpp
@@ -0,0 +1,147 @@
+#include "Fixture.h"
+#include "heathersaddle/base/Json.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace heathersaddle;
+using namespace heathersaddle::state;
+using testing::Log;
+
+BOOST_FIXTURE_TEST_SUITE(AListVersion, Log)
+
+BOOST_AUTO_TEST_SUITE(ComesIntoForce)
+
+// Guards against a lost update when two operators publish at once.
+BOOST_AUTO_TEST_CASE(OnlyOnTopOfTheVersionItNames) {
+  open();
+  BOOST_TEST(publishPlans({plan("p", 0)}, 0).Applied);
+  Verdict Loser = publishPlans({plan("q", 0)}, 0);
+  BOOST_TEST(!Loser.Applied);
+  BOOST_TEST(Loser.Why.Field == "base");
+  BOOST_TEST(S.version(ListKind::Plans) == 1u);
+  BOOST_TEST(!S.listHistory().back().Accepted);
+}
+
+// Guards against promising more than the live workers can hold at once.
+BOOST_AUTO_TEST_CASE(OnlyWhenAllGuaranteesFitTogether) {
+  open();
+  lists();
+  Verdict V = publishCustomers({customer("c", "gold")}, 1);
+  BOOST_TEST(!V.Applied);
+  BOOST_TEST(V.Why.Field == "guarantee");
+  BOOST_TEST(S.customers().size() == 2u);
+}
+
+// Guards against an account whose plan does not exist.
+BOOST_AUTO_TEST_CASE(OnlyWhenEveryPlanExists) {
+  open();
+  BOOST_TEST(!publishCustomers({customer("a", "none")}, 0).Applied);
+}
+
+// Guards against a token that stands for two accounts.
+BOOST_AUTO_TEST_CASE(OnlyWithDistinctTokens) {
+  open();
+  publishPlans({plan("p", 0)}, 0);
+  Customer Twin = customer("b", "p");
+  Twin.TokenSha256 = customer("a", "p").TokenSha256;
+  BOOST_TEST(!publishCustomers({customer("a", "p"), Twin}, 0).Applied);
+}
+
+// Guards against a lost worker that blocks unrelated list changes.
+BOOST_AUTO_TEST_CASE(AlsoWhileAnotherGuaranteeIsDegraded) {
+  open();
+  lists();
+  append(1, WorkerStatusChanged{owner(), homeWorker("a"),
+                                pool::WorkerStatus::Lost});
+  BOOST_TEST(S.degraded().size() == 1u);
+  BOOST_TEST(publishPlans({plan("free", 0)}, 1).Applied);
+  BOOST_TEST(!publishPlans({plan("gold", 4)}, 1).Applied);
+  BOOST_TEST(addWorker("w3").Applied);
+  BOOST_TEST(S.degraded().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ForADepartedMember)
+
+// Guards against ending the terms of a member while its work runs.
+BOOST_AUTO_TEST_CASE(KeepsTheHeldTermsUntilItsWorkEnds) {
+  open();
+  lists();
+  accept(spec("j", "a", 1, true));
+  place("j", 1, true, {{homeWorker("a"), 1}});
+  BOOST_TEST(publishCustomers({customer("a", "gold", true)}, 1).Applied);
+  BOOST_REQUIRE(S.terms("a"));
+  BOOST_TEST(S.cell("dc1")->Pool.isGuaranteed("j"));
+  // The held terms are counted: no third account fits yet.
+  BOOST_TEST(!publishCustomers({customer("c", "gold")}, 2).Applied);
+  append(1, JobEnded{owner(), "j", 1, Outcome::Finished, "", true, {"x"}});
+  BOOST_TEST(!S.terms("a"));
+  BOOST_TEST(publishCustomers({customer("c", "gold")}, 2).Applied);
+}
+
+// Guards against losing the terms when the entry is removed at once.
+BOOST_AUTO_TEST_CASE(KeepsThemAlsoWhenItsEntryIsRemoved) {
+  open();
+  lists();
+  accept(spec("j", "a", 1, true));
+  place("j", 1, true, {{homeWorker("a"), 1}});
+  BOOST_TEST(publishCustomers({}, 1, {"a"}).Applied);
+  BOOST_TEST(S.terms("a"));
+  BOOST_TEST(S.departed("a"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(IsRead)
+
+// Guards against errors that do not say which entry is wrong.
+BOOST_AUTO_TEST_CASE(NamingTheWrongField) {
+  auto Value = base::parseJson(
+      R"({"plans":[{"name":"p","guarantee":[{"accelerators":0}]}]})", "t");
+  auto Plans = parsePlans(*Value);
+  BOOST_REQUIRE(!Plans);
+  BOOST_TEST(Plans.error().Field == "plans[0].guarantee[0].accelerators");
+}
+
+// Guards against a list that changes when it is shown and published again.
+BOOST_AUTO_TEST_CASE(AndWrittenWithoutLoss) {
+  PlanMap Plans{{"gold", Log::plan("gold", 8)}};
+  Plans["gold"].Guarantee.push_back({8, 4, true, 2});
+  auto Again = parsePlans(toJson(Plans));
+  BOOST_REQUIRE(Again);
+  BOOST_TEST((*Again == Plans));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ASnapshot, Log)
+
+// Guards against a restored daemon that decides differently from the others.
+BOOST_AUTO_TEST_CASE(RestoresAStateThatGoesOnAlike) {
+  open();
+  lists();
+  accept(spec("g", "a", 2));
+  std::string W = homeWorker("a");
+  place("g", 1, false, {{W, 1}, {W, 2}});
+  append(1, WorkerStatusChanged{owner(), W, pool::WorkerStatus::Leaving});
+  publishCustomers({}, 1, {"a"});
+  auto Copy = State::restore(S.serialize());
+  BOOST_REQUIRE(Copy);
+  BOOST_TEST(Copy->digest() == S.digest());
+  Record Next{1, Sequences[1] + 1, Wall, StartCommitted{owner(), "g", 1}};
+  BOOST_TEST(Copy->apply(Copy->next(), Next).Applied);
+  BOOST_TEST(S.apply(S.next(), Next).Applied);
+  BOOST_TEST(Copy->digest() == S.digest());
+}
+
+// Guards against acting on a damaged snapshot.
+BOOST_AUTO_TEST_CASE(ThatIsDamagedIsRefused) {
+  open();
+  std::string Text = S.serialize();
+  BOOST_TEST(!State::restore(Text.substr(0, Text.size() / 2)));
+  BOOST_TEST(!State::restore("{}"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
