--- a/packages/state/include/heathersaddle/state/State.h
+++ b/packages/state/include/heathersaddle/state/State.h
@@ -2,6 +2,7 @@
 #define HEATHERSADDLE_STATE_STATE_H
 
 #include "heathersaddle/pool/Pool.h"
+#include "heathersaddle/state/Burn.h"
 #include "heathersaddle/state/Lists.h"
 #include "heathersaddle/state/Record.h"
 #include <array>
@@ -48,8 +49,10 @@
   std::string Reason;
   bool Ran = false;
   std::vector<std::string> Parts;
-  base::WallMs PlacedMs = 0; ///< Last attempt's placement.
+  base::WallMs AcceptedClockMs = 0; ///< State clock at acceptance.
+  base::WallMs PlacedMs = 0;        ///< Last attempt's placement.
   base::WallMs FirstStartMs = 0;
+  base::WallMs StopMs = 0; ///< When the present stop was requested.
   base::WallMs EndedMs = 0;
 
   bool live() const { return Status != JobStatus::Ended; }
@@ -159,6 +162,8 @@
     return UsageByAccount;
   }
 
+  const BurnHistory &burn() const { return Burn; }
+
   /// The whole state as text, for a snapshot; see restore().
   std::string serialize() const;
   /// A state equal to the one that serialize() wrote.
@@ -190,6 +195,7 @@
   std::map<std::string, std::size_t, std::less<>> LiveByAccount;
   std::size_t LiveTotal = 0;
   std::map<std::string, Usage, std::less<>> UsageByAccount;
+  BurnHistory Burn;
 };
 
 } // namespace heathersaddle::state
--- a/packages/state/lib/Applier.h
+++ b/packages/state/lib/Applier.h
@@ -46,6 +46,8 @@
                                   unsigned Attempt);
   Result checkPlacement(const Cell &C, const Job &J, const Placed &B) const;
   void leavePool(Cell &C, Job &J);
+  void noteStart(Job &J);
+  void noteEnd(const Job &J);
   void endJob(Job &J, const JobEnded &B);
 
   // ApplyPool.cpp
--- a/packages/state/lib/ApplyJobs.cpp
+++ b/packages/state/lib/ApplyJobs.cpp
@@ -104,6 +104,7 @@
   J.Cell = B.Cell;
   S.Cells[B.Cell].Live.emplace(Offset, J.Spec.Id);
   J.AcceptedOffset = Offset;
+  J.AcceptedClockMs = S.Clock;
   ++S.LiveByAccount[J.Spec.Account];
   ++S.LiveTotal;
   S.Jobs.emplace(J.Spec.Id, std::move(J));
@@ -174,8 +175,8 @@
   J.Status = B.Start ? JobStatus::Running : JobStatus::Reserved;
   J.Started = B.Start;
   J.PlacedMs = S.Clock;
-  if (J.Started && J.FirstStartMs == 0)
-    J.FirstStartMs = S.Clock;
+  if (J.Started)
+    noteStart(J);
   return {};
 }
 
@@ -187,8 +188,7 @@
     return conflict("the job is not reserved");
   (*J)->Status = JobStatus::Running;
   (*J)->Started = true;
-  if ((*J)->FirstStartMs == 0)
-    (*J)->FirstStartMs = S.Clock;
+  noteStart(**J);
   return {};
 }
 
@@ -205,6 +205,7 @@
   (*J)->Status = JobStatus::Stopping;
   (*J)->StopReason = B.Reason;
   (*J)->StopForAccount = B.ForAccount;
+  (*J)->StopMs = S.Clock;
   if (ForOther) {
     ++S.UsageByAccount[Account].Reclaimed;
     ++S.UsageByAccount[B.ForAccount].ReclaimedFor;
@@ -212,9 +213,35 @@
   return {};
 }
 
+void Applier::noteStart(Job &J) {
+  if (J.FirstStartMs != 0)
+    return;
+  J.FirstStartMs = S.Clock;
+  if (J.Spec.Urgent)
+    S.Burn.record(J.Spec.Account, Objective::UrgentStart,
+                  S.Clock - J.AcceptedClockMs <= UrgentStartMs, S.Clock);
+}
+
+void Applier::noteEnd(const Job &J) {
+  bool Cancelled = J.Result == Outcome::Cancelled;
+  // An urgent job that ends without a start was never started in time.
+  if (J.Spec.Urgent && J.FirstStartMs == 0 && !Cancelled)
+    S.Burn.record(J.Spec.Account, Objective::UrgentStart, false, S.Clock);
+  if (J.Spec.DeadlineMs != 0 && !Cancelled)
+    S.Burn.record(J.Spec.Account, Objective::Deadline,
+                  J.Result == Outcome::Finished && S.Clock <= J.Spec.DeadlineMs,
+                  S.Clock);
+  S.Burn.record(J.Spec.Account, Objective::Whole,
+                J.Result != Outcome::Unknown && J.Result != Outcome::NotRun,
+                S.Clock);
+}
+
 void Applier::leavePool(Cell &C, Job &J) {
   if (J.Tasks.empty())
     return;
+  if (J.Status == JobStatus::Stopping && !J.StopForAccount.empty())
+    S.Burn.record(J.StopForAccount, Objective::Reclaim,
+                  S.Clock - J.StopMs <= ReclaimMs, S.Clock);
   std::int64_t SlotMs = static_cast<std::int64_t>(J.Spec.Shape.totalSlots()) *
                         (S.Clock - J.PlacedMs);
   Usage &U = S.UsageByAccount[J.Spec.Account];
@@ -256,6 +283,7 @@
   J.Ran = B.Ran;
   J.Parts = B.Parts;
   J.EndedMs = S.Clock;
+  noteEnd(J);
   // The input is needed for dispatch only.
   J.Spec.Input.clear();
   J.Spec.Input.shrink_to_fit();
--- /dev/null
+++ b/packages/state/lib/Burn.cpp
@@ -0,0 +1,66 @@
+// Sparse minutes: an account without events in a minute has no entry for it,
+// so memory is bounded by the number of events of three days.
+
+#include "heathersaddle/state/Burn.h"
+
+namespace heathersaddle::state {
+
+namespace {
+
+constexpr base::WallMs MinuteMs = 60'000;
+
+std::size_t index(Objective O) { return static_cast<std::size_t>(O); }
+
+} // namespace
+
+std::string_view name(Objective O) {
+  constexpr std::array<std::string_view, ObjectiveCount> Names{
+      "urgent_start", "deadline", "whole", "reclaim"};
+  return Names[index(O)];
+}
+
+double target(Objective O) { return O == Objective::Whole ? 0.999 : 0.99; }
+
+void BurnHistory::record(std::string_view Account, Objective O, bool Good,
+                         base::WallMs Clock) {
+  auto Found = Accounts.find(Account);
+  if (Found == Accounts.end())
+    Found = Accounts.emplace(std::string(Account), Minutes{}).first;
+  Minutes &Kept = Found->second;
+  GoodBad &Count = Kept[Clock / MinuteMs][index(O)];
+  ++(Good ? Count.Good : Count.Bad);
+  while (!Kept.empty() && Kept.begin()->first < (Clock - BurnKeptMs) / MinuteMs)
+    Kept.erase(Kept.begin());
+}
+
+void BurnHistory::noteSkew(base::WallMs Clock) {
+  ++SkewByMinute[Clock / MinuteMs];
+  while (SkewByMinute.begin()->first < (Clock - BurnKeptMs) / MinuteMs)
+    SkewByMinute.erase(SkewByMinute.begin());
+}
+
+GoodBad BurnHistory::sum(std::string_view Account, Objective O,
+                         base::WallMs Clock, base::WallMs Window) const {
+  GoodBad Sum;
+  auto Found = Accounts.find(Account);
+  if (Found == Accounts.end())
+    return Sum;
+  const Minutes &Kept = Found->second;
+  for (auto It = Kept.upper_bound((Clock - Window) / MinuteMs);
+       It != Kept.end(); ++It) {
+    Sum.Good += It->second[index(O)].Good;
+    Sum.Bad += It->second[index(O)].Bad;
+  }
+  return Sum;
+}
+
+std::uint64_t BurnHistory::skewed(base::WallMs Clock,
+                                  base::WallMs Window) const {
+  std::uint64_t Sum = 0;
+  for (auto It = SkewByMinute.upper_bound((Clock - Window) / MinuteMs);
+       It != SkewByMinute.end(); ++It)
+    Sum += It->second;
+  return Sum;
+}
+
+} // namespace heathersaddle::state
--- a/packages/state/lib/Snapshot.cpp
+++ b/packages/state/lib/Snapshot.cpp
@@ -35,7 +35,9 @@
           {"reason", J.Reason},
           {"ran", J.Ran},
           {"parts", toJson(J.Parts)},
+          {"accepted_clock_ms", J.AcceptedClockMs},
           {"placed_ms", J.PlacedMs},
+          {"stop_ms", J.StopMs},
           {"first_start_ms", J.FirstStartMs},
           {"ended_ms", J.EndedMs}};
 }
@@ -60,7 +62,9 @@
   J.Reason = R.string("reason", MaxReason);
   J.Ran = R.booleanOr("ran", false);
   J.Parts = textsFrom(R, "parts", pool::MaxTasks);
+  J.AcceptedClockMs = R.integer("accepted_clock_ms", 0, MaxNumber);
   J.PlacedMs = R.integer("placed_ms", 0, MaxNumber);
+  J.StopMs = R.integer("stop_ms", 0, MaxNumber);
   J.FirstStartMs = R.integer("first_start_ms", 0, MaxNumber);
   J.EndedMs = R.integer("ended_ms", 0, MaxNumber);
   if (const base::Error *E = R.error())
@@ -130,12 +134,14 @@
   static json::array writeCells(const State &S);
   static json::array writeHeld(const State &S);
   static json::array writeUsage(const State &S);
+  static json::value writeBurn(const State &S);
   static void readLists(State &S, JsonReader &R);
   static void readCells(State &S, JsonReader &R);
   static void readJobs(State &S, JsonReader &R);
   static void readMembers(State &S, JsonReader &R);
   static void readHeld(State &S, JsonReader &R);
   static void readUsage(State &S, JsonReader &R);
+  static void readBurn(State &S, JsonReader &R);
   static base::Expected<void> rebuildPools(State &S);
 };
 
@@ -176,6 +182,25 @@
   return Usages;
 }
 
+json::value SnapshotCodec::writeBurn(const State &S) {
+  json::array Accounts, Skew;
+  for (const auto &[Account, Minutes] : S.Burn.Accounts) {
+    json::array Rows;
+    for (const auto &[Minute, Counts] : Minutes) {
+      json::array Row{Minute};
+      for (const GoodBad &Count : Counts) {
+        Row.push_back(Count.Good);
+        Row.push_back(Count.Bad);
+      }
+      Rows.push_back(std::move(Row));
+    }
+    Accounts.push_back({{"account", Account}, {"minutes", std::move(Rows)}});
+  }
+  for (const auto &[Minute, Count] : S.Burn.SkewByMinute)
+    Skew.push_back(json::array{Minute, Count});
+  return {{"accounts", std::move(Accounts)}, {"skew", std::move(Skew)}};
+}
+
 json::value SnapshotCodec::write(const State &S) {
   json::array Writers, Jobs, Daemons, History;
   for (const auto &[Writer, Mark] : S.Writers)
@@ -202,7 +227,8 @@
            json::array{S.VersionOffsets[0], S.VersionOffsets[1]}},
           {"history", std::move(History)},
           {"degraded", toJson(S.Degraded)},
-          {"usage", writeUsage(S)}};
+          {"usage", writeUsage(S)},
+          {"burn", writeBurn(S)}};
 }
 
 namespace {
@@ -335,6 +361,33 @@
   });
 }
 
+void SnapshotCodec::readBurn(State &S, JsonReader &R) {
+  const json::value *Value = R.find("burn");
+  if (!Value) {
+    R.fail("burn", "is required");
+    return;
+  }
+  JsonReader B(*Value, "restore", "burn.");
+  forEach(B, "accounts", [&](JsonReader &Item, const json::value &) {
+    auto &Minutes = S.Burn.Accounts[Item.string("account", MaxName)];
+    const json::array *Rows = Item.array("minutes", true, MaxItems);
+    for (std::size_t I = 0; Rows && I < Rows->size(); ++I) {
+      auto Row =
+          numbersFrom((*Rows)[I], 1 + 2 * ObjectiveCount, Item, "minutes");
+      BurnHistory::Minute &M = Minutes[static_cast<std::int64_t>(Row[0])];
+      for (std::size_t O = 0; O < ObjectiveCount; ++O)
+        M[O] = {Row[1 + 2 * O], Row[2 + 2 * O]};
+    }
+  });
+  const json::array *Skew = B.array("skew", true, MaxItems);
+  for (std::size_t I = 0; Skew && I < Skew->size(); ++I) {
+    auto Row = numbersFrom((*Skew)[I], 2, B, "skew");
+    S.Burn.SkewByMinute[static_cast<std::int64_t>(Row[0])] = Row[1];
+  }
+  if (const base::Error *E = B.error())
+    R.fail(E->Field, E->Message);
+}
+
 base::Expected<void> SnapshotCodec::rebuildPools(State &S) {
   for (auto &[Name, C] : S.Cells) {
     for (const auto &[Offset, Id] : C.Live) {
@@ -363,6 +416,7 @@
   readMembers(S, R);
   readHeld(S, R);
   readUsage(S, R);
+  readBurn(S, R);
   S.Degraded = textsFrom(R, "degraded", MaxItems);
   if (const base::Error *E = R.error())
     return tl::unexpected(*E);
--- a/packages/state/lib/State.cpp
+++ b/packages/state/lib/State.cpp
@@ -7,6 +7,7 @@
 #include "heathersaddle/base/Hash.h"
 #include <algorithm>
 #include <cassert>
+#include <cstdlib>
 
 namespace heathersaddle::state {
 
@@ -15,6 +16,8 @@
 /// Marks of writers silent for longer than this are dropped: no append stays
 /// in flight for a day.
 constexpr base::WallMs WriterWindowMs = 24 * 3600 * 1000;
+/// A writer's clock that is off by more than this is noted in the burn figures.
+constexpr base::WallMs SkewNotedMs = 1'000;
 /// Marks are swept only above this number, to bound the work per record.
 constexpr std::size_t WriterSweepAbove = 4096;
 
@@ -58,6 +61,8 @@
   }
   base::WallMs Limit = S.Clock + MaxClockStepMs;
   S.Clock = std::max(S.Clock, S.Clock == 0 ? R.At : std::min(R.At, Limit));
+  if (std::abs(R.At - S.Clock) > SkewNotedMs)
+    S.Burn.noteSkew(S.Clock);
   Mark.Sequence = R.Sequence;
   Mark.SeenMs = S.Clock;
   sweepWriters(S.Writers, S.Clock);
