Add the service-level burn report

Cause: operators need to see whether promises are kept, also with a host down. Change: package report builds rows from the state's counters, merges reports of several daemons by the furthest log offset, and renders table, JSON and one HTML page; request figures of a process come from Boost.Accumulators.

--- /dev/null
+++ b/packages/report/lib/RenderHtml.cpp
@@ -0,0 +1,97 @@
+// One HTML file with inline SVG bars: burn by window for each objective, on a
+// scale cut at ScaleTop. All text from outside is escaped.
+
+#include "heathersaddle/report/BurnReport.h"
+#include <algorithm>
+#include <cstdio>
+
+namespace heathersaddle::report {
+
+namespace {
+
+constexpr double ScaleTop = 20; ///< Burn rate at the full length of a bar.
+constexpr double BarPixels = 160;
+constexpr unsigned RowPixels = 12;
+
+std::string escape(std::string_view Text) {
+  std::string Out;
+  for (char C : Text) {
+    switch (C) {
+    case '&':
+      Out += "&amp;";
+      break;
+    case '<':
+      Out += "&lt;";
+      break;
+    case '>':
+      Out += "&gt;";
+      break;
+    case '"':
+      Out += "&quot;";
+      break;
+    default:
+      Out += C;
+    }
+  }
+  return Out;
+}
+
+std::string decimal(double Value) {
+  char Text[32];
+  std::snprintf(Text, sizeof Text, "%.2f", Value);
+  return Text;
+}
+
+std::string colour(double Burn) {
+  if (Burn > FastBurn)
+    return "#b3261e";
+  return Burn > SlowBurn ? "#c77700" : "#2e7d32";
+}
+
+std::string bars(const BurnRow &Row) {
+  unsigned Height = RowPixels * static_cast<unsigned>(WindowsMs.size());
+  std::string Svg = "<svg width=\"260\" height=\"" + std::to_string(Height) +
+                    "\" role=\"img\">";
+  for (std::size_t W = 0; W < WindowsMs.size(); ++W) {
+    std::string Y = std::to_string(W * RowPixels);
+    std::string TextY = std::to_string(W * RowPixels + 9);
+    auto Burn = Row.burn(W);
+    double Length = Burn ? std::min(*Burn, ScaleTop) / ScaleTop * BarPixels : 0;
+    Svg += "<text x=\"0\" y=\"" + TextY + "\">" + std::string(WindowNames[W]) +
+           "</text><rect x=\"24\" y=\"" + Y + "\" height=\"9\" width=\"" +
+           decimal(std::max(Length, 1.0)) + "\" fill=\"" +
+           colour(Burn.value_or(0)) + "\"/><text x=\"190\" y=\"" + TextY +
+           "\">" + (Burn ? decimal(*Burn) : "no events") + "</text>";
+  }
+  return Svg + "</svg>";
+}
+
+} // namespace
+
+std::string renderHtml(const MergedReport &M) {
+  std::string Page =
+      "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\">"
+      "<title>Service-level burn</title><style>"
+      "body{font:14px sans-serif;margin:2em}td,th{padding:4px 12px;"
+      "text-align:left;border-bottom:1px solid #ddd}svg{font:10px sans-serif}"
+      ".fast{color:#b3261e;font-weight:bold}.slow{color:#c77700}"
+      "</style><h1>Service-level burn</h1><p>Log offset " +
+      std::to_string(M.Newest.Offset) + ", " +
+      std::to_string(M.Daemons.size()) + " daemons, " +
+      std::to_string(M.Missing.size()) + " missing.</p>";
+  for (const std::string &Warning : M.Warnings)
+    Page += "<p class=\"slow\">Warning: " + escape(Warning) + "</p>";
+  Page += "<table><tr><th>Account<th>Objective<th>Target<th>Burn rate"
+          "<th>Budget left (3 d)<th>Verdict</tr>";
+  for (const BurnRow &Row : M.Newest.Rows) {
+    auto Left = Row.budgetLeft();
+    std::string Verdict(Row.verdict());
+    Page += "<tr><td>" + escape(Row.Account) + "<td>" + escape(Row.Objective) +
+            "<td>" + decimal(Row.Target * 100) + "%<td>" + bars(Row) + "<td>" +
+            (Left ? decimal(*Left * 100) + "%" : "no events") + "<td class=\"" +
+            Verdict + "\">" + Verdict + "</tr>";
+  }
+  return Page + "</table></html>\n";
+}
+
+} // namespace heathersaddle::report
--- /dev/null
+++ b/packages/report/lib/RenderText.cpp
@@ -0,0 +1,86 @@
+// The report as a table for a terminal and as JSON for machines. A window
+// without events is shown as "-", never as 0.
+
+#include "heathersaddle/report/BurnReport.h"
+#include <cstdio>
+
+namespace heathersaddle::report {
+
+namespace json = boost::json;
+
+namespace {
+
+std::string decimal(std::optional<double> Value, const char *Format) {
+  if (!Value)
+    return "-";
+  char Text[32];
+  std::snprintf(Text, sizeof Text, Format, *Value);
+  return Text;
+}
+
+std::string column(std::string_view Text, std::size_t Width) {
+  std::string Cell(Text);
+  Cell.resize(std::max(Width, Cell.size()), ' ');
+  return Cell + "  ";
+}
+
+json::value orNull(std::optional<double> Value) {
+  return Value ? json::value(*Value) : json::value(nullptr);
+}
+
+} // namespace
+
+std::string renderTable(const MergedReport &M) {
+  std::string Text =
+      column("ACCOUNT", 20) + column("OBJECTIVE", 12) + column("TARGET", 6);
+  for (std::string_view Window : WindowNames)
+    Text += column("BURN " + std::string(Window), 8);
+  Text += column("BUDGET LEFT", 11) + "VERDICT\n";
+  for (const BurnRow &Row : M.Newest.Rows) {
+    Text += column(Row.Account, 20) + column(Row.Objective, 12) +
+            column(decimal(Row.Target * 100, "%.1f%%"), 6);
+    for (std::size_t W = 0; W < WindowsMs.size(); ++W)
+      Text += column(decimal(Row.burn(W), "%.2f"), 8);
+    auto Left = Row.budgetLeft();
+    Text += column(Left ? decimal(*Left * 100, "%.1f%%") : "-", 11) +
+            std::string(Row.verdict()) + "\n";
+  }
+  for (const BurnReport &R : M.Daemons)
+    if (R.Requests)
+      Text += "daemon " + R.Daemon + ": " +
+              std::to_string(R.Requests->Requests) + " requests, " +
+              std::to_string(R.Requests->ServerErrors) +
+              " server errors, mean " + decimal(R.Requests->MeanMs, "%.2f") +
+              " ms, p99 " + decimal(R.Requests->P99Ms, "%.2f") + " ms\n";
+  for (const std::string &Warning : M.Warnings)
+    Text += "warning: " + Warning + "\n";
+  return Text;
+}
+
+json::value toJson(const MergedReport &M) {
+  json::array Rows, Daemons, Missing, Warnings;
+  for (const BurnRow &Row : M.Newest.Rows) {
+    json::object Item{{"account", Row.Account},
+                      {"objective", Row.Objective},
+                      {"target", Row.Target},
+                      {"verdict", Row.verdict()},
+                      {"budget_left", orNull(Row.budgetLeft())}};
+    for (std::size_t W = 0; W < WindowsMs.size(); ++W)
+      Item["burn_" + std::string(WindowNames[W])] = orNull(Row.burn(W));
+    Rows.push_back(std::move(Item));
+  }
+  for (const BurnReport &R : M.Daemons) {
+    json::value Daemon = toJson(R);
+    Daemon.as_object().erase("rows");
+    Daemons.push_back(std::move(Daemon));
+  }
+  for (const std::string &Text : M.Missing)
+    Missing.push_back(json::value(Text));
+  for (const std::string &Text : M.Warnings)
+    Warnings.push_back(json::value(Text));
+  return {{"offset", M.Newest.Offset},     {"clock_ms", M.Newest.ClockMs},
+          {"rows", std::move(Rows)},       {"daemons", std::move(Daemons)},
+          {"missing", std::move(Missing)}, {"warnings", std::move(Warnings)}};
+}
+
+} // namespace heathersaddle::report
--- /dev/null
+++ b/packages/report/tests/BurnReportTest.cpp
@@ -0,0 +1,107 @@
+#define BOOST_TEST_MODULE report
+#include "heathersaddle/report/BurnReport.h"
+#include "heathersaddle/report/RequestStats.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace heathersaddle;
+using namespace heathersaddle::report;
+
+namespace {
+
+BurnRow row(std::uint64_t Good, std::uint64_t Bad) {
+  BurnRow R;
+  R.Account = "maison-<a>";
+  R.Objective = "urgent_start";
+  R.Target = 0.99;
+  R.Windows.fill({Good, Bad});
+  return R;
+}
+
+BurnReport daemonReport(const std::string &Name, std::uint64_t Offset,
+                        BurnRow Row) {
+  BurnReport R;
+  R.Daemon = Name;
+  R.Offset = Offset;
+  R.ClockMs = 1'000'000;
+  R.Rows.push_back(std::move(Row));
+  return R;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TheBurnReport)
+
+// Guards against an empty window that reads as a perfect one.
+BOOST_AUTO_TEST_CASE(ShowsNoFigureForAnEmptyWindow) {
+  BurnRow R = row(0, 0);
+  BOOST_TEST(!R.burn(0));
+  BOOST_TEST(R.verdict() == "no events");
+  std::vector<BurnReport> Reports{daemonReport("d1", 1, R)};
+  std::string Table = renderTable(*merge(Reports, {}));
+  BOOST_TEST(Table.find("no events") != std::string::npos);
+  BOOST_TEST(Table.find("0.00") == std::string::npos);
+}
+
+// Guards against an alarm threshold that never or always fires.
+BOOST_AUTO_TEST_CASE(NamesFastAndSlowBurn) {
+  BOOST_TEST(row(80, 20).verdict() == "fast");
+  BOOST_TEST(row(95, 5).verdict() == "slow");
+  BOOST_TEST(row(1000, 1).verdict() == "ok");
+}
+
+// Guards against counting each event once per daemon.
+BOOST_AUTO_TEST_CASE(TakesTheRowsOfTheDaemonThatHasReadFurthest) {
+  std::vector<BurnReport> Reports{daemonReport("d1", 10, row(10, 0)),
+                                  daemonReport("d2", 12, row(12, 1))};
+  auto M = merge(Reports, {});
+  BOOST_REQUIRE(M);
+  BOOST_TEST(M->Newest.Rows[0].Windows[0].Good == 12u);
+}
+
+// Guards against a report that hides a missing host or a wrong clock.
+BOOST_AUTO_TEST_CASE(SaysWhichDaemonIsMissingAndThatClocksDisagree) {
+  BurnReport R = daemonReport("d1", 10, row(10, 0));
+  R.Skewed = 3;
+  std::vector<BurnReport> Reports{R};
+  std::vector<std::string> Missing{"127.0.0.1:9: refused"};
+  std::string Table = renderTable(*merge(Reports, Missing));
+  BOOST_TEST(Table.find("127.0.0.1:9") != std::string::npos);
+  BOOST_TEST(Table.find("clocks") != std::string::npos);
+  BOOST_TEST(!merge({}, Missing));
+}
+
+// Guards against figures that change between daemon and tool.
+BOOST_AUTO_TEST_CASE(SurvivesItsJsonForm) {
+  BurnReport R = daemonReport("d1", 10, row(7, 3));
+  R.Requests = RequestFigures{5, 1, 2.5, 4.5, 9};
+  auto Again = parseReport(toJson(R));
+  BOOST_REQUIRE(Again);
+  BOOST_TEST(Again->Rows[0].Windows[3].Bad == 3u);
+  BOOST_TEST(Again->Requests->P99Ms == 4.5);
+}
+
+// Guards against account names that inject markup.
+BOOST_AUTO_TEST_CASE(EscapesNamesInHtml) {
+  std::vector<BurnReport> Reports{daemonReport("d1", 1, row(1, 0))};
+  std::string Page = renderHtml(*merge(Reports, {}));
+  BOOST_TEST(Page.find("maison-&lt;a&gt;") != std::string::npos);
+  BOOST_TEST(Page.find("http") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(RequestFiguresOfAProcess)
+
+// Guards against errors and slow requests that do not show.
+BOOST_AUTO_TEST_CASE(CountErrorsAndTheTail) {
+  RequestStats Stats;
+  for (int I = 0; I < 1000; ++I)
+    Stats.record(I < 980 ? 1.0 : 100.0, I % 100 == 0 ? 503 : 200);
+  RequestFigures F = Stats.figures();
+  BOOST_TEST(F.Requests == 1000u);
+  BOOST_TEST(F.ServerErrors == 10u);
+  BOOST_TEST(F.MaxMs == 100.0);
+  BOOST_TEST(F.P99Ms > 1.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
