--- /dev/null
+++ b/packages/control/lib/AppendQueue.cpp
@@ -0,0 +1,167 @@
+// Approach: one append is in flight; what is queued meanwhile forms the next
+// batch. A batch without a response is repeated with the same sequence
+// numbers. When a caller no longer waits for a record of such a batch, a noop
+// with a higher number (a fence) is appended instead: once the fence has been
+// applied, unseen records before it can no longer take effect, so they are
+// dropped, or renumbered when they are still wanted.
+// Bounds: MaxQueuedRecords entries, BatchRecords and BatchBytes per append.
+#include "AppendQueue.h"
+
+namespace heathersaddle::control {
+
+namespace {
+constexpr base::Millis RetryFirst{100};
+constexpr base::Millis RetryMost{5'000};
+} // namespace
+
+void AppendQueue::report(Entry &E, const Fate &F) {
+  if (auto Done = std::exchange(E.Done, nullptr))
+    Done(F);
+}
+
+bool AppendQueue::push(state::Body What, FateHandler Done, base::Millis Limit) {
+  if (Waiting.size() + Sent.size() >= C.S.MaxQueuedRecords)
+    return false;
+  Entry E{std::move(What), {}, 0, std::move(Done)};
+  if (Limit.count() > 0)
+    E.Expires = C.now() + Limit;
+  Waiting.push_back(std::move(E));
+  return true;
+}
+
+void AppendQueue::pump() {
+  if (Now == Phase::Unresolved && batchSeen())
+    Now = Phase::Idle;
+  if (Now == Phase::Unresolved && C.now() >= RetryAt) {
+    if (batchHasExpired())
+      sendFence();
+    else
+      emit();
+  }
+  if (Now == Phase::Idle && !Waiting.empty())
+    sendBatch();
+}
+
+bool AppendQueue::batchSeen() const {
+  return Sent.empty() || Sent.back().Sequence < BatchFirst;
+}
+
+bool AppendQueue::batchHasExpired() const {
+  return std::any_of(Sent.begin(), Sent.end(), [&](const Entry &E) {
+    return E.Sequence >= BatchFirst && E.Expires <= C.now();
+  });
+}
+
+void AppendQueue::sendBatch() {
+  Batch.clear();
+  BatchFirst = Sequence + 1;
+  std::size_t Bytes = 0;
+  while (!Waiting.empty() && Batch.size() < C.S.BatchRecords) {
+    Entry &E = Waiting.front();
+    E.Text = state::encode({C.S.Incarnation, Sequence + 1, C.T.Wall, E.What});
+    if (!Batch.empty() && Bytes + E.Text.size() > C.S.BatchBytes)
+      break;
+    Bytes += E.Text.size();
+    E.Sequence = ++Sequence;
+    Batch.push_back(std::move(E.Text));
+    Sent.push_back(std::move(E));
+    Waiting.pop_front();
+  }
+  emit();
+}
+
+void AppendQueue::sendFence() {
+  Entry E{state::Noop{}, {}, ++Sequence, nullptr};
+  Batch = {state::encode({C.S.Incarnation, Sequence, C.T.Wall, E.What})};
+  BatchFirst = Sequence;
+  Sent.push_back(std::move(E));
+  emit();
+}
+
+void AppendQueue::emit() {
+  Call = ++C.LastCall;
+  Now = Phase::InFlight;
+  C.Out.emplace_back(AppendAction{Call, "control", Batch, C.S.CallLimit});
+}
+
+void AppendQueue::onAppended(std::uint64_t Which,
+                             const base::Expected<std::uint64_t> &R) {
+  if (Which != Call || Now != Phase::InFlight)
+    return;
+  if (R) {
+    Failures = 0;
+    Now = Phase::Idle;
+    return;
+  }
+  Now = Phase::Unresolved;
+  RetryAt = C.now() + C.backoff(Failures, RetryFirst, RetryMost);
+  ++Failures;
+  ProbeWanted = true;
+}
+
+void AppendQueue::onApplied(const state::Record &R, std::uint64_t Offset,
+                            const state::Verdict &V) {
+  if (R.Writer != C.S.Incarnation || V.Duplicate)
+    return;
+  std::deque<Entry> Again;
+  while (!Sent.empty() && Sent.front().Sequence < R.Sequence) {
+    Entry E = std::move(Sent.front());
+    Sent.pop_front();
+    if (E.Done && E.Expires > C.now())
+      Again.push_back(std::move(E));
+    else
+      report(E, {FateKind::Dropped, 0, {}});
+  }
+  if (!Sent.empty() && Sent.front().Sequence == R.Sequence) {
+    Entry E = std::move(Sent.front());
+    Sent.pop_front();
+    report(E,
+           {V.Applied ? FateKind::Applied : FateKind::Voided, Offset, V});
+  }
+  while (!Again.empty()) {
+    Waiting.push_front(std::move(Again.back()));
+    Again.pop_back();
+  }
+}
+
+void AppendQueue::onRestored() {
+  std::uint64_t Covered = C.St.lastSequence(C.S.Incarnation);
+  while (!Sent.empty() && Sent.front().Sequence <= Covered) {
+    Entry E = std::move(Sent.front());
+    Sent.pop_front();
+    report(E, {FateKind::Unresolved, 0, {}});
+  }
+}
+
+void AppendQueue::expire() {
+  auto Late = [&](const Entry &E) { return E.Expires <= C.now(); };
+  std::vector<Entry> Over;
+  for (auto It = Waiting.begin(); It != Waiting.end();) {
+    if (!Late(*It)) {
+      ++It;
+      continue;
+    }
+    Over.push_back(std::move(*It));
+    It = Waiting.erase(It);
+  }
+  for (Entry &E : Over)
+    report(E, {FateKind::Dropped, 0, {}});
+  std::vector<FateHandler> Open;
+  for (Entry &E : Sent)
+    if (E.Done && Late(E))
+      Open.push_back(std::exchange(E.Done, nullptr));
+  for (FateHandler &Done : Open)
+    Done({FateKind::Unresolved, 0, {}});
+}
+
+void AppendQueue::abandon() {
+  std::deque<Entry> Unsent = std::exchange(Waiting, {});
+  std::deque<Entry> Open = std::exchange(Sent, {});
+  Now = Phase::Idle;
+  for (Entry &E : Unsent)
+    report(E, {FateKind::Dropped, 0, {}});
+  for (Entry &E : Open)
+    report(E, {FateKind::Unresolved, 0, {}});
+}
+
+} // namespace heathersaddle::control
--- /dev/null
+++ b/packages/control/lib/Core.h
@@ -0,0 +1,103 @@
+#ifndef HEATHERSADDLE_CONTROL_CORE_H
+#define HEATHERSADDLE_CONTROL_CORE_H
+
+#include "heathersaddle/control/Node.h"
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace heathersaddle::control {
+
+namespace json = boost::json;
+
+/// Handlers of calls that have no result yet. Each handler runs at most once.
+template <class T> class CallTable {
+public:
+  using Handler = std::function<void(base::Expected<T>)>;
+  void add(std::uint64_t Call, Handler Done) {
+    Handlers.emplace(Call, std::move(Done));
+  }
+  void finish(std::uint64_t Call, base::Expected<T> Result) {
+    auto It = Handlers.find(Call);
+    if (It == Handlers.end())
+      return;
+    Handler Done = std::move(It->second);
+    Handlers.erase(It);
+    Done(std::move(Result));
+  }
+
+private:
+  std::map<std::uint64_t, Handler> Handlers;
+};
+
+/// Numbers of the log events of this package; see docs/events.md.
+enum EventNumber : unsigned {
+  EventRecovered = 300,
+  EventTrimmed = 301,
+  EventLogDown = 302,
+  EventLogUp = 303,
+  EventClaimed = 304,
+  EventDeposed = 305,
+  EventReleased = 306,
+  EventWorkerLost = 307,
+  EventWorkerBack = 308,
+  EventWorkerRestarted = 309,
+  EventRecordVoided = 310,
+  EventSnapshotWritten = 311,
+  EventSnapshotInvalid = 312,
+};
+
+/// What all phases share: settings, the state, the time and the actions.
+struct Core {
+  explicit Core(NodeSettings Settings)
+      : S(std::move(Settings)), Rng(S.Seed ^ S.Incarnation) {}
+
+  NodeSettings S;
+  state::State St;
+  Node::Now T;
+  std::vector<Action> Out;
+  std::uint64_t LastCall = 0;
+  std::mt19937_64 Rng;
+  CallTable<json::value> Workers;
+  CallTable<json::value> Peers;
+
+  base::MonoTime now() const { return T.Mono; }
+
+  void log(unsigned Event, std::string Text) {
+    Out.emplace_back(LogAction{Event, std::move(Text)});
+  }
+
+  void callWorker(std::string_view Worker, std::string_view Address,
+                  std::string_view Path, json::value Body, base::Millis Limit,
+                  CallTable<json::value>::Handler Done) {
+    std::uint64_t Call = ++LastCall;
+    Workers.add(Call, std::move(Done));
+    Out.emplace_back(WorkerAction{Call, std::string(Worker),
+                                  std::string(Address), std::string(Path),
+                                  std::move(Body), Limit});
+  }
+
+  void callPeer(std::string_view Daemon, std::string_view Address,
+                std::string_view Path, json::value Body,
+                CallTable<json::value>::Handler Done) {
+    std::uint64_t Call = ++LastCall;
+    Peers.add(Call, std::move(Done));
+    Out.emplace_back(PeerAction{Call, std::string(Daemon), std::string(Address),
+                                std::string(Path), std::move(Body),
+                                S.CallLimit});
+  }
+
+  /// Exponential backoff with jitter, so that daemons and workers do not all
+  /// come back at the same moment after an outage.
+  base::Millis backoff(unsigned Failures, base::Millis First,
+                       base::Millis Most) {
+    base::Millis Full = First * (std::int64_t(1) << std::min(Failures, 12U));
+    Full = std::min(Full, Most);
+    std::uint64_t Half = std::uint64_t(Full.count()) / 2;
+    return base::Millis(Half + Rng() % (Half + 1));
+  }
+};
+
+} // namespace heathersaddle::control
+
+#endif
--- /dev/null
+++ b/packages/control/lib/Digest.h
@@ -0,0 +1,19 @@
+#ifndef HEATHERSADDLE_CONTROL_DIGEST_H
+#define HEATHERSADDLE_CONTROL_DIGEST_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace heathersaddle::control {
+
+/// SHA-256 as 64 lower-case hex digits.
+std::string sha256Hex(std::string_view Text);
+/// The job id that every daemon derives for the same account and key.
+std::string keyedJobId(std::string_view Account, std::string_view Key);
+/// An id for a job without a key.
+std::string freshJobId(std::uint64_t Incarnation, std::uint64_t Counter);
+
+} // namespace heathersaddle::control
+
+#endif
--- /dev/null
+++ b/packages/control/lib/Snapshots.cpp
@@ -0,0 +1,135 @@
+// Approach: a snapshot is the state's text cut into chunks that carry id,
+// index, count, covered offset and the hash of the whole. A reader keeps a few
+// incomplete snapshots and the best complete one.
+// Bounds: MaxOpen incomplete snapshots, MaxChunks chunks, ChunkBytes each.
+#include "Snapshots.h"
+#include "Digest.h"
+#include "heathersaddle/base/Json.h"
+
+namespace heathersaddle::control {
+
+namespace {
+constexpr std::size_t ChunkBytes = 192 * 1024;
+constexpr std::size_t MaxChunks = 4'096;
+constexpr std::size_t MaxOpen = 3;
+constexpr base::Millis WriteRetry{10'000};
+} // namespace
+
+std::vector<std::string> snapshotChunks(std::string_view Id,
+                                        std::uint64_t Covered,
+                                        std::string_view Text) {
+  std::size_t Count = std::max<std::size_t>(
+      1, (Text.size() + ChunkBytes - 1) / ChunkBytes);
+  std::string Hash = sha256Hex(Text);
+  std::vector<std::string> Chunks;
+  for (std::size_t I = 0; I < Count; ++I) {
+    std::string_view Part = Text.substr(I * ChunkBytes, ChunkBytes);
+    json::object O{{"id", json::string(Id.data(), Id.size())},
+                   {"index", I},
+                   {"count", Count},
+                   {"covered", Covered},
+                   {"hash", Hash},
+                   {"data", json::string(Part.data(), Part.size())}};
+    Chunks.push_back(json::serialize(O));
+  }
+  return Chunks;
+}
+
+void SnapshotCollector::add(std::string_view ChunkText) {
+  auto Value = base::parseJson(ChunkText, "read snapshots");
+  if (!Value)
+    return;
+  base::JsonReader R(*Value, "read snapshots");
+  std::string Id = R.string("id", 128);
+  auto Count = std::size_t(R.integer("count", 1, MaxChunks));
+  auto Index = std::size_t(R.integer("index", 0, std::int64_t(Count) - 1));
+  auto Covered = std::uint64_t(R.integer("covered", 0, INT64_MAX));
+  std::string Hash = R.string("hash", 64);
+  std::string Data = R.string("data", 2 * ChunkBytes);
+  if (R.error() || (!Best.empty() && Covered < BestCovered))
+    return;
+  Partial &P = Open[Id];
+  if (P.Parts.empty())
+    P = {Covered, Hash, std::vector<std::string>(Count), Count, ++Order};
+  if (P.Parts.size() != Count || !P.Parts[Index].empty())
+    return;
+  P.Parts[Index] = std::move(Data);
+  if (--P.Missing == 0) {
+    complete(P);
+    Open.erase(Id);
+  }
+  while (Open.size() > MaxOpen)
+    Open.erase(std::min_element(Open.begin(), Open.end(), [](auto &A, auto &B) {
+      return A.second.Order < B.second.Order;
+    }));
+}
+
+void SnapshotCollector::complete(const Partial &P) {
+  std::string Text;
+  for (const std::string &Part : P.Parts)
+    Text += Part;
+  if (sha256Hex(Text) != P.Hash)
+    return;
+  Best = std::move(Text);
+  BestCovered = P.Covered;
+}
+
+void SnapshotCollector::clear() { *this = SnapshotCollector(); }
+
+void SnapshotWriter::noteTaken(std::uint64_t Offset) {
+  LastCovered = std::max(LastCovered, Offset);
+  LastAt = C.now();
+}
+
+void SnapshotWriter::onRestored(std::uint64_t Offset) {
+  Chunks.clear();
+  Call = 0;
+  LastCovered = Offset;
+  LastAt = C.now();
+}
+
+void SnapshotWriter::tick(bool Responsible) {
+  if (!Responsible || !Chunks.empty() || C.now() < RetryAt)
+    return;
+  std::uint64_t Since = C.St.next() - LastCovered;
+  bool Due = Since >= C.S.SnapshotRecords ||
+             (Since > 0 && C.now() - LastAt >= C.S.SnapshotPeriod);
+  if (Due)
+    begin();
+}
+
+void SnapshotWriter::begin() {
+  Covered = C.St.next();
+  Id = std::to_string(C.S.Incarnation) + "-" + std::to_string(Covered);
+  Chunks = snapshotChunks(Id, Covered, C.St.serialize());
+  NextChunk = 0;
+  sendNext();
+}
+
+void SnapshotWriter::sendNext() {
+  Call = ++C.LastCall;
+  C.Out.emplace_back(
+      AppendAction{Call, "snapshots", {Chunks[NextChunk]}, C.S.CallLimit});
+}
+
+void SnapshotWriter::onAppended(std::uint64_t Which,
+                                const base::Expected<std::uint64_t> &R) {
+  if (Which == 0 || Which != Call)
+    return;
+  Call = 0;
+  // A chunk whose response was lost is appended again; readers ignore repeats.
+  RetryAt = C.now() + WriteRetry;
+  if (!R) {
+    Chunks.clear();
+    return;
+  }
+  if (++NextChunk < Chunks.size()) {
+    sendNext();
+    return;
+  }
+  Chunks.clear();
+  C.log(EventSnapshotWritten, "snapshot " + Id + " written");
+  Queue.push(state::SnapshotTaken{Id, Covered}, nullptr);
+}
+
+} // namespace heathersaddle::control
--- /dev/null
+++ b/packages/control/lib/Tail.h
@@ -0,0 +1,61 @@
+#ifndef HEATHERSADDLE_CONTROL_TAIL_H
+#define HEATHERSADDLE_CONTROL_TAIL_H
+
+#include "Core.h"
+#include "Snapshots.h"
+
+namespace heathersaddle::control {
+
+/// Reads the log into the state: recovery first, then the tail.
+class Tail {
+public:
+  using AppliedHandler = std::function<void(
+      const state::Record &, std::uint64_t Offset, const state::Verdict &)>;
+
+  explicit Tail(Core &C) : C(C) {}
+
+  AppliedHandler OnApplied;
+  std::function<void()> OnRestored; ///< The state was replaced.
+  std::function<void()> OnLogUp;    ///< Reads work again after failures.
+
+  void tick();
+  void onRead(std::uint64_t Call, const base::Expected<ReadResult> &R);
+  /// Reads what is there at once, beside the long poll.
+  void probe();
+
+  /// Whether the state has once reached the end of the log.
+  bool caughtUp() const { return CaughtUp; }
+  bool failing() const { return Failures >= 2; }
+  /// Time of the last successful read of the control stream.
+  base::MonoTime lastRead() const { return LastRead; }
+  std::uint64_t lastSnapshot() const { return RestoredFrom; }
+
+private:
+  enum class Phase { Snapshots, Control };
+
+  void read(std::uint64_t &Call, base::Millis Wait);
+  void onFailure();
+  void onSnapshots(const ReadResult &R);
+  void onControl(std::uint64_t From, const ReadResult &R);
+  void chooseSnapshot();
+  void recover();
+  void applyText(std::uint64_t Offset, std::string_view Text);
+
+  Core &C;
+  Phase Now = Phase::Snapshots;
+  SnapshotCollector Found;
+  std::uint64_t SnapshotNext = 0;
+  std::uint64_t RestoredFrom = 0;
+  std::uint64_t LongCall = 0;
+  std::uint64_t ProbeCall = 0;
+  std::uint64_t LongFrom = 0;
+  std::uint64_t ProbeFrom = 0;
+  base::MonoTime RetryAt{};
+  base::MonoTime LastRead{};
+  unsigned Failures = 0;
+  bool CaughtUp = false;
+};
+
+} // namespace heathersaddle::control
+
+#endif
