--- a/packages/control/lib/AppendQueue.cpp
+++ b/packages/control/lib/AppendQueue.cpp
@@ -115,8 +115,7 @@
   if (!Sent.empty() && Sent.front().Sequence == R.Sequence) {
     Entry E = std::move(Sent.front());
     Sent.pop_front();
-    report(E,
-           {V.Applied ? FateKind::Applied : FateKind::Voided, Offset, V});
+    report(E, {V.Applied ? FateKind::Applied : FateKind::Voided, Offset, V});
   }
   while (!Again.empty()) {
     Waiting.push_front(std::move(Again.back()));
--- /dev/null
+++ b/packages/control/lib/CellOutcomes.cpp
@@ -0,0 +1,114 @@
+// Approach: an attempt is judged once, when every task is final. "Not run" is
+// reported only when no start of any task can have been delivered; "unknown"
+// only for non-idempotent work that may have run and whose end nobody saw.
+#include "CellOwner.h"
+
+namespace heathersaddle::control {
+
+void CellOwner::doom(Track &T, std::string_view Reason) {
+  if (std::exchange(T.Doomed, true))
+    return;
+  T.Reason = Reason;
+}
+
+bool CellOwner::end(const state::Job &J, state::Outcome Result,
+                    std::string_view Reason, bool Ran,
+                    std::vector<std::string> Parts) {
+  return record(state::JobEnded{by(), J.Spec.Id, J.Attempt, Result,
+                                std::string(Reason), Ran, std::move(Parts)},
+                J.Spec.Id);
+}
+
+void CellOwner::finish(const state::Job &J, Track &T) {
+  std::vector<std::string> Parts;
+  std::size_t Bytes = 0;
+  for (const TaskTrack &X : T.Tasks) {
+    Bytes += X.Text.size();
+    Parts.push_back(X.Text);
+  }
+  if (Bytes > state::MaxAnswerBytes) {
+    if (!busy(J.Spec.Id))
+      end(J, state::Outcome::Failed, "the answer is too large", true);
+    return;
+  }
+  if (LogDown && !T.Concluded && !T.AnswerPushed && OnAnswer) {
+    T.AnswerPushed = true;
+    OnAnswer(J, Parts);
+  }
+  if (!busy(J.Spec.Id))
+    end(J, state::Outcome::Finished, "", true, std::move(Parts));
+}
+
+void CellOwner::conclude(const state::Job &J, Track &T) {
+  bool Ran =
+      J.Started && std::any_of(T.Tasks.begin(), T.Tasks.end(),
+                               [](const TaskTrack &X) { return !X.Clean; });
+  bool EverRan = Ran || (J.Attempt > 1 && J.EverStarted);
+  if (J.CancelWanted)
+    T.Concluded = end(J, state::Outcome::Cancelled, "cancelled", EverRan);
+  else if (Ran && !J.Spec.Idempotent)
+    endStarted(J, T);
+  else if (!Ran && T.Invalid)
+    T.Concluded =
+        end(J, EverRan ? state::Outcome::Failed : state::Outcome::NotRun,
+            T.Reason, EverRan);
+  else
+    endAttempt(J, T, Ran);
+}
+
+void CellOwner::endStarted(const state::Job &J, Track &T) {
+  auto Result = state::Outcome::Failed;
+  std::string Reason;
+  for (unsigned I = 0; I < T.Tasks.size(); ++I) {
+    const TaskTrack &X = T.Tasks[I];
+    if (X.What == Seen::Failed && Reason.empty())
+      Reason = X.Text.empty() ? "a task failed" : X.Text;
+  }
+  if (Reason.empty())
+    for (unsigned I = 0; I < T.Tasks.size(); ++I)
+      if (T.Tasks[I].What == Seen::Gone && !T.Tasks[I].Clean) {
+        Result = state::Outcome::Unknown;
+        Reason = "worker " + J.Tasks[I].Worker +
+                 " was lost and the job must not be repeated";
+      }
+  if (Reason.empty())
+    Reason = J.StopReason.empty() ? T.Reason : "stopped: " + J.StopReason;
+  T.Concluded = end(J, Result, Reason, true);
+}
+
+void CellOwner::endAttempt(const state::Job &J, Track &T, bool Ran) {
+  state::AttemptEnded E{by(), J.Spec.Id, J.Attempt};
+  auto Why = Seen::Stopped;
+  for (const TaskTrack &X : T.Tasks) {
+    if (X.What == Seen::Failed)
+      Why = Seen::Failed;
+    else if ((X.What == Seen::Gone || X.Lapsed) && Why != Seen::Failed)
+      Why = Seen::Gone;
+  }
+  if (!Ran)
+    E.Why = state::AttemptEnd::NotStarted;
+  else if (Why == Seen::Failed)
+    E.Why = state::AttemptEnd::TaskFailed;
+  else if (Why == Seen::Gone)
+    E.Why = state::AttemptEnd::WorkerLost;
+  // A gang resumes as a whole, so its least progress counts. A task whose end
+  // nobody saw has the checkpoint it started from.
+  std::int64_t Least = INT64_MAX;
+  for (unsigned I = 0; I < T.Tasks.size(); ++I) {
+    const TaskTrack &X = T.Tasks[I];
+    bool Kept = X.What == Seen::Stopped || X.What == Seen::Finished;
+    if (X.What != Seen::Finished)
+      Least = std::min(Least, Kept ? X.ProgressMs : J.ProgressMs);
+    bool Guilty = X.What == Why || (Why == Seen::Gone && X.Lapsed);
+    if (Why != Seen::Stopped && Guilty)
+      E.FailedWorkers.push_back(J.Tasks[I].Worker);
+  }
+  E.ProgressMs = std::max(J.ProgressMs, Least);
+  T.Concluded = record(std::move(E), J.Spec.Id);
+}
+
+void CellOwner::cancelPending(const state::Job &J) {
+  end(J, state::Outcome::Cancelled, "cancelled", J.EverStarted);
+}
+
+} // namespace heathersaddle::control
--- /dev/null
+++ b/packages/control/lib/CellOwner.h
@@ -0,0 +1,149 @@
+#ifndef HEATHERSADDLE_CONTROL_CELLOWNER_H
+#define HEATHERSADDLE_CONTROL_CELLOWNER_H
+
+#include "AppendQueue.h"
+#include "HostList.h"
+#include "WorkerLink.h"
+#include <set>
+
+namespace heathersaddle::control {
+
+/// Decides for one cell under one epoch. Created when the own claim has been
+/// applied, destroyed when the epoch is over; nothing in it survives, because
+/// all that matters is in the state or on the workers.
+class CellOwner : public LinkListener,
+                  public std::enable_shared_from_this<CellOwner> {
+public:
+  CellOwner(Core &C, AppendQueue &Queue, HostList &Hosts, std::string Cell,
+            std::uint64_t Epoch);
+  ~CellOwner() override = default;
+
+  /// Reads the state; call once after construction.
+  void begin();
+  void tick(bool LogDown);
+  void onApplied(const state::Record &R, const state::Verdict &V);
+  void release();
+
+  const std::string &cell() const { return Name; }
+  std::uint64_t epoch() const { return Epoch; }
+  /// A worker or a record showed that a later epoch exists.
+  bool deposed() const { return Deposed; }
+  /// Set when the log should be read at once.
+  bool takeProbeWanted() { return std::exchange(ProbeWanted, false); }
+  bool released() const { return Released; }
+  policy::Explanation explain(std::string_view Job) const;
+  /// Jobs that have finished as a whole while the log does not take records.
+  std::function<void(const state::Job &, std::vector<std::string> Parts)>
+      OnAnswer;
+
+  void onEvent(const std::string &Worker, const WorkerEvent &E) override;
+  void onResult(const std::string &Worker, const Command &Cmd, bool Ok,
+                std::string_view Code) override;
+  void onLost(const std::string &Worker, const Command &Cmd) override;
+  void onListed(const std::string &Worker, const std::vector<ListedTask> &Tasks,
+                std::uint64_t Since) override;
+  void onRestarted(const std::string &Worker) override;
+  void onDeposed(const std::string &Worker) override;
+  bool settled(const WorkerEvent &E) const override;
+  std::uint64_t nextChange() override { return ++Change; }
+
+private:
+  using Seen = TaskTrack::Seen;
+
+  // CellOwner.cpp
+  const state::Cell *view() const { return C.St.cell(Name); }
+  state::Authority by() const { return {Name, Epoch}; }
+  /// Queues a record about \p Key, which stays busy until its fate is known.
+  bool record(state::Body What, const std::string &Key);
+  bool busy(std::string_view Key) const { return Busy.contains(Key); }
+  void tickLinks();
+  void heartbeat();
+  WorkerLink *link(std::string_view Worker);
+
+  // CellScheduling.cpp
+  void feed(const state::Body &What, const state::Verdict &V);
+  void feedPending(const state::Job &J);
+  void feedTerms();
+  void beginScheduling();
+  void decide();
+  void carryOut(const policy::PlaceDecision &D);
+  void carryOut(const policy::StopDecision &D);
+  void carryOut(const policy::HomesDecision &D);
+  void carryOut(const policy::EndDecision &D);
+  void carryOut(const policy::WorkerDecision &D);
+  void reroute();
+  void rerouteJob(const state::Job &J);
+  void forget();
+
+  // CellWorkers.cpp
+  void reviewWorkers();
+  void reviewHost(const HostEntry &H);
+  void reviewWorker(const std::string &Worker, const state::Worker &W);
+  bool recordWorker(state::Body What, const std::string &Worker);
+  pool::WorkerStatus wantedStatus(const std::string &Worker,
+                                  const state::Worker &W);
+
+  // CellDispatch.cpp
+  void track(const state::Job &J, bool Own);
+  void advanceDirty();
+  void advance(const std::string &Id, const state::Job &J, Track &T);
+  void advanceTask(const state::Job &J, Track &T, unsigned Task);
+  void reviewLoss(const state::Job &J, Track &T, unsigned Task);
+  void send(Op What, const state::Job &J, Track &T, unsigned Task);
+  void stopStray(const std::string &Worker, const TaskName &N);
+  void stopAll(const state::Job &J, Track &T);
+  void commitStart(const state::Job &J, const Track &T);
+  struct Found {
+    const state::Job *Job = nullptr;
+    Track *Attempt = nullptr;
+    TaskTrack *Task = nullptr;
+  };
+  Found find(const std::string &Worker, const TaskName &N);
+  template <class F> void forTasksOn(const std::string &Worker, F Visit);
+  void onListedTask(const state::Job &J, TaskTrack &T, const ListedTask *L);
+  bool restartable(const state::Job &J) const;
+  json::object commandBody(Op What, const state::Job &J, unsigned Task) const;
+
+  // CellOutcomes.cpp
+  void doom(Track &T, std::string_view Reason);
+  void conclude(const state::Job &J, Track &T);
+  void finish(const state::Job &J, Track &T);
+  bool end(const state::Job &J, state::Outcome Result, std::string_view Reason,
+           bool Ran, std::vector<std::string> Parts = {});
+  void endAttempt(const state::Job &J, Track &T, bool Ran);
+  void endStarted(const state::Job &J, Track &T);
+  void cancelPending(const state::Job &J);
+
+  Core &C;
+  AppendQueue &Queue;
+  HostList &Hosts;
+  std::string Name;
+  std::uint64_t Epoch;
+  base::MonoTime ClaimedAt;
+  bool Deposed = false;
+  bool ProbeWanted = false;
+  bool Released = false;
+  bool Releasing = false;
+  bool LogDown = false;
+  policy::Scheduler Scheduler;
+  std::map<std::string, std::shared_ptr<WorkerLink>, std::less<>> Links;
+  std::map<std::string, Track, std::less<>> Tracks;
+  std::set<std::string, std::less<>> Dirty;
+  std::set<std::string, std::less<>> Busy;
+  unsigned PlacesOpen = 0;
+  bool DecideWanted = true;
+  std::uint64_t Change = 0;
+  std::uint64_t HostsSeen = 0;
+  std::string RerouteAfterJob;
+  std::map<std::string, base::MonoTime, std::less<>> WorkerRetryAt;
+  base::MonoTime HeartbeatAt{};
+  base::MonoTime DecideAt{};
+  base::MonoTime ReviewAt{};
+  base::MonoTime SweepAt{};
+  base::MonoTime RerouteAt{};
+  base::MonoTime ForgetAt{};
+};
+
+} // namespace heathersaddle::control
+
+#endif
--- /dev/null
+++ b/packages/control/lib/CellReports.cpp
@@ -0,0 +1,159 @@
+// Approach: takes in what workers report: results of commands, events and full
+// lists. Reports may come late, twice or out of order; a report counts only for
+// the present attempt, and a list only for tasks that did not change after the
+// list was asked for.
+#include "CellOwner.h"
+
+namespace heathersaddle::control {
+
+template <class F>
+void CellOwner::forTasksOn(const std::string &Worker, F Visit) {
+  for (auto &[Id, T] : Tracks) {
+    const state::Job *J = C.St.job(Id);
+    if (!J || !J->placed() || J->Attempt != T.Attempt)
+      continue;
+    for (unsigned I = 0; I < T.Tasks.size(); ++I)
+      if (J->Tasks[I].Worker == Worker)
+        Visit(*J, T, I);
+  }
+}
+
+void CellOwner::onResult(const std::string &Worker, const Command &Cmd, bool Ok,
+                         std::string_view Code) {
+  Found F = find(Worker, Cmd.Name);
+  if (!F.Job)
+    return;
+  TaskTrack &X = *F.Task;
+  Dirty.insert(Cmd.Name.Job);
+  X.Waiting = false;
+  X.Change = nextChange();
+  if (Cmd.What == Op::Stop) {
+    X.StopOk = X.StopOk || Ok;
+    if (Ok)
+      link(Worker)->wantList();
+    return;
+  }
+  bool Start = Cmd.What == Op::Start;
+  if (!Ok) {
+    if (Start)
+      X.Clean = X.CleanBefore;
+    F.Attempt->Invalid = F.Attempt->Invalid || Code == "invalid";
+    doom(*F.Attempt,
+         "worker " + Worker + " refused the task: " + std::string(Code));
+  } else if (X.What < Seen::Running) {
+    X.What = Start ? Seen::Running : Seen::Reserved;
+  }
+}
+
+void CellOwner::onLost(const std::string &Worker, const Command &Cmd) {
+  Found F = find(Worker, Cmd.Name);
+  if (!F.Job)
+    return;
+  Dirty.insert(Cmd.Name.Job);
+  F.Task->Waiting = false;
+  F.Task->Change = nextChange();
+  // The next full sync shows what became of it.
+  if (F.Task->What < Seen::Running && Cmd.What != Op::Stop)
+    F.Task->What = Seen::Nothing;
+}
+
+void CellOwner::onEvent(const std::string &Worker, const WorkerEvent &E) {
+  Found F = find(Worker, E.Name);
+  if (!F.Job)
+    return;
+  TaskTrack &X = *F.Task;
+  Dirty.insert(E.Name.Job);
+  bool Open = !X.final();
+  if (E.Kind == "finished") {
+    // An answer is the best knowledge there is, also after a stop.
+    X.What = Seen::Finished;
+    X.Text = E.Text;
+    X.Clean = false;
+  } else if (E.Kind == "failed" && X.What != Seen::Finished) {
+    X.What = Seen::Failed;
+    X.Text = E.Text;
+    X.Clean = false;
+  } else if (E.Kind == "started" && Open) {
+    X.What = Seen::Running;
+    X.Clean = false;
+  } else if (E.Kind == "stopped" && (Open || X.What == Seen::Gone)) {
+    X.Clean = X.Clean && X.What != Seen::Running && E.ProgressMs == 0;
+    X.What = Seen::Stopped;
+    X.ProgressMs = E.ProgressMs;
+  } else if (E.Kind == "lapsed" && Open) {
+    X.What = Seen::Stopped;
+    X.Lapsed = true;
+    X.ProgressMs = E.ProgressMs;
+  } else if (E.Kind == "usage") {
+    Scheduler.usage(E.Name.Job, E.ProgressMs, C.clock());
+  }
+}
+
+void CellOwner::onListed(const std::string &Worker,
+                         const std::vector<ListedTask> &Tasks,
+                         std::uint64_t Since) {
+  std::map<std::tuple<std::string_view, unsigned, unsigned>, const ListedTask *>
+      ByName;
+  for (const ListedTask &L : Tasks)
+    ByName[{L.Name.Job, L.Name.Attempt, L.Name.Task}] = &L;
+  forTasksOn(Worker, [&](const state::Job &J, Track &T, unsigned I) {
+    TaskTrack &X = T.Tasks[I];
+    if (X.final() || X.Waiting || X.Change >= Since)
+      return;
+    auto It = ByName.find({J.Spec.Id, J.Attempt, I});
+    onListedTask(J, X, It == ByName.end() ? nullptr : It->second);
+    Dirty.insert(J.Spec.Id);
+  });
+  for (const ListedTask &L : Tasks) {
+    if (L.State != "running" && L.State != "reserved")
+      continue;
+    Found F = find(Worker, L.Name);
+    if (!F.Job || F.Task->final())
+      stopStray(Worker, L.Name);
+  }
+}
+
+void CellOwner::onListedTask(const state::Job &J, TaskTrack &X,
+                             const ListedTask *L) {
+  if (L && L->State == "running") {
+    X.What = Seen::Running;
+    X.Clean = false;
+  } else if (L && L->State == "reserved") {
+    X.What = Seen::Reserved;
+    // The start of an earlier owner did not arrive, and its epoch is over.
+    X.Clean = X.Clean || !X.StartSent;
+  } else if (L && L->State == "stopped") {
+    X.What = Seen::Stopped;
+    X.ProgressMs = L->ProgressMs;
+    X.Clean = X.Clean && L->ProgressMs == 0;
+  } else if (L) {
+    // Finished or failed: its event carries the answer and comes first.
+    X.Clean = false;
+  } else if (X.StopOk) {
+    X.What = Seen::Stopped;
+  } else if (!J.Started || (restartable(J) && X.What < Seen::Running)) {
+    X.What = Seen::Absent;
+  } else {
+    X.What = Seen::Gone;
+  }
+}
+
+void CellOwner::onRestarted(const std::string &Worker) {
+  forTasksOn(Worker, [&](const state::Job &J, Track &T, unsigned I) {
+    TaskTrack &X = T.Tasks[I];
+    if (X.final())
+      return;
+    X.StopOk = false;
+    X.Change = nextChange();
+    X.What = J.Started ? Seen::Gone : Seen::Absent;
+    Dirty.insert(J.Spec.Id);
+  });
+}
+
+void CellOwner::onDeposed(const std::string &Worker) {
+  C.log(EventDeposed, "worker " + Worker + " knows a later epoch of cell " +
+                          Name + " than " + std::to_string(Epoch));
+  ProbeWanted = true;
+}
+
+} // namespace heathersaddle::control
--- a/packages/control/lib/Core.h
+++ b/packages/control/lib/Core.h
@@ -63,6 +63,15 @@
 
   base::MonoTime now() const { return T.Mono; }
 
+  /// The state clock, carried on by the monotonic clock between records. The
+  /// own wall clock may jump, so no decision uses it.
+  base::WallMs clock() const { return St.clock() + (T.Mono - ClockAt).count(); }
+  void noteClock(base::WallMs Before) {
+    if (St.clock() != Before)
+      ClockAt = T.Mono;
+  }
+  base::MonoTime ClockAt{};
+
   void log(unsigned Event, std::string Text) {
     Out.emplace_back(LogAction{Event, std::move(Text)});
   }
--- /dev/null
+++ b/packages/control/lib/HostList.cpp
@@ -0,0 +1,40 @@
+// Approach: polls the platform's host list; the last list heard stays in use
+// while the platform does not answer. A daemon without a cell polls less often
+// because it needs the list only to find cells that nobody owns.
+// Bounds: one call at a time.
+#include "HostList.h"
+
+namespace heathersaddle::control {
+
+namespace {
+constexpr int IdleFactor = 5;
+}
+
+void HostList::tick(bool Owner) {
+  if (Call != 0 || C.now() < NextAt)
+    return;
+  Call = ++C.LastCall;
+  NextAt = C.now() + C.S.HostListPeriod * (Owner || !Known ? 1 : IdleFactor);
+  C.Out.emplace_back(HostsAction{Call, C.S.CallLimit});
+}
+
+void HostList::onHosts(std::uint64_t Which,
+                       base::Expected<std::vector<HostEntry>> Result) {
+  if (Which == 0 || Which != Call)
+    return;
+  Call = 0;
+  if (!Result)
+    return;
+  Hosts.clear();
+  for (HostEntry &H : *Result)
+    Hosts.insert_or_assign(H.Name, std::move(H));
+  Known = true;
+  ++Generation;
+}
+
+const HostEntry *HostList::host(std::string_view Name) const {
+  auto It = Hosts.find(Name);
+  return It == Hosts.end() ? nullptr : &It->second;
+}
+
+} // namespace heathersaddle::control
--- /dev/null
+++ b/packages/control/lib/HostList.h
@@ -0,0 +1,37 @@
+#ifndef HEATHERSADDLE_CONTROL_HOSTLIST_H
+#define HEATHERSADDLE_CONTROL_HOSTLIST_H
+
+#include "Core.h"
+
+namespace heathersaddle::control {
+
+/// The platform's host list as last heard.
+class HostList {
+public:
+  explicit HostList(Core &C) : C(C) {}
+
+  /// Asks for the list when it is due; owners ask more often.
+  void tick(bool Owner);
+  void onHosts(std::uint64_t Call,
+               base::Expected<std::vector<HostEntry>> Result);
+
+  bool known() const { return Known; }
+  /// Rises with each list heard.
+  std::uint64_t generation() const { return Generation; }
+  const HostEntry *host(std::string_view Name) const;
+  const std::map<std::string, HostEntry, std::less<>> &hosts() const {
+    return Hosts;
+  }
+
+private:
+  Core &C;
+  std::map<std::string, HostEntry, std::less<>> Hosts;
+  std::uint64_t Call = 0;
+  std::uint64_t Generation = 0;
+  base::MonoTime NextAt{};
+  bool Known = false;
+};
+
+} // namespace heathersaddle::control
+
+#endif
--- /dev/null
+++ b/packages/control/lib/JobIds.cpp
@@ -0,0 +1,21 @@
+// Approach: ids are prefixes of SHA-256, long enough (64 bits) that two of a
+// day's jobs do not collide. The account's length precedes it, so that no two
+// pairs of account and key give the same input.
+#include "JobIds.h"
+#include "heathersaddle/base/Hash.h"
+
+namespace heathersaddle::control {
+
+std::string keyedJobId(std::string_view Account, std::string_view Key) {
+  std::string Text = std::to_string(Account.size()) + ":";
+  Text.append(Account).append("/").append(Key);
+  return "j" + base::sha256Hex(Text).substr(0, 16);
+}
+
+std::string freshJobId(std::uint64_t Incarnation, std::uint64_t Counter) {
+  return "j" + base::sha256Hex("fresh/" + std::to_string(Incarnation) + "/" +
+                               std::to_string(Counter))
+                   .substr(0, 16);
+}
+
+} // namespace heathersaddle::control
--- a/packages/control/lib/Digest.h
+++ b/packages/control/lib/JobIds.h
@@ -1,5 +1,5 @@
-#ifndef HEATHERSADDLE_CONTROL_DIGEST_H
-#define HEATHERSADDLE_CONTROL_DIGEST_H
+#ifndef HEATHERSADDLE_CONTROL_JOBIDS_H
+#define HEATHERSADDLE_CONTROL_JOBIDS_H
 
 #include <cstdint>
 #include <string>
@@ -7,8 +7,6 @@
 
 namespace heathersaddle::control {
 
-/// SHA-256 as 64 lower-case hex digits.
-std::string sha256Hex(std::string_view Text);
 /// The job id that every daemon derives for the same account and key.
 std::string keyedJobId(std::string_view Account, std::string_view Key);
 /// An id for a job without a key.
--- /dev/null
+++ b/packages/control/lib/Ownership.cpp
@@ -0,0 +1,256 @@
+// Approach: an owner shows life by any record of its epoch. When it was silent
+// for too long while the log could be read, or its daemon refuses connections,
+// the daemons claim the cell one after the other in rank order: those of the
+// cell's own data centre first, then those that own the fewest cells. A
+// claimant first makes sure that it reaches the cell's workers itself. Which
+// claim wins is decided by the log alone.
+// Bounds: MaxTried workers per attempt, one attempt per cell at a time.
+#include "Ownership.h"
+
+namespace heathersaddle::control {
+
+namespace {
+constexpr unsigned MaxTried = 4;
+constexpr base::Millis RetryPeriod{2'000};
+/// A log that was last read longer ago than this is read again before an
+/// owner's silence is believed.
+constexpr base::Millis FreshRead{1'000};
+
+/// The ownership under which a record was written, or null.
+const state::Authority *authority(const state::Body &B) {
+  return std::visit(
+      [](const auto &X) -> const state::Authority * {
+        if constexpr (requires { X.By; })
+          return &X.By;
+        else
+          return nullptr;
+      },
+      B);
+}
+} // namespace
+
+CellOwner *Ownership::owned(std::string_view Cell) {
+  auto It = Owners.find(Cell);
+  return It == Owners.end() ? nullptr : It->second.get();
+}
+
+const CellOwner *Ownership::owned(std::string_view Cell) const {
+  auto It = Owners.find(Cell);
+  return It == Owners.end() ? nullptr : It->second.get();
+}
+
+std::vector<std::string> Ownership::cells() const {
+  std::vector<std::string> Names;
+  for (const auto &[Cell, O] : Owners)
+    Names.push_back(Cell);
+  return Names;
+}
+
+void Ownership::tick(bool LogDown, bool Stopping) {
+  for (auto It = Owners.begin(); It != Owners.end();) {
+    CellOwner &O = *It->second;
+    O.tick(LogDown);
+    if (O.takeProbeWanted())
+      Log.probe();
+    if (O.deposed() || O.released()) {
+      C.log(EventReleased, "no longer owner of cell " + It->first);
+      It = Owners.erase(It);
+    } else {
+      ++It;
+    }
+  }
+  if (!LogDown && !Stopping)
+    watchCells();
+}
+
+void Ownership::watchCells() {
+  for (const auto &[Cell, View] : C.St.cells())
+    Watches.try_emplace(Cell, Watch{.LastSign = C.now()});
+  for (const auto &[Name, H] : Hosts.hosts())
+    if (!H.DataCentre.empty())
+      Watches.try_emplace(H.DataCentre, Watch{.LastSign = C.now()});
+  for (auto &[Cell, W] : Watches)
+    if (!owned(Cell))
+      review(Cell, W);
+}
+
+void Ownership::review(const std::string &Cell, Watch &W) {
+  const state::Cell *View = C.St.cell(Cell);
+  if (View && !View->Owner.empty() && View->Owner != C.S.Name)
+    ping(Cell, *View, W);
+  if (W.Busy || C.now() < W.RetryAt || !due(Cell, View, W))
+    return;
+  if (C.now() - Log.lastRead() > FreshRead) {
+    Log.probe();
+    return;
+  }
+  tryWorkers(Cell, View ? View->Epoch : 0);
+}
+
+bool Ownership::due(const std::string &Cell, const state::Cell *View,
+                    const Watch &W) {
+  std::string_view Owner = View ? std::string_view(View->Owner) : "";
+  // An earlier process of this daemon owned it; that process is gone.
+  if (Owner == C.S.Name)
+    return true;
+  base::MonoTime At = W.LastSign;
+  if (!Owner.empty()) {
+    At += C.S.OwnerSilence;
+    if (W.RefusedSince != base::MonoTime{})
+      At = std::min(At, W.RefusedSince + C.S.OwnerRefused);
+  }
+  return C.now() >= At + C.S.RankDelay * rank(Cell, Owner);
+}
+
+unsigned Ownership::rank(std::string_view Cell, std::string_view Owner) const {
+  std::map<std::string_view, unsigned> Load;
+  for (const auto &[Name, View] : C.St.cells())
+    ++Load[View.Owner];
+  auto Key = [&](std::string_view Name, const state::Daemon &D) {
+    return std::tuple(D.DataCentre != Cell, Load[Name], Name);
+  };
+  const auto &Daemons = C.St.daemons();
+  auto Me = Daemons.find(C.S.Name);
+  if (Me == Daemons.end())
+    return unsigned(Daemons.size());
+  auto Mine = Key(Me->first, Me->second);
+  unsigned Before = 0;
+  for (const auto &[Name, D] : Daemons)
+    if (Name != Owner && Name != C.S.Name && Key(Name, D) < Mine)
+      ++Before;
+  return Before;
+}
+
+void Ownership::ping(const std::string &Cell, const state::Cell &View,
+                     Watch &W) {
+  auto Owner = C.St.daemons().find(View.Owner);
+  // The first two in rank order watch the owner's process; the others rely on
+  // its silence, so that pings stay within the byte budget.
+  if (W.Pinging || C.now() < W.PingAt || Owner == C.St.daemons().end() ||
+      rank(Cell, View.Owner) > 1)
+    return;
+  W.Pinging = true;
+  W.PingAt = C.now() + C.S.OwnerRefused / 2;
+  std::string Name = View.Owner;
+  C.callPeer(Name, Owner->second.Address, "/v1/peer/ping", json::object(),
+             [this, Cell, Name](const base::Expected<json::value> &R) {
+               Watch &Entry = Watches[Cell];
+               Entry.Pinging = false;
+               const state::Cell *Now = C.St.cell(Cell);
+               bool Refused =
+                   !R && R.error().Code == base::ErrorCode::Unavailable;
+               if (!Refused || !Now || Now->Owner != Name)
+                 Entry.RefusedSince = {};
+               else if (Entry.RefusedSince == base::MonoTime{})
+                 Entry.RefusedSince = C.now();
+             });
+}
+
+std::vector<std::pair<std::string, std::string>>
+Ownership::workersOf(const std::string &Cell) const {
+  std::vector<std::pair<std::string, std::string>> Found;
+  for (const auto &[Name, H] : Hosts.hosts())
+    if (H.DataCentre == Cell)
+      Found.emplace_back(Name, H.Address);
+  if (const state::Cell *View = C.St.cell(Cell); View && Found.empty())
+    for (const auto &[Name, W] : View->Workers)
+      if (W.Status != pool::WorkerStatus::Lost)
+        Found.emplace_back(Name, W.Address);
+  return Found;
+}
+
+void Ownership::tryWorkers(const std::string &Cell, std::uint64_t Epoch) {
+  Watch &W = Watches[Cell];
+  W.Busy = true;
+  auto Workers = workersOf(Cell);
+  std::shuffle(Workers.begin(), Workers.end(), C.Rng);
+  if (Workers.size() > MaxTried)
+    Workers.resize(MaxTried);
+  W.Tried = W.Open = unsigned(Workers.size());
+  W.Reached = 0;
+  if (Workers.empty()) {
+    claim(Cell, Epoch);
+    return;
+  }
+  // An empty command list under the current epoch changes nothing.
+  json::object Body{{"cell", Cell},
+                    {"epoch", Epoch},
+                    {"owner", C.S.Name},
+                    {"commands", json::array()}};
+  for (const auto &[Name, Address] : Workers)
+    C.callWorker(Name, Address, "/v1/commands", Body, C.S.CallLimit,
+                 [this, Cell, Epoch](const base::Expected<json::value> &R) {
+                   onTried(Cell, Epoch,
+                           R || R.error().Code == base::ErrorCode::Conflict);
+                 });
+}
+
+void Ownership::onTried(const std::string &Cell, std::uint64_t Epoch,
+                        bool Reached) {
+  Watch &W = Watches[Cell];
+  W.Reached += Reached ? 1 : 0;
+  if (--W.Open > 0)
+    return;
+  const state::Cell *View = C.St.cell(Cell);
+  bool Current = (View ? View->Epoch : 0) == Epoch;
+  if (Current && 2 * W.Reached >= W.Tried && due(Cell, View, W)) {
+    claim(Cell, Epoch);
+    return;
+  }
+  W.Busy = false;
+  W.RetryAt = C.now() + RetryPeriod;
+}
+
+void Ownership::claim(const std::string &Cell, std::uint64_t Epoch) {
+  auto Done = [this, Cell](const Fate &F) {
+    Watch &W = Watches[Cell];
+    W.Busy = false;
+    if (F.Kind != FateKind::Applied)
+      W.RetryAt = C.now() + RetryPeriod;
+  };
+  if (!Queue.push(state::Claim{Cell, C.S.Name, Epoch}, Done))
+    Done({FateKind::Dropped, 0, {}});
+}
+
+void Ownership::onApplied(const state::Record &R, const state::Verdict &V) {
+  if (V.Applied) {
+    if (const state::Authority *By = authority(R.What))
+      Watches[By->Cell].LastSign = C.now();
+    if (const auto *Taken = std::get_if<state::Claim>(&R.What)) {
+      Watch &W = Watches[Taken->Cell];
+      W.LastSign = C.now();
+      W.RefusedSince = {};
+    }
+  }
+  for (auto &[Cell, O] : Owners)
+    O->onApplied(R, V);
+  const auto *Taken = std::get_if<state::Claim>(&R.What);
+  if (!Taken || !V.Applied || R.Writer != C.S.Incarnation)
+    return;
+  const state::Cell *View = C.St.cell(Taken->Cell);
+  auto O =
+      std::make_shared<CellOwner>(C, Queue, Hosts, Taken->Cell, View->Epoch);
+  O->OnAnswer = OnAnswer;
+  Owners.insert_or_assign(Taken->Cell, O);
+  O->begin();
+  C.log(EventClaimed, "owner of cell " + Taken->Cell + " in epoch " +
+                          std::to_string(View->Epoch));
+}
+
+void Ownership::onRestored() {
+  Owners.clear();
+  onLogUp();
+}
+
+void Ownership::onLogUp() {
+  // Nobody could write heartbeats while the log was down.
+  for (auto &[Cell, W] : Watches)
+    W.LastSign = C.now();
+}
+
+void Ownership::release() {
+  for (auto &[Cell, O] : Owners)
+    O->release();
+}
+
+} // namespace heathersaddle::control
--- /dev/null
+++ b/packages/control/lib/Ownership.h
@@ -0,0 +1,64 @@
+#ifndef HEATHERSADDLE_CONTROL_OWNERSHIP_H
+#define HEATHERSADDLE_CONTROL_OWNERSHIP_H
+
+#include "CellOwner.h"
+#include "Tail.h"
+
+namespace heathersaddle::control {
+
+/// Watches the owners of all cells and claims those that nobody serves.
+class Ownership {
+public:
+  Ownership(Core &C, AppendQueue &Queue, HostList &Hosts, Tail &T)
+      : C(C), Queue(Queue), Hosts(Hosts), Log(T) {}
+
+  using AnswerHandler =
+      std::function<void(const state::Job &, std::vector<std::string>)>;
+  AnswerHandler OnAnswer;
+
+  void tick(bool LogDown, bool Stopping);
+  void onApplied(const state::Record &R, const state::Verdict &V);
+  void onRestored();
+  void onLogUp();
+  void release();
+
+  CellOwner *owned(std::string_view Cell);
+  const CellOwner *owned(std::string_view Cell) const;
+  std::vector<std::string> cells() const;
+  bool any() const { return !Owners.empty(); }
+
+private:
+  struct Watch {
+    base::MonoTime LastSign{};     ///< Of the owner, in the log.
+    base::MonoTime RefusedSince{}; ///< Zero: its daemon answers.
+    base::MonoTime PingAt{};
+    base::MonoTime RetryAt{};
+    bool Pinging = false;
+    bool Busy = false; ///< Workers are being tried or a claim is in flight.
+    unsigned Tried = 0;
+    unsigned Reached = 0;
+    unsigned Open = 0;
+  };
+
+  void watchCells();
+  void review(const std::string &Cell, Watch &W);
+  bool due(const std::string &Cell, const state::Cell *View, const Watch &W);
+  unsigned rank(std::string_view Cell, std::string_view Owner) const;
+  void ping(const std::string &Cell, const state::Cell &View, Watch &W);
+  void tryWorkers(const std::string &Cell, std::uint64_t Epoch);
+  void onTried(const std::string &Cell, std::uint64_t Epoch, bool Reached);
+  void claim(const std::string &Cell, std::uint64_t Epoch);
+  std::vector<std::pair<std::string, std::string>>
+  workersOf(const std::string &Cell) const;
+
+  Core &C;
+  AppendQueue &Queue;
+  HostList &Hosts;
+  Tail &Log;
+  std::map<std::string, Watch, std::less<>> Watches;
+  std::map<std::string, std::shared_ptr<CellOwner>, std::less<>> Owners;
+};
+
+} // namespace heathersaddle::control
+
+#endif
--- /dev/null
+++ b/packages/control/lib/Requests.cpp
@@ -0,0 +1,280 @@
+// Approach: a request becomes a record and completes with that record's fate.
+// A repeat of an idempotency key is found in the state: here when it is known
+// already, otherwise when the second record is voided. Answers pushed by an
+// owner during a log outage are kept aside from the state until the log shows
+// the job's end.
+// Bounds: MaxWaiters long polls, MaxEarly pushed answers, RequestLimit per
+// record.
+#include "Requests.h"
+#include "JobIds.h"
+#include "Routing.h"
+#include "heathersaddle/base/Json.h"
+
+namespace heathersaddle::control {
+
+namespace {
+constexpr std::size_t MaxEarly = 1'000;
+/// How long a caller waits for the fate of its record.
+constexpr base::Millis RequestLimit{8'000};
+
+base::Error noSuchJob(std::string_view Job) {
+  return {base::ErrorCode::NotFound, "job", "",
+          "there is no job " + std::string(Job), "job"};
+}
+
+base::Error fateError(const Fate &F, std::string_view Step) {
+  if (F.Kind == FateKind::Voided)
+    return F.Verdict.Why;
+  if (F.Kind == FateKind::Dropped)
+    return {base::ErrorCode::Unavailable, std::string(Step), "",
+            "the log did not take the record; nothing took effect", ""};
+  return {base::ErrorCode::Unresolved, std::string(Step), "",
+          "the log does not answer; the request may still take effect", ""};
+}
+
+base::Error full(std::string_view Step) {
+  return {base::ErrorCode::Unavailable, std::string(Step), "",
+          "too many records are waiting for the log", ""};
+}
+} // namespace
+
+void Requests::submit(SubmitRequest Request, Completion<SubmitResult> Done) {
+  state::JobSpec &Spec = Request.Spec;
+  Spec.AcceptedMs = C.T.Wall;
+  Spec.Id = Request.Key.empty() ? freshJobId(C.S.Incarnation, ++Counter)
+                                : keyedJobId(Spec.Account, Request.Key);
+  if (C.St.job(Spec.Id)) {
+    onAccepted(Spec, {FateKind::Voided, 0, {}}, Done);
+    return;
+  }
+  std::string Cell = chooseCell(C.St, Spec);
+  if (Cell.empty()) {
+    Done(base::makeError(base::ErrorCode::Unavailable, "submit",
+                         "there is no data centre to run it in"));
+    return;
+  }
+  state::JobAccepted Record{Spec, Cell};
+  ++Open;
+  auto OnFate = [this, Spec = std::move(Spec), Done](const Fate &F) {
+    --Open;
+    onAccepted(Spec, F, Done);
+  };
+  if (!Queue.push(std::move(Record), std::move(OnFate), RequestLimit)) {
+    --Open;
+    Done(tl::unexpected(full("submit")));
+  }
+}
+
+void Requests::onAccepted(const state::JobSpec &Spec, const Fate &F,
+                          const Completion<SubmitResult> &Done) const {
+  if (F.Kind == FateKind::Applied) {
+    Done(SubmitResult{Spec.Id, false});
+    return;
+  }
+  const state::Job *Known = C.St.job(Spec.Id);
+  if (!Known) {
+    Done(tl::unexpected(fateError(F, "submit")));
+    return;
+  }
+  if (Known->Spec.Account == Spec.Account && Known->Spec.Digest == Spec.Digest)
+    Done(SubmitResult{Spec.Id, true});
+  else
+    Done(base::makeError(base::ErrorCode::Conflict, "submit",
+                         "the idempotency key was used for another request", "",
+                         "Idempotency-Key"));
+}
+
+JobAnswer Requests::answer(const state::Job &J) const {
+  JobAnswer A{J.Spec.Id, J.Status, J.Result, J.Reason, J.Ran, J.Parts};
+  auto It = Early.find(J.Spec.Id);
+  if (J.live() && It != Early.end()) {
+    A.Status = state::JobStatus::Ended;
+    A.Result = state::Outcome::Finished;
+    A.Ran = true;
+    A.Parts = It->second.Parts;
+  } else if (J.live()) {
+    A.Ran = J.EverStarted;
+  }
+  return A;
+}
+
+bool Requests::ended(std::string_view Job) const {
+  const state::Job *J = C.St.job(Job);
+  return !J || !J->live() || Early.contains(Job);
+}
+
+base::Expected<JobAnswer> Requests::status(std::string_view Job,
+                                           std::string_view Account) const {
+  const state::Job *J = C.St.job(Job);
+  if (!J || J->Spec.Account != Account)
+    return tl::unexpected(noSuchJob(Job));
+  return answer(*J);
+}
+
+void Requests::wait(std::string_view Job, std::string_view Account,
+                    base::Millis MaxWait, Completion<JobAnswer> Done) {
+  auto Now = status(Job, Account);
+  if (!Now || Now->Status == state::JobStatus::Ended || MaxWait.count() <= 0) {
+    Done(std::move(Now));
+    return;
+  }
+  if (Waiters.size() >= C.S.MaxWaiters) {
+    Done(base::makeError(base::ErrorCode::Unavailable, "wait",
+                         "too many requests are waiting for answers"));
+    return;
+  }
+  Waiters.push_back({std::string(Job), std::string(Account), C.now() + MaxWait,
+                     std::move(Done)});
+  ByJob.emplace(std::string(Job), std::prev(Waiters.end()));
+}
+
+void Requests::complete(std::vector<Waiter> Ready) {
+  for (Waiter &W : Ready)
+    W.Done(status(W.Job, W.Account));
+}
+
+void Requests::tick() {
+  std::vector<Waiter> Ready;
+  for (auto It = ByJob.begin(); It != ByJob.end();) {
+    if (C.now() < It->second->Until) {
+      ++It;
+      continue;
+    }
+    Ready.push_back(std::move(*It->second));
+    Waiters.erase(It->second);
+    It = ByJob.erase(It);
+  }
+  complete(std::move(Ready));
+}
+
+void Requests::onJobChanged(std::string_view Job) {
+  const state::Job *J = C.St.job(Job);
+  if (!J || !J->live())
+    if (auto It = Early.find(Job); It != Early.end())
+      Early.erase(It);
+  if (!ended(Job))
+    return;
+  std::vector<Waiter> Ready;
+  auto [First, Last] = ByJob.equal_range(Job);
+  for (auto It = First; It != Last; It = ByJob.erase(It)) {
+    Ready.push_back(std::move(*It->second));
+    Waiters.erase(It->second);
+  }
+  complete(std::move(Ready));
+}
+
+void Requests::onRestored() {
+  // An unknown job is one that the state does not hold yet; keep waiting.
+  std::vector<std::string> Jobs;
+  for (const Waiter &W : Waiters)
+    if (C.St.job(W.Job) && ended(W.Job))
+      Jobs.push_back(W.Job);
+  for (const std::string &Job : Jobs)
+    onJobChanged(Job);
+}
+
+void Requests::flush() {
+  ByJob.clear();
+  std::vector<Waiter> Ready(std::make_move_iterator(Waiters.begin()),
+                            std::make_move_iterator(Waiters.end()));
+  Waiters.clear();
+  complete(std::move(Ready));
+}
+
+void Requests::cancel(std::string_view Job, std::string_view Account,
+                      Completion<JobAnswer> Done) {
+  auto Now = status(Job, Account);
+  if (!Now || Now->Status == state::JobStatus::Ended) {
+    Done(std::move(Now));
+    return;
+  }
+  ++Open;
+  auto OnFate = [this, Job = std::string(Job), Account = std::string(Account),
+                 Done](const Fate &F) {
+    --Open;
+    auto After = status(Job, Account);
+    bool Over = After && After->Status == state::JobStatus::Ended;
+    if (F.Kind == FateKind::Applied || Over || !After)
+      Done(std::move(After));
+    else
+      Done(tl::unexpected(fateError(F, "cancel")));
+  };
+  if (!Queue.push(state::CancelRequested{std::string(Job)}, std::move(OnFate),
+                  RequestLimit)) {
+    --Open;
+    Done(tl::unexpected(full("cancel")));
+  }
+}
+
+void Requests::publish(state::ListChange Change,
+                       Completion<state::ListVerdict> Done) {
+  ++Open;
+  auto OnFate = [this, Kind = Change.Kind, Base = Change.Base,
+                 Done](const Fate &F) {
+    --Open;
+    if (F.Kind != FateKind::Applied && F.Kind != FateKind::Voided) {
+      Done(tl::unexpected(fateError(F, "publish")));
+      return;
+    }
+    for (const state::ListVerdict &V : C.St.listHistory())
+      if (V.Offset == F.Offset && V.Kind == Kind) {
+        Done(V);
+        return;
+      }
+    Done(state::ListVerdict{Kind, F.Offset, Base, C.St.version(Kind),
+                            F.Kind == FateKind::Applied, F.Verdict.Why.Message,
+                            C.St.clock()});
+  };
+  if (!Queue.push(state::ListPublished{std::move(Change)}, std::move(OnFate),
+                  RequestLimit)) {
+    --Open;
+    Done(tl::unexpected(full("publish")));
+  }
+}
+
+void Requests::pushAnswer(const state::Job &J, std::vector<std::string> Parts) {
+  const state::Cell *Cell = C.St.cell(J.Cell);
+  json::array List;
+  for (const std::string &P : Parts)
+    List.emplace_back(P);
+  json::object Body{{"job", J.Spec.Id},
+                    {"cell", J.Cell},
+                    {"epoch", Cell ? Cell->Epoch : 0},
+                    {"attempt", J.Attempt},
+                    {"answer", std::move(List)}};
+  for (const auto &[Name, D] : C.St.daemons())
+    if (Name != C.S.Name)
+      C.callPeer(Name, D.Address, "/v1/peer/answers", Body,
+                 [](const base::Expected<json::value> &) {});
+  (void)onPushedAnswer(Body);
+}
+
+base::Expected<json::value> Requests::onPushedAnswer(const json::value &Body) {
+  base::JsonReader R(Body, "peer answers");
+  std::string Job = R.string("job", 256);
+  std::string Cell = R.string("cell", 256);
+  auto Epoch = std::uint64_t(R.integer("epoch", 0, INT64_MAX));
+  auto Attempt = unsigned(R.integer("attempt", 0, UINT32_MAX));
+  const json::array *Parts = R.array("answer", true, pool::MaxTasks);
+  if (const base::Error *E = R.error())
+    return tl::unexpected(*E);
+  const state::Job *J = C.St.job(Job);
+  const state::Cell *View = C.St.cell(Cell);
+  if (!J || !View || J->Cell != Cell || View->Epoch != Epoch ||
+      J->Attempt != Attempt)
+    return base::makeError(base::ErrorCode::Conflict, "peer answers",
+                           "the answer does not match the job's state", Cell);
+  if (!J->live())
+    return json::object{{"ok", true}};
+  if (Early.size() >= MaxEarly)
+    return base::makeError(base::ErrorCode::Unavailable, "peer answers",
+                           "too many pushed answers are kept");
+  EarlyAnswer A{{}, Epoch};
+  for (const json::value &P : *Parts)
+    A.Parts.emplace_back(P.is_string() ? std::string(P.as_string()) : "");
+  Early.insert_or_assign(Job, std::move(A));
+  onJobChanged(Job);
+  return json::object{{"ok", true}};
+}
+
+} // namespace heathersaddle::control
--- /dev/null
+++ b/packages/control/lib/Requests.h
@@ -0,0 +1,65 @@
+#ifndef HEATHERSADDLE_CONTROL_REQUESTS_H
+#define HEATHERSADDLE_CONTROL_REQUESTS_H
+
+#include "AppendQueue.h"
+#include <list>
+
+namespace heathersaddle::control {
+
+/// Serves callers: requests become records, answers come from the state.
+class Requests {
+public:
+  Requests(Core &C, AppendQueue &Queue) : C(C), Queue(Queue) {}
+
+  void submit(SubmitRequest Request, Completion<SubmitResult> Done);
+  void wait(std::string_view Job, std::string_view Account,
+            base::Millis MaxWait, Completion<JobAnswer> Done);
+  base::Expected<JobAnswer> status(std::string_view Job,
+                                   std::string_view Account) const;
+  void cancel(std::string_view Job, std::string_view Account,
+              Completion<JobAnswer> Done);
+  void publish(state::ListChange Change, Completion<state::ListVerdict> Done);
+
+  /// Completes waiters whose time is over.
+  void tick();
+  void onJobChanged(std::string_view Job);
+  /// The state was replaced; answers all waiters whose jobs have ended.
+  void onRestored();
+  /// Answers all waiters with what is known now.
+  void flush();
+  bool idle() const { return Open == 0 && Waiters.empty(); }
+
+  /// Sends an answer that the log cannot take now to all peers, and serves it
+  /// here.
+  void pushAnswer(const state::Job &J, std::vector<std::string> Parts);
+  base::Expected<json::value> onPushedAnswer(const json::value &Body);
+
+private:
+  struct Waiter {
+    std::string Job;
+    std::string Account;
+    base::MonoTime Until{};
+    Completion<JobAnswer> Done;
+  };
+  struct EarlyAnswer {
+    std::vector<std::string> Parts;
+    std::uint64_t Epoch = 0;
+  };
+  void onAccepted(const state::JobSpec &Spec, const Fate &F,
+                  const Completion<SubmitResult> &Done) const;
+  void complete(std::vector<Waiter> Ready);
+  JobAnswer answer(const state::Job &J) const;
+  bool ended(std::string_view Job) const;
+
+  Core &C;
+  AppendQueue &Queue;
+  std::list<Waiter> Waiters;
+  std::multimap<std::string, std::list<Waiter>::iterator, std::less<>> ByJob;
+  std::map<std::string, EarlyAnswer, std::less<>> Early;
+  std::uint64_t Counter = 0;
+  unsigned Open = 0; ///< Requests whose record has no fate yet.
+};
+
+} // namespace heathersaddle::control
+
+#endif
--- a/packages/control/lib/Snapshots.cpp
+++ b/packages/control/lib/Snapshots.cpp
@@ -3,7 +3,7 @@
 // incomplete snapshots and the best complete one.
 // Bounds: MaxOpen incomplete snapshots, MaxChunks chunks, ChunkBytes each.
 #include "Snapshots.h"
-#include "Digest.h"
+#include "heathersaddle/base/Hash.h"
 #include "heathersaddle/base/Json.h"
 
 namespace heathersaddle::control {
@@ -18,9 +18,9 @@
 std::vector<std::string> snapshotChunks(std::string_view Id,
                                         std::uint64_t Covered,
                                         std::string_view Text) {
-  std::size_t Count = std::max<std::size_t>(
-      1, (Text.size() + ChunkBytes - 1) / ChunkBytes);
-  std::string Hash = sha256Hex(Text);
+  std::size_t Count =
+      std::max<std::size_t>(1, (Text.size() + ChunkBytes - 1) / ChunkBytes);
+  std::string Hash = base::sha256Hex(Text);
   std::vector<std::string> Chunks;
   for (std::size_t I = 0; I < Count; ++I) {
     std::string_view Part = Text.substr(I * ChunkBytes, ChunkBytes);
@@ -68,7 +68,7 @@
   std::string Text;
   for (const std::string &Part : P.Parts)
     Text += Part;
-  if (sha256Hex(Text) != P.Hash)
+  if (base::sha256Hex(Text) != P.Hash)
     return;
   Best = std::move(Text);
   BestCovered = P.Covered;
--- a/packages/control/lib/Tail.cpp
+++ b/packages/control/lib/Tail.cpp
@@ -115,18 +115,20 @@
   if (!CaughtUp && C.St.next() >= R.Next) {
     CaughtUp = true;
     Found.clear();
-    C.log(EventRecovered, "state complete up to offset " +
-                              std::to_string(C.St.next()));
+    C.log(EventRecovered,
+          "state complete up to offset " + std::to_string(C.St.next()));
   }
 }
 
 void Tail::applyText(std::uint64_t Offset, std::string_view Text) {
   auto R = state::decode(Text);
+  base::WallMs Before = C.St.clock();
   if (!R) {
     C.St.apply(Offset, Text);
     return;
   }
   state::Verdict V = C.St.apply(Offset, *R);
+  C.noteClock(Before);
   if (OnApplied)
     OnApplied(*R, Offset, V);
 }
--- /dev/null
+++ b/packages/control/lib/Track.h
@@ -0,0 +1,54 @@
+#ifndef HEATHERSADDLE_CONTROL_TRACK_H
+#define HEATHERSADDLE_CONTROL_TRACK_H
+
+#include "heathersaddle/base/Time.h"
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace heathersaddle::control {
+
+enum class Op { Reserve, Start, Stop };
+
+/// What is known of one task of the present attempt.
+struct TaskTrack {
+  enum class Seen {
+    Nothing,  ///< Not heard of yet.
+    Absent,   ///< The worker does not have it and may still get it.
+    Reserved, ///< Slots held, not started.
+    Running,
+    Finished, ///< Final, with an answer.
+    Failed,   ///< Final, with an error.
+    Stopped, ///< Final: the worker confirmed that it does not and will not run.
+    Gone     ///< Final: the worker restarted or its lease is certainly over.
+  };
+  Seen What = Seen::Nothing;
+  bool Waiting = false;   ///< A command is queued or without a reply.
+  bool StopOk = false;    ///< The worker confirmed a stop command.
+  bool StartSent = false; ///< This owner handed out a start command.
+  /// No start of this task can have been delivered by anyone.
+  bool Clean = false;
+  bool CleanBefore = false; ///< Value of Clean before the last start.
+  bool Lapsed = false;      ///< Stopped because the worker's lease ran out.
+  std::uint64_t Change = 0; ///< Order of the last command or its reply.
+  std::int64_t ProgressMs = 0;
+  std::string Text; ///< Answer or error.
+
+  bool final() const { return What >= Seen::Finished; }
+  bool over() const { return What >= Seen::Stopped; }
+};
+
+/// The present attempt of a placed job, as its owner follows it.
+struct Track {
+  unsigned Attempt = 0;
+  bool Doomed = false;    ///< The attempt cannot succeed; stop all of it.
+  bool Invalid = false;   ///< A worker rejected the task as malformed.
+  bool Concluded = false; ///< The record that ends the attempt is in flight.
+  bool AnswerPushed = false;
+  std::string Reason;
+  std::vector<TaskTrack> Tasks;
+};
+
+} // namespace heathersaddle::control
+
+#endif
--- /dev/null
+++ b/packages/control/lib/WorkerLink.h
@@ -0,0 +1,135 @@
+#ifndef HEATHERSADDLE_CONTROL_WORKERLINK_H
+#define HEATHERSADDLE_CONTROL_WORKERLINK_H
+
+#include "Core.h"
+#include "Track.h"
+#include <deque>
+
+namespace heathersaddle::control {
+
+/// Names a task of an attempt on a worker.
+struct TaskName {
+  std::string Job;
+  unsigned Attempt = 0;
+  unsigned Task = 0;
+};
+
+struct Command {
+  Op What = Op::Stop;
+  TaskName Name;
+  json::object Body;
+};
+
+/// One event of a worker.
+struct WorkerEvent {
+  std::uint64_t Id = 0;
+  std::string Kind;
+  TaskName Name;
+  std::string Text;
+  std::int64_t ProgressMs = 0;
+};
+
+/// One entry of a full sync.
+struct ListedTask {
+  TaskName Name;
+  std::string State;
+  std::int64_t ProgressMs = 0;
+};
+
+/// What a link tells the owner of its cell.
+class LinkListener {
+public:
+  virtual ~LinkListener() = default;
+  virtual void onEvent(const std::string &Worker, const WorkerEvent &E) = 0;
+  /// \p Ok false: the worker refused with \p Code.
+  virtual void onResult(const std::string &Worker, const Command &C, bool Ok,
+                        std::string_view Code) = 0;
+  /// The reply is missing: the command may have taken effect or not.
+  virtual void onLost(const std::string &Worker, const Command &C) = 0;
+  /// All tasks of the worker, asked for when the change counter was \p Since.
+  virtual void onListed(const std::string &Worker,
+                        const std::vector<ListedTask> &Tasks,
+                        std::uint64_t Since) = 0;
+  virtual void onRestarted(const std::string &Worker) = 0;
+  /// The worker rejects this owner's epoch.
+  virtual void onDeposed(const std::string &Worker) = 0;
+  /// Whether the log has recorded what \p E brought.
+  virtual bool settled(const WorkerEvent &E) const = 0;
+  virtual std::uint64_t nextChange() = 0;
+};
+
+/// The exchange with one worker under one epoch: learns its clock, lists its
+/// tasks, keeps its lease, reads its events and delivers commands.
+class WorkerLink {
+public:
+  WorkerLink(Core &C, LinkListener &L, std::string Cell, std::uint64_t Epoch,
+             std::string Worker, base::MonoTime LeaseBound)
+      : C(C), L(L), Cell(std::move(Cell)), Epoch(Epoch),
+        Worker(std::move(Worker)), LeaseBound(LeaseBound) {}
+
+  /// When a lease that was renewed until \p T is certainly over.
+  static base::MonoTime boundAfter(const NodeSettings &S, base::MonoTime T);
+
+  void setAddress(std::string_view Where) { Address = Where; }
+  /// \p Self keeps the link alive for replies; see CellOwner.
+  void tick(const std::weak_ptr<WorkerLink> &Self);
+  void command(Command Cmd) { Outbox.push_back(std::move(Cmd)); }
+  /// Asks for a list of all tasks that is newer than this call.
+  void wantList() { ListWanted = true; }
+
+  bool synced() const { return Synced; }
+  bool lost() const;
+  /// When the worker's lease is certainly over unless it is renewed.
+  base::MonoTime leaseBound() const { return LeaseBound; }
+
+private:
+  using Self = std::weak_ptr<WorkerLink>;
+  void greet(const Self &Me);
+  void list(const Self &Me);
+  void poll(const Self &Me);
+  void deliver(const Self &Me);
+  json::object header() const;
+  json::object syncBody(base::Millis Wait, bool Full);
+  bool heard(const base::Expected<json::value> &R);
+  void onGreeted(const base::Expected<json::value> &R);
+  void onSync(const base::Expected<json::value> &R, bool Full,
+              std::uint64_t Since);
+  void onDelivered(const base::Expected<json::value> &R);
+  void readEvents(const json::object &Reply);
+  void onFailure(const base::Error &E);
+  void onRestart();
+  void reset();
+  void settle();
+
+  Core &C;
+  LinkListener &L;
+  std::string Cell;
+  std::uint64_t Epoch;
+  std::string Worker;
+  std::string Address;
+  std::string Boot;
+  base::MonoTime LeaseBound;
+  std::int64_t ClockMs = 0;
+  base::MonoTime ClockAt{};
+  bool Greeted = false;
+  bool Synced = false;
+  bool ListWanted = false;
+  bool GreetOut = false;
+  bool ListOut = false;
+  bool PollOut = false;
+  std::vector<Command> Outbox;
+  std::vector<Command> Delivering;
+  std::uint64_t Acked = 0;
+  std::uint64_t Heard = 0;
+  std::deque<WorkerEvent> Unsettled;
+  base::MonoTime RetryAt{};
+  base::MonoTime PollAt{};
+  base::MonoTime FailingSince{};
+  base::Millis PollGap{};
+  unsigned Failures = 0;
+  std::uint64_t Round = 0; ///< Rises when calls in progress become stale.
+};
+
+} // namespace heathersaddle::control
+
+#endif
--- /dev/null
+++ b/packages/control/lib/WorkerWire.cpp
@@ -0,0 +1,100 @@
+// Approach: reads workers' replies. A worker is not trusted to be correct: a
+// field that is missing or wrong makes the entry invalid, not the daemon.
+// Bounds: MaxItems entries of each list are read; the rest comes next time.
+#include "WorkerWire.h"
+#include "heathersaddle/base/Json.h"
+#include "heathersaddle/pool/Shape.h"
+#include "heathersaddle/state/State.h"
+
+namespace heathersaddle::control {
+
+namespace {
+constexpr std::size_t MaxItems = 4'096;
+constexpr std::size_t MaxName = 256;
+
+const json::array *list(const json::object &Reply, std::string_view Field) {
+  const json::value *V = Reply.if_contains(Field);
+  return V ? V->if_array() : nullptr;
+}
+
+TaskName readName(base::JsonReader &R) {
+  TaskName N;
+  N.Job = R.string("job", MaxName);
+  N.Attempt = unsigned(R.integer("attempt", 0, UINT32_MAX));
+  N.Task = unsigned(R.integerOr("task", 0, 0, pool::MaxTasks - 1));
+  return N;
+}
+
+std::string firstString(base::JsonReader &R,
+                        std::initializer_list<std::string_view> Fields) {
+  for (std::string_view F : Fields)
+    if (R.find(F))
+      return R.string(F, "", state::MaxAnswerBytes);
+  return {};
+}
+} // namespace
+
+base::Expected<WorkerIdentity> readIdentity(const json::value &Reply) {
+  base::JsonReader R(Reply, "worker reply");
+  WorkerIdentity Who;
+  const json::value *Boot = R.find("boot");
+  if (Boot && !Boot->is_string())
+    Who.Boot = json::serialize(*Boot);
+  else
+    Who.Boot = R.string("boot", MaxName);
+  Who.ClockMs = R.integer("clock_ms", 0, INT64_MAX);
+  if (const base::Error *E = R.error())
+    return tl::unexpected(*E);
+  return Who;
+}
+
+std::vector<CommandResult> readResults(const json::object &Reply) {
+  std::vector<CommandResult> Results;
+  const json::array *Items = list(Reply, "results");
+  if (!Items)
+    return Results;
+  for (const json::value &V : *Items) {
+    base::JsonReader R(V, "worker reply");
+    bool Ok = R.booleanOr("ok", false);
+    Results.push_back({Ok, R.string("code", "", MaxName)});
+  }
+  return Results;
+}
+
+std::vector<WorkerEvent> readWorkerEvents(const json::object &Reply) {
+  std::vector<WorkerEvent> Events;
+  const json::array *Items = list(Reply, "events");
+  if (!Items)
+    return Events;
+  for (std::size_t I = 0; I < Items->size() && I < MaxItems; ++I) {
+    base::JsonReader R((*Items)[I], "worker event");
+    WorkerEvent E;
+    E.Id = std::uint64_t(R.integer("id", 0, INT64_MAX));
+    E.Kind = R.string("event", MaxName);
+    E.Name = readName(R);
+    E.Text = firstString(R, {"answer", "error"});
+    E.ProgressMs = R.integerOr("progress_ms", 0, 0, INT64_MAX);
+    if (!R.error())
+      Events.push_back(std::move(E));
+  }
+  return Events;
+}
+
+std::vector<ListedTask> readTasks(const json::object &Reply) {
+  std::vector<ListedTask> Tasks;
+  const json::array *Items = list(Reply, "tasks");
+  if (!Items)
+    return Tasks;
+  for (std::size_t I = 0; I < Items->size() && I < MaxItems; ++I) {
+    base::JsonReader R((*Items)[I], "worker task");
+    ListedTask T;
+    T.Name = readName(R);
+    T.State = R.string("state", MaxName);
+    T.ProgressMs = R.integerOr("progress_ms", 0, 0, INT64_MAX);
+    if (!R.error())
+      Tasks.push_back(std::move(T));
+  }
+  return Tasks;
+}
+
+} // namespace heathersaddle::control
