Test the life of a job and failures of workers in virtual time

The stories run daemons against a log, a host list and workers in virtual time, with a lost start reply, a restart, a partition and a leaving host.

--- a/packages/control/lib/CellOutcomes.cpp
+++ b/packages/control/lib/CellOutcomes.cpp
@@ -43,7 +43,7 @@
   bool Ran =
       J.Started && std::any_of(T.Tasks.begin(), T.Tasks.end(),
                                [](const TaskTrack &X) { return !X.Clean; });
-  bool EverRan = Ran || (J.Attempt > 1 && J.EverStarted);
+  bool EverRan = Ran || J.EverStarted;
   if (J.CancelWanted)
     T.Concluded = end(J, state::Outcome::Cancelled, "cancelled", EverRan);
   else if (Ran && !J.Spec.Idempotent)
--- a/packages/control/lib/CellOwner.h
+++ b/packages/control/lib/CellOwner.h
@@ -78,7 +78,8 @@
   // CellWorkers.cpp
   void reviewWorkers();
   void reviewHost(const HostEntry &H);
-  void reviewWorker(const std::string &Worker, const state::Worker &W);
+  void reviewLinks();
+  void reviewStatus(const std::string &Worker, const state::Worker &W);
   bool recordWorker(state::Body What, const std::string &Worker);
   pool::WorkerStatus wantedStatus(const std::string &Worker,
                                   const state::Worker &W);
@@ -100,6 +101,7 @@
   };
   Found find(const std::string &Worker, const TaskName &N);
   template <class F> void forTasksOn(const std::string &Worker, F Visit);
+  static void noteStopped(TaskTrack &X, std::int64_t ProgressMs);
   void onListedTask(const state::Job &J, TaskTrack &T, const ListedTask *L);
   bool restartable(const state::Job &J) const;
   json::object commandBody(Op What, const state::Job &J, unsigned Task) const;
--- a/packages/control/lib/CellReports.cpp
+++ b/packages/control/lib/CellReports.cpp
@@ -34,9 +34,10 @@
     return;
   }
   bool Start = Cmd.What == Op::Start;
+  X.SawStart = X.SawStart || (Start && Ok);
   if (!Ok) {
     if (Start)
-      X.Clean = X.CleanBefore;
+      X.Clean = X.CleanBefore && !X.SawStart;
     F.Attempt->Invalid = F.Attempt->Invalid || Code == "invalid";
     doom(*F.Attempt,
          "worker " + Worker + " refused the task: " + std::string(Code));
@@ -57,6 +58,15 @@
     F.Task->What = Seen::Nothing;
 }
 
+void CellOwner::noteStopped(TaskTrack &X, std::int64_t ProgressMs) {
+  X.What = Seen::Stopped;
+  X.ProgressMs = ProgressMs;
+  // The worker reports a start before the stop. When this owner alone sent a
+  // start and no report came, the stop overtook it, and the worker refuses it
+  // from now on.
+  X.Clean = X.Clean || (X.StartSent && X.CleanBefore && !X.SawStart);
+}
+
 void CellOwner::onEvent(const std::string &Worker, const WorkerEvent &E) {
   Found F = find(Worker, E.Name);
   if (!F.Job)
@@ -75,15 +85,13 @@
     X.Clean = false;
   } else if (E.Kind == "started" && Open) {
     X.What = Seen::Running;
+    X.SawStart = true;
     X.Clean = false;
   } else if (E.Kind == "stopped" && (Open || X.What == Seen::Gone)) {
-    X.Clean = X.Clean && X.What != Seen::Running && E.ProgressMs == 0;
-    X.What = Seen::Stopped;
-    X.ProgressMs = E.ProgressMs;
+    noteStopped(X, E.ProgressMs);
   } else if (E.Kind == "lapsed" && Open) {
-    X.What = Seen::Stopped;
     X.Lapsed = true;
-    X.ProgressMs = E.ProgressMs;
+    noteStopped(X, E.ProgressMs);
   } else if (E.Kind == "usage") {
     Scheduler.usage(E.Name.Job, E.ProgressMs, C.clock());
   }
@@ -117,20 +125,19 @@
                              const ListedTask *L) {
   if (L && L->State == "running") {
     X.What = Seen::Running;
+    X.SawStart = true;
     X.Clean = false;
   } else if (L && L->State == "reserved") {
     X.What = Seen::Reserved;
     // The start of an earlier owner did not arrive, and its epoch is over.
     X.Clean = X.Clean || !X.StartSent;
   } else if (L && L->State == "stopped") {
-    X.What = Seen::Stopped;
-    X.ProgressMs = L->ProgressMs;
-    X.Clean = X.Clean && L->ProgressMs == 0;
+    noteStopped(X, L->ProgressMs);
   } else if (L) {
     // Finished or failed: its event carries the answer and comes first.
     X.Clean = false;
   } else if (X.StopOk) {
-    X.What = Seen::Stopped;
+    noteStopped(X, J.ProgressMs);
   } else if (!J.Started || (restartable(J) && X.What < Seen::Running)) {
     X.What = Seen::Absent;
   } else {
--- a/packages/control/lib/CellWorkers.cpp
+++ b/packages/control/lib/CellWorkers.cpp
@@ -28,18 +28,41 @@
 
 void CellOwner::reviewWorkers() {
   HostsSeen = Hosts.generation();
+  reviewLinks();
   for (const auto &[HostName, H] : Hosts.hosts())
     if (H.DataCentre == Name)
       reviewHost(H);
   for (const auto &[Worker, W] : view()->Workers)
-    reviewWorker(Worker, W);
+    reviewStatus(Worker, W);
+}
+
+void CellOwner::reviewLinks() {
+  std::map<std::string, std::string> Wanted;
+  for (const auto &[Worker, W] : view()->Workers)
+    if (!Hosts.known() || !view()->Pool.jobsOn(Worker).empty())
+      Wanted.emplace(Worker, W.Address);
+  for (const auto &[HostName, H] : Hosts.hosts())
+    if (H.DataCentre == Name)
+      Wanted.insert_or_assign(HostName, H.Address);
+  std::erase_if(Links,
+                [&](const auto &L) { return !Wanted.contains(L.first); });
+  for (const auto &[Worker, Address] : Wanted) {
+    std::shared_ptr<WorkerLink> &L = Links[Worker];
+    if (!L)
+      L = std::make_shared<WorkerLink>(C, *this, Name, Epoch, Worker,
+                                       WorkerLink::boundAfter(C.S, ClaimedAt));
+    L->setAddress(Address);
+  }
 }
 
 void CellOwner::reviewHost(const HostEntry &H) {
   const state::Cell &Cell = *view();
   auto It = Cell.Workers.find(H.Name);
   bool New = It == Cell.Workers.end();
-  if ((New && H.Leaving) || (!New && describes(H, It->second)))
+  // A worker that was never reached, or not since it was given up, is no part
+  // of the pool.
+  const WorkerLink *L = link(H.Name);
+  if (New ? (H.Leaving || !L || !L->synced()) : describes(H, It->second))
     return;
   pool::WorkerSpec Spec{H.Name, H.Rack, H.Slots, H.Accelerators};
   recordWorker(
@@ -47,18 +70,8 @@
       H.Name);
 }
 
-void CellOwner::reviewWorker(const std::string &Worker,
+void CellOwner::reviewStatus(const std::string &Worker,
                              const state::Worker &W) {
-  bool Listed = !Hosts.known() || Hosts.host(Worker);
-  bool Needed = Listed || !view()->Pool.jobsOn(Worker).empty();
-  if (!Needed)
-    Links.erase(Worker);
-  else if (!link(Worker))
-    Links.emplace(Worker, std::make_shared<WorkerLink>(
-                              C, *this, Name, Epoch, Worker,
-                              WorkerLink::boundAfter(C.S, ClaimedAt)));
-  if (WorkerLink *L = link(Worker))
-    L->setAddress(W.Address);
   pool::WorkerStatus Wanted = wantedStatus(Worker, W);
   if (Wanted == W.Status)
     return;
--- a/packages/control/lib/Requests.cpp
+++ b/packages/control/lib/Requests.cpp
@@ -93,7 +93,7 @@
     A.Ran = true;
     A.Parts = It->second.Parts;
   } else if (J.live()) {
-    A.Ran = J.EverStarted;
+    A.Ran = J.EverStarted || J.Started;
   }
   return A;
 }
--- a/packages/control/lib/Track.h
+++ b/packages/control/lib/Track.h
@@ -28,6 +28,7 @@
   bool StartSent = false; ///< This owner handed out a start command.
   /// No start of this task can have been delivered by anyone.
   bool Clean = false;
+  bool SawStart = false;    ///< The worker reported the start.
   bool CleanBefore = false; ///< Value of Clean before the last start.
   bool Lapsed = false;      ///< Stopped because the worker's lease ran out.
   std::uint64_t Change = 0; ///< Order of the last command or its reply.
--- a/packages/control/lib/WorkerWire.cpp
+++ b/packages/control/lib/WorkerWire.cpp
@@ -69,7 +69,7 @@
   for (std::size_t I = 0; I < Items->size() && I < MaxItems; ++I) {
     base::JsonReader R((*Items)[I], "worker event");
     WorkerEvent E;
-    E.Id = std::uint64_t(R.integer("id", 0, INT64_MAX));
+    E.Id = std::uint64_t(R.integer("seq", 0, INT64_MAX));
     E.Kind = R.string("event", MaxName);
     E.Name = readName(R);
     E.Text = firstString(R, {"answer", "error"});
--- /dev/null
+++ b/packages/control/tests/JobStoryTest.cpp
@@ -0,0 +1,178 @@
+#define BOOST_TEST_MODULE control
+#include "World.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace heathersaddle;
+using namespace heathersaddle::control;
+
+namespace {
+/// One data centre with four workers and two daemons.
+struct TwoDaemons : World {
+  TwoDaemons() {
+    for (const char *W : {"w1", "w2", "w3", "w4"})
+      addWorker(W, "north", "rack1");
+    addDaemon("d1", "north");
+    addDaemon("d2", "north");
+    bool Up = runUntil(
+        [&] {
+          const state::Cell *C = d1().state().cell("north");
+          return C && C->Workers.size() == 4;
+        },
+        10'000);
+    BOOST_REQUIRE(Up);
+    publishLists(d1());
+    Owner = d1().ownedCells().empty() ? "d2" : "d1";
+    Other = Owner == "d1" ? "d2" : "d1";
+  }
+  Node &d1() { return *Daemons["d1"].N; }
+  Node &owner() { return *Daemons[Owner].N; }
+  Node &other() { return *Daemons[Other].N; }
+  unsigned starts(const std::string &Job) {
+    unsigned Sum = 0;
+    for (auto &[Name, W] : Workers)
+      Sum += W.Starts[Job];
+    return Sum;
+  }
+  /// The worker on which \p Task of \p Job is placed.
+  std::string place(const std::string &Job, unsigned Task = 0) {
+    return job(Job).Tasks.at(Task).Worker;
+  }
+  bool running(const std::string &Job) {
+    return runUntil([&] { return starts(Job) == job(Job).Spec.Shape.Tasks; },
+                    5'000);
+  }
+  std::string Owner;
+  std::string Other;
+};
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AJob, TwoDaemons)
+
+// Guards against answers that stay with the owner.
+BOOST_AUTO_TEST_CASE(IsAnsweredWhereItsCallerWaits) {
+  std::string Id = submit(other(), 1, true);
+  base::Expected<JobAnswer> Got;
+  bool Called = false;
+  other().wait(
+      Id, "maison", base::Millis(30'000),
+      [&](base::Expected<JobAnswer> A) {
+        Got = std::move(A);
+        Called = true;
+      },
+      now());
+  BOOST_REQUIRE(runUntil([&] { return Called; }, 5'000));
+  BOOST_REQUIRE(Got.has_value());
+  BOOST_TEST(bool(Got->Result == state::Outcome::Finished));
+  BOOST_REQUIRE_EQUAL(Got->Parts.size(), 1U);
+  BOOST_TEST(Got->Parts[0] == "part 0");
+}
+
+// Guards against a gang that runs in part or is answered in part.
+BOOST_AUTO_TEST_CASE(OfManyTasksEndsAsAWhole) {
+  std::string Id = submit(owner(), 3, true);
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 10'000));
+  BOOST_TEST(bool(job(Id).Result == state::Outcome::Finished));
+  BOOST_TEST(job(Id).Parts.size() == 3U);
+  BOOST_TEST(starts(Id) == 3U);
+}
+
+// Guards against a second run when a client repeats its request elsewhere.
+BOOST_AUTO_TEST_CASE(WithAKeyIsAcceptedOnce) {
+  std::string First = submit(owner(), 1, false, "ok:500", "key");
+  std::string Second = submit(other(), 1, false, "ok:500", "key");
+  BOOST_TEST(First == Second);
+  run(3'000);
+  BOOST_TEST(starts(First) == 1U);
+}
+
+// Guards against a failed member whose gang runs on.
+BOOST_AUTO_TEST_CASE(WithAFailedTaskStopsTheWholeGang) {
+  std::string Id = submit(owner(), 2, false, "ok:60000");
+  BOOST_REQUIRE(running(Id));
+  Workers[place(Id, 1)].Tasks.begin()->second.Kind = "fail:10";
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 30'000));
+  BOOST_TEST(bool(job(Id).Result == state::Outcome::Failed));
+  for (auto &[Name, W] : Workers)
+    BOOST_TEST(W.running() == 0U);
+}
+
+// Guards against "cancelled" while tasks still run.
+BOOST_AUTO_TEST_CASE(IsCancelledOnlyWhenItsWorkersConfirm) {
+  std::string Id = submit(owner(), 2, true, "ok:60000");
+  BOOST_REQUIRE(running(Id));
+  other().cancel(
+      Id, "maison", [](auto) {}, now());
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 10'000));
+  BOOST_TEST(bool(job(Id).Result == state::Outcome::Cancelled));
+  BOOST_TEST(job(Id).Ran);
+  for (auto &[Name, W] : Workers)
+    BOOST_TEST(W.running() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(AWorkerThat, TwoDaemons)
+
+// Guards against a repeated start after a lost reply.
+BOOST_AUTO_TEST_CASE(LosesAStartReplyRunsTheTaskOnce) {
+  LoseStartReplies = 2;
+  std::string Id = submit(owner(), 1, false, "ok:3000");
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 30'000));
+  BOOST_TEST(bool(job(Id).Result == state::Outcome::Finished));
+  BOOST_TEST(starts(Id) == 1U);
+}
+
+// Guards against a second run of work that must not be repeated.
+BOOST_AUTO_TEST_CASE(RestartsLeavesNonIdempotentWorkUnknown) {
+  std::string Id = submit(owner(), 1, false, "ok:60000");
+  BOOST_REQUIRE(running(Id));
+  Workers[place(Id)].restart();
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 70'000));
+  BOOST_TEST(bool(job(Id).Result == state::Outcome::Unknown));
+  BOOST_TEST(starts(Id) == 1U);
+}
+
+// Guards against a gang that is never resumed, and one resumed in part.
+BOOST_AUTO_TEST_CASE(RestartsResumesTheWholeGang) {
+  std::string Id = submit(owner(), 2, true, "ok:5000");
+  BOOST_REQUIRE(running(Id));
+  Workers[place(Id, 1)].restart();
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 120'000));
+  BOOST_TEST(bool(job(Id).Result == state::Outcome::Finished));
+  BOOST_TEST(job(Id).Attempt == 2U);
+  BOOST_TEST(starts(Id) == 4U);
+}
+
+// Guards against a second attempt while the first may still run.
+BOOST_AUTO_TEST_CASE(IsUnreachableKeepsItsWorkUntilItsLeaseIsOver) {
+  std::string Id = submit(owner(), 1, true, "ok:400000");
+  BOOST_REQUIRE(running(Id));
+  std::string First = place(Id);
+  Cut = {{"d1", First}, {"d2", First}};
+  bool Overlap = false;
+  bool Moved = runUntil(
+      [&] {
+        unsigned Running = 0;
+        for (auto &[Name, W] : Workers)
+          Running += W.running();
+        Overlap = Overlap || Running > 1;
+        return job(Id).Attempt == 2 && job(Id).Started;
+      },
+      400'000);
+  BOOST_TEST(Moved);
+  BOOST_TEST(!Overlap);
+}
+
+// Guards against new work on a host that the platform takes away.
+BOOST_AUTO_TEST_CASE(LeavesGetsNoNewWork) {
+  Hosts[0].Leaving = true;
+  run(5'000);
+  std::vector<std::string> Ids;
+  for (int I = 0; I < 24; ++I)
+    Ids.push_back(submit(owner(), 1, true, "ok:100"));
+  run(5'000);
+  for (const std::string &Id : Ids)
+    BOOST_TEST(Workers[Hosts[0].Name].Starts[Id] == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
