Test log outages, takeovers, planned stops and recovery

The stories cover lost append responses, a log outage, an owner that is killed at any point before a start, a paused owner, a planned stop, a partitioned claimant and a trimmed log.

--- /dev/null
+++ b/packages/control/tests/OutageStoryTest.cpp
@@ -0,0 +1,192 @@
+#include "Snapshots.h"
+#include "TwoDaemons.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace heathersaddle;
+using namespace heathersaddle::control;
+
+BOOST_FIXTURE_TEST_SUITE(AnAppend, TwoDaemons)
+
+// Guards against a job that is accepted twice or reported as refused.
+BOOST_AUTO_TEST_CASE(WhoseResponseIsLostTakesEffectOnce) {
+  unsigned Before = countRecords("job_accepted");
+  LoseAppendReplies = 3;
+  std::string Id = submit(owner(), 1, false, "ok:100");
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 20'000));
+  BOOST_TEST(starts(Id) == 1U);
+  BOOST_TEST(countRecords("job_accepted") >= Before + 1);
+  BOOST_TEST(owner().state().jobs().size() == 1U);
+}
+
+// Guards against a record that is given up after one failed append.
+BOOST_AUTO_TEST_CASE(ThatWasLostIsRepeated) {
+  LoseAppends = 1;
+  std::string Id = submit(other(), 1, true, "ok:100");
+  BOOST_TEST(runUntil([&] { return ended(Id); }, 20'000));
+}
+
+// Guards against a job that runs after its caller was told that the request
+// failed, and against "nothing took effect" without certainty.
+BOOST_AUTO_TEST_CASE(ThatNobodyWaitsForAnyMoreIsVoided) {
+  SubmitRequest R;
+  R.Spec.Account = "maison";
+  R.Spec.Kind = "ok:100";
+  std::optional<base::Expected<SubmitResult>> Got;
+  other().submit(
+      R, [&](auto X) { Got = std::move(X); }, now());
+  LogDown = true;
+  BOOST_REQUIRE(runUntil([&] { return Got.has_value(); }, 20'000));
+  BOOST_REQUIRE(!Got->has_value());
+  BOOST_TEST(bool(Got->error().Code == base::ErrorCode::Unresolved));
+  LogDown = false;
+  run(20'000);
+  BOOST_TEST(other().state().jobs().empty());
+  BOOST_TEST(owner().state().jobs().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(WhileTheLogIsDown, TwoDaemons)
+
+// Guards against answers that wait for the end of the outage, and against
+// leases that lapse meanwhile.
+BOOST_AUTO_TEST_CASE(WorkRunsOnAndItsAnswerReachesTheCaller) {
+  std::string Id = submit(other(), 2, true, "ok:400000");
+  BOOST_REQUIRE(running(Id));
+  LogDown = true;
+  run(395'000);
+  std::optional<JobAnswer> Got;
+  other().wait(
+      Id, "maison", base::Millis(60'000),
+      [&](base::Expected<JobAnswer> A) { Got = A.value(); }, now());
+  BOOST_REQUIRE(runUntil([&] { return Got.has_value(); }, 30'000));
+  BOOST_TEST(bool(Got->Result == state::Outcome::Finished));
+  BOOST_TEST(Got->Parts.size() == 2U);
+  LogDown = false;
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 30'000));
+  BOOST_TEST(starts(Id) == 2U);
+  BOOST_TEST(job(Id).Attempt == 1U);
+}
+
+// Guards against owners that lose their cells because nobody could write.
+BOOST_AUTO_TEST_CASE(NoCellChangesHands) {
+  std::uint64_t Epoch = owner().state().cell("north")->Epoch;
+  LogDown = true;
+  run(60'000);
+  LogDown = false;
+  run(30'000);
+  BOOST_TEST(owner().state().cell("north")->Epoch == Epoch);
+}
+
+// Guards against requests that are taken although nothing can be recorded.
+BOOST_AUTO_TEST_CASE(NewWorkIsRefusedAsNotRun) {
+  LogDown = true;
+  run(30'000);
+  SubmitRequest R;
+  R.Spec.Account = "maison";
+  std::optional<base::Expected<SubmitResult>> Got;
+  owner().submit(
+      R, [&](auto X) { Got = std::move(X); }, now());
+  BOOST_REQUIRE(Got.has_value() && !Got->has_value());
+  BOOST_TEST(bool(Got->error().Code == base::ErrorCode::Unavailable));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(AnOwnerThat, TwoDaemons)
+
+// Guards against work that is lost or started twice at any point between
+// acceptance and start when its owner is killed there.
+BOOST_AUTO_TEST_CASE(IsKilledAtAnyPointLosesNothing) {
+  for (int Offset = 0; Offset <= 300; Offset += 20)
+    for (bool Idempotent : {false, true})
+      for (unsigned Tasks : {1U, 2U}) {
+        TwoDaemons World;
+        std::string Id =
+            World.submit(World.other(), Tasks, Idempotent, "ok:2000");
+        World.run(Offset);
+        World.Daemons[World.Owner].Alive = false;
+        bool Ended = World.runUntil([&] { return World.ended(Id); }, 400'000);
+        BOOST_TEST_CONTEXT("offset " << Offset << " idempotent " << Idempotent
+                                     << " tasks " << Tasks) {
+          BOOST_REQUIRE(Ended);
+          BOOST_TEST(bool(World.job(Id).Result == state::Outcome::Finished));
+          BOOST_TEST(World.starts(Id) == Tasks);
+        }
+      }
+}
+
+// Guards against an owner that acts after its cell was taken over.
+BOOST_AUTO_TEST_CASE(IsPausedActsNoMoreAfterItResumes) {
+  std::string Id = submit(other(), 2, false, "ok:20000");
+  BOOST_REQUIRE(running(Id));
+  Daemons[Owner].Paused = true;
+  BOOST_REQUIRE(
+      runUntil([&] { return !other().ownedCells().empty(); }, 20'000));
+  Daemons[Owner].Paused = false;
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 60'000));
+  BOOST_TEST(bool(job(Id).Result == state::Outcome::Finished));
+  BOOST_TEST(starts(Id) == 2U);
+  BOOST_TEST(owner().ownedCells().empty());
+}
+
+// Guards against a stop that interrupts work or leaves the cell unserved.
+BOOST_AUTO_TEST_CASE(StopsHandsItsCellOver) {
+  std::string Id = submit(other(), 2, false, "ok:20000");
+  BOOST_REQUIRE(running(Id));
+  owner().beginStop(now());
+  BOOST_TEST(!owner().ready());
+  BOOST_REQUIRE(runUntil([&] { return owner().stopped(); }, 5'000));
+  Daemons[Owner].Alive = false;
+  BOOST_TEST(runUntil([&] { return !other().ownedCells().empty(); }, 2'000));
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 60'000));
+  BOOST_TEST(bool(job(Id).Result == state::Outcome::Finished));
+  BOOST_TEST(starts(Id) == 2U);
+}
+
+// Guards against a claim by a daemon on the far side of a partition.
+BOOST_AUTO_TEST_CASE(DiesIsNotReplacedByOneThatReachesNoWorker) {
+  for (auto &[Name, W] : Workers)
+    Cut.emplace(Other, Name);
+  Daemons[Owner].Alive = false;
+  run(30'000);
+  BOOST_TEST(other().ownedCells().empty());
+  Cut.clear();
+  BOOST_TEST(runUntil([&] { return !other().ownedCells().empty(); }, 20'000));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ADaemonThatStarts, TwoDaemons)
+
+// Guards against acting on a state with a gap.
+BOOST_AUTO_TEST_CASE(IsNotReadyWithoutASnapshotOfATrimmedLog) {
+  Stream &S = Log["control"];
+  S.Records.erase(S.Records.begin(), S.Records.begin() + 5);
+  S.Oldest = 5;
+  Node &N = addDaemon("d3", "north");
+  run(10'000);
+  BOOST_TEST(!N.ready());
+  // A snapshot by a daemon that has the whole state makes it ready.
+  std::uint64_t Covered = owner().state().next();
+  for (std::string &Chunk :
+       snapshotChunks("s", Covered, owner().state().serialize()))
+    Log["snapshots"].Records.push_back(std::move(Chunk));
+  BOOST_TEST(runUntil([&] { return N.ready(); }, 20'000));
+  BOOST_TEST(N.state().digest() == owner().state().digest());
+}
+
+// Guards against snapshots that are never written or cannot be read.
+BOOST_AUTO_TEST_CASE(ReadsTheSnapshotThatAnOwnerWrote) {
+  BOOST_REQUIRE(runUntil([&] { return !Log["snapshots"].Records.empty(); },
+                         7 * 3'600'000));
+  Stream &S = Log["control"];
+  S.Oldest = S.next() - 10;
+  S.Records.erase(S.Records.begin(), S.Records.end() - 10);
+  Node &N = addDaemon("d3", "north");
+  BOOST_TEST(runUntil([&] { return N.ready(); }, 20'000));
+  run(5'000);
+  BOOST_TEST(N.state().digest() == owner().state().digest());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
