Add HTTP server and client with limits on both sides

The daemon, the platform stand-in and the tool need HTTP with bounds on everything a peer can send or withhold. Package net wraps Beast behind public headers without Beast or Asio: HttpServer, HttpClient with time limits and a circuit breaker per address, BlockingClient and Executor. Client errors distinguish requests that were certainly not delivered from those that may have been.

--- /dev/null
+++ b/packages/net/include/heathersaddle/net/Executor.h
@@ -0,0 +1,41 @@
+#ifndef HEATHERSADDLE_NET_EXECUTOR_H
+#define HEATHERSADDLE_NET_EXECUTOR_H
+
+#include <chrono>
+#include <functional>
+#include <initializer_list>
+#include <memory>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace heathersaddle::net {
+
+/// An io_context with its own threads, for code that needs no Asio itself.
+/// With one thread, everything posted runs in order and never concurrently.
+class Executor {
+public:
+  explicit Executor(unsigned Threads);
+  /// Calls stop().
+  ~Executor();
+  Executor(const Executor &) = delete;
+  Executor &operator=(const Executor &) = delete;
+
+  boost::asio::io_context &context();
+  void post(std::function<void()> Work);
+  void after(std::chrono::milliseconds Delay, std::function<void()> Work);
+  /// Calls \p Work with the number of the first of \p Signals that arrives.
+  void onSignal(std::initializer_list<int> Signals,
+                std::function<void(int)> Work);
+  /// Abandons what has not run and joins the threads; not from one of them.
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> I;
+};
+
+} // namespace heathersaddle::net
+
+#endif
--- /dev/null
+++ b/packages/net/include/heathersaddle/net/HttpClient.h
@@ -0,0 +1,67 @@
+#ifndef HEATHERSADDLE_NET_HTTPCLIENT_H
+#define HEATHERSADDLE_NET_HTTPCLIENT_H
+
+#include "heathersaddle/base/Error.h"
+#include "heathersaddle/net/Message.h"
+#include <cstdint>
+#include <memory>
+#include <string_view>
+
+namespace boost::asio {
+class io_context;
+} // namespace boost::asio
+
+namespace heathersaddle::net {
+
+/// An HTTP/1.1 client with keep-alive connections, a time limit for every
+/// request and a circuit breaker for every address.
+///
+/// \code
+///   HttpClient Client(Threads.context(), {});
+///   Client.send("127.0.0.1:8080", {.Target = "/healthz"},
+///               [](base::Expected<ClientResponse> R) { ... });
+/// \endcode
+///
+/// The callback runs once, on a thread of the io_context. Its error tells what
+/// may have happened: Unavailable, certainly not delivered (refused, breaker
+/// open, no connection in time); Unresolved, perhaps delivered (connection lost
+/// after sending, unusable response); Timeout, perhaps delivered. A GET whose
+/// kept connection turns out to be closed is sent once more.
+class HttpClient {
+public:
+  using Callback = std::function<void(base::Expected<ClientResponse>)>;
+
+  HttpClient(boost::asio::io_context &Context, ClientLimits Limits);
+  /// Requests in progress fail; their callbacks still run on the io_context.
+  ~HttpClient();
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
+
+  /// \p Address is "HOST:PORT".
+  void send(std::string_view Address, ClientRequest Request, Callback Done);
+
+  /// Bytes of requests and responses, headers included.
+  std::uint64_t bytesIn() const;
+  std::uint64_t bytesOut() const;
+
+private:
+  struct Impl;
+  std::shared_ptr<Impl> I;
+};
+
+/// For programs that send one request at a time. Not thread-safe.
+class BlockingClient {
+public:
+  explicit BlockingClient(ClientLimits Limits = {});
+  ~BlockingClient();
+  base::Expected<ClientResponse> send(std::string_view Address,
+                                      ClientRequest Request);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> I;
+};
+
+} // namespace heathersaddle::net
+
+#endif
--- /dev/null
+++ b/packages/net/lib/HttpServer.cpp
@@ -0,0 +1,427 @@
+// One Session per connection, on its own strand: wait for a first byte within
+// the idle limit, read one whole request within the read limit, hand it to the
+// handler, write the response, repeat. Beast's stream closes the socket when a
+// limit is over. A request that cannot be read is answered, and the rest of
+// what the caller sends is discarded up to MaxLingerBytes, because closing a
+// socket with unread input resets it and would destroy the answer.
+#include "heathersaddle/net/HttpServer.h"
+#include "Target.h"
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace heathersaddle::net {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+/// Most bytes read and dropped before a connection in error is closed.
+static constexpr std::size_t MaxLingerBytes = 1024 * 1024;
+static constexpr std::size_t ReadChunkBytes = 4096;
+
+namespace {
+class Session;
+} // namespace
+
+struct ServerCore : std::enable_shared_from_this<ServerCore> {
+  ServerCore(asio::io_context &Context, ServerLimits Limits, Handler Handle)
+      : Context(Context), Acceptor(asio::make_strand(Context)), Limits(Limits),
+        Handle(std::move(Handle)) {}
+
+  void accept();
+  void admit(tcp::socket Socket);
+  void closed(Session *S);
+  void finishDrain();
+  /// Those alive; released outside the lock, since the last release of a
+  /// session takes it.
+  std::vector<std::shared_ptr<Session>> sessions();
+
+  asio::io_context &Context;
+  tcp::acceptor Acceptor;
+  ServerLimits Limits;
+  Handler Handle;
+  std::atomic<std::uint64_t> In{0};
+  std::atomic<std::uint64_t> Out{0};
+  std::atomic<bool> Draining{false};
+
+  std::mutex Mutex; ///< Guards the members below.
+  std::set<Session *> Sessions;
+  std::function<void()> Drained;
+};
+
+namespace {
+
+Response errorResponse(unsigned Status, std::string_view Code,
+                       std::string_view Message) {
+  Response R;
+  R.Status = Status;
+  R.Body = R"({"error":{"code":")" + std::string(Code) +
+           R"(","field":"","message":")" + std::string(Message) +
+           R"(","step":"read_request","peer":"","run":"not_run"}})";
+  return R;
+}
+
+/// The answer to a request that could not be read; empty when the connection
+/// is simply over.
+std::optional<Response> answerTo(const error_code &Ec) {
+  if (Ec == http::error::body_limit)
+    return errorResponse(413, "too_large", "the body is too large");
+  if (Ec == http::error::header_limit || Ec == http::error::buffer_overflow)
+    return errorResponse(431, "too_large", "the headers are too large");
+  if (Ec == http::error::end_of_stream || Ec == http::error::partial_message ||
+      Ec.category() != make_error_code(http::error::bad_method).category())
+    return std::nullopt;
+  return errorResponse(400, "invalid_argument", "the request is not HTTP/1.1");
+}
+
+class Session : public std::enable_shared_from_this<Session> {
+public:
+  Session(tcp::socket Socket, std::shared_ptr<ServerCore> Server)
+      : Stream(std::move(Socket)),
+        Buffer(Server->Limits.MaxHeaderBytes + ReadChunkBytes),
+        Server(std::move(Server)) {
+    error_code Ec;
+    Stream.socket().set_option(tcp::no_delay(true), Ec);
+    auto Remote = Stream.socket().remote_endpoint(Ec);
+    if (!Ec)
+      Peer = Remote.address().to_string() + ":" + std::to_string(Remote.port());
+  }
+  ~Session() { Server->closed(this); }
+  Session(const Session &) = delete;
+  Session &operator=(const Session &) = delete;
+
+  void start() {
+    asio::dispatch(Stream.get_executor(),
+                   [Self = shared_from_this()] { Self->awaitRequest(); });
+  }
+  /// Closes the connection when no request is in progress on it.
+  void closeIfIdle() {
+    asio::post(Stream.get_executor(), [Self = shared_from_this()] {
+      error_code Ec;
+      if (Self->Idle && Self->Stream.socket().available(Ec) == 0)
+        Self->close();
+    });
+  }
+  void closeNow() {
+    asio::post(Stream.get_executor(),
+               [Self = shared_from_this()] { Self->close(); });
+  }
+  void respond(Response R) {
+    asio::post(Stream.get_executor(),
+               [Self = shared_from_this(), R = std::move(R)]() mutable {
+                 Self->write(std::move(R));
+               });
+  }
+
+private:
+  void awaitRequest() {
+    if (Buffer.size() > 0)
+      return readHeader();
+    if (Server->Draining)
+      return close();
+    Idle = true;
+    Stream.expires_after(Server->Limits.IdleTimeLimit);
+    Stream.async_read_some(
+        Buffer.prepare(ReadChunkBytes),
+        [Self = shared_from_this()](error_code Ec, std::size_t Bytes) {
+          Self->Idle = false;
+          if (Ec)
+            return Self->close();
+          Self->Buffer.commit(Bytes);
+          Self->readHeader();
+        });
+  }
+
+  void readHeader() {
+    Parser.emplace();
+    Parser->body_limit(Server->Limits.MaxBodyBytes);
+    Parser->header_limit(
+        static_cast<std::uint32_t>(Server->Limits.MaxHeaderBytes));
+    Stream.expires_after(Server->Limits.ReadTimeLimit);
+    http::async_read_header(
+        Stream, Buffer, *Parser,
+        [Self = shared_from_this()](error_code Ec, std::size_t Bytes) {
+          Self->Server->In += Bytes;
+          if (Ec)
+            return Self->unreadable(Ec);
+          if (beast::iequals(Self->Parser->get()[http::field::expect],
+                             "100-continue"))
+            return Self->writeContinue();
+          Self->readBody();
+        });
+  }
+
+  void writeContinue() {
+    static constexpr std::string_view Text = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::async_write(
+        Stream, asio::buffer(Text),
+        [Self = shared_from_this()](error_code Ec, std::size_t Bytes) {
+          Self->Server->Out += Bytes;
+          if (Ec)
+            return Self->close();
+          Self->readBody();
+        });
+  }
+
+  void readBody() {
+    http::async_read(
+        Stream, Buffer, *Parser,
+        [Self = shared_from_this()](error_code Ec, std::size_t Bytes) {
+          Self->Server->In += Bytes;
+          if (Ec)
+            return Self->unreadable(Ec);
+          Self->handle();
+        });
+  }
+
+  void handle();
+
+  void unreadable(error_code Ec) {
+    auto Answer = answerTo(Ec);
+    if (!Answer)
+      return close();
+    CloseAfter = Linger = true;
+    write(std::move(*Answer));
+  }
+
+  void write(Response R) {
+    CloseAfter = CloseAfter || Server->Draining;
+    Message = {};
+    Message.version(11);
+    Message.result(R.Status);
+    if (!R.Body.empty() || !R.ContentType.empty())
+      Message.set(http::field::content_type, R.ContentType);
+    for (const auto &[Name, Value] : R.Headers)
+      Message.set(Name, Value);
+    Message.body() = std::move(R.Body);
+    Message.keep_alive(!CloseAfter);
+    Message.prepare_payload();
+    Stream.expires_after(Server->Limits.IdleTimeLimit);
+    http::async_write(
+        Stream, Message,
+        [Self = shared_from_this()](error_code Ec, std::size_t Bytes) {
+          Self->Server->Out += Bytes;
+          if (Ec)
+            return Self->close();
+          if (!Self->CloseAfter)
+            return Self->awaitRequest();
+          Self->finish();
+        });
+  }
+
+  /// Ends the connection without destroying the response on its way.
+  void finish() {
+    error_code Ec;
+    Stream.socket().shutdown(tcp::socket::shutdown_send, Ec);
+    if (Ec || !Linger)
+      return close();
+    Stream.expires_after(Server->Limits.ReadTimeLimit);
+    discard(0);
+  }
+
+  void discard(std::size_t Done) {
+    Buffer.clear();
+    Stream.async_read_some(
+        Buffer.prepare(ReadChunkBytes),
+        [Self = shared_from_this(), Done](error_code Ec, std::size_t Bytes) {
+          if (Ec || Done + Bytes > MaxLingerBytes)
+            return Self->close();
+          Self->discard(Done + Bytes);
+        });
+  }
+
+  void close() {
+    error_code Ec;
+    Stream.socket().shutdown(tcp::socket::shutdown_both, Ec);
+    Stream.close();
+  }
+
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+  std::optional<http::request_parser<http::string_body>> Parser;
+  http::response<http::string_body> Message;
+  std::string Peer;
+  bool Idle = false;
+  bool CloseAfter = false;
+  bool Linger = false;
+  std::shared_ptr<ServerCore> Server;
+};
+
+/// Answers once: by a call, or with 500 when dropped without one.
+class Responder {
+public:
+  explicit Responder(std::shared_ptr<Session> Owner)
+      : Owner(std::move(Owner)) {}
+  ~Responder() {
+    send(errorResponse(500, "internal", "the request was not answered"));
+  }
+  Responder(const Responder &) = delete;
+  Responder &operator=(const Responder &) = delete;
+
+  void send(Response R) {
+    if (!Used.exchange(true))
+      std::exchange(Owner, nullptr)->respond(std::move(R));
+  }
+
+private:
+  std::atomic<bool> Used{false};
+  std::shared_ptr<Session> Owner;
+};
+
+void Session::handle() {
+  auto Message = Parser->release();
+  CloseAfter = !Message.keep_alive();
+  std::string_view Text(Message.target().data(), Message.target().size());
+  auto Where = parseTarget(Text);
+  if (!Where)
+    return write(errorResponse(400, "invalid_argument",
+                               "the request target is malformed"));
+  Request R;
+  R.Method = std::string(Message.method_string());
+  R.Path = std::move(Where->Path);
+  R.Query = std::move(Where->Query);
+  for (const auto &Field : Message) {
+    std::string Name(Field.name_string());
+    for (char &C : Name)
+      C = static_cast<char>(std::tolower(static_cast<unsigned char>(C)));
+    R.Headers[Name] = std::string(Field.value());
+  }
+  R.Body = std::move(Message.body());
+  R.Peer = Peer;
+  Stream.expires_never();
+  auto Once = std::make_shared<Responder>(shared_from_this());
+  Server->Handle(std::move(R),
+                 [Once](Response Reply) { Once->send(std::move(Reply)); });
+}
+
+} // namespace
+
+void ServerCore::accept() {
+  Acceptor.async_accept(
+      asio::make_strand(Context),
+      [Self = shared_from_this()](error_code Ec, tcp::socket Socket) {
+        if (!Self->Acceptor.is_open())
+          return;
+        if (!Ec)
+          Self->admit(std::move(Socket));
+        Self->accept();
+      });
+}
+
+void ServerCore::admit(tcp::socket Socket) {
+  std::unique_lock Lock(Mutex);
+  if (Sessions.size() >= Limits.MaxConnections) {
+    static constexpr std::string_view Busy =
+        "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
+        "Connection: close\r\nContent-Length: 0\r\n\r\n";
+    error_code Ec;
+    Socket.non_blocking(true, Ec);
+    Socket.write_some(asio::buffer(Busy), Ec);
+    Socket.shutdown(tcp::socket::shutdown_send, Ec);
+    return;
+  }
+  auto S = std::make_shared<Session>(std::move(Socket), shared_from_this());
+  Sessions.insert(S.get());
+  Lock.unlock();
+  S->start();
+}
+
+void ServerCore::closed(Session *S) {
+  {
+    std::lock_guard Lock(Mutex);
+    Sessions.erase(S);
+  }
+  finishDrain();
+}
+
+std::vector<std::shared_ptr<Session>> ServerCore::sessions() {
+  std::vector<std::shared_ptr<Session>> All;
+  std::lock_guard Lock(Mutex);
+  for (Session *S : Sessions)
+    if (auto Owned = S->weak_from_this().lock())
+      All.push_back(std::move(Owned));
+  return All;
+}
+
+void ServerCore::finishDrain() {
+  std::function<void()> Done;
+  {
+    std::lock_guard Lock(Mutex);
+    if (Draining && Sessions.empty())
+      Done = std::exchange(Drained, nullptr);
+  }
+  if (Done)
+    asio::post(Context, std::move(Done));
+}
+
+HttpServer::HttpServer(asio::io_context &Context, ServerLimits Limits,
+                       Handler Handle)
+    : I(std::make_shared<ServerCore>(Context, Limits, std::move(Handle))) {}
+
+HttpServer::~HttpServer() {
+  I->Draining = true;
+  asio::post(I->Acceptor.get_executor(), [I = I] {
+    error_code Ec;
+    I->Acceptor.close(Ec);
+  });
+  for (const auto &S : I->sessions())
+    S->closeNow();
+}
+
+base::Expected<std::uint16_t> HttpServer::listen(std::string_view Address,
+                                                 std::uint16_t Port) {
+  error_code Ec;
+  auto Ip = asio::ip::make_address(std::string(Address), Ec);
+  tcp::endpoint Where(Ip, Port);
+  if (!Ec)
+    I->Acceptor.open(Where.protocol(), Ec);
+  if (!Ec)
+    I->Acceptor.set_option(tcp::acceptor::reuse_address(true), Ec);
+  if (!Ec)
+    I->Acceptor.bind(Where, Ec);
+  if (!Ec)
+    I->Acceptor.listen(asio::socket_base::max_listen_connections, Ec);
+  if (Ec)
+    return base::makeError(base::ErrorCode::Unavailable, "listen", Ec.message(),
+                           std::string(Address) + ":" + std::to_string(Port));
+  std::uint16_t Bound = I->Acceptor.local_endpoint(Ec).port();
+  asio::post(I->Acceptor.get_executor(), [I = I] { I->accept(); });
+  return Bound;
+}
+
+void HttpServer::drain(std::function<void()> Done) {
+  {
+    std::lock_guard Lock(I->Mutex);
+    I->Drained = std::move(Done);
+  }
+  asio::post(I->Acceptor.get_executor(), [I = I] {
+    error_code Ec;
+    I->Acceptor.close(Ec);
+    I->Draining = true;
+    for (const auto &S : I->sessions())
+      S->closeIfIdle();
+    I->finishDrain();
+  });
+}
+
+std::uint64_t HttpServer::bytesIn() const { return I->In; }
+std::uint64_t HttpServer::bytesOut() const { return I->Out; }
+std::size_t HttpServer::connections() const {
+  std::lock_guard Lock(I->Mutex);
+  return I->Sessions.size();
+}
+
+} // namespace heathersaddle::net
