--- /dev/null
+++ b/packages/net/tests/ClientTest.cpp
@@ -0,0 +1,184 @@
+#include "Raw.h"
+#include "heathersaddle/net/Executor.h"
+#include "heathersaddle/net/HttpClient.h"
+#include "heathersaddle/net/HttpServer.h"
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <thread>
+
+using namespace heathersaddle;
+using namespace heathersaddle::net;
+using base::ErrorCode;
+using test::Raw;
+
+namespace {
+
+using Result = base::Expected<ClientResponse>;
+
+std::future<Result> start(HttpClient &C, std::uint16_t Port, ClientRequest R) {
+  auto Done = std::make_shared<std::promise<Result>>();
+  C.send(test::at(Port), std::move(R),
+         [Done](Result Value) { Done->set_value(std::move(Value)); });
+  return Done->get_future();
+}
+
+Result send(HttpClient &C, std::uint16_t Port, ClientRequest R = {}) {
+  if (R.Target.empty())
+    R.Target = "/";
+  return start(C, Port, std::move(R)).get();
+}
+
+constexpr const char *Answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(Client)
+
+// Guards against lost headers, bodies or byte counts in a plain exchange.
+BOOST_AUTO_TEST_CASE(ExchangesWithTheServer) {
+  Executor Threads(2);
+  HttpServer Server(Threads.context(), {}, [](Request R, Respond Reply) {
+    Reply({.Status = 202,
+           .Headers = {{"X-Method", R.Method + R.Query["q"]}},
+           .Body = R.Body + R.Headers["x-key"]});
+  });
+  auto Port = Server.listen("127.0.0.1", 0).value();
+  HttpClient C(Threads.context(), {});
+  auto R = send(C, Port,
+                {.Method = "POST",
+                 .Target = "/?q=1",
+                 .Headers = {{"X-Key", "k"}},
+                 .Body = "body-"});
+  BOOST_REQUIRE(R);
+  BOOST_TEST(R->Status == 202u);
+  BOOST_TEST(R->Headers["x-method"] == "POST1");
+  BOOST_TEST(R->Body == "body-k");
+  BOOST_TEST(C.bytesOut() == Server.bytesIn());
+  BlockingClient B;
+  BOOST_TEST(B.send(test::at(Port), {.Target = "/"})->Status == 202u);
+}
+
+BOOST_AUTO_TEST_SUITE(Failures)
+
+// Guards against calling a request lost that never left this host.
+BOOST_AUTO_TEST_CASE(RefusedMeansNotDelivered) {
+  Executor Threads(1);
+  HttpClient C(Threads.context(), {});
+  Raw Port;
+  auto R = send(C, Port.bindFree());
+  BOOST_REQUIRE(!R);
+  BOOST_TEST((R.error().Code == ErrorCode::Unavailable));
+}
+
+// Guards against waiting for ever on a peer that accepts and stays silent.
+BOOST_AUTO_TEST_CASE(SilentPeerTimesOut) {
+  Executor Threads(1);
+  HttpClient C(Threads.context(), {});
+  Raw Peer;
+  auto Port = Peer.bindFree();
+  Peer.listenNow();
+  auto R = send(C, Port, {.TimeLimit = std::chrono::milliseconds(30)});
+  BOOST_REQUIRE(!R);
+  BOOST_TEST((R.error().Code == ErrorCode::Timeout));
+}
+
+// Guards against calling a request undelivered that the peer may have handled.
+BOOST_AUTO_TEST_CASE(LostAnswerIsUnresolved) {
+  Executor Threads(1);
+  HttpClient C(Threads.context(), {.MaxResponseBytes = 10});
+  Raw Peer;
+  auto Port = Peer.bindFree();
+  Peer.listenNow();
+  for (const char *Text :
+       {"", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab", "nonsense\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n"}) {
+    auto Pending = start(C, Port, {.Method = "POST", .Target = "/"});
+    Raw Connection(Peer.acceptOne());
+    Connection.readUntil("\r\n\r\n");
+    Connection.send(Text);
+    Connection.close();
+    auto R = Pending.get();
+    BOOST_REQUIRE(!R);
+    BOOST_TEST((R.error().Code == ErrorCode::Unresolved), Text);
+  }
+}
+
+// Guards against failing reads because a server closed an idle connection.
+BOOST_AUTO_TEST_CASE(SendsReadsAgainAfterAClosedKeepAlive) {
+  Executor Threads(1);
+  HttpClient C(Threads.context(), {});
+  Raw Peer;
+  auto Port = Peer.bindFree();
+  Peer.listenNow();
+  for (int N = 0; N < 20; ++N) {
+    auto Pending = start(C, Port, {.Target = "/"});
+    Raw Connection(Peer.acceptOne());
+    Connection.readUntil("\r\n\r\n");
+    Connection.send(Answer);
+    BOOST_REQUIRE(Pending.get());
+  }
+}
+
+// Guards against unbounded memory use for a peer that does not answer.
+BOOST_AUTO_TEST_CASE(QueueIsBounded) {
+  Executor Threads(1);
+  HttpClient C(Threads.context(), {.MaxConnections = 1, .MaxQueued = 1});
+  Raw Peer;
+  auto Port = Peer.bindFree();
+  Peer.listenNow();
+  auto First = start(C, Port, {.Target = "/1"});
+  auto Second = start(C, Port, {.Target = "/2"});
+  auto Third = send(C, Port);
+  BOOST_REQUIRE(!Third);
+  BOOST_TEST((Third.error().Code == ErrorCode::Unavailable));
+  Raw Connection(Peer.acceptOne());
+  Connection.readUntil("\r\n\r\n");
+  Connection.send(Answer);
+  BOOST_TEST(First.get().has_value());
+  BOOST_TEST(Connection.readUntil("\r\n\r\n").starts_with("GET /2 "));
+  Connection.send(Answer);
+  BOOST_TEST(Second.get().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against hammering a peer that is down, and against never noticing that
+// it is back.
+BOOST_AUTO_TEST_CASE(BreakerOpensAndCloses) {
+  std::atomic<std::int64_t> Ms{0};
+  Executor Threads(1);
+  HttpClient C(Threads.context(),
+               {.BreakerFailures = 3, .Clock = [&Ms] {
+                  return std::chrono::steady_clock::time_point(
+                      std::chrono::milliseconds(Ms));
+                }});
+  Raw Peer;
+  auto Port = Peer.bindFree();
+  auto Open = [&] {
+    auto R = send(C, Port);
+    BOOST_REQUIRE(!R);
+    BOOST_TEST((R.error().Code == ErrorCode::Unavailable));
+    return R.error().Message.find("breaker") != std::string::npos;
+  };
+  for (int N = 0; N < 3; ++N)
+    BOOST_TEST(!Open());
+  BOOST_TEST(Open());
+  Ms += 1'000;
+  BOOST_TEST(!Open()); // The trial fails.
+  BOOST_TEST(Open());
+  Ms += 1'000;
+  Peer.listenNow();
+  auto Pending = start(C, Port, {.Target = "/"});
+  Raw Connection(Peer.acceptOne());
+  Connection.readUntil("\r\n\r\n");
+  BOOST_TEST(Open()); // One trial at a time.
+  Connection.send(Answer);
+  BOOST_TEST(Pending.get().has_value());
+  auto After = start(C, Port, {.Target = "/"});
+  Connection.readUntil("\r\n\r\n");
+  Connection.send(Answer);
+  BOOST_TEST(After.get().has_value());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/net/tests/Raw.h
@@ -0,0 +1,94 @@
+#ifndef HEATHERSADDLE_NET_TESTS_RAW_H
+#define HEATHERSADDLE_NET_TESTS_RAW_H
+
+#include <arpa/inet.h>
+#include <cstdint>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <utility>
+
+namespace heathersaddle::net::test {
+
+/// A blocking loopback socket, for input that no proper client would send.
+class Raw {
+public:
+  Raw() : Fd(socket(AF_INET, SOCK_STREAM, 0)) {}
+  explicit Raw(int Fd) : Fd(Fd) {}
+  ~Raw() { close(); }
+  Raw(const Raw &) = delete;
+  Raw &operator=(const Raw &) = delete;
+
+  static Raw connected(std::uint16_t Port) {
+    Raw R;
+    sockaddr_in A = address(Port);
+    if (connect(R.Fd, reinterpret_cast<sockaddr *>(&A), sizeof A))
+      throw std::runtime_error("connect");
+    return Raw(std::exchange(R.Fd, -1));
+  }
+  /// Takes a free port without listening, so that connections are refused.
+  std::uint16_t bindFree() const {
+    sockaddr_in A = address(0);
+    socklen_t Size = sizeof A;
+    if (bind(Fd, reinterpret_cast<sockaddr *>(&A), Size) ||
+        getsockname(Fd, reinterpret_cast<sockaddr *>(&A), &Size))
+      throw std::runtime_error("bind");
+    return ntohs(A.sin_port);
+  }
+  void listenNow() const {
+    if (listen(Fd, 16))
+      throw std::runtime_error("listen");
+  }
+  int acceptOne() const { return accept(Fd, nullptr, nullptr); }
+  void send(const std::string &Text) const {
+    std::size_t Done = 0;
+    while (Done < Text.size()) {
+      ssize_t N =
+          ::send(Fd, Text.data() + Done, Text.size() - Done, MSG_NOSIGNAL);
+      if (N <= 0)
+        return;
+      Done += static_cast<std::size_t>(N);
+    }
+  }
+  void endSending() const { shutdown(Fd, SHUT_WR); }
+  /// Everything until the other side closes.
+  std::string readAll() const {
+    std::string Text;
+    char Chunk[4096];
+    for (ssize_t N; (N = recv(Fd, Chunk, sizeof Chunk, 0)) > 0;)
+      Text.append(Chunk, static_cast<std::size_t>(N));
+    return Text;
+  }
+  /// Reads until \p Mark has been seen.
+  std::string readUntil(const std::string &Mark) const {
+    std::string Text;
+    char C;
+    while (Text.find(Mark) == std::string::npos && recv(Fd, &C, 1, 0) == 1)
+      Text += C;
+    return Text;
+  }
+  void close() {
+    if (Fd >= 0)
+      ::close(std::exchange(Fd, -1));
+  }
+
+private:
+  static sockaddr_in address(std::uint16_t Port) {
+    sockaddr_in A{};
+    A.sin_family = AF_INET;
+    A.sin_port = htons(Port);
+    A.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    return A;
+  }
+  int Fd;
+};
+
+inline std::string at(std::uint16_t Port) {
+  return "127.0.0.1:" + std::to_string(Port);
+}
+
+} // namespace heathersaddle::net::test
+
+#endif
