--- /dev/null
+++ b/packages/daemon/lib/Api.cpp
@@ -0,0 +1,210 @@
+// What every request goes through: find the route, check readiness,
+// authenticate, limit the rate, run the route's function, count the answer. The
+// routes' own functions are in ApiJobs.cpp and ApiPool.cpp.
+#include "Call.h"
+#include "heathersaddle/base/Hash.h"
+#include "heathersaddle/base/Log.h"
+#include <algorithm>
+
+namespace heathersaddle::daemon {
+
+using base::Error;
+using base::ErrorCode;
+
+const Api::Route Api::Routes[] = {
+    {"POST", "/v1/jobs", Access::Account, &Api::submit, true, true},
+    {"GET", "/v1/jobs/*", Access::Account, &Api::fetch, true, false},
+    {"POST", "/v1/jobs/*/cancel", Access::Account, &Api::cancel, true, false},
+    {"GET", "/v1/jobs/*/explain", Access::Account, &Api::explain, true, false},
+    {"GET", "/v1/pool", Access::AccountOrOperator, &Api::pool, true, false},
+    {"GET", "/v1/lists/history", Access::Operator, &Api::history, true, false},
+    {"GET", "/v1/lists/*", Access::Operator, &Api::readList, true, false},
+    {"POST", "/v1/lists/*", Access::Operator, &Api::publish, true, false},
+    {"POST", "/v1/peer/*", Access::Peer, &Api::peer, false, false},
+    {"GET", "/healthz", Access::Anyone, &Api::health, false, false},
+    {"GET", "/readyz", Access::Anyone, &Api::readiness, false, false},
+    {"GET", "/metrics", Access::Anyone, &Api::metrics, false, false},
+};
+
+/// Matches \p Path against \p Pattern and stores what "*" took.
+static bool matches(std::string_view Pattern, std::string_view Path,
+                    std::string &Argument) {
+  std::size_t Star = Pattern.find('*');
+  if (Star == std::string_view::npos)
+    return Pattern == Path;
+  std::string_view Before = Pattern.substr(0, Star);
+  std::string_view After = Pattern.substr(Star + 1);
+  if (Path.size() <= Before.size() + After.size() ||
+      !Path.starts_with(Before) || !Path.ends_with(After))
+    return false;
+  std::string_view Taken =
+      Path.substr(Before.size(), Path.size() - Before.size() - After.size());
+  if (Taken.find('/') != std::string_view::npos)
+    return false;
+  Argument = Taken;
+  return true;
+}
+
+Api::Api(ApiSettings Settings, Operations Ops, Metrics &Counters)
+    : Settings(std::move(Settings)), Ops(std::move(Ops)), Counters(Counters) {}
+
+void Api::handle(net::Request Request, net::Respond Reply) {
+  auto C = std::make_shared<Call>(*this, std::move(Request), std::move(Reply));
+  std::string Allowed;
+  for (const Route &R : Routes) {
+    if (!matches(R.Path, C->Request.Path, C->Argument))
+      continue;
+    if (R.Method == C->Request.Method) {
+      C->To = &R;
+      break;
+    }
+    Allowed += (Allowed.empty() ? "" : ", ") + std::string(R.Method);
+  }
+  if (!C->To && !Allowed.empty()) {
+    auto R = errorResponse({ErrorCode::InvalidArgument, "route", "",
+                            "the method is not allowed here", "method"});
+    R.Status = 405;
+    R.Headers["Allow"] = Allowed;
+    return C->send(std::move(R));
+  }
+  if (!C->To)
+    return C->fail(ErrorCode::NotFound, "there is nothing at this path");
+  if (C->To->NeedsState && (!Ops.Accounts() || !Ops.Serving()))
+    return C->reject("not_ready", {ErrorCode::Unavailable, "accept", "",
+                                   "the daemon is not ready", ""});
+  authenticate(C);
+}
+
+static std::string_view bearer(const net::Request &R) {
+  static constexpr std::string_view Scheme = "Bearer ";
+  auto Found = R.Headers.find("authorization");
+  if (Found == R.Headers.end())
+    return {};
+  std::string_view Value = Found->second;
+  return Value.starts_with(Scheme) ? Value.substr(Scheme.size())
+                                   : std::string_view{};
+}
+
+void Api::authenticate(const std::shared_ptr<Call> &C) {
+  Access Who = C->To->Who;
+  if (Who == Access::Anyone)
+    return (this->*C->To->Run)(C);
+  if (Who == Access::Peer) {
+    const std::string &Key = C->Request.Headers["x-heathersaddle-peer"];
+    if (base::equalConstantTime(base::sha256Hex(Key),
+                                base::sha256Hex(Settings.PeerKey)))
+      return (this->*C->To->Run)(C);
+    base::logEvent(base::event::PeerRejected,
+                   C->Request.Peer + " sent a wrong peer key");
+    return C->reject("peer_key", {ErrorCode::Unauthenticated, "authenticate",
+                                  "", "the peer key is wrong", ""});
+  }
+  std::string_view Token = bearer(C->Request);
+  if (Token.empty())
+    return C->reject("no_token",
+                     {ErrorCode::Unauthenticated, "authenticate", "",
+                      "send 'Authorization: Bearer TOKEN'", "authorization"});
+  std::string Digest = base::sha256Hex(Token);
+  if (!Settings.OperatorTokenSha256.empty() &&
+      base::equalConstantTime(Digest, Settings.OperatorTokenSha256)) {
+    C->IsOperator = true;
+    if (Who == Access::Account)
+      return C->reject("forbidden",
+                       {ErrorCode::PermissionDenied, "authenticate", "",
+                        "this is for accounts, not for operators", ""});
+    return (this->*C->To->Run)(C);
+  }
+  auto Accounts = Ops.Accounts();
+  auto Found = Accounts->find(Digest);
+  if (Found == Accounts->end() ||
+      !base::equalConstantTime(Digest, Found->second.TokenSha256)) {
+    base::logEvent(base::event::CallerRejected,
+                   C->Request.Peer + " sent an unknown token");
+    return C->reject("token", {ErrorCode::Unauthenticated, "authenticate", "",
+                               "the token is not known", "authorization"});
+  }
+  limitRate(C, Found->second);
+}
+
+void Api::limitRate(const std::shared_ptr<Call> &C,
+                    const AccountEntry &Account) {
+  C->Account = Account.Account;
+  auto Wait = Rates.take(Account.Account, Account.RequestsPerSecond,
+                         Account.Burst, Settings.Clock());
+  if (Wait) {
+    auto R = errorResponse({ErrorCode::ResourceExhausted, "limit_rate", "",
+                            "the account's request rate is used up", ""},
+                           C->To->Submits);
+    R.Headers["Retry-After"] = std::to_string((Wait->count() + 999) / 1000);
+    Counters.add("heathersaddle_rejected_total", label("reason", "rate"), 1);
+    return C->send(std::move(R));
+  }
+  if (C->To->Who == Access::Operator)
+    return C->reject("forbidden", {ErrorCode::PermissionDenied, "authenticate",
+                                   "", "this is for operators", ""});
+  (this->*C->To->Run)(C);
+}
+
+Api::Call::Call(Api &Owner, net::Request Request, net::Respond Reply)
+    : Owner(Owner), Request(std::move(Request)), Reply(std::move(Reply)),
+      Begun(Owner.Settings.Clock()) {
+  Owner.Counters.set("heathersaddle_requests_in_progress", "",
+                     ++Owner.InProgress);
+}
+
+Api::Call::~Call() {
+  fail(ErrorCode::Internal, "the request was not answered");
+  Owner.Counters.set("heathersaddle_requests_in_progress", "",
+                     --Owner.InProgress);
+}
+
+void Api::Call::send(net::Response R) {
+  if (Sent.exchange(true))
+    return;
+  std::string Where = label("route", To ? To->Path : "none");
+  std::string Class(1, static_cast<char>('0' + R.Status / 100));
+  Owner.Counters.add("heathersaddle_requests_total",
+                     Where + "," + label("status", Class + "xx"), 1);
+  auto Taken = Owner.Settings.Clock() - Begun;
+  Owner.Counters.add("heathersaddle_request_seconds_total", Where,
+                     static_cast<double>(Taken.count()) / 1000.0);
+  if (To && To->Who == Access::Peer) {
+    Owner.PeerIn += Request.WireBytes;
+    Owner.PeerOut += R.Body.size();
+  }
+  std::exchange(Reply, nullptr)(std::move(R));
+}
+
+void Api::Call::sendJson(unsigned Status, const boost::json::value &Body) {
+  net::Response R;
+  R.Status = Status;
+  R.Body = boost::json::serialize(Body);
+  send(std::move(R));
+}
+
+void Api::Call::fail(const Error &E) {
+  send(errorResponse(E, To && To->Submits));
+}
+
+void Api::Call::fail(ErrorCode Code, std::string_view Message,
+                     std::string_view Field) {
+  fail({Code, To ? "request" : "route", "", std::string(Message),
+        std::string(Field)});
+}
+
+void Api::Call::reject(std::string_view Reason, const Error &E) {
+  Owner.Counters.add("heathersaddle_rejected_total", label("reason", Reason),
+                     1);
+  fail(E);
+}
+
+JsonDone answerWith(std::shared_ptr<Api::Call> C) {
+  return [C = std::move(C)](const base::Expected<boost::json::value> &R) {
+    if (R)
+      C->sendJson(200, *R);
+    else
+      C->fail(R.error());
+  };
+}
+
+} // namespace heathersaddle::daemon
--- /dev/null
+++ b/packages/daemon/lib/Api.h
@@ -0,0 +1,92 @@
+#ifndef HEATHERSADDLE_DAEMON_API_H
+#define HEATHERSADDLE_DAEMON_API_H
+
+#include "Metrics.h"
+#include "Operations.h"
+#include "RateLimiter.h"
+#include "heathersaddle/net/Message.h"
+#include <atomic>
+#include <functional>
+#include <optional>
+
+namespace heathersaddle::daemon {
+
+inline constexpr std::size_t MaxKeyBytes = 128;
+inline constexpr std::size_t MaxKindBytes = 64;
+/// Longest declared run time and deadline: one year.
+inline constexpr std::int64_t MaxDurationMs = 365LL * 24 * 3600 * 1000;
+/// Retry-After of answers whose cause has no known end.
+inline constexpr unsigned RetrySeconds = 1;
+inline constexpr unsigned QuotaRetrySeconds = 5;
+
+struct ApiSettings {
+  std::string OperatorTokenSha256; ///< Empty: nobody is an operator.
+  std::string PeerKey;
+  base::Millis MaxWait{60'000};
+  std::function<base::MonoTime()> Clock; ///< For the rate limits.
+};
+
+/// The HTTP API of a daemon: routes, authenticates, limits and checks requests,
+/// carries them out through Operations and turns results into answers.
+///
+/// \code
+///   Api A(Settings, Operations, Metrics);
+///   net::HttpServer Server(Context, {}, [&A](net::Request R, net::Respond Re)
+///   {
+///     A.handle(std::move(R), std::move(Re));
+///   });
+/// \endcode
+class Api {
+public:
+  Api(ApiSettings Settings, Operations Ops, Metrics &Counters);
+
+  /// Called on traffic threads.
+  void handle(net::Request Request, net::Respond Reply);
+  /// Makes /readyz fail; everything else goes on.
+  void setStopping() { Stopping = true; }
+  std::uint64_t peerBytesIn() const { return PeerIn; }
+  std::uint64_t peerBytesOut() const { return PeerOut; }
+
+private:
+  struct Call; ///< One request on its way.
+  struct Route;
+  static const Route Routes[];
+
+  void authenticate(const std::shared_ptr<Call> &C);
+  void limitRate(const std::shared_ptr<Call> &C, const AccountEntry &Account);
+
+  void submit(const std::shared_ptr<Call> &C);
+  void fetch(const std::shared_ptr<Call> &C);
+  void cancel(const std::shared_ptr<Call> &C);
+  void explain(const std::shared_ptr<Call> &C);
+  void pool(const std::shared_ptr<Call> &C);
+  void readList(const std::shared_ptr<Call> &C);
+  void publish(const std::shared_ptr<Call> &C);
+  void history(const std::shared_ptr<Call> &C);
+  void peer(const std::shared_ptr<Call> &C);
+  void health(const std::shared_ptr<Call> &C);
+  void readiness(const std::shared_ptr<Call> &C);
+  void metrics(const std::shared_ptr<Call> &C);
+
+  ApiSettings Settings;
+  Operations Ops;
+  Metrics &Counters;
+  RateLimiter Rates;
+  std::atomic<bool> Stopping{false};
+  std::atomic<int> InProgress{0};
+  std::atomic<std::uint64_t> PeerIn{0};
+  std::atomic<std::uint64_t> PeerOut{0};
+};
+
+/// Reads the body and key of POST /v1/jobs for \p Account.
+base::Expected<Submission> readSubmission(std::string_view Body,
+                                          std::string_view Key,
+                                          std::string_view Account);
+
+/// The status and JSON body of an error. \p Submitting adds "run": whether it
+/// is certain that nothing ran.
+net::Response errorResponse(const base::Error &E, bool Submitting = false);
+
+} // namespace heathersaddle::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/lib/Operations.h
@@ -0,0 +1,70 @@
+#ifndef HEATHERSADDLE_DAEMON_OPERATIONS_H
+#define HEATHERSADDLE_DAEMON_OPERATIONS_H
+
+#include "heathersaddle/control/Node.h"
+#include <boost/json/value.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace heathersaddle::daemon {
+
+/// An account that may send requests.
+struct AccountEntry {
+  std::string Account;
+  std::string TokenSha256;
+  unsigned RequestsPerSecond = 50;
+  unsigned Burst = 100;
+};
+
+/// All accounts by the SHA-256 of their tokens; immutable once published.
+using Directory = std::unordered_map<std::string, AccountEntry>;
+
+/// Slots that a caller's declared cores and memory need are added by the
+/// driver, which knows what a slot provides.
+struct Submission {
+  control::SubmitRequest Request;
+  std::int64_t DeadlineAfterMs = 0; ///< 0: none.
+  unsigned Cores = 0;               ///< Per task.
+  std::uint64_t MemoryMb = 0;       ///< Per task.
+};
+
+/// What became of an operator's list.
+struct PublishReply {
+  bool Accepted = false;
+  boost::json::value Body;
+};
+
+template <class T> using Done = std::function<void(base::Expected<T>)>;
+using JsonDone = Done<boost::json::value>;
+
+/// What the callers' API can ask of the daemon. The Driver provides it; tests
+/// of the API provide their own. Functions return at once and may be called
+/// from any thread; results come on a traffic thread.
+struct Operations {
+  std::function<void(Submission, Done<control::SubmitResult>)> Submit;
+  std::function<void(std::string Job, std::string Account, base::Millis Wait,
+                     JsonDone)>
+      Fetch;
+  std::function<void(std::string Job, std::string Account, JsonDone)> Cancel;
+  std::function<void(std::string Job, std::string Account, JsonDone)> Explain;
+  /// The pool as \p Account sees it, or as operators do when it is empty.
+  std::function<void(std::string Account, JsonDone)> Pool;
+  std::function<void(state::ListKind, JsonDone)> ReadList;
+  std::function<void(state::ListKind, std::uint64_t Base,
+                     boost::json::value List, Done<PublishReply>)>
+      Publish;
+  std::function<void(JsonDone)> History;
+  std::function<void(std::string Path, boost::json::value Body, JsonDone)> Peer;
+  /// Null until the state has been complete once.
+  std::function<std::shared_ptr<const Directory>()> Accounts;
+  /// Whether the state may be served; true during an outage of the log.
+  std::function<bool()> Serving;
+  /// Whether the balancer should send callers here.
+  std::function<bool()> Ready;
+};
+
+} // namespace heathersaddle::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/lib/RateLimiter.cpp
@@ -0,0 +1,33 @@
+#include "RateLimiter.h"
+#include <algorithm>
+#include <cmath>
+
+namespace heathersaddle::daemon {
+
+/// Only authenticated accounts have buckets; this bounds what removed accounts
+/// leave behind.
+static constexpr std::size_t MaxBuckets = 8'192;
+
+std::optional<base::Millis> RateLimiter::take(const std::string &Account,
+                                              unsigned PerSecond,
+                                              unsigned Burst,
+                                              base::MonoTime Now) {
+  double Rate = std::max(PerSecond, 1U);
+  double Most = std::max(Burst, 1U);
+  std::lock_guard Lock(Mutex);
+  if (Buckets.size() >= MaxBuckets && !Buckets.contains(Account))
+    Buckets.clear();
+  auto [Place, New] = Buckets.try_emplace(Account, Bucket{Most, Now});
+  Bucket &B = Place->second;
+  double Passed = static_cast<double>((Now - B.At).count()) / 1000.0;
+  B.Tokens = std::min(Most, B.Tokens + std::max(Passed, 0.0) * Rate);
+  B.At = std::max(B.At, Now);
+  if (B.Tokens >= 1.0) {
+    B.Tokens -= 1.0;
+    return std::nullopt;
+  }
+  return base::Millis(
+      static_cast<std::int64_t>(std::ceil((1.0 - B.Tokens) / Rate * 1000.0)));
+}
+
+} // namespace heathersaddle::daemon
--- /dev/null
+++ b/packages/daemon/lib/RateLimiter.h
@@ -0,0 +1,32 @@
+#ifndef HEATHERSADDLE_DAEMON_RATELIMITER_H
+#define HEATHERSADDLE_DAEMON_RATELIMITER_H
+
+#include "heathersaddle/base/Time.h"
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace heathersaddle::daemon {
+
+/// A token bucket per account: \p Burst requests at once, \p PerSecond in the
+/// long run. Thread-safe.
+class RateLimiter {
+public:
+  /// Takes a token at \p Now, or says how long until there is one.
+  std::optional<base::Millis> take(const std::string &Account,
+                                   unsigned PerSecond, unsigned Burst,
+                                   base::MonoTime Now);
+
+private:
+  struct Bucket {
+    double Tokens = 0;
+    base::MonoTime At{};
+  };
+  std::mutex Mutex;
+  std::map<std::string, Bucket> Buckets;
+};
+
+} // namespace heathersaddle::daemon
+
+#endif
--- a/packages/net/include/heathersaddle/net/Message.h
+++ b/packages/net/include/heathersaddle/net/Message.h
@@ -16,7 +16,8 @@
   std::map<std::string, std::string> Query;   ///< Percent-decoded.
   std::map<std::string, std::string> Headers; ///< Lower-case names.
   std::string Body;
-  std::string Peer; ///< The caller's "ADDRESS:PORT".
+  std::string Peer;          ///< The caller's "ADDRESS:PORT".
+  std::size_t WireBytes = 0; ///< Length with all headers.
 };
 
 struct Response {
@@ -33,8 +34,8 @@
 using Handler = std::function<void(Request, Respond)>;
 
 struct ServerLimits {
-  std::size_t MaxBodyBytes = 256 * 1024;
-  std::size_t MaxHeaderBytes = 16 * 1024;
+  std::size_t MaxBodyBytes = 256UL * 1024;
+  std::size_t MaxHeaderBytes = 16UL * 1024;
   std::size_t MaxConnections = 2048;
   /// For one whole request, from its first byte; against slow senders.
   std::chrono::milliseconds ReadTimeLimit{10'000};
@@ -61,7 +62,7 @@
 struct ClientLimits {
   std::size_t MaxConnections = 8; ///< Per address.
   std::size_t MaxQueued = 256;    ///< Per address, waiting for a connection.
-  std::size_t MaxResponseBytes = 8 * 1024 * 1024;
+  std::size_t MaxResponseBytes = 8UL * 1024 * 1024;
   std::chrono::milliseconds ConnectTimeLimit{1'000};
   /// An unused connection is closed after this time; shorter than a server's
   /// IdleTimeLimit, so that a request rarely meets a closing connection.
--- a/packages/net/lib/HttpClient.cpp
+++ b/packages/net/lib/HttpClient.cpp
@@ -185,7 +185,7 @@
     auto Idle = std::find_if(P.Links.begin(), P.Links.end(),
                              [](const LinkPtr &L) { return !L->Current; });
     if (Idle != P.Links.end()) {
-      LinkPtr L = *Idle;
+      const LinkPtr &L = *Idle;
       L->Current = P.Queue.front();
       P.Queue.pop_front();
       use(L);
--- a/packages/net/lib/HttpServer.cpp
+++ b/packages/net/lib/HttpServer.cpp
@@ -29,7 +29,7 @@
 using boost::system::error_code;
 
 /// Most bytes read and dropped before a connection in error is closed.
-static constexpr std::size_t MaxLingerBytes = 1024 * 1024;
+static constexpr std::size_t MaxLingerBytes = 1024UL * 1024;
 static constexpr std::size_t ReadChunkBytes = 4096;
 
 namespace {
@@ -155,6 +155,7 @@
         Stream, Buffer, *Parser,
         [Self = shared_from_this()](error_code Ec, std::size_t Bytes) {
           Self->Server->In += Bytes;
+          Self->Received = Bytes;
           if (Ec)
             return Self->unreadable(Ec);
           if (beast::iequals(Self->Parser->get()[http::field::expect],
@@ -181,6 +182,7 @@
         Stream, Buffer, *Parser,
         [Self = shared_from_this()](error_code Ec, std::size_t Bytes) {
           Self->Server->In += Bytes;
+          Self->Received += Bytes;
           if (Ec)
             return Self->unreadable(Ec);
           Self->handle();
@@ -254,6 +256,7 @@
   std::optional<http::request_parser<http::string_body>> Parser;
   http::response<http::string_body> Message;
   std::string Peer;
+  std::size_t Received = 0; ///< Of the present request.
   bool Idle = false;
   bool CloseAfter = false;
   bool Linger = false;
@@ -301,6 +304,7 @@
   }
   R.Body = std::move(Message.body());
   R.Peer = Peer;
+  R.WireBytes = Received;
   Stream.expires_never();
   auto Once = std::make_shared<Responder>(shared_from_this());
   Server->Handle(std::move(R),
--- a/packages/net/tests/ClientTest.cpp
+++ b/packages/net/tests/ClientTest.cpp
@@ -38,7 +38,7 @@
 // Guards against lost headers, bodies or byte counts in a plain exchange.
 BOOST_AUTO_TEST_CASE(ExchangesWithTheServer) {
   Executor Threads(2);
-  HttpServer Server(Threads.context(), {}, [](Request R, Respond Reply) {
+  HttpServer Server(Threads.context(), {}, [](Request R, const Respond &Reply) {
     Reply({.Status = 202,
            .Headers = {{"X-Method", R.Method + R.Query["q"]}},
            .Body = R.Body + R.Headers["x-key"]});
