Add the daemon: settings, events, driver, callers' API and metrics

The node of package control needs a process around it. Package daemon reads and checks all settings at once, owns the node on one control thread, carries out its actions over HTTP on traffic threads, and serves the callers' API with authentication, account isolation, rate limits, typed errors and bounded waits. A stop on SIGTERM is graceful: not ready, waits answered, requests drained, cells handed over.

--- a/packages/base/include/heathersaddle/base/Event.h
+++ b/packages/base/include/heathersaddle/base/Event.h
@@ -43,7 +43,6 @@
 inline constexpr unsigned CallerRejected = 200;
 inline constexpr unsigned OperatorPublished = 201;
 inline constexpr unsigned PeerRejected = 202;
-inline constexpr unsigned RequestFailed = 203;
 } // namespace event
 
 } // namespace heathersaddle::base
--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -20,7 +20,6 @@
     {event::CallerRejected, "caller_rejected", Debug},
     {event::OperatorPublished, "operator_published", Info},
     {event::PeerRejected, "peer_rejected", Warning},
-    {event::RequestFailed, "request_failed", Warning},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- /dev/null
+++ b/packages/daemon/lib/Adapters.h
@@ -0,0 +1,57 @@
+#ifndef HEATHERSADDLE_DAEMON_ADAPTERS_H
+#define HEATHERSADDLE_DAEMON_ADAPTERS_H
+
+#include "heathersaddle/control/Node.h"
+#include "heathersaddle/daemon/Settings.h"
+#include "heathersaddle/net/Executor.h"
+#include "heathersaddle/net/HttpClient.h"
+
+namespace heathersaddle::daemon {
+
+/// Carries out a node's actions over HTTP on the traffic threads: the log, the
+/// host list, workers and peers of docs/design.md, section 6.
+class Adapters {
+public:
+  using Now = control::Node::Now;
+  /// Runs a function on the control thread with the node.
+  using Deliver =
+      std::function<void(std::function<void(control::Node &, Now)>)>;
+
+  Adapters(const Settings &S, net::Executor &Traffic, Deliver ToNode);
+  /// Called on the control thread; returns at once.
+  void carryOut(control::Action A);
+
+  struct Bytes {
+    std::string_view Kind; ///< "log", "hosts", "worker" or "peer".
+    std::uint64_t In = 0;
+    std::uint64_t Out = 0;
+  };
+  std::vector<Bytes> bytes() const;
+
+private:
+  using Json = base::Expected<boost::json::value>;
+
+  void run(const control::AppendAction &A);
+  void run(const control::ReadAction &A);
+  void run(const control::WorkerAction &A);
+  void run(const control::PeerAction &A);
+  void run(const control::HostsAction &A);
+  static void run(const control::LogAction &A);
+
+  std::string LogAddress;
+  std::string HostsAddress;
+  std::string PeerKey;
+  net::Executor &Traffic;
+  Deliver ToNode;
+  net::HttpClient Log;
+  net::HttpClient Hosts;
+  net::HttpClient Commands;
+  /// Long polls have connections of their own, so that a command never waits
+  /// behind one.
+  net::HttpClient Syncs;
+  net::HttpClient Peers;
+};
+
+} // namespace heathersaddle::daemon
+
+#endif
--- a/packages/daemon/lib/Api.cpp
+++ b/packages/daemon/lib/Api.cpp
@@ -49,7 +49,8 @@
     : Settings(std::move(Settings)), Ops(std::move(Ops)), Counters(Counters) {}
 
 void Api::handle(net::Request Request, net::Respond Reply) {
-  auto C = std::make_shared<Call>(*this, std::move(Request), std::move(Reply));
+  auto C = std::make_shared<Call>(shared_from_this(), std::move(Request),
+                                  std::move(Reply));
   std::string Allowed;
   for (const Route &R : Routes) {
     if (!matches(R.Path, C->Request.Path, C->Argument))
@@ -145,17 +146,19 @@
   (this->*C->To->Run)(C);
 }
 
-Api::Call::Call(Api &Owner, net::Request Request, net::Respond Reply)
-    : Owner(Owner), Request(std::move(Request)), Reply(std::move(Reply)),
-      Begun(Owner.Settings.Clock()) {
-  Owner.Counters.set("heathersaddle_requests_in_progress", "",
-                     ++Owner.InProgress);
+Api::Call::Call(std::shared_ptr<Api> Via, net::Request Request,
+                net::Respond Reply)
+
+    : Owner(std::move(Via)), Request(std::move(Request)),
+      Reply(std::move(Reply)), Begun(Owner->Settings.Clock()) {
+  Owner->Counters.set("heathersaddle_requests_in_progress", "",
+                      ++Owner->InProgress);
 }
 
 Api::Call::~Call() {
   fail(ErrorCode::Internal, "the request was not answered");
-  Owner.Counters.set("heathersaddle_requests_in_progress", "",
-                     --Owner.InProgress);
+  Owner->Counters.set("heathersaddle_requests_in_progress", "",
+                      --Owner->InProgress);
 }
 
 void Api::Call::send(net::Response R) {
@@ -163,14 +166,14 @@
     return;
   std::string Where = label("route", To ? To->Path : "none");
   std::string Class(1, static_cast<char>('0' + R.Status / 100));
-  Owner.Counters.add("heathersaddle_requests_total",
-                     Where + "," + label("status", Class + "xx"), 1);
-  auto Taken = Owner.Settings.Clock() - Begun;
-  Owner.Counters.add("heathersaddle_request_seconds_total", Where,
-                     static_cast<double>(Taken.count()) / 1000.0);
+  Owner->Counters.add("heathersaddle_requests_total",
+                      Where + "," + label("status", Class + "xx"), 1);
+  auto Taken = Owner->Settings.Clock() - Begun;
+  Owner->Counters.add("heathersaddle_request_seconds_total", Where,
+                      static_cast<double>(Taken.count()) / 1000.0);
   if (To && To->Who == Access::Peer) {
-    Owner.PeerIn += Request.WireBytes;
-    Owner.PeerOut += R.Body.size();
+    Owner->PeerIn += Request.WireBytes;
+    Owner->PeerOut += R.Body.size();
   }
   std::exchange(Reply, nullptr)(std::move(R));
 }
@@ -193,8 +196,8 @@
 }
 
 void Api::Call::reject(std::string_view Reason, const Error &E) {
-  Owner.Counters.add("heathersaddle_rejected_total", label("reason", Reason),
-                     1);
+  Owner->Counters.add("heathersaddle_rejected_total", label("reason", Reason),
+                      1);
   fail(E);
 }
 
--- a/packages/daemon/lib/Api.h
+++ b/packages/daemon/lib/Api.h
@@ -36,7 +36,7 @@
 ///     A.handle(std::move(R), std::move(Re));
 ///   });
 /// \endcode
-class Api {
+class Api : public std::enable_shared_from_this<Api> {
 public:
   Api(ApiSettings Settings, Operations Ops, Metrics &Counters);
 
@@ -47,9 +47,10 @@
   std::uint64_t peerBytesIn() const { return PeerIn; }
   std::uint64_t peerBytesOut() const { return PeerOut; }
 
-private:
   struct Call; ///< One request on its way.
   struct Route;
+
+private:
   static const Route Routes[];
 
   void authenticate(const std::shared_ptr<Call> &C);
--- a/packages/daemon/lib/ApiPool.cpp
+++ b/packages/daemon/lib/ApiPool.cpp
@@ -74,10 +74,12 @@
 }
 
 void Api::metrics(const std::shared_ptr<Call> &C) {
-  net::Response R;
-  R.ContentType = "text/plain; version=0.0.4";
-  R.Body = Counters.text();
-  C->send(std::move(R));
+  Ops.RefreshMetrics([C] {
+    net::Response R;
+    R.ContentType = "text/plain; version=0.0.4";
+    R.Body = C->Owner->Counters.text();
+    C->send(std::move(R));
+  });
 }
 
 } // namespace heathersaddle::daemon
--- a/packages/daemon/lib/Call.h
+++ b/packages/daemon/lib/Call.h
@@ -20,7 +20,7 @@
 };
 
 struct Api::Call {
-  Call(Api &Owner, net::Request Request, net::Respond Reply);
+  Call(std::shared_ptr<Api> Owner, net::Request Request, net::Respond Reply);
   ~Call();
   Call(const Call &) = delete;
   Call &operator=(const Call &) = delete;
@@ -34,7 +34,7 @@
   /// Counts a rejection under \p Reason and fails.
   void reject(std::string_view Reason, const base::Error &E);
 
-  Api &Owner;
+  std::shared_ptr<Api> Owner;
   net::Request Request;
   net::Respond Reply;
   const Route *To = nullptr;
--- /dev/null
+++ b/packages/daemon/lib/Driver.h
@@ -0,0 +1,76 @@
+#ifndef HEATHERSADDLE_DAEMON_DRIVER_H
+#define HEATHERSADDLE_DAEMON_DRIVER_H
+
+#include "Adapters.h"
+#include "Metrics.h"
+#include "Operations.h"
+#include <atomic>
+#include <mutex>
+
+namespace heathersaddle::daemon {
+
+/// Owns the node and its control thread: everything that concerns the node runs
+/// there, one event at a time, followed by a tick and the node's actions.
+class Driver {
+public:
+  Driver(const Settings &S, net::Executor &Traffic, Metrics &Counters);
+  /// The traffic threads must have stopped before.
+  ~Driver();
+  Driver(const Driver &) = delete;
+  Driver &operator=(const Driver &) = delete;
+
+  void start();
+  Operations operations();
+  /// Answers all waiting fetches with the present status, and those that follow
+  /// at once; a planned stop does not have to sit out long waits.
+  void finishWaits();
+  /// Hands over; calls \p Stopped on the control thread when nothing is left.
+  void beginStop(std::function<void()> Stopped);
+  /// Stops the control thread for good.
+  void halt() { Control.stop(); }
+
+private:
+  using Now = control::Node::Now;
+  struct Waiter {
+    std::string Job;
+    std::string Account;
+    Done<control::JobAnswer> Finish;
+  };
+
+  static Now now();
+  void onNode(std::function<void(control::Node &, Now)> Work);
+  void step();
+  void tickLater();
+  void observe();
+  void refreshMetrics();
+  /// A completion that runs \p Next on a traffic thread.
+  template <class T> Done<T> onTraffic(Done<T> Next);
+  /// A completion for an answer about a job, encoded on a traffic thread.
+  Done<control::JobAnswer> encoded(JsonDone Next);
+
+  void submit(Submission Asked, Done<control::SubmitResult> Next);
+  void fetch(const std::string &Job, const std::string &Account,
+             base::Millis Wait, const Done<control::JobAnswer> &Next);
+  void publish(state::ListKind Kind, std::uint64_t Base,
+               const boost::json::value &List, Done<PublishReply> Next);
+
+  net::Executor &Traffic;
+  Metrics &Counters;
+  net::Executor Control{1};
+  control::Node Node;
+  Adapters Outside;
+  std::map<std::uint64_t, Waiter> Waiters;
+  std::uint64_t NextWaiter = 0;
+  std::array<std::uint64_t, 2> DirectoryVersions{};
+  bool StopWaits = false;
+  bool Handing = false; ///< Node::beginStop() was called.
+  std::function<void()> OnStopped;
+  std::atomic<bool> IsReady{false};
+  std::atomic<bool> MayServe{false};
+  std::mutex Mutex; ///< Guards Accounts.
+  std::shared_ptr<const Directory> Accounts;
+};
+
+} // namespace heathersaddle::daemon
+
+#endif
--- a/packages/daemon/lib/Metrics.cpp
+++ b/packages/daemon/lib/Metrics.cpp
@@ -40,8 +40,6 @@
     {"heathersaddle_degraded_guarantees", false, "",
      "Guarantee units that the live workers cannot hold"},
     {"heathersaddle_list_version", false, "list", "Version in force"},
-    {"heathersaddle_events_total", true, "severity",
-     "Log events, written or suppressed"},
 };
 
 std::span<const MetricInfo> metricsTable() { return Table; }
--- a/packages/daemon/lib/Operations.h
+++ b/packages/daemon/lib/Operations.h
@@ -61,6 +61,8 @@
   std::function<std::shared_ptr<const Directory>()> Accounts;
   /// Whether the state may be served; true during an outage of the log.
   std::function<bool()> Serving;
+  /// Brings gauges up to date, then calls back.
+  std::function<void(std::function<void()>)> RefreshMetrics;
   /// Whether the balancer should send callers here.
   std::function<bool()> Ready;
 };
--- /dev/null
+++ b/packages/daemon/lib/Views.h
@@ -0,0 +1,49 @@
+#ifndef HEATHERSADDLE_DAEMON_VIEWS_H
+#define HEATHERSADDLE_DAEMON_VIEWS_H
+
+#include "Operations.h"
+#include "heathersaddle/state/State.h"
+#include <map>
+
+namespace heathersaddle::daemon {
+
+/// What GET /v1/pool shows of a cell. Copied on the control thread, encoded on
+/// a traffic thread.
+struct CellView {
+  std::string Name;
+  std::string Owner;
+  std::uint64_t Epoch = 0;
+  std::map<std::string, unsigned> Workers; ///< By status.
+  unsigned SlotsTotal = 0;
+  unsigned SlotsUsed = 0;
+  unsigned JobsLive = 0;
+  unsigned OwnSlotsUsed = 0;
+  std::vector<pool::Home> OwnHomes;
+  std::map<std::string, unsigned> SlotsByAccount; ///< For operators only.
+  std::map<std::string, unsigned> HomesByAccount; ///< For operators only.
+};
+
+struct PoolView {
+  std::vector<CellView> Cells;
+  std::string Account;               ///< Empty: an operator's.
+  state::Usage Usage;                ///< Of the account.
+  std::vector<std::string> Degraded; ///< For operators only.
+  std::size_t DegradedCount = 0;
+};
+
+PoolView viewPool(const state::State &S, std::string_view Account);
+boost::json::value toJson(const PoolView &View);
+boost::json::value toJson(const control::JobAnswer &Answer);
+boost::json::value toJson(const state::ListVerdict &Verdict);
+
+/// All accounts with their tokens and request rates.
+std::shared_ptr<const Directory> makeDirectory(const state::State &S);
+
+/// Slots that a task of \p Asked needs so that it also gets its cores and
+/// memory on every worker of the pool, or an error that names the field.
+base::Expected<unsigned> slotsNeeded(const state::State &S,
+                                     const Submission &Asked);
+
+} // namespace heathersaddle::daemon
+
+#endif
--- a/packages/net/include/heathersaddle/net/HttpServer.h
+++ b/packages/net/include/heathersaddle/net/HttpServer.h
@@ -36,9 +36,15 @@
   HttpServer(const HttpServer &) = delete;
   HttpServer &operator=(const HttpServer &) = delete;
 
-  /// Starts to accept; port 0 takes a free one. Returns the port.
+  /// bind() and accept() in one step.
   base::Expected<std::uint16_t> listen(std::string_view Address,
                                        std::uint16_t Port);
+  /// Takes the port, so that callers queue but are not served yet; port 0 takes
+  /// a free one. Returns the port.
+  base::Expected<std::uint16_t> bind(std::string_view Address,
+                                     std::uint16_t Port);
+  /// Starts to serve; once, after bind().
+  void accept();
   /// Stops accepting, closes idle connections, finishes the requests in
   /// progress, then calls \p Done once on a thread of the io_context.
   void drain(std::function<void()> Done);
--- a/packages/net/lib/HttpServer.cpp
+++ b/packages/net/lib/HttpServer.cpp
@@ -387,6 +387,18 @@
 
 base::Expected<std::uint16_t> HttpServer::listen(std::string_view Address,
                                                  std::uint16_t Port) {
+  auto Bound = bind(Address, Port);
+  if (Bound)
+    accept();
+  return Bound;
+}
+
+void HttpServer::accept() {
+  asio::post(I->Acceptor.get_executor(), [I = I] { I->accept(); });
+}
+
+base::Expected<std::uint16_t> HttpServer::bind(std::string_view Address,
+                                               std::uint16_t Port) {
   error_code Ec;
   auto Ip = asio::ip::make_address(std::string(Address), Ec);
   tcp::endpoint Where(Ip, Port);
@@ -401,9 +413,7 @@
   if (Ec)
     return base::makeError(base::ErrorCode::Unavailable, "listen", Ec.message(),
                            std::string(Address) + ":" + std::to_string(Port));
-  std::uint16_t Bound = I->Acceptor.local_endpoint(Ec).port();
-  asio::post(I->Acceptor.get_executor(), [I = I] { I->accept(); });
-  return Bound;
+  return I->Acceptor.local_endpoint(Ec).port();
 }
 
 void HttpServer::drain(std::function<void()> Done) {
--- a/packages/net/tests/ServerTest.cpp
+++ b/packages/net/tests/ServerTest.cpp
@@ -16,14 +16,15 @@
 /// A server whose handler answers with the path, or keeps the reply to /held.
 struct Running {
   explicit Running(ServerLimits Limits = {})
-      : Server(Threads.context(), Limits, [this](const Request &R, const Respond &Reply) {
-          ++Handled;
-          if (R.Path == "/dropped")
-            return;
-          if (R.Path == "/held")
-            return Held.set_value(Reply);
-          Reply({.Body = R.Path});
-        }) {
+      : Server(Threads.context(), Limits,
+               [this](const Request &R, const Respond &Reply) {
+                 ++Handled;
+                 if (R.Path == "/dropped")
+                   return;
+                 if (R.Path == "/held")
+                   return Held.set_value(Reply);
+                 Reply({.Body = R.Path});
+               }) {
     Port = Server.listen("127.0.0.1", 0).value();
   }
   std::string exchange(const std::string &Text) const {
