--- a/packages/daemon/lib/Adapters.h
+++ b/packages/daemon/lib/Adapters.h
@@ -36,7 +36,7 @@
   void run(const control::WorkerAction &A);
   void run(const control::PeerAction &A);
   void run(const control::HostsAction &A);
-  static void run(const control::LogAction &A);
+  void run(const control::LogAction &A);
 
   std::string LogAddress;
   std::string HostsAddress;
--- a/packages/daemon/lib/Driver.cpp
+++ b/packages/daemon/lib/Driver.cpp
@@ -88,7 +88,7 @@
 }
 
 void Driver::submit(Submission Asked, Done<control::SubmitResult> Next) {
-  onNode([this, Asked = std::move(Asked),
+  onNode([Asked = std::move(Asked),
           Next = onTraffic(std::move(Next))](control::Node &N, Now T) mutable {
     auto Slots = slotsNeeded(N.state(), Asked);
     if (!Slots)
@@ -144,42 +144,43 @@
                               {"version", S.version(Kind)}}};
 }
 
-/// The change that turns the list in force into \p List.
-static Expected<state::ListChange> changeTo(const state::State &S,
-                                            state::ListKind Kind,
-                                            std::uint64_t Base,
-                                            const json::value &List) {
-  auto Difference = [Base](const auto &From) {
-    return [&From, Base](const auto &To) {
-      return state::difference(From, To, Base);
-    };
-  };
+using List = std::variant<state::PlanMap, state::CustomerMap>;
+
+static Expected<List> parseList(state::ListKind Kind, const json::value &Text) {
+  auto Wrap = [](auto &&Map) { return List(std::forward<decltype(Map)>(Map)); };
   if (Kind == state::ListKind::Plans)
-    return state::parsePlans(List).map(Difference(S.plans()));
-  return state::parseCustomers(List).map(Difference(S.customers()));
+    return state::parsePlans(Text).map(Wrap);
+  return state::parseCustomers(Text).map(Wrap);
+}
+
+/// The change that turns the list in force into \p Wanted.
+static state::ListChange changeTo(const state::State &S, const List &Wanted,
+                                  std::uint64_t Base) {
+  if (const auto *Plans = std::get_if<state::PlanMap>(&Wanted))
+    return state::difference(S.plans(), *Plans, Base);
+  return state::difference(S.customers(), std::get<state::CustomerMap>(Wanted),
+                           Base);
 }
 
 void Driver::publish(state::ListKind Kind, std::uint64_t Base,
-                     const json::value &List, Done<PublishReply> Next) {
-  onNode([this, Kind, Base, List,
-          Next = onTraffic(std::move(Next))](control::Node &N, Now T) {
+                     const json::value &Text, const Done<PublishReply> &Next) {
+  auto Wanted = parseList(Kind, Text);
+  if (!Wanted)
+    return Next(tl::unexpected(Wanted.error()));
+  onNode([this, Kind, Base, Wanted = std::move(*Wanted),
+          Next = onTraffic(Next)](control::Node &N, Now T) {
     if (Base != N.state().version(Kind))
       return Next(refusal(N.state(), Kind,
                           "another version is in force than the base"));
-    auto Change = changeTo(N.state(), Kind, Base, List);
-    if (!Change)
-      return Next(tl::unexpected(Change.error()));
-    N.publish(
-        std::move(*Change),
-        [this, Kind, Next](const Expected<state::ListVerdict> &V) {
-          if (!V)
-            return Next(tl::unexpected(V.error()));
-          if (!V->Accepted)
-            return Next(refusal(Node.state(), Kind, V->Reason));
-          Next(PublishReply{true, json::object{{"list", state::name(Kind)},
-                                               {"version", V->Version}}});
-        },
-        T);
+    auto Finish = [this, Kind, Next](const Expected<state::ListVerdict> &V) {
+      if (!V)
+        return Next(tl::unexpected(V.error()));
+      if (!V->Accepted)
+        return Next(refusal(Node.state(), Kind, V->Reason));
+      Next(PublishReply{true, json::object{{"list", state::name(Kind)},
+                                           {"version", V->Version}}});
+    };
+    N.publish(changeTo(N.state(), Wanted, Base), Finish, T);
   });
 }
 
@@ -266,8 +267,8 @@
     });
   };
   Ops.ReadList = [this](state::ListKind Kind, const JsonDone &Next) {
-    auto Send = [this, Kind, Next](const auto &List, std::uint64_t Version) {
-      Traffic.post([Kind, Next, List, Version] {
+    auto Send = [this, Next](const auto &List, std::uint64_t Version) {
+      Traffic.post([Next, List, Version] {
         json::value Body = state::toJson(List);
         Body.as_object()["version"] = Version;
         Next(std::move(Body));
@@ -282,8 +283,9 @@
     });
   };
   Ops.Publish = [this](state::ListKind Kind, std::uint64_t Base,
-                       const json::value &List, Done<PublishReply> Next) {
-    publish(Kind, Base, List, std::move(Next));
+                       const json::value &Text,
+                       const Done<PublishReply> &Next) {
+    publish(Kind, Base, Text, Next);
   };
   Ops.History = [this](const JsonDone &Next) {
     onNode([this, Next](control::Node &N, Now) {
--- a/packages/daemon/lib/Driver.h
+++ b/packages/daemon/lib/Driver.h
@@ -52,7 +52,7 @@
   void fetch(const std::string &Job, const std::string &Account,
              base::Millis Wait, const Done<control::JobAnswer> &Next);
   void publish(state::ListKind Kind, std::uint64_t Base,
-               const boost::json::value &List, Done<PublishReply> Next);
+               const boost::json::value &Text, const Done<PublishReply> &Next);
 
   net::Executor &Traffic;
   Metrics &Counters;
--- a/packages/daemon/lib/Metrics.cpp
+++ b/packages/daemon/lib/Metrics.cpp
@@ -3,6 +3,7 @@
 #include <cstdio>
 #include <ctime>
 #include <fstream>
+#include <sstream>
 #include <unistd.h>
 
 namespace heathersaddle::daemon {
@@ -75,29 +76,29 @@
     *Place = Value;
 }
 
-void Metrics::clear(std::string_view Name) {
-  std::lock_guard Lock(Mutex);
-  Values.erase(std::string(Name));
+static std::string number(double Value) {
+  char Text[40];
+  std::snprintf(Text, sizeof Text, "%.15g", Value);
+  return Text;
 }
 
 std::string Metrics::text() const {
   std::lock_guard Lock(Mutex);
-  std::string Text;
+  std::ostringstream Text;
   for (const MetricInfo &M : Table) {
-    std::string Name(M.Name);
-    Text += "# HELP " + Name + " " + std::string(M.Help) + "\n# TYPE " + Name +
-            (M.Counter ? " counter\n" : " gauge\n");
+    Text << "# HELP " << M.Name << ' ' << M.Help << "\n# TYPE " << M.Name
+         << (M.Counter ? " counter\n" : " gauge\n");
     auto Found = Values.find(M.Name);
     if (Found == Values.end())
       continue;
     for (const auto &[Labels, Value] : Found->second) {
-      char Number[40];
-      std::snprintf(Number, sizeof Number, "%.15g", Value);
-      Text += Name + (Labels.empty() ? "" : "{" + Labels + "}") + " " + Number +
-              "\n";
+      Text << M.Name;
+      if (!Labels.empty())
+        Text << '{' << Labels << '}';
+      Text << ' ' << number(Value) << '\n';
     }
   }
-  return Text;
+  return Text.str();
 }
 
 std::string label(std::string_view Name, std::string_view Value) {
--- a/packages/daemon/lib/Metrics.h
+++ b/packages/daemon/lib/Metrics.h
@@ -30,8 +30,6 @@
   /// \p Labels is the text between the braces, e.g. `cell="dc1"`.
   void add(std::string_view Name, std::string_view Labels, double By);
   void set(std::string_view Name, std::string_view Labels, double Value);
-  /// Removes all series of a gauge whose label sets have changed.
-  void clear(std::string_view Name);
   std::string text() const;
 
 private:
--- a/packages/daemon/tests/DocsTest.cpp
+++ b/packages/daemon/tests/DocsTest.cpp
@@ -86,11 +86,11 @@
   std::string All = join(P.Faults);
   BOOST_TEST(P.Faults.size() == 10u, All);
   for (const char *Part :
-       {"--listen (HEATHERSADDLE_LISTEN): 'localhost:80' is not allowed; "
-        "allowed: IP-ADDRESS:PORT",
-        "--log (", "--traffic-threads (", "'0' is not allowed", "--colour",
-        "stray", "--owner-silence-ms (", "--worker-lease-ms (",
-        "--operator-token-sha256 (", "HEATHERSADDLE_PEER_KEY: the value",
+       {"--listen (HEATHERSADDLE_LISTEN): 'localhost:80' is not allowed;",
+        "allowed: IP-ADDRESS:PORT", "--log (", "--traffic-threads (",
+        "'0' is not allowed", "--colour", "stray", "--owner-silence-ms (",
+        "--worker-lease-ms (", "--operator-token-sha256 (",
+        "HEATHERSADDLE_PEER_KEY: the value",
         "--max-wait-ms (HEATHERSADDLE_MAX_WAIT_MS): '600001'"})
     BOOST_TEST(All.find(Part) != std::string::npos, Part << "\n" << All);
   BOOST_TEST(All.find("secret") == std::string::npos);
