--- a/packages/state/tests/ListsTest.cpp
+++ b/packages/state/tests/ListsTest.cpp
@@ -61,6 +61,31 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against homes that move away from under running guaranteed work,
+// which would make it reclaimable.
+BOOST_AUTO_TEST_CASE(WithoutExposingRunningGuaranteedWork) {
+  open();
+  publishPlans({plan("four", 4), plan("eight", 8)}, 0);
+  publishCustomers({customer("a", "four")}, 0);
+  std::string First = homeWorker("a");
+  append(1, WorkerStatusChanged{owner(), First, pool::WorkerStatus::Leaving});
+  append(1, WorkerStatusChanged{owner(), First, pool::WorkerStatus::Up});
+  publishCustomers({customer("b", "four")}, 1);
+  BOOST_REQUIRE(homeWorker("a") != homeWorker("b"));
+  accept(spec("j", "b"));
+  BOOST_REQUIRE(place("j", 1, true, {{homeWorker("b"), 1}}).Applied);
+  accept(spec("k", "a"));
+  BOOST_REQUIRE(place("k", 1, true, {{homeWorker("a"), 1}}).Applied);
+  // Eight whole accelerators exist only if one of the two homes moves.
+  BOOST_TEST(!publishCustomers({customer("c", "eight")}, 2).Applied);
+  addWorker("w3");
+  BOOST_TEST(publishCustomers({customer("c", "eight")}, 2).Applied);
+  append(1, WorkerStatusChanged{owner(), "w3", pool::WorkerStatus::Lost});
+  BOOST_TEST(S.degraded().size() == 1u);
+  BOOST_TEST(S.cell("dc1")->Pool.isGuaranteed("j"));
+  BOOST_TEST(S.cell("dc1")->Pool.isGuaranteed("k"));
+}
+
 BOOST_AUTO_TEST_SUITE(ForADepartedMember)
 
 // Guards against ending the terms of a member while its work runs.
