Add policy: the scheduler of one cell

Cause: placement, reclaim, gangs, shares and worker health need one deterministic decision core, fed by events and free of clocks and threads. Change: policy::Scheduler with passes of bounded work: queue by urgency, guarantee and weighted share; own homes, spare, borrowed slots; home swaps and reclaim with the least progress lost; gang reservations that drain and then stop what can resume; learned run times, overruns, quarantine and probes, retry budget. Pool tables gain change counters. Scheduler.h gains throttled(), learnedRunMs() and Settings::GangDrainMost.

--- a/packages/policy/include/heathersaddle/policy/Scheduler.h
+++ b/packages/policy/include/heathersaddle/policy/Scheduler.h
@@ -82,6 +82,9 @@
 struct Settings {
   base::Millis ReclaimGrace{10'000};
   base::Millis GangReservationAfter{60'000};
+  /// How long a reservation waits for the work in its region to end by itself
+  /// before what can be stopped there is stopped.
+  base::Millis GangDrainMost{60'000};
   base::Millis QuarantineFirst{60'000};
   base::Millis QuarantineMost{3'600'000};
   unsigned FailuresToQuarantine = 3;  ///< In a row, of distinct jobs.
@@ -134,6 +137,12 @@
   Explanation explain(std::string_view Job, const pool::Pool &P,
                       base::WallMs Now) const;
   std::size_t pendingCount() const;
+  /// Borrowing jobs that run four times as long as their kind does; they are
+  /// to be throttled. In name order.
+  std::vector<std::string> throttled(const pool::Pool &P) const;
+  /// The learned run time of jobs of this kind; 0 when not known yet.
+  std::int64_t learnedRunMs(std::string_view Account,
+                            std::string_view Kind) const;
 
 private:
   struct Impl;
--- /dev/null
+++ b/packages/policy/lib/Events.cpp
@@ -0,0 +1,275 @@
+// The events that change the scheduler's view. Each costs a few lookups in
+// ordered or hashed tables, whatever the size of the queue and the pool.
+#include "Core.h"
+#include <algorithm>
+
+namespace heathersaddle::policy {
+
+// An attempt that runs this many times as long as its estimate is overrunning.
+static constexpr std::int64_t OverrunFactor = 4;
+// Failed attempts after which a job ends whatever the health of the workers.
+static constexpr unsigned MaxFailedAttempts = 9;
+// A retry is allowed this often even when nothing else starts, so that a cell
+// with nothing but retries in its queue does not stand still.
+static constexpr base::WallMs RetryTrickleMs = 60'000;
+
+Scheduler::Scheduler(const Settings &S) : I(std::make_unique<Impl>(S)) {}
+Scheduler::~Scheduler() = default;
+Scheduler::Scheduler(Scheduler &&) noexcept = default;
+Scheduler &Scheduler::operator=(Scheduler &&) noexcept = default;
+
+std::uint32_t Core::account(std::string_view Name) {
+  if (auto Found = AccountByName.find(Name); Found != AccountByName.end())
+    return Found->second;
+  std::uint32_t Id = Accounts.size();
+  Accounts.emplace_back().Name = Name;
+  AccountByName.emplace(Name, Id);
+  return Id;
+}
+
+ClassKey Core::classOf(const Job &J) const {
+  bool Special = J.Retry || (J.Issues && !J.Issues->FailedOn.empty());
+  return {!J.Urgent,
+          J.Shape.Tasks,
+          J.Shape.SlotsPerTask,
+          J.Shape.Accelerators,
+          J.Shape.Within,
+          J.Idempotent,
+          Special ? J.Id : std::string()};
+}
+
+void Core::enqueue(Job &J) {
+  J.State = JobState::Pending;
+  Accounts[J.Account].Classes[classOf(J)].Jobs.insert(&J);
+  if (J.DeadlineMs)
+    Deadlines.insert(&J);
+  if (J.Issues && J.Issues->Ends)
+    Ending.insert(&J);
+  ++Pending;
+}
+
+void Core::dequeue(Job &J) {
+  if (J.State != JobState::Pending)
+    return;
+  auto &Classes = Accounts[J.Account].Classes;
+  auto Class = Classes.find(classOf(J));
+  Class->second.Jobs.erase(&J);
+  if (Class->second.Jobs.empty())
+    Classes.erase(Class);
+  Deadlines.erase(&J);
+  Ending.erase(&J);
+  Holds.erase(J.Id);
+  Proposals.erase(J.Id);
+  J.State = JobState::Idle;
+  --Pending;
+}
+
+void Core::leaveSlots(Job &J) {
+  if (J.State != JobState::Placed && J.State != JobState::Stopping)
+    return;
+  Accounts[J.Account].Used -= J.Shape.totalSlots();
+  Overruns.erase(&J);
+  Overrunning.erase(&J);
+  J.Overrun = false;
+  J.OverrunAt = 0;
+  J.State = JobState::Idle;
+  ++Changes;
+}
+
+void Scheduler::setTerms(std::string_view Account, const AccountTerms &Terms) {
+  I->Accounts[I->account(Account)].Terms = Terms;
+  ++I->Changes;
+}
+
+void Scheduler::jobPending(const JobView &View, base::WallMs Now) {
+  auto &Slot = I->Jobs[View.Id];
+  if (!Slot)
+    Slot = std::make_unique<Job>();
+  Job &J = *Slot;
+  I->dequeue(J);
+  I->leaveSlots(J);
+  J.Id = View.Id;
+  J.Account = I->account(View.Account);
+  J.Kind = I->Times.kind(J.Account, View.Kind);
+  J.Shape = View.Shape;
+  J.Urgent = View.Urgent;
+  J.Idempotent = View.Idempotent;
+  J.Attempts = View.Attempt;
+  J.AcceptedMs = View.AcceptedMs;
+  J.DeadlineMs = View.DeadlineMs;
+  J.DeclaredRunMs = View.DeclaredRunMs;
+  J.ProgressMs = std::max<std::int64_t>(View.ProgressMs, 0);
+  J.ProgressAt = Now;
+  I->enqueue(J);
+}
+
+void Scheduler::jobPlaced(std::string_view Id,
+                          std::span<const pool::Placement> Tasks,
+                          base::WallMs Now) {
+  Job *J = I->find(Id);
+  if (!J)
+    return;
+  I->dequeue(*J);
+  I->leaveSlots(*J);
+  J->State = JobState::Placed;
+  J->StartMs = J->ProgressAt = Now;
+  ++J->Attempts;
+  I->Accounts[J->Account].Used += J->Shape.totalSlots();
+  if (J->Retry)
+    I->RetryTokens -= 100;
+  else
+    I->RetryTokens =
+        std::min<std::int64_t>(I->RetryTokens + I->Set.RetryPercentOfStarts,
+                               std::int64_t{I->Set.RetryBurst} * 100);
+  if (std::int64_t Estimate = I->Times.estimate(J->Kind)) {
+    J->OverrunAt = Now + OverrunFactor * Estimate;
+    I->Overruns.insert(J);
+  }
+  if (J->Issues)
+    J->Issues->Watched.clear();
+  for (const pool::Placement &T : Tasks) {
+    auto Health = I->Health.find(T.Worker);
+    if (Health == I->Health.end())
+      continue;
+    J->issues().Watched.push_back(T.Worker);
+    if (Health->second.Probing && Health->second.ProbeJob.empty())
+      Health->second.ProbeJob = J->Id;
+  }
+}
+
+void Scheduler::jobStopping(std::string_view Id) {
+  if (Job *J = I->find(Id); J && J->State == JobState::Placed)
+    J->State = JobState::Stopping;
+}
+
+void Scheduler::usage(std::string_view Id, std::int64_t ProgressMs,
+                      base::WallMs Now) {
+  Job *J = I->find(Id);
+  if (!J || ProgressMs <= J->ProgressMs)
+    return;
+  J->ProgressMs = ProgressMs;
+  J->ProgressAt = Now;
+  std::int64_t Known = std::max(I->Times.estimate(J->Kind), J->LearnedMs);
+  if (Known && ProgressMs >= 2 * Known) {
+    I->Times.learn(J->Kind, ProgressMs);
+    J->LearnedMs = ProgressMs;
+  }
+}
+
+void Core::noteSuccess(Job &J) {
+  Times.succeeded(J.Kind);
+  if (!J.Issues)
+    return;
+  for (const std::string &W : J.Issues->Watched)
+    Health.erase(W);
+}
+
+void Scheduler::jobFinished(std::string_view Id, base::WallMs Now) {
+  Job *J = I->find(Id);
+  if (!J)
+    return;
+  if (J->State == JobState::Placed || J->State == JobState::Stopping) {
+    I->Times.learn(J->Kind, J->ProgressMs +
+                                std::max<base::WallMs>(Now - J->ProgressAt, 0));
+    I->noteSuccess(*J);
+  }
+  jobRemoved(Id);
+}
+
+void Scheduler::jobRemoved(std::string_view Id) {
+  auto Found = I->Jobs.find(Id);
+  if (Found == I->Jobs.end())
+    return;
+  Job *J = Found->second.get();
+  I->dequeue(*J);
+  I->leaveSlots(*J);
+  // A probe that ends without a verdict leaves the worker to the next job.
+  if (J->Issues)
+    for (const std::string &W : J->Issues->Watched)
+      if (auto H = I->Health.find(W);
+          H != I->Health.end() && H->second.ProbeJob == J->Id)
+        H->second.ProbeJob.clear();
+  I->Jobs.erase(Found);
+}
+
+void Core::end(Job &J, bool Failed, std::string Reason) {
+  Trouble &T = J.issues();
+  T.Ends = true;
+  T.EndFailed = Failed;
+  T.EndReason = std::move(Reason);
+  if (J.State == JobState::Pending)
+    Ending.insert(&J);
+}
+
+// A failure counts against the worker unless the job's kind fails everywhere,
+// and against the job unless the worker fails other jobs, too.
+void Core::fail(Job &J, std::span<const std::string> Workers,
+                base::WallMs Now) {
+  Trouble &T = J.issues();
+  ++T.Failures;
+  for (const std::string &W : Workers) {
+    Times.failedOn(J.Kind, W);
+    bool KindAtFault = Times.suspect(J.Kind);
+    auto Known = Health.find(W);
+    bool Sound = Known == Health.end() || Known->second.FailedJobs.empty() ||
+                 (Known->second.FailedJobs.size() == 1 &&
+                  Known->second.FailedJobs.contains(J.Id));
+    auto Add = [&](std::vector<std::string> &To) {
+      if (std::find(To.begin(), To.end(), W) == To.end())
+        To.push_back(W);
+    };
+    Add(T.FailedOn);
+    if (Sound || KindAtFault)
+      Add(T.SoundFailures);
+    bool Probe = Known != Health.end() && Known->second.ProbeJob == J.Id;
+    if (KindAtFault && !Probe)
+      continue;
+    WorkerHealth &H = Health[W];
+    H.FailedJobs.insert(J.Id);
+    if (H.FailedJobs.size() < Set.FailuresToQuarantine && !Probe)
+      continue;
+    base::WallMs Pause = std::min<base::WallMs>(
+        Set.QuarantineFirst.count() << std::min(H.Quarantines, 20U),
+        Set.QuarantineMost.count());
+    ++H.Quarantines;
+    H.UntilMs = Now + Pause;
+    H.Probing = false;
+    H.ProbeJob.clear();
+  }
+  if (T.SoundFailures.size() >= Set.FailuresToEndJob)
+    end(J, true, "The job failed on several healthy workers.");
+  else if (T.Failures >= MaxFailedAttempts)
+    end(J, true, "The job failed too often.");
+}
+
+void Scheduler::attemptEnded(std::string_view Id, AttemptEnd Why,
+                             std::span<const std::string> FailedWorkers,
+                             base::WallMs Now) {
+  Job *J = I->find(Id);
+  if (!J)
+    return;
+  I->dequeue(*J);
+  I->leaveSlots(*J);
+  J->Retry = Why == AttemptEnd::TaskFailed;
+  if (J->Retry)
+    I->fail(*J, FailedWorkers, Now);
+  if (J->Issues)
+    for (const std::string &W : J->Issues->Watched)
+      if (auto H = I->Health.find(W);
+          H != I->Health.end() && H->second.ProbeJob == J->Id)
+        H->second.ProbeJob.clear();
+}
+
+void Core::refillRetries(base::WallMs Now) {
+  if (RetryTokens >= 100) {
+    RefilledMs = Now;
+  } else if (Now - RefilledMs >= RetryTrickleMs) {
+    RefilledMs = Now;
+    RetryTokens = 100;
+  }
+}
+
+bool Scheduler::hasMore() const { return I->More; }
+std::size_t Scheduler::pendingCount() const { return I->Pending; }
+
+} // namespace heathersaddle::policy
--- /dev/null
+++ b/packages/policy/lib/Explain.cpp
@@ -0,0 +1,86 @@
+// Why a job waits, from the present state; names no other account's job.
+#include "Core.h"
+#include <algorithm>
+
+namespace heathersaddle::policy {
+
+using pool::Domain;
+
+namespace {
+
+bool fitsWithQuarantined(const pool::Table &T, const Job &J) {
+  std::vector<pool::SlotMask> Free(T.Rows.size(), 0);
+  for (pool::RowId W : T.Order)
+    if (T.Rows[W].Status == pool::WorkerStatus::Up ||
+        T.Rows[W].Status == pool::WorkerStatus::Quarantined)
+      Free[W] = T.Rows[W].Unheld;
+  return pool::placeOn(T, J.Shape, std::move(Free)).has_value();
+}
+
+Explanation explainHold(const Hold &H) {
+  if (H.Kind == HoldKind::Gang)
+    return {"shape", "Slots for the whole gang are reserved and draining."};
+  return {"guarantee", "Slots are being freed for this job."};
+}
+
+Explanation explainRoom(const pool::Table &T, const Job &J,
+                        pool::AccountId Owner) {
+  pool::Query Q{
+      J.Idempotent ? Domain::Any : Domain::OwnOrSpare, Owner, nullptr, {}};
+  if (T.find(J.Shape, Q))
+    return {"order", "Free slots exist; other jobs come first or the next "
+                     "pass places it."};
+  if (!J.Idempotent && T.find(J.Shape, pool::Query{}))
+    return {"guarantee", "The free slots are other accounts' homes, which "
+                         "take only jobs that can be stopped."};
+  if (fitsWithQuarantined(T, J))
+    return {"worker_health", "The slots that would fit are on quarantined "
+                             "workers."};
+  if (T.OpenSlots >= J.Shape.totalSlots())
+    return {"shape", "Enough slots are free, but not in the shape asked "
+                     "for."};
+  return {"order", "All suitable slots are in use."};
+}
+
+} // namespace
+
+Explanation Scheduler::explain(std::string_view Id, const pool::Pool &P,
+                               base::WallMs Now) const {
+  const Job *J = I->find(Id);
+  if (!J || J->State != JobState::Pending)
+    return {"none", "The job is not waiting for slots."};
+  const pool::Table &T = pool::PoolAccess::table(P);
+  const Account &A = I->Accounts[J->Account];
+  if (J->Issues && J->Issues->Ends)
+    return {"none", J->Issues->EndReason};
+  if (A.Terms.MaxSlots && A.Used + J->Shape.totalSlots() > A.Terms.MaxSlots)
+    return {"slots_quota", "The account uses " + std::to_string(A.Used) +
+                               " of its " + std::to_string(A.Terms.MaxSlots) +
+                               " slots."};
+  if (J->Retry && I->RetryTokens < 100 && Now >= J->AcceptedMs)
+    return {"retry_budget", "The cell's retry budget is used up for now."};
+  if (auto H = I->Holds.find(Id); H != I->Holds.end())
+    return explainHold(H->second);
+  return explainRoom(T, *J, T.account(A.Name));
+}
+
+std::vector<std::string> Scheduler::throttled(const pool::Pool &P) const {
+  const pool::Table &T = pool::PoolAccess::table(P);
+  std::vector<std::string> Result;
+  for (const Job *J : I->Overrunning)
+    if (pool::JobId Id = T.job(J->Id);
+        Id != pool::NoId && T.isBorrowing(T.Jobs[Id]))
+      Result.push_back(J->Id);
+  return Result;
+}
+
+std::int64_t Scheduler::learnedRunMs(std::string_view Account,
+                                     std::string_view Kind) const {
+  auto A = I->AccountByName.find(Account);
+  if (A == I->AccountByName.end())
+    return 0;
+  std::int64_t K = I->Times.known(A->second, Kind);
+  return K < 0 ? 0 : I->Times.estimate(K);
+}
+
+} // namespace heathersaddle::policy
--- /dev/null
+++ b/packages/policy/lib/Holds.cpp
@@ -0,0 +1,276 @@
+// Regions kept for a job until those who hold their slots are gone. A hold is
+// served in every pass: placed when the region is free, repeated stops while
+// it is not, dropped when it can no longer lead to a placement. The number of
+// gang reservations is bounded; each waits a bounded time before what can be
+// stopped in its region is stopped.
+#include "Pass.h"
+#include <algorithm>
+#include <bit>
+
+namespace heathersaddle::policy {
+
+using pool::NoId;
+using pool::RowId;
+using pool::SlotMask;
+using pool::Tasks;
+
+static constexpr unsigned MaxReservations = 4;
+static constexpr unsigned ReserveAttempts = 4;
+static constexpr std::size_t ReserveWorkers = 256;
+static constexpr base::WallMs ReserveEveryMs = 1'000;
+// A hold that is not served within this many grace periods is given up.
+static constexpr int HoldGraces = 6;
+// How long the record of a swap may take to come back.
+static constexpr base::WallMs SwapMs = 5'000;
+// Run time assumed for a kind that was neither observed nor declared.
+static constexpr std::int64_t UnknownRunMs = 600'000;
+
+std::vector<pool::JobId> Pass::holders(const Tasks &Region) const {
+  std::set<pool::JobId> Ids;
+  for (const pool::TaskSlots &Part : Region) {
+    const pool::Row &R = T.Rows[Part.Worker];
+    for (SlotMask M = Part.Slots & R.All & ~R.Unheld; M; M &= M - 1)
+      Ids.insert(R.JobAt[std::countr_zero(M)]);
+  }
+  return {Ids.begin(), Ids.end()};
+}
+
+bool Pass::regionUsable(const Job &J, const Hold &H) const {
+  Claim C = claimOf(J, H.Kind);
+  bool OwnOnly = H.Kind == HoldKind::Guarantee || H.Kind == HoldKind::Swap;
+  for (const pool::TaskSlots &Part : H.Region) {
+    if (Part.Worker >= T.Rows.size() || !T.Rows[Part.Worker].Present)
+      return false;
+    const pool::Row &R = T.Rows[Part.Worker];
+    if (R.Status != pool::WorkerStatus::Up || SickRow[Part.Worker] ||
+        (Part.Slots & (Base[Part.Worker] | ~R.All)))
+      return false;
+    SlotMask Foreign = Part.Slots & ~R.homeOf(C.Owner);
+    if (OwnOnly && Foreign)
+      return H.Kind == HoldKind::Swap && Now - H.SinceMs < SwapMs;
+    if (!J.Idempotent && (Foreign & R.Homed))
+      return false;
+  }
+  return true;
+}
+
+void Pass::serveHolds() {
+  for (HoldKind Kind : {HoldKind::Guarantee, HoldKind::Swap, HoldKind::Urgent,
+                        HoldKind::Overrun, HoldKind::Gang}) {
+    for (auto At = S.Holds.begin(); At != S.Holds.end();) {
+      Job *J = S.find(At->first);
+      Hold &H = At->second;
+      if (H.Kind != Kind || (J && serveHold(*J, H))) {
+        ++At;
+        continue;
+      }
+      // A hold given up frees its slots for others; a placement does not.
+      S.Changes += !J || !S.Proposals.contains(J->Id);
+      At = S.Holds.erase(At);
+    }
+  }
+}
+
+// A hold on slots that are not yet the account's home waits for the swap.
+static bool swapDone(const pool::Table &T, const Hold &H,
+                     pool::AccountId Owner) {
+  return std::all_of(
+      H.Region.begin(), H.Region.end(), [&](const pool::TaskSlots &Part) {
+        return !(Part.Slots & ~T.Rows[Part.Worker].homeOf(Owner));
+      });
+}
+
+bool Pass::serveHold(Job &J, Hold &H) {
+  if (J.State != JobState::Pending || S.Proposals.contains(J.Id) ||
+      (J.Issues && J.Issues->Ends) || !quotaAllows(J) || !regionUsable(J, H))
+    return false;
+  if (H.Kind == HoldKind::Swap &&
+      !swapDone(T, H, T.account(S.Accounts[J.Account].Name)))
+    return true;
+  bool Busy = !holders(H.Region).empty();
+  if (!Busy) {
+    if (J.Retry && Tokens < 100)
+      return false;
+    propose(J, H.Region);
+    return false;
+  }
+  if (H.Kind == HoldKind::Swap)
+    return false; // Lent meanwhile: reclaim it.
+  if (H.Kind == HoldKind::Gang)
+    return serveGang(J, H);
+  if (Now - H.SinceMs > HoldGraces * S.Set.ReclaimGrace.count())
+    return false;
+  return stopHolders(J, H);
+}
+
+// False when somebody in the region may not be stopped for this claim.
+bool Pass::stopHolders(Job &J, Hold &H) {
+  Claim C = claimOf(J, H.Kind);
+  bool AllMayStop = true;
+  for (pool::JobId Id : holders(H.Region)) {
+    if (victim(Id, C).Id == NoId)
+      AllMayStop = false;
+    else
+      stop(Id, H.Kind, J);
+  }
+  return AllMayStop;
+}
+
+// Waits for what drains. Nothing is stopped before everything that is left can
+// be stopped, and then the region is closed to backfill; otherwise backfill
+// would be started and stopped in turn.
+bool Pass::serveGang(Job &J, Hold &H) {
+  Claim C = claimOf(J, H.Kind);
+  bool Draining = false, Fixed = false;
+  for (pool::JobId Id : holders(H.Region)) {
+    bool Expected = std::binary_search(H.Draining.begin(), H.Draining.end(),
+                                       T.Jobs[Id].Name);
+    bool Stoppable = victim(Id, C).Id != NoId;
+    if (!Stoppable && !Expected)
+      return false;
+    Draining |= Expected;
+    Fixed |= !Stoppable;
+  }
+  if (Fixed)
+    return Now < std::max(H.StopMs, H.DueMs) +
+                     HoldGraces * S.Set.ReclaimGrace.count();
+  if (Draining && Now < H.StopMs)
+    return true;
+  H.Closed = true;
+  for (const pool::TaskSlots &Part : H.Region)
+    Hard[Part.Worker] |= Part.Slots;
+  return stopHolders(J, H);
+}
+
+base::WallMs Pass::freeAt(pool::JobId Id, const Claim &C) const {
+  const pool::JobRow &R = T.Jobs[Id];
+  const Job *J = S.find(R.Name);
+  if (!J || (T.isGuaranteed(R) && R.Account != C.Owner))
+    return -1;
+  if (J->State == JobState::Stopping)
+    return Now + S.Set.ReclaimGrace.count();
+  std::int64_t Estimate = S.Times.estimate(J->Kind);
+  if (!Estimate)
+    Estimate = J->DeclaredRunMs > 0 ? J->DeclaredRunMs : UnknownRunMs;
+  std::int64_t Done = J->ProgressMs + (Now - J->ProgressAt);
+  // Past its estimate, a job is expected to take as long again.
+  std::int64_t Left = Done < Estimate ? Estimate - Done : Done;
+  if (mayStop(R, C))
+    Left = std::min(Left,
+                    S.Set.GangDrainMost.count() + S.Set.ReclaimGrace.count());
+  return Now + Left;
+}
+
+// The region that is free the earliest, by bisection over the times at which
+// the jobs on the given workers are expected to be gone.
+std::optional<Tasks> Pass::earliestRegion(const Job &J, const Claim &C,
+                                          std::span<const RowId> Rows,
+                                          base::WallMs &Due) const {
+  std::vector<SlotMask> Usable(T.Rows.size(), 0);
+  std::map<pool::JobId, base::WallMs> Ends;
+  for (RowId W : Rows) {
+    Usable[W] = domain(W, C);
+    for (pool::JobId Id : holders({{W, Usable[W]}}))
+      if (!Ends.contains(Id))
+        Ends.emplace(Id, freeAt(Id, C));
+  }
+  std::vector<base::WallMs> Times{Now};
+  for (const auto &[Id, At] : Ends)
+    if (At >= 0)
+      Times.push_back(At);
+  std::sort(Times.begin(), Times.end());
+  Times.erase(std::unique(Times.begin(), Times.end()), Times.end());
+  auto Attempt = [&](base::WallMs By) {
+    std::vector<SlotMask> M = Usable;
+    for (RowId W : Rows)
+      M[W] &= T.Rows[W].Unheld;
+    for (const auto &[Id, At] : Ends)
+      if (At >= 0 && At <= By)
+        for (const pool::TaskSlots &Part : T.Jobs[Id].Where)
+          M[Part.Worker] |= Part.Slots & Usable[Part.Worker];
+    return pool::placeOn(T, J.Shape, std::move(M));
+  };
+  auto Best = Attempt(Times.back());
+  std::size_t Low = 0, High = Times.size() - 1;
+  while (Best && Low < High) {
+    std::size_t Middle = (Low + High) / 2;
+    if (auto Found = Attempt(Times[Middle])) {
+      Best = std::move(Found);
+      High = Middle;
+    } else {
+      Low = Middle + 1;
+    }
+  }
+  Due = Times[High];
+  return Best;
+}
+
+bool Pass::reserve(Job &J) {
+  Claim C = claimOf(J, HoldKind::Gang);
+  base::WallMs Due = 0;
+  auto Region = earliestRegion(J, C, sample(J, ReserveWorkers), Due);
+  if (!Region)
+    return false;
+  Hold H{HoldKind::Gang,
+         std::move(*Region),
+         Now,
+         Due,
+         Now + S.Set.GangDrainMost.count(),
+         false,
+         {}};
+  for (pool::JobId Id : holders(H.Region))
+    H.Draining.push_back(T.Jobs[Id].Name);
+  std::sort(H.Draining.begin(), H.Draining.end());
+  for (const pool::TaskSlots &Part : H.Region)
+    Soft[Part.Worker] |= Part.Slots;
+  S.Holds.insert_or_assign(J.Id, std::move(H));
+  // Others may now be placed in the region as backfill.
+  ++S.Changes;
+  return true;
+}
+
+std::vector<Job *> Pass::longWaiting() {
+  std::vector<Job *> Found;
+  for (Account &A : S.Accounts)
+    for (auto &[Key, C] : A.Classes) {
+      if (C.Jobs.empty() || std::get<1>(Key) * std::get<2>(Key) < 2)
+        continue;
+      for (Job *J : C.Jobs) {
+        if (Now - J->AcceptedMs < S.Set.GangReservationAfter.count())
+          break;
+        if (S.Holds.contains(J->Id) || S.Proposals.contains(J->Id))
+          continue;
+        if (!S.Ending.contains(J) && quotaAllows(*J) &&
+            (!J->Retry || Tokens >= 100))
+          Found.push_back(J);
+        break;
+      }
+    }
+  // Waiting counts by size: otherwise many small jobs that wait for their turn
+  // would take the reservations before the one gang that needs one.
+  auto Weight = [this](const Job *J) {
+    return (Now - J->AcceptedMs) * J->Shape.totalSlots();
+  };
+  std::sort(Found.begin(), Found.end(), [&](const Job *A, const Job *B) {
+    return std::tuple(!A->Urgent, -Weight(A), std::string_view(A->Id)) <
+           std::tuple(!B->Urgent, -Weight(B), std::string_view(B->Id));
+  });
+  return Found;
+}
+
+void Pass::reserveGangs() {
+  if (Now < S.NextReserveMs)
+    return;
+  S.NextReserveMs = Now + ReserveEveryMs;
+  auto Reserved = std::count_if(S.Holds.begin(), S.Holds.end(), [](auto &H) {
+    return H.second.Kind == HoldKind::Gang;
+  });
+  if (Reserved >= MaxReservations)
+    return;
+  std::vector<Job *> Waiting = longWaiting();
+  for (std::size_t N = 0; N != Waiting.size() && N != ReserveAttempts; ++N)
+    if (reserve(*Waiting[N]))
+      return;
+}
+
+} // namespace heathersaddle::policy
--- /dev/null
+++ b/packages/policy/lib/Place.cpp
@@ -0,0 +1,148 @@
+// Placing a job on free slots: own homes, then spare slots, then (only for jobs
+// that may be stopped) idle homes of others. One attempt costs a few index
+// lookups for a single task and one scan of the masks for a gang.
+#include "Pass.h"
+#include <algorithm>
+
+namespace heathersaddle::policy {
+
+// Bounds the cost of a pass: one search compares up to 512 workers.
+static constexpr unsigned SearchesPerPass = 8;
+static constexpr unsigned UrgentSearchesPerPass = 6;
+
+using pool::Domain;
+using pool::NoId;
+using pool::Query;
+using pool::Tasks;
+
+bool Pass::quotaAllows(const Job &J) const {
+  const Account &A = S.Accounts[J.Account];
+  return !A.Terms.MaxSlots ||
+         A.Used + A.Proposed + J.Shape.totalSlots() <= A.Terms.MaxSlots;
+}
+
+std::vector<pool::RowId> Pass::avoided(const Job &J) const {
+  std::vector<pool::RowId> Rows;
+  if (J.Issues)
+    for (const std::string &W : J.Issues->FailedOn)
+      if (pool::RowId R = T.row(W); R != NoId)
+        Rows.push_back(R);
+  if (!J.Idempotent)
+    for (pool::RowId R = 0; R != SickRow.size(); ++R)
+      if (SickRow[R])
+        Rows.push_back(R);
+  return Rows;
+}
+
+void Pass::block(const Tasks &Where) {
+  for (const pool::TaskSlots &R : Where) {
+    // A probe is one job: its worker takes nothing else until it has ended.
+    pool::SlotMask M = SickRow[R.Worker] ? ~pool::SlotMask{0} : R.Slots;
+    Base[R.Worker] |= M;
+    Hard[R.Worker] |= M;
+    Soft[R.Worker] |= M;
+  }
+}
+
+void Pass::propose(Job &J, const Tasks &Where) {
+  block(Where);
+  Account &A = S.Accounts[J.Account];
+  A.Proposed += J.Shape.totalSlots();
+  Proposers.push_back(J.Account);
+  if (J.Retry)
+    Tokens -= 100;
+  S.Proposals.insert_or_assign(J.Id, Where);
+  Out.push_back(PlaceDecision{J.Id, T.named(Where)});
+}
+
+// Holds of other accounts do not keep an account from its own homes.
+static std::vector<pool::SlotMask> ownBlocks(const Core &S, const Job &J,
+                                             std::vector<pool::SlotMask> Base) {
+  for (const auto &[Id, H] : S.Holds) {
+    auto Holder = S.Jobs.find(Id);
+    if (Holder == S.Jobs.end() || Holder->second->Account != J.Account ||
+        Id == J.Id)
+      continue;
+    for (const pool::TaskSlots &R : H.Region)
+      if (R.Worker < Base.size())
+        Base[R.Worker] |= R.Slots;
+  }
+  return Base;
+}
+
+Pass::Outcome Pass::placeFree(Job &J) {
+  std::vector<pool::RowId> Avoid = avoided(J);
+  Query Q{Domain::Own, T.account(S.Accounts[J.Account].Name), &Base, Avoid};
+  auto Try = [&](Domain In, const std::vector<pool::SlotMask> &Blocked) {
+    Q.In = In;
+    Q.Blocked = &Blocked;
+    auto Found = T.find(J.Shape, Q);
+    if (Found)
+      propose(J, *Found);
+    return Found.has_value();
+  };
+  if (T.homeSlots(Q.Account) >= J.Shape.totalSlots()) {
+    if (S.Holds.empty() ? Try(Domain::Own, Base)
+                        : Try(Domain::Own, ownBlocks(S, J, Base)))
+      return Outcome::Placed;
+  }
+  if (T.OpenSlots < J.Shape.totalSlots())
+    return Outcome::Blocked;
+  if (Try(Domain::Spare, Soft))
+    return Outcome::Placed;
+  if (J.Shape.Tasks > 1 && T.homeSlots(Q.Account) &&
+      Try(Domain::OwnOrSpare, Soft))
+    return Outcome::Placed;
+  if (T.Homes.empty())
+    return Outcome::Blocked;
+  // A home exchanged for a free one makes the job guaranteed at no cost.
+  if (Searches < SearchesPerPass &&
+      reclaim(J, /*AtNoLoss=*/true) == Outcome::Waits)
+    return Outcome::Waits;
+  return J.Idempotent && Try(Domain::Any, Soft) ? Outcome::Placed
+                                                : Outcome::Blocked;
+}
+
+// Slots kept for a draining gang may be used meanwhile by a job that can be
+// stopped when the gang is due, if enough time is left for that to pay.
+bool Pass::placeAsBackfill(Job &J) {
+  if (!J.Idempotent || J.Urgent || T.OpenSlots < J.Shape.totalSlots())
+    return false;
+  bool Pays = false;
+  for (const auto &[Id, H] : S.Holds)
+    Pays |= H.Kind == HoldKind::Gang && !H.Closed && Id != J.Id &&
+            H.DueMs - Now > 2 * S.Set.ReclaimGrace.count();
+  if (!Pays)
+    return false;
+  std::vector<pool::RowId> Avoid = avoided(J);
+  Query Q{Domain::Any, T.account(S.Accounts[J.Account].Name), &Hard, Avoid};
+  auto Found = T.find(J.Shape, Q);
+  if (Found)
+    propose(J, *Found);
+  return Found.has_value();
+}
+
+Pass::Outcome Pass::tryPlace(Job &J) {
+  if (!quotaAllows(J) || (J.Retry && Tokens < 100))
+    return Outcome::Blocked;
+  if (Outcome O = placeFree(J); O != Outcome::Blocked)
+    return O;
+  if (placeAsBackfill(J))
+    return Outcome::Placed;
+  if (Searches >= SearchesPerPass) {
+    Deferred = true;
+    return Outcome::Blocked;
+  }
+  if (Outcome O = reclaim(J, /*AtNoLoss=*/false); O != Outcome::Blocked)
+    return O;
+  if (J.Urgent && Searches < UrgentSearchesPerPass)
+    return preempt(J, HoldKind::Urgent);
+  Deferred = J.Urgent;
+  if (J.Urgent)
+    return Outcome::Blocked;
+  if (!S.Overrunning.empty())
+    return preempt(J, HoldKind::Overrun);
+  return Outcome::Blocked;
+}
+
+} // namespace heathersaddle::policy
--- /dev/null
+++ b/packages/policy/lib/Reclaim.cpp
@@ -0,0 +1,295 @@
+// Taking slots from running jobs, least progress lost first. For one task every
+// range of the candidate workers is compared; for a gang, victims are admitted
+// in order of their loss until the gang fits, found by bisection. The number of
+// workers and of searches per pass is bounded.
+#include "Pass.h"
+#include <algorithm>
+#include <bit>
+
+namespace heathersaddle::policy {
+
+using pool::NoId;
+using pool::RowId;
+using pool::SlotMask;
+using pool::Tasks;
+
+// Workers compared for one urgent task, and for a gang.
+static constexpr std::size_t EnoughCandidates = 64;
+static constexpr std::size_t GangWorkers = 256;
+// Workers looked at for one urgent task before the next pass goes on.
+static constexpr std::size_t TaskWorkers = 512;
+// Overrunning jobs considered for moving at a time.
+static constexpr std::size_t OverrunJobs = 32;
+
+std::int64_t Pass::lostBy(const Job &J) const {
+  return std::max<base::WallMs>(Now - J.ProgressAt, 1) * J.Shape.totalSlots();
+}
+
+// Whether the claim may stop the job that holds the row.
+bool Pass::mayStop(const pool::JobRow &R, const Claim &C) const {
+  const Job *J = S.find(R.Name);
+  if (!J)
+    return false;
+  bool OwnAccount = R.Account == C.Owner;
+  switch (C.Kind) {
+  case HoldKind::Guarantee:
+    return !OwnAccount;
+  case HoldKind::Urgent:
+    return J->Idempotent && !J->Urgent && (OwnAccount || !T.isGuaranteed(R));
+  case HoldKind::Overrun:
+    return J->Idempotent && !J->Urgent && J->Overrun && !T.isGuaranteed(R);
+  case HoldKind::Gang:
+    return J->Idempotent && !J->Urgent && !T.isGuaranteed(R);
+  case HoldKind::Swap:
+    return false;
+  }
+  return false;
+}
+
+Victim Pass::victim(pool::JobId Id, const Claim &C) const {
+  const pool::JobRow &R = T.Jobs[Id];
+  const Job *J = S.find(R.Name);
+  if (!J)
+    return {};
+  if (J->State == JobState::Stopping || StoppedNow.contains(R.Name))
+    return {Id, 0};
+  return mayStop(R, C) ? Victim{Id, lostBy(*J)} : Victim{};
+}
+
+// The slots of a worker on which the claim may place its job at all.
+SlotMask Pass::domain(RowId W, const Claim &C) const {
+  const pool::Row &R = T.Rows[W];
+  if (R.Status != pool::WorkerStatus::Up || SickRow[W])
+    return 0;
+  if (const Trouble *Issues = C.For->Issues.get())
+    if (std::find(Issues->FailedOn.begin(), Issues->FailedOn.end(),
+                  R.Spec.Name) != Issues->FailedOn.end())
+      return 0;
+  SlotMask Own = R.homeOf(C.Owner);
+  SlotMask M = R.All;
+  if (C.Kind == HoldKind::Guarantee)
+    M = Own;
+  else if (!C.For->Idempotent || C.Kind == HoldKind::Overrun)
+    M = ~R.Homed | Own;
+  return M & R.All & ~(C.Kind == HoldKind::Guarantee ? Base : Soft)[W];
+}
+
+SlotMask Pass::takeable(RowId W, const Claim &C) const {
+  const pool::Row &R = T.Rows[W];
+  SlotMask M = domain(W, C);
+  SlotMask Out = M & R.Unheld;
+  pool::JobId Last = NoId;
+  bool Usable = false;
+  for (SlotMask Held = M & ~R.Unheld; Held; Held &= Held - 1) {
+    unsigned Slot = std::countr_zero(Held);
+    if (R.JobAt[Slot] != Last) {
+      Last = R.JobAt[Slot];
+      Usable = victim(Last, C).Id != NoId;
+    }
+    if (Usable)
+      Out |= SlotMask{1} << Slot;
+  }
+  return Out;
+}
+
+std::vector<Victim> Pass::victimsOn(const Tasks &Region, const Claim &C) const {
+  std::vector<Victim> Found;
+  std::set<pool::JobId> Seen;
+  for (const pool::TaskSlots &Part : Region) {
+    const pool::Row &R = T.Rows[Part.Worker];
+    pool::JobId Last = NoId;
+    for (SlotMask M = Part.Slots & ~R.Unheld; M; M &= M - 1) {
+      pool::JobId Id = R.JobAt[std::countr_zero(M)];
+      if (Id == Last)
+        continue;
+      Last = Id;
+      if (!Seen.insert(Id).second)
+        continue;
+      if (Victim V = victim(Id, C); V.Id != NoId)
+        Found.push_back(V);
+    }
+  }
+  return Found;
+}
+
+std::int64_t Pass::costOf(const Tasks &Region, const Claim &C) const {
+  std::int64_t Sum = 0;
+  for (const Victim &V : victimsOn(Region, C))
+    Sum += V.LostMs;
+  return Sum;
+}
+
+std::optional<Tasks> Pass::cheapestTask(const Job &J, const Claim &C,
+                                        std::span<const RowId> Rows,
+                                        std::size_t Enough) const {
+  Tasks Best;
+  std::int64_t BestCost = 0;
+  unsigned Size = J.Shape.SlotsPerTask;
+  unsigned Block = std::bit_ceil(Size);
+  for (RowId W : Rows) {
+    SlotMask M = takeable(W, C);
+    if (J.Shape.Accelerators)
+      M &= T.Rows[W].Accelerated;
+    bool Any = false;
+    for (unsigned Low = 0; Low + Size <= pool::MaxSlots; ++Low) {
+      SlotMask Range = pool::lowSlots(Size) << Low;
+      if (Low / Block != (Low + Size - 1) / Block || (M & Range) != Range)
+        continue;
+      Tasks Here{{W, Range}};
+      std::int64_t Cost = costOf(Here, C);
+      Any = true;
+      if (Best.empty() || Cost < BestCost) {
+        Best = std::move(Here);
+        BestCost = Cost;
+      }
+    }
+    if (Any && --Enough == 0)
+      break;
+  }
+  return Best.empty() ? std::nullopt : std::optional(std::move(Best));
+}
+
+std::optional<Tasks> Pass::cheapestGang(const Job &J, const Claim &C,
+                                        std::span<const RowId> Rows) const {
+  std::vector<SlotMask> Usable(T.Rows.size(), 0);
+  Tasks Whole;
+  for (RowId W : Rows) {
+    Usable[W] = domain(W, C);
+    Whole.push_back({W, Usable[W]});
+  }
+  std::vector<Victim> All = victimsOn(Whole, C);
+  std::sort(All.begin(), All.end(), [&](const Victim &A, const Victim &B) {
+    return std::tie(A.LostMs, T.Jobs[A.Id].Name) <
+           std::tie(B.LostMs, T.Jobs[B.Id].Name);
+  });
+  auto Attempt = [&](std::size_t Count) {
+    std::vector<SlotMask> M = Usable;
+    for (RowId W : Rows)
+      M[W] &= T.Rows[W].Unheld;
+    for (std::size_t V = 0; V != Count; ++V)
+      for (const pool::TaskSlots &Part : T.Jobs[All[V].Id].Where)
+        M[Part.Worker] |= Part.Slots & Usable[Part.Worker];
+    return pool::placeOn(T, J.Shape, std::move(M));
+  };
+  auto Best = Attempt(All.size());
+  std::size_t Low = 0, High = All.size();
+  while (Best && Low < High) {
+    std::size_t Middle = (Low + High) / 2;
+    if (auto Found = Attempt(Middle)) {
+      Best = std::move(Found);
+      High = Middle;
+    } else {
+      Low = Middle + 1;
+    }
+  }
+  return Best;
+}
+
+// Workers to compare, starting where the last sample ended; whole racks when
+// the gang needs one.
+std::vector<RowId> Pass::sample(const Job &J, std::size_t Most) {
+  std::vector<RowId> Rows;
+  if (J.Shape.Within == pool::Adjacency::Rack && J.Shape.Tasks > 1) {
+    std::vector<const std::vector<RowId> *> Racks;
+    for (const auto &[Name, Members] : T.Racks)
+      Racks.push_back(&Members);
+    for (std::size_t I = 0; I != Racks.size() && Rows.size() < Most; ++I) {
+      const auto &R = *Racks[(S.Cursor + I) % Racks.size()];
+      Rows.insert(Rows.end(), R.begin(), R.end());
+    }
+  } else {
+    for (std::size_t I = 0; I != T.Order.size() && Rows.size() < Most; ++I) {
+      RowId W = T.Order[(S.Cursor + I) % T.Order.size()];
+      if (!J.Shape.Accelerators || T.Rows[W].Accelerated)
+        Rows.push_back(W);
+    }
+  }
+  S.Cursor =
+      (S.Cursor + Rows.size()) % std::max<std::size_t>(T.Order.size(), 1);
+  return Rows;
+}
+
+std::vector<RowId> Pass::overrunRows() const {
+  std::set<RowId> Rows;
+  std::size_t Left = OverrunJobs;
+  for (const Job *J : S.Overrunning) {
+    if (Left-- == 0)
+      break;
+    if (pool::JobId Id = T.job(J->Id); Id != NoId)
+      for (const pool::TaskSlots &Part : T.Jobs[Id].Where)
+        Rows.insert(Part.Worker);
+  }
+  return {Rows.begin(), Rows.end()};
+}
+
+void Pass::stop(pool::JobId Id, HoldKind Kind, const Job &For) {
+  static constexpr const char *Reasons[] = {"reclaim", "reclaim", "urgent",
+                                            "overrun", "defragment"};
+  const std::string &Name = T.Jobs[Id].Name;
+  const Job *J = S.find(Name);
+  if (!J || J->State != JobState::Placed || !StoppedNow.insert(Name).second)
+    return;
+  Out.push_back(StopDecision{Name, Reasons[static_cast<int>(Kind)],
+                             S.Accounts[For.Account].Name});
+}
+
+void Pass::hold(Job &J, const Claim &C, Tasks Region) {
+  for (const Victim &V : victimsOn(Region, C))
+    stop(V.Id, C.Kind, J);
+  block(Region);
+  Hold H{C.Kind, std::move(Region),
+         Now,    Now + S.Set.ReclaimGrace.count(),
+         0,      false,
+         {}};
+  S.Holds.insert_or_assign(J.Id, std::move(H));
+}
+
+Pass::Claim Pass::claimOf(const Job &J, HoldKind Kind) const {
+  return {Kind, &J, T.account(S.Accounts[J.Account].Name)};
+}
+
+// The account's own homes are lent: exchange them for free ones, or take them
+// back.
+Pass::Outcome Pass::reclaim(Job &J, bool AtNoLoss) {
+  Claim C = claimOf(J, HoldKind::Guarantee);
+  if (T.homeSlots(C.Owner) < J.Shape.totalSlots())
+    return Outcome::Blocked;
+  ++Searches;
+  std::vector<SlotMask> Saved = Base;
+  for (const auto &[Id, H] : S.Holds)
+    if (const Job *Other = S.find(Id); Other && Other->Account == J.Account)
+      for (const pool::TaskSlots &R : H.Region)
+        if (R.Worker < Base.size())
+          Base[R.Worker] |= R.Slots;
+  auto Rows = T.homeRows(C.Owner);
+  auto Region = J.Shape.Tasks == 1 ? cheapestTask(J, C, Rows, Rows.size() + 1)
+                                   : cheapestGang(J, C, Rows);
+  std::int64_t Cost = Region ? costOf(*Region, C) : 0;
+  Base = std::move(Saved);
+  if (!Region)
+    return Outcome::Blocked;
+  if (AtNoLoss)
+    return trySwap(J, *Region, Cost, 0) ? Outcome::Waits : Outcome::Blocked;
+  // A swap for a small gain only moves the loss to another account.
+  if (!trySwap(J, *Region, Cost, Cost / 2))
+    hold(J, C, std::move(*Region));
+  return Outcome::Waits;
+}
+
+Pass::Outcome Pass::preempt(Job &J, HoldKind Kind) {
+  ++Searches;
+  Claim C = claimOf(J, Kind);
+  std::vector<RowId> Rows =
+      Kind == HoldKind::Overrun
+          ? overrunRows()
+          : sample(J, J.Shape.Tasks == 1 ? TaskWorkers : GangWorkers);
+  Partial = Kind == HoldKind::Overrun || Rows.size() < T.Order.size();
+  auto Region = J.Shape.Tasks == 1 ? cheapestTask(J, C, Rows, EnoughCandidates)
+                                   : cheapestGang(J, C, Rows);
+  if (!Region)
+    return Outcome::Blocked;
+  hold(J, C, std::move(*Region));
+  return Outcome::Waits;
+}
+
+} // namespace heathersaddle::policy
--- /dev/null
+++ b/packages/policy/lib/Swap.cpp
@@ -0,0 +1,165 @@
+// Exchanging homes of equal shape, so that an account gets its shape without
+// stopping anybody, or with less lost. Invariant G holds afterwards because
+// neither region holds a guaranteed job, and whoever holds slots of a region
+// without owning it afterwards can be stopped.
+#include "Pass.h"
+#include <algorithm>
+#include <bit>
+
+namespace heathersaddle::policy {
+
+using pool::AccountId;
+using pool::NoId;
+using pool::RowId;
+using pool::SlotMask;
+using pool::Tasks;
+
+Tasks Pass::regionOf(const pool::Home &H) const {
+  Tasks Region;
+  for (const pool::Placement &Part : H.Slots)
+    Region.push_back({T.row(Part.Worker), Part.Slots});
+  return Region;
+}
+
+bool Pass::untouched(const Tasks &Region) const {
+  return std::all_of(
+      Region.begin(), Region.end(), [&](const pool::TaskSlots &Part) {
+        return Part.Worker != NoId && !SickRow[Part.Worker] &&
+               T.Rows[Part.Worker].Status == pool::WorkerStatus::Up &&
+               !(Soft[Part.Worker] & Part.Slots);
+      });
+}
+
+// Whether the region may pass to the new owner (NoId: become spare).
+bool Pass::movable(const Tasks &Region, AccountId NewOwner) const {
+  for (pool::JobId Id : holders(Region)) {
+    const pool::JobRow &R = T.Jobs[Id];
+    const Job *J = S.find(R.Name);
+    if (!J || T.isGuaranteed(R))
+      return false;
+    if (NewOwner != NoId && R.Account != NewOwner && !J->Idempotent)
+      return false;
+  }
+  return true;
+}
+
+std::int64_t Pass::regionCost(const Tasks &Region) const {
+  std::int64_t Sum = 0;
+  for (pool::JobId Id : holders(Region))
+    if (const Job *J = S.find(T.Jobs[Id].Name);
+        J && J->State != JobState::Stopping)
+      Sum += lostBy(*J);
+  return Sum;
+}
+
+bool Pass::inOneRack(const pool::Home &H) const {
+  const std::string &Rack = T.Rows[T.row(H.Slots[0].Worker)].Spec.Rack;
+  return std::all_of(H.Slots.begin(), H.Slots.end(),
+                     [&](const pool::Placement &Part) {
+                       return T.Rows[T.row(Part.Worker)].Spec.Rack == Rack;
+                     });
+}
+
+bool Pass::sameShape(const pool::Home &A, const pool::Home &B) const {
+  if (A.Slots.size() != B.Slots.size())
+    return false;
+  for (std::size_t I = 0; I != A.Slots.size(); ++I)
+    if (std::popcount(A.Slots[I].Slots) != std::popcount(B.Slots[I].Slots))
+      return false;
+  return A.Slots.size() == 1 || inOneRack(A) == inOneRack(B);
+}
+
+// The one home of the owner that contains the region; NoId when none does.
+std::uint32_t Pass::homeAround(const Tasks &Region, AccountId Owner) const {
+  std::uint32_t Around = NoId;
+  for (const pool::TaskSlots &Part : Region) {
+    std::uint32_t Here = NoId;
+    for (const pool::HomePart &H : T.Rows[Part.Worker].Homes)
+      if (H.Account == Owner && !(Part.Slots & ~H.Slots))
+        Here = H.Home;
+    if (Here == NoId || (Around != NoId && Here != Around))
+      return NoId;
+    Around = Here;
+  }
+  return Around;
+}
+
+// A free region outside all homes with the shape of the home: one block on
+// each of as many workers.
+std::optional<Tasks> Pass::spareRegion(const pool::Home &H) const {
+  unsigned Size = std::popcount(H.Slots[0].Slots);
+  std::vector<SlotMask> Free(T.Rows.size(), 0);
+  for (RowId W : T.Order) {
+    const pool::Row &R = T.Rows[W];
+    SlotMask M = R.open() & R.Accelerated & ~R.Homed & ~Soft[W];
+    Free[W] = SickRow[W] ? 0 : pool::bestCut(M, Size).Slots;
+  }
+  for (const pool::Placement &Part : H.Slots)
+    if (std::popcount(Part.Slots) != static_cast<int>(Size))
+      return std::nullopt;
+  bool Rack = H.Slots.size() > 1 && inOneRack(H);
+  pool::Shape Shape{static_cast<unsigned>(H.Slots.size()), Size, true,
+                    Rack ? pool::Adjacency::Rack : pool::Adjacency::None};
+  return pool::placeOn(T, Shape, std::move(Free));
+}
+
+std::optional<Pass::Exchange> Pass::bestExchange(std::uint32_t Home,
+                                                 std::int64_t MostLoss) const {
+  const pool::Home &Mine = T.Homes[Home];
+  Tasks Old = regionOf(Mine);
+  AccountId Owner = T.account(Mine.Account);
+  if (!untouched(Old) || !movable(Old, NoId))
+    return std::nullopt;
+  if (auto Free = spareRegion(Mine))
+    return Exchange{NoId, std::move(*Free), 0};
+  std::optional<Exchange> Best;
+  for (std::uint32_t H = 0; H != T.Homes.size(); ++H) {
+    const pool::Home &Other = T.Homes[H];
+    if (Other.Account == Mine.Account || !sameShape(Mine, Other))
+      continue;
+    Tasks Region = regionOf(Other);
+    if (!untouched(Region) || !movable(Region, Owner) ||
+        !movable(Old, T.account(Other.Account)))
+      continue;
+    std::int64_t Loss = regionCost(Region);
+    if (Loss <= MostLoss && (!Best || Loss < Best->Cost))
+      Best = Exchange{H, std::move(Region), Loss};
+    if (Best && Best->Cost == 0)
+      break;
+  }
+  return Best;
+}
+
+bool Pass::trySwap(Job &J, const Tasks &Region, std::int64_t Cost,
+                   std::int64_t MostLoss) {
+  Claim C = claimOf(J, HoldKind::Guarantee);
+  std::uint32_t Home = homeAround(Region, C.Owner);
+  if (Home == NoId || Cost == 0)
+    return false;
+  auto Found = bestExchange(Home, MostLoss);
+  if (!Found)
+    return false;
+  std::vector<SlotMask> Inside(T.Rows.size(), 0);
+  for (const pool::TaskSlots &Part : Found->Region)
+    Inside[Part.Worker] |= Part.Slots;
+  auto Where = pool::placeOn(T, J.Shape, std::move(Inside));
+  if (!Where)
+    return false;
+  if (NewHomes.empty())
+    NewHomes = T.Homes;
+  if (Found->Other != NoId)
+    std::swap(NewHomes[Home].Slots, NewHomes[Found->Other].Slots);
+  else
+    NewHomes[Home].Slots = T.named(Found->Region);
+  block(regionOf(T.Homes[Home]));
+  block(Found->Region);
+  S.Holds.insert_or_assign(J.Id, Hold{HoldKind::Swap,
+                                      std::move(*Where),
+                                      Now,
+                                      Now + S.Set.ReclaimGrace.count(),
+                                      0,
+                                      {}});
+  return true;
+}
+
+} // namespace heathersaddle::policy
--- a/packages/pool/include/heathersaddle/pool/PoolAccess.h
+++ b/packages/pool/include/heathersaddle/pool/PoolAccess.h
@@ -93,6 +93,12 @@
   std::map<std::string, std::vector<RowId>, std::less<>> Racks;
   std::vector<std::vector<RowId>> HomeRows; ///< By account, by name.
   std::vector<RowId> Order;                 ///< Present rows by name.
+  std::vector<unsigned> HomeSlots;          ///< By account.
+  /// Grows when slots become free or the workers or homes change, so that a
+  /// search that failed need not be repeated before.
+  std::uint64_t Version = 0;
+  /// Grows when the workers, their status or the homes change.
+  std::uint64_t Structure = 0;
   unsigned UpSlots = 0;
   unsigned UsedSlots = 0;
   unsigned OpenSlots = 0;
@@ -115,6 +121,9 @@
 
   /// To be called after any change of a row's slots, homes or status.
   void refresh(RowId Worker);
+  unsigned homeSlots(AccountId Account) const {
+    return Account < HomeSlots.size() ? HomeSlots[Account] : 0;
+  }
   std::span<const RowId> homeRows(AccountId Account) const {
     if (Account >= HomeRows.size())
       return {};
--- a/packages/pool/lib/Pool.cpp
+++ b/packages/pool/lib/Pool.cpp
@@ -92,6 +92,8 @@
   Row &R = I->Rows[Id];
   uncount(*I, R);
   R.Status = Status;
+  ++I->Version;
+  ++I->Structure;
   count(*I, R);
   I->refresh(Id);
 }
@@ -163,6 +165,7 @@
     I->refresh(T.Worker);
   }
   I->dropJob(Id);
+  ++I->Version;
 }
 
 // Resolves all homes; fails on unknown workers, absent slots and overlaps.
--- a/packages/pool/lib/Table.cpp
+++ b/packages/pool/lib/Table.cpp
@@ -105,11 +105,16 @@
     Racks[R.Spec.Rack].push_back(Order[Rank]);
     refresh(Order[Rank]);
   }
+  ++Version;
+  ++Structure;
   HomeRows.assign(Accounts.size(), {});
+  HomeSlots.assign(Accounts.size(), 0);
   for (RowId Id : Order)
-    for (const HomePart &H : Rows[Id].Homes)
+    for (const HomePart &H : Rows[Id].Homes) {
+      HomeSlots[H.Account] += std::popcount(H.Slots);
       if (HomeRows[H.Account].empty() || HomeRows[H.Account].back() != Id)
         HomeRows[H.Account].push_back(Id);
+    }
 }
 
 std::vector<Placement> Table::named(const Tasks &Where) const {
