--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= 10
 
-.PHONY: all packages build check lint
+.PHONY: all packages build check lint bench
 
 all: build
 
@@ -18,3 +18,6 @@
 
 lint: build
 	@scripts/lint.sh $(BUILD)
+
+bench: build
+	@$(BUILD)/packages/bench/heathersaddle_bench $(BENCH_ARGS)
--- /dev/null
+++ b/packages/bench/lib/Baselines.cpp
@@ -0,0 +1,267 @@
+// Three simple schedulers to compare with. They look at no more than 256 queue
+// entries per decision, as the scheduler does.
+#include "Baselines.h"
+#include <algorithm>
+#include <bit>
+
+namespace heathersaddle::bench {
+
+using namespace policy;
+using pool::RowId;
+using pool::SlotMask;
+using pool::Table;
+using pool::Tasks;
+
+static constexpr unsigned MaxExamined = 256;
+// Counted: how long a job waits for slots it asked back before asking again.
+static constexpr base::WallMs AskAgainMs = 15'000;
+
+void Baseline::setTerms(std::string_view Account, const AccountTerms &Terms) {
+  Share[std::string(Account)] = std::max(Terms.Share, 1U);
+}
+
+Baseline::Key Baseline::keyOf(const Item &I) const {
+  bool First = Kind != Rule::FirstFit && I.View.Urgent;
+  return {!First, I.View.AcceptedMs, I.View.Id};
+}
+
+void Baseline::leave(Item &I) {
+  Queue.erase(keyOf(I));
+  if (I.Placed)
+    Used[I.View.Account] -= I.View.Shape.totalSlots();
+  I.Placed = I.Stopping = false;
+}
+
+void Baseline::jobPending(const JobView &Job, base::WallMs) {
+  Item &I = Jobs[Job.Id];
+  leave(I);
+  I.View = Job;
+  Queue.insert(keyOf(I));
+}
+
+void Baseline::jobPlaced(std::string_view Job, std::span<const pool::Placement>,
+                         base::WallMs Now) {
+  Item &I = Jobs.find(Job)->second;
+  leave(I);
+  I.Placed = true;
+  I.StartMs = Now;
+  Used[I.View.Account] += I.View.Shape.totalSlots();
+}
+
+void Baseline::jobStopping(std::string_view Job) {
+  Jobs.find(Job)->second.Stopping = true;
+}
+
+void Baseline::attemptEnded(std::string_view Job, AttemptEnd,
+                            std::span<const std::string>, base::WallMs) {
+  leave(Jobs.find(Job)->second);
+}
+
+void Baseline::jobRemoved(std::string_view Job) {
+  auto I = Jobs.find(Job);
+  if (I == Jobs.end())
+    return;
+  leave(I->second);
+  Jobs.erase(I);
+}
+
+void Baseline::place(Item &I, const Table &T, Masks &Free, const Tasks &W) {
+  for (const pool::TaskSlots &Part : W)
+    Free[Part.Worker] &= ~Part.Slots;
+  Out.push_back(PlaceDecision{I.View.Id, T.named(W)});
+}
+
+// The first workers by name with room, the lowest slots first.
+static Tasks firstOn(const pool::Shape &S, std::span<const RowId> Rows,
+                     const std::vector<SlotMask> &Free, const Table &T) {
+  Tasks Out;
+  unsigned Block = std::bit_ceil(S.SlotsPerTask);
+  for (RowId W : Rows) {
+    SlotMask M = Free[W];
+    if (S.Accelerators)
+      M &= T.Rows[W].Accelerated;
+    for (unsigned Low = 0; M && Low + S.SlotsPerTask <= 64; ++Low) {
+      SlotMask Range = pool::lowSlots(S.SlotsPerTask) << Low;
+      if ((M & Range) != Range ||
+          Low / Block != (Low + S.SlotsPerTask - 1) / Block)
+        continue;
+      Out.push_back({W, Range});
+      M &= ~Range;
+      if (Out.size() == S.Tasks)
+        return Out;
+    }
+  }
+  return {};
+}
+
+static Tasks firstFitFor(const pool::Shape &S, const std::vector<SlotMask> &F,
+                         const Table &T) {
+  if (S.Tasks == 1 || S.Within == pool::Adjacency::None)
+    return firstOn(S, T.Order, F, T);
+  if (S.Within == pool::Adjacency::Rack) {
+    for (const auto &[Name, Rows] : T.Racks)
+      if (Tasks W = firstOn(S, Rows, F, T); !W.empty())
+        return W;
+    return {};
+  }
+  for (const RowId &Row : T.Order)
+    if (Tasks W = firstOn(S, {&Row, 1}, F, T); !W.empty())
+      return W;
+  return {};
+}
+
+void Baseline::firstFit(const Table &T, Masks Free) {
+  unsigned Left = MaxExamined;
+  for (const Key &K : Queue) {
+    Item &I = Jobs.find(std::get<2>(K))->second;
+    Tasks W = firstFitFor(I.View.Shape, Free, T);
+    if (W.empty() || Left-- == 0)
+      return;
+    place(I, T, Free, W);
+  }
+}
+
+// When the head can start if all run times are as declared, and where.
+static std::pair<base::WallMs, Tasks>
+shadow(const Table &T, const pool::Shape &S,
+       const std::vector<std::pair<base::WallMs, pool::JobId>> &Ends,
+       const std::vector<SlotMask> &Free) {
+  auto Attempt = [&](std::size_t Count) {
+    std::vector<SlotMask> M = Free;
+    for (std::size_t I = 0; I != Count; ++I)
+      for (const pool::TaskSlots &Part : T.Jobs[Ends[I].second].Where)
+        if (T.Rows[Part.Worker].Status == pool::WorkerStatus::Up)
+          M[Part.Worker] |= Part.Slots;
+    return pool::placeOn(T, S, std::move(M));
+  };
+  std::size_t Low = 0, High = Ends.size();
+  auto Best = Attempt(High);
+  if (!Best || Ends.empty())
+    return {0, {}};
+  while (Low < High) {
+    std::size_t Middle = (Low + High) / 2;
+    if (auto Found = Attempt(Middle)) {
+      Best = std::move(Found);
+      High = Middle;
+    } else {
+      Low = Middle + 1;
+    }
+  }
+  return {Ends[std::max<std::size_t>(High, 1) - 1].first, *Best};
+}
+
+void Baseline::backfill(const Table &T, Masks Free, base::WallMs Now) {
+  unsigned Left = MaxExamined;
+  Masks Region(Free.size(), 0);
+  base::WallMs Start = -1;
+  for (const Key &K : Queue) {
+    if (Left-- == 0)
+      return;
+    Item &I = Jobs.find(std::get<2>(K))->second;
+    Masks Outside = Free;
+    for (RowId W : T.Order)
+      Outside[W] &= ~Region[W];
+    auto W = pool::placeOn(T, I.View.Shape, std::move(Outside));
+    std::int64_t Run = I.View.DeclaredRunMs;
+    if (!W && Start >= 0 && Run > 0 && Now + Run <= Start)
+      W = pool::placeOn(T, I.View.Shape, Free);
+    if (W) {
+      place(I, T, Free, *W);
+      continue;
+    }
+    if (Start >= 0)
+      continue;
+    std::vector<std::pair<base::WallMs, pool::JobId>> Ends;
+    for (pool::JobId J = 0; J != T.Jobs.size(); ++J)
+      if (auto Run = Jobs.find(T.Jobs[J].Name); Run != Jobs.end())
+        Ends.emplace_back(std::max(Now + 1, Run->second.StartMs +
+                                                Run->second.View.DeclaredRunMs),
+                          J);
+    std::sort(Ends.begin(), Ends.end());
+    auto [At, Where] = shadow(T, I.View.Shape, Ends, Free);
+    Start = At;
+    for (const pool::TaskSlots &Part : Where)
+      Region[Part.Worker] |= Part.Slots;
+  }
+}
+
+// Stops the youngest jobs of accounts above their number until enough slots are
+// on the way, wherever they are.
+void Baseline::stopByCount(Item &I, const Table &T, base::WallMs Now) {
+  if (I.AskedMs >= 0 && Now - I.AskedMs < AskAgainMs)
+    return;
+  I.AskedMs = Now;
+  std::vector<Item *> Youngest;
+  for (auto &[Id, Each] : Jobs)
+    if (Each.Placed && !Each.Stopping && Each.View.Idempotent &&
+        !Each.View.Urgent && Each.View.Account != I.View.Account &&
+        Used[Each.View.Account] > T.homeSlots(T.account(Each.View.Account)))
+      Youngest.push_back(&Each);
+  std::stable_sort(
+      Youngest.begin(), Youngest.end(),
+      [](const Item *A, const Item *B) { return A->StartMs > B->StartMs; });
+  unsigned Needed = I.View.Shape.totalSlots();
+  for (Item *Victim : Youngest) {
+    if (Needed == 0)
+      return;
+    Needed -= std::min(Needed, Victim->View.Shape.totalSlots());
+    Out.push_back(StopDecision{Victim->View.Id, "reclaim", I.View.Account});
+    Victim->Stopping = true;
+  }
+}
+
+void Baseline::counted(const Table &T, Masks Free, base::WallMs Now) {
+  struct Turn {
+    bool Later;
+    bool Over;
+    double Use;
+    const Key *K;
+  };
+  std::vector<Turn> Turns;
+  for (const Key &K : Queue) {
+    const JobView &V = Jobs.find(std::get<2>(K))->second.View;
+    unsigned Count = T.homeSlots(T.account(V.Account));
+    unsigned Have = Used[V.Account];
+    Turns.push_back({std::get<0>(K), Have + V.Shape.totalSlots() > Count,
+                     static_cast<double>(Have) / std::max(Share[V.Account], 1U),
+                     &K});
+  }
+  std::stable_sort(Turns.begin(), Turns.end(), [](auto &A, auto &B) {
+    return std::tuple(A.Later, A.Over, A.Use) <
+           std::tuple(B.Later, B.Over, B.Use);
+  });
+  unsigned Left = MaxExamined;
+  for (const Turn &Each : Turns) {
+    if (Left-- == 0)
+      return;
+    Item &I = Jobs.find(std::get<2>(*Each.K))->second;
+    if (auto W = pool::placeOn(T, I.View.Shape, Free))
+      place(I, T, Free, *W);
+    else if (!Each.Over)
+      stopByCount(I, T, Now);
+  }
+}
+
+std::vector<Decision> Baseline::decide(const pool::Pool &P, base::WallMs Now) {
+  const Table &T = pool::PoolAccess::table(P);
+  Out.clear();
+  if (Queue.empty())
+    return {};
+  Masks Free(T.Rows.size(), 0);
+  for (RowId W : T.Order)
+    Free[W] = T.Rows[W].open();
+  switch (Kind) {
+  case Rule::FirstFit:
+    firstFit(T, std::move(Free));
+    break;
+  case Rule::Backfill:
+    backfill(T, std::move(Free), Now);
+    break;
+  case Rule::Counted:
+    counted(T, std::move(Free), Now);
+    break;
+  }
+  return std::move(Out);
+}
+
+} // namespace heathersaddle::bench
--- /dev/null
+++ b/packages/bench/lib/Baselines.h
@@ -0,0 +1,69 @@
+#ifndef HEATHERSADDLE_BENCH_LIB_BASELINES_H
+#define HEATHERSADDLE_BENCH_LIB_BASELINES_H
+
+#include "heathersaddle/policy/Scheduler.h"
+#include "heathersaddle/pool/PoolAccess.h"
+#include <map>
+#include <set>
+
+namespace heathersaddle::bench {
+
+enum class Rule {
+  FirstFit, ///< First come first served; the head blocks; first fit.
+  Backfill, ///< Best fit; others pass the head by their declared run times.
+  Counted   ///< Best fit by share; guarantees are numbers of slots.
+};
+
+/// A simple scheduler with the events of policy::Scheduler, to compare with.
+/// Backfill and Counted put urgent jobs first; only Counted stops jobs.
+class Baseline {
+public:
+  explicit Baseline(Rule R) : Kind(R) {}
+
+  void setTerms(std::string_view Account, const policy::AccountTerms &Terms);
+  void jobPending(const policy::JobView &Job, base::WallMs Now);
+  void jobPlaced(std::string_view Job, std::span<const pool::Placement> Tasks,
+                 base::WallMs Now);
+  void jobStopping(std::string_view Job);
+  void attemptEnded(std::string_view Job, policy::AttemptEnd Why,
+                    std::span<const std::string> Failed, base::WallMs Now);
+  void jobFinished(std::string_view Job, base::WallMs Now) {
+    (void)Now;
+    jobRemoved(Job);
+  }
+  void jobRemoved(std::string_view Job);
+  void usage(std::string_view, std::int64_t, base::WallMs) {}
+  std::vector<policy::Decision> decide(const pool::Pool &P, base::WallMs Now);
+  bool hasMore() const { return false; }
+  std::size_t pendingCount() const { return Queue.size(); }
+
+private:
+  struct Item {
+    policy::JobView View;
+    bool Placed = false;
+    bool Stopping = false;
+    base::WallMs StartMs = 0;
+    base::WallMs AskedMs = -1; ///< When jobs were last stopped for it.
+  };
+  using Key = std::tuple<bool, base::WallMs, std::string>;
+  using Masks = std::vector<pool::SlotMask>;
+
+  Key keyOf(const Item &I) const;
+  void leave(Item &I);
+  void place(Item &I, const pool::Table &T, Masks &Free, const pool::Tasks &W);
+  void firstFit(const pool::Table &T, Masks Free);
+  void backfill(const pool::Table &T, Masks Free, base::WallMs Now);
+  void counted(const pool::Table &T, Masks Free, base::WallMs Now);
+  void stopByCount(Item &I, const pool::Table &T, base::WallMs Now);
+
+  Rule Kind;
+  std::map<std::string, Item, std::less<>> Jobs;
+  std::set<Key> Queue;
+  std::map<std::string, unsigned, std::less<>> Used;
+  std::map<std::string, unsigned, std::less<>> Share;
+  std::vector<policy::Decision> Out;
+};
+
+} // namespace heathersaddle::bench
+
+#endif
--- /dev/null
+++ b/packages/bench/lib/Load.h
@@ -0,0 +1,47 @@
+#ifndef HEATHERSADDLE_BENCH_LIB_LOAD_H
+#define HEATHERSADDLE_BENCH_LIB_LOAD_H
+
+#include "heathersaddle/policy/Scheduler.h"
+#include <random>
+
+namespace heathersaddle::bench {
+
+/// One job of a generated load, with what only the simulation knows.
+struct LoadJob {
+  policy::JobView View; ///< AcceptedMs is when it is submitted.
+  std::int64_t RunMs = 0;
+  base::WallMs CancelMs = 0; ///< 0: never.
+  int Unit = -1;             ///< Guarantee unit that it asks for, if any.
+};
+
+struct RackFault {
+  std::string Rack;
+  base::WallMs DownMs = 0;
+  base::WallMs UpMs = 0;
+};
+
+struct Load {
+  std::string Name;
+  std::uint64_t Seed = 0;
+  std::vector<pool::WorkerSpec> Workers;
+  std::vector<pool::Guarantee> Guarantees;
+  std::map<std::string, policy::AccountTerms> Terms;
+  std::vector<LoadJob> Jobs; ///< By submission time.
+  std::vector<RackFault> Faults;
+  base::WallMs EndMs = 0;
+  base::WallMs TickMs = 1'000;
+  /// Figures count jobs submitted from here on; earlier ones fill the pool.
+  base::WallMs MeasureMs = 0;
+};
+
+/// Renders of seconds to hours on 48 workers of 8 accelerators, racks of 8.
+Load dakar(std::uint64_t Seed);
+/// Overnight redraws and urgent corrections on 48 workers, racks of 6.
+Load thailand(std::uint64_t Seed);
+/// 3,600 workers and 87,000 running tasks of 760 accounts; \p Share scales the
+/// pool and the load down.
+Load target(std::uint64_t Seed, double Share = 1);
+
+} // namespace heathersaddle::bench
+
+#endif
--- /dev/null
+++ b/packages/bench/lib/Meter.cpp
@@ -0,0 +1,83 @@
+// Figures of one run.
+#include "Meter.h"
+#include <algorithm>
+#include <bit>
+#include <numeric>
+
+namespace heathersaddle::bench {
+
+// An entitled job must start within the reclaim grace, plus start latency.
+static constexpr base::WallMs KeptWithinMs = 10'100;
+
+double Samples::quantile(double Q) const {
+  if (Values.empty())
+    return 0;
+  std::vector<double> Sorted = Values;
+  auto Rank = static_cast<std::size_t>(Q * static_cast<double>(Sorted.size()));
+  Rank = std::min(Rank, Sorted.size() - 1);
+  std::nth_element(Sorted.begin(), Sorted.begin() + static_cast<long>(Rank),
+                   Sorted.end());
+  return Sorted[Rank];
+}
+
+double Samples::sum() const {
+  return std::accumulate(Values.begin(), Values.end(), 0.0);
+}
+
+double Samples::mean() const {
+  return Values.empty() ? 0 : sum() / static_cast<double>(Values.size());
+}
+
+void Meter::started(const LoadJob &J, base::WallMs WaitMs, bool Claimed) {
+  auto Wait = static_cast<double>(WaitMs);
+  if (J.View.Urgent)
+    UrgentStart.add(Wait);
+  if (J.View.Shape.Tasks > 1)
+    GangWait.add(Wait);
+  if (!Claimed)
+    return;
+  Reclaim.add(Wait);
+  ++Entitled;
+  Violations += WaitMs > KeptWithinMs;
+}
+
+// Free accelerators that the shape can use: whole tasks, and whole gangs per
+// worker or rack where the shape asks for that.
+static unsigned usable(const pool::Table &T, const pool::Shape &S) {
+  auto Fits = [&](pool::RowId W) {
+    const pool::Row &R = T.Rows[W];
+    return pool::countFits(R.open() & R.Accelerated, S.SlotsPerTask);
+  };
+  unsigned Tasks = 0;
+  if (S.Within == pool::Adjacency::Rack) {
+    for (const auto &[Name, Rows] : T.Racks) {
+      unsigned Here = 0;
+      for (pool::RowId W : Rows)
+        Here += Fits(W);
+      Tasks += Here / S.Tasks * S.Tasks;
+    }
+    return Tasks * S.SlotsPerTask;
+  }
+  for (pool::RowId W : T.Order)
+    Tasks += S.Within == pool::Adjacency::Worker ? Fits(W) / S.Tasks * S.Tasks
+                                                 : Fits(W);
+  return Tasks / S.Tasks * S.Tasks * S.SlotsPerTask;
+}
+
+void Meter::sampleFragmentation(const pool::Table &T, const Load &L,
+                                const std::set<std::size_t> &Waiting) {
+  const pool::Shape *Largest = nullptr;
+  for (std::size_t J : Waiting) {
+    const pool::Shape &S = L.Jobs[J].View.Shape;
+    if (S.Accelerators && (!Largest || S.totalSlots() > Largest->totalSlots()))
+      Largest = &S;
+  }
+  unsigned Free = 0;
+  for (pool::RowId W : T.Order)
+    Free += std::popcount(T.Rows[W].open() & T.Rows[W].Accelerated);
+  if (!Largest || !Free)
+    return;
+  Fragmentation.add(1 - static_cast<double>(usable(T, *Largest)) / Free);
+}
+
+} // namespace heathersaddle::bench
