Hand cells over to better placed daemons and remove those that are gone

The daemon that started first kept every cell, and entries of replaced hosts would delay each takeover. Cells now move to daemons of their own data centre one at a time, and the owner of the first cell removes daemons that refuse connections. Answers pushed during an outage are recorded by a later owner, and decisions that are voided again and again wait longer each time.

--- a/packages/control/include/heathersaddle/control/Node.h
+++ b/packages/control/include/heathersaddle/control/Node.h
@@ -96,9 +96,10 @@
   void tick(Now T);
   std::vector<Action> takeActions();
 
-  void onAppended(std::uint64_t Call, base::Expected<std::uint64_t> First,
-                  Now T);
-  void onRead(std::uint64_t Call, base::Expected<ReadResult> Result, Now T);
+  void onAppended(std::uint64_t Call,
+                  const base::Expected<std::uint64_t> &First, Now T);
+  void onRead(std::uint64_t Call, const base::Expected<ReadResult> &Result,
+              Now T);
   void onWorkerReply(std::uint64_t Call,
                      base::Expected<boost::json::value> Reply, Now T);
   void onPeerReply(std::uint64_t Call, base::Expected<boost::json::value> Reply,
--- a/packages/control/lib/CellDispatch.cpp
+++ b/packages/control/lib/CellDispatch.cpp
@@ -8,6 +8,11 @@
 
 namespace heathersaddle::control {
 
+namespace {
+/// Jobs looked at per tick; the others follow at the next tick.
+constexpr std::size_t AdvancedPerTick = 1'024;
+} // namespace
+
 void CellOwner::track(const state::Job &J, bool Own) {
   Track T;
   T.Attempt = J.Attempt;
@@ -40,7 +45,10 @@
 }
 
 void CellOwner::advanceDirty() {
-  for (const std::string &Id : std::exchange(Dirty, {})) {
+  std::set<std::string, std::less<>> Now;
+  while (!Dirty.empty() && Now.size() < AdvancedPerTick)
+    Now.insert(Dirty.extract(Dirty.begin()));
+  for (const std::string &Id : Now) {
     const state::Job *J = C.St.job(Id);
     if (!J || J->Cell != Name || !J->placed()) {
       Tracks.erase(Id);
@@ -58,10 +66,12 @@
 }
 
 void CellOwner::advance(const std::string &Id, const state::Job &J, Track &T) {
+  T.Steady = false;
   auto All = [&](auto Is) {
     return std::all_of(T.Tasks.begin(), T.Tasks.end(), Is);
   };
-  if (All([](const TaskTrack &X) { return X.What == Seen::Finished; })) {
+  auto Finished = [](const TaskTrack &X) { return X.What == Seen::Finished; };
+  if (All(Finished) || takePushedAnswer(J, T)) {
     finish(J, T);
     return;
   }
@@ -82,6 +92,9 @@
     advanceTask(J, T, I);
   if (!J.Started)
     commitStart(J, T);
+  T.Steady = J.Started && All([](const TaskTrack &X) {
+               return X.What == Seen::Running && !X.Waiting;
+             });
 }
 
 void CellOwner::commitStart(const state::Job &J, const Track &T) {
--- a/packages/control/lib/CellOutcomes.cpp
+++ b/packages/control/lib/CellOutcomes.cpp
@@ -107,6 +107,22 @@
   T.Concluded = record(std::move(E), J.Spec.Id);
 }
 
+bool CellOwner::takePushedAnswer(const state::Job &J, Track &T) {
+  const std::vector<std::string> *Parts =
+      PushedAnswer ? PushedAnswer(J) : nullptr;
+  if (!Parts || Parts->size() != T.Tasks.size() || T.AnswerPushed)
+    return false;
+  // Callers were told this answer during a log outage; it must become the
+  // recorded one even if the workers were lost since.
+  T.AnswerPushed = true;
+  for (std::size_t I = 0; I < Parts->size(); ++I) {
+    T.Tasks[I].What = Seen::Finished;
+    T.Tasks[I].Text = (*Parts)[I];
+    T.Tasks[I].Clean = false;
+  }
+  return true;
+}
+
 void CellOwner::cancelPending(const state::Job &J) {
   end(J, state::Outcome::Cancelled, "cancelled", J.EverStarted);
 }
--- a/packages/control/lib/CellOwner.cpp
+++ b/packages/control/lib/CellOwner.cpp
@@ -12,6 +12,8 @@
 constexpr base::Millis ReviewPeriod{500};
 constexpr base::Millis ReroutePeriod{2'000};
 constexpr base::Millis ForgetPeriod{60'000};
+constexpr base::Millis HoldFirst{100};
+constexpr base::Millis HoldMost{10'000};
 const std::string HeartbeatKey = "heartbeat";
 } // namespace
 
@@ -31,17 +33,13 @@
   if (Releasing || busy(Key))
     return false;
   bool Place = std::holds_alternative<state::Placed>(What);
+  if (auto It = Holds.find(Key);
+      It != Holds.end() && C.now() < It->second.Until)
+    return false;
   std::weak_ptr<CellOwner> Weak = weak_from_this();
-  auto Done = [Weak, Key, Place](const Fate &) {
-    auto Me = Weak.lock();
-    if (!Me)
-      return;
-    Me->Busy.erase(Key);
-    Me->PlacesOpen -= Place ? 1 : 0;
-    Me->DecideWanted = true;
-    Me->Dirty.insert(Key);
-    if (auto It = Me->Tracks.find(Key); It != Me->Tracks.end())
-      It->second.Concluded = false;
+  auto Done = [Weak, Key, Place](const Fate &F) {
+    if (auto Me = Weak.lock())
+      Me->onFate(Key, Place, F);
   };
   if (!Queue.push(std::move(What), std::move(Done)))
     return false;
@@ -50,6 +48,26 @@
   return true;
 }
 
+void CellOwner::onFate(const std::string &Key, bool Place, const Fate &F) {
+  Busy.erase(Key);
+  PlacesOpen -= Place ? 1 : 0;
+  DecideWanted = true;
+  Dirty.insert(Key);
+  if (auto It = Tracks.find(Key); It != Tracks.end())
+    It->second.Concluded = false;
+  if (F.Kind != FateKind::Voided) {
+    Holds.erase(Key);
+    return;
+  }
+  C.log(EventRecordVoided, Key + ": " + F.Verdict.Why.toString());
+  // State that has moved on voids a decision once; a decision that is voided
+  // again and again is wrong, and must not fill the log.
+  Hold &H = Holds[Key];
+  if (H.Voided > 0)
+    H.Until = C.now() + C.backoff(H.Voided, HoldFirst, HoldMost);
+  ++H.Voided;
+}
+
 void CellOwner::tick(bool Down) {
   LogDown = Down;
   if (Deposed || Released || !view())
@@ -61,8 +79,7 @@
   }
   if (C.now() >= SweepAt) {
     SweepAt = C.now() + SweepPeriod;
-    for (const auto &[Id, T] : Tracks)
-      Dirty.insert(Id);
+    sweep();
   }
   advanceDirty();
   if (!LogDown && !Releasing) {
@@ -73,6 +90,19 @@
   tickLinks();
 }
 
+void CellOwner::sweep() {
+  std::erase_if(Holds, [&](const auto &H) {
+    return C.now() > H.second.Until + HoldMost;
+  });
+  for (const auto &[Id, T] : Tracks)
+    if (!T.Steady)
+      Dirty.insert(Id);
+  for (const auto &[Worker, L] : Links)
+    if (!L->synced())
+      for (std::string &Id : view()->Pool.jobsOn(Worker))
+        Dirty.insert(std::move(Id));
+}
+
 void CellOwner::tickLinks() {
   for (auto &[Worker, Link] : Links)
     Link->tick(Link);
@@ -101,6 +131,13 @@
     feed(R.What, V);
 }
 
+bool CellOwner::calm() const {
+  return Busy.empty() &&
+         std::all_of(Links.begin(), Links.end(), [](const auto &L) {
+           return L.second->synced() || L.second->lost();
+         });
+}
+
 void CellOwner::release() {
   if (Releasing)
     return;
--- a/packages/control/lib/CellOwner.h
+++ b/packages/control/lib/CellOwner.h
@@ -30,11 +30,16 @@
   bool deposed() const { return Deposed; }
   /// Set when the log should be read at once.
   bool takeProbeWanted() { return std::exchange(ProbeWanted, false); }
+  /// No record is in flight and every worker of the pool is in sync.
+  bool calm() const;
   bool released() const { return Released; }
   policy::Explanation explain(std::string_view Job) const;
   /// Jobs that have finished as a whole while the log does not take records.
-  std::function<void(const state::Job &, std::vector<std::string> Parts)>
+  std::function<void(const state::Job &, const std::vector<std::string> &)>
       OnAnswer;
+  /// The answer that an earlier owner pushed for the present attempt, or null.
+  std::function<const std::vector<std::string> *(const state::Job &)>
+      PushedAnswer;
 
   void onEvent(const std::string &Worker, const WorkerEvent &E) override;
   void onResult(const std::string &Worker, const Command &Cmd, bool Ok,
@@ -54,9 +59,12 @@
   const state::Cell *view() const { return C.St.cell(Name); }
   state::Authority by() const { return {Name, Epoch}; }
   /// Queues a record about \p Key, which stays busy until its fate is known.
+  /// After it was voided, the next record about \p Key waits, longer each time.
   bool record(state::Body What, const std::string &Key);
+  void onFate(const std::string &Key, bool Place, const Fate &F);
   bool busy(std::string_view Key) const { return Busy.contains(Key); }
   void tickLinks();
+  void sweep();
   void heartbeat();
   WorkerLink *link(std::string_view Worker);
 
@@ -115,6 +123,7 @@
   void endAttempt(const state::Job &J, Track &T, bool Ran);
   void endStarted(const state::Job &J, Track &T);
   void cancelPending(const state::Job &J);
+  bool takePushedAnswer(const state::Job &J, Track &T);
 
   Core &C;
   AppendQueue &Queue;
@@ -132,6 +141,11 @@
   std::map<std::string, Track, std::less<>> Tracks;
   std::set<std::string, std::less<>> Dirty;
   std::set<std::string, std::less<>> Busy;
+  struct Hold {
+    unsigned Voided = 0; ///< In a row.
+    base::MonoTime Until{};
+  };
+  std::map<std::string, Hold, std::less<>> Holds;
   unsigned PlacesOpen = 0;
   bool DecideWanted = true;
   std::uint64_t Change = 0;
--- a/packages/control/lib/CellReports.cpp
+++ b/packages/control/lib/CellReports.cpp
@@ -8,10 +8,13 @@
 
 template <class F>
 void CellOwner::forTasksOn(const std::string &Worker, F Visit) {
-  for (auto &[Id, T] : Tracks) {
+  for (const std::string &Id : view()->Pool.jobsOn(Worker)) {
     const state::Job *J = C.St.job(Id);
-    if (!J || !J->placed() || J->Attempt != T.Attempt)
+    auto It = Tracks.find(Id);
+    if (!J || It == Tracks.end() || !J->placed() ||
+        J->Attempt != It->second.Attempt)
       continue;
+    Track &T = It->second;
     for (unsigned I = 0; I < T.Tasks.size(); ++I)
       if (J->Tasks[I].Worker == Worker)
         Visit(*J, T, I);
--- a/packages/control/lib/HostList.cpp
+++ b/packages/control/lib/HostList.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 constexpr int IdleFactor = 5;
-}
+} // namespace
 
 void HostList::tick(bool Owner) {
   if (Call != 0 || C.now() < NextAt)
--- /dev/null
+++ b/packages/control/lib/Members.cpp
@@ -0,0 +1,87 @@
+// Approach: the owner of the first cell pings every daemon now and then.
+// Entry hosts are replaced at any time under new names; entries of daemons
+// that are gone would delay every takeover by their rank, so they are removed.
+// A daemon that was removed by mistake joins again by itself.
+// Bounds: one ping per daemon and PingPeriod.
+#include "Members.h"
+
+namespace heathersaddle::control {
+
+namespace {
+constexpr base::Millis PingPeriod{10'000};
+/// Nothing listens at its address: the process is gone.
+constexpr base::Millis RefusedLimit{60'000};
+/// It does not answer at all: it may be on the far side of a partition.
+constexpr base::Millis SilentLimit{3'600'000};
+constexpr base::Millis ReadyFor{30'000};
+} // namespace
+
+void Members::tick(bool Responsible) {
+  if (!Responsible && !Curious)
+    return;
+  const auto &Daemons = C.St.daemons();
+  std::erase_if(Peers,
+                [&](const auto &P) { return !Daemons.contains(P.first); });
+  for (const auto &[Name, D] : Daemons) {
+    if (Name == C.S.Name)
+      continue;
+    Peer &P = Peers[Name];
+    if (!P.Pinging && C.now() >= P.PingAt)
+      ping(Name, D.Address);
+    if (Responsible)
+      removeIfGone(Name, P);
+  }
+}
+
+void Members::ping(const std::string &Name, const std::string &Address) {
+  Peer &P = Peers[Name];
+  P.Pinging = true;
+  P.PingAt = C.now() + PingPeriod;
+  C.callPeer(
+      Name, Address, "/v1/peer/ping", json::object(),
+      [this, Name](const base::Expected<json::value> &R) { onReply(Name, R); });
+}
+
+void Members::onReply(const std::string &Name,
+                      const base::Expected<json::value> &R) {
+  auto It = Peers.find(Name);
+  if (It == Peers.end())
+    return;
+  Peer &P = It->second;
+  P.Pinging = false;
+  P.Ready = false;
+  P.Refuses = !R && R.error().Code == base::ErrorCode::Unavailable;
+  if (!R) {
+    if (P.SilentSince == base::MonoTime{})
+      P.SilentSince = C.now();
+    return;
+  }
+  P.SilentSince = {};
+  P.AnsweredAt = C.now();
+  if (const json::object *O = R->if_object())
+    if (const json::value *V = O->if_contains("ready"))
+      P.Ready = V->is_bool() && V->as_bool();
+}
+
+void Members::removeIfGone(const std::string &Name, Peer &P) {
+  base::Millis Limit = P.Refuses ? RefusedLimit : SilentLimit;
+  if (P.Leaving || P.SilentSince == base::MonoTime{} ||
+      C.now() - P.SilentSince < Limit)
+    return;
+  // An owner is judged by its cell's records; see Ownership.
+  for (const auto &[Cell, View] : C.St.cells())
+    if (View.Owner == Name)
+      return;
+  P.Leaving = Queue.push(state::DaemonLeft{Name}, [this, Name](const Fate &) {
+    if (auto It = Peers.find(Name); It != Peers.end())
+      It->second.Leaving = false;
+  });
+}
+
+bool Members::ready(std::string_view Daemon) const {
+  auto It = Peers.find(Daemon);
+  return It != Peers.end() && It->second.Ready &&
+         C.now() - It->second.AnsweredAt < ReadyFor;
+}
+
+} // namespace heathersaddle::control
--- /dev/null
+++ b/packages/control/lib/Members.h
@@ -0,0 +1,43 @@
+#ifndef HEATHERSADDLE_CONTROL_MEMBERS_H
+#define HEATHERSADDLE_CONTROL_MEMBERS_H
+
+#include "AppendQueue.h"
+
+namespace heathersaddle::control {
+
+/// Watches the other daemons on behalf of all: removes those that are gone,
+/// and finds out who is ready to take a cell over.
+class Members {
+public:
+  Members(Core &C, AppendQueue &Queue) : C(C), Queue(Queue) {}
+
+  /// \p Responsible: this daemon removes daemons that are gone.
+  void tick(bool Responsible);
+  /// Whether \p Daemon said lately that it is ready.
+  bool ready(std::string_view Daemon) const;
+  /// Whether this daemon needs to know who is ready.
+  void setCurious(bool On) { Curious = On; }
+
+private:
+  struct Peer {
+    base::MonoTime PingAt{};
+    base::MonoTime AnsweredAt{};
+    base::MonoTime SilentSince{}; ///< Zero: it answered last.
+    bool Refuses = false;
+    bool Ready = false;
+    bool Pinging = false;
+    bool Leaving = false; ///< Its daemon_left record is in flight.
+  };
+  void ping(const std::string &Name, const std::string &Address);
+  void onReply(const std::string &Name, const base::Expected<json::value> &R);
+  void removeIfGone(const std::string &Name, Peer &P);
+
+  Core &C;
+  AppendQueue &Queue;
+  std::map<std::string, Peer, std::less<>> Peers;
+  bool Curious = false;
+};
+
+} // namespace heathersaddle::control
+
+#endif
--- a/packages/control/lib/Node.cpp
+++ b/packages/control/lib/Node.cpp
@@ -27,8 +27,11 @@
     Log.OnRestored = [this] { restored(); };
     Log.OnLogUp = [this] { Owners.onLogUp(); };
     Owners.OnAnswer = [this](const state::Job &J,
-                             std::vector<std::string> Parts) {
-      Callers.pushAnswer(J, std::move(Parts));
+                             const std::vector<std::string> &Parts) {
+      Callers.pushAnswer(J, Parts);
+    };
+    Owners.PushedAnswer = [this](const state::Job &J) {
+      return Callers.early(J);
     };
   }
 
@@ -155,15 +158,15 @@
 
 std::vector<Action> Node::takeActions() { return std::exchange(I->C.Out, {}); }
 
-void Node::onAppended(std::uint64_t Call, base::Expected<std::uint64_t> First,
-                      Now T) {
+void Node::onAppended(std::uint64_t Call,
+                      const base::Expected<std::uint64_t> &First, Now T) {
   I->C.T = T;
   I->Queue.onAppended(Call, First);
   I->Snapshots.onAppended(Call, First);
   I->proceed(T);
 }
 
-void Node::onRead(std::uint64_t Call, base::Expected<ReadResult> Result,
+void Node::onRead(std::uint64_t Call, const base::Expected<ReadResult> &Result,
                   Now T) {
   I->C.T = T;
   I->Log.onRead(Call, Result);
@@ -209,7 +212,7 @@
     Done(tl::unexpected(std::move(*Why)));
     return;
   }
-  I->Callers.submit(std::move(Request), std::move(Done));
+  I->Callers.submit(std::move(Request), Done);
   I->proceed(T);
 }
 
@@ -232,7 +235,7 @@
     Done(tl::unexpected(std::move(*Why)));
     return;
   }
-  I->Callers.cancel(Job, Account, std::move(Done));
+  I->Callers.cancel(Job, Account, Done);
   I->proceed(T);
 }
 
@@ -243,7 +246,7 @@
     Done(tl::unexpected(std::move(*Why)));
     return;
   }
-  I->Callers.publish(std::move(Change), std::move(Done));
+  I->Callers.publish(std::move(Change), Done);
   I->proceed(T);
 }
 
--- a/packages/control/lib/Ownership.cpp
+++ b/packages/control/lib/Ownership.cpp
@@ -12,6 +12,10 @@
 namespace {
 constexpr unsigned MaxTried = 4;
 constexpr base::Millis RetryPeriod{2'000};
+constexpr base::Millis HandOverCheck{5'000};
+/// Time between two hand-overs of a daemon: a new owner needs some seconds to
+/// sync all workers.
+constexpr base::Millis HandOverPeriod{60'000};
 /// A log that was last read longer ago than this is read again before an
 /// owner's silence is believed.
 constexpr base::Millis FreshRead{1'000};
@@ -59,16 +63,66 @@
       ++It;
     }
   }
-  if (!LogDown && !Stopping)
-    watchCells();
+  if (LogDown || Stopping)
+    return;
+  watchCells();
+  const auto &Cells = C.St.cells();
+  Others.tick(!Cells.empty() && owned(Cells.begin()->first));
+  handOver();
+}
+
+std::map<std::string_view, unsigned> Ownership::load() const {
+  std::map<std::string_view, unsigned> Load;
+  for (const auto &[Name, View] : C.St.cells())
+    ++Load[View.Owner];
+  return Load;
+}
+
+// The daemon that starts first finds every cell without an owner and takes
+// them all. Cells go to daemons of their own data centre, and otherwise to
+// those with fewer cells, one at a time; the order is strict, so none goes
+// back and forth.
+std::string Ownership::betterOwner(const std::string &Cell) const {
+  auto Load = load();
+  unsigned Mine = Load[C.S.Name];
+  std::string Best;
+  std::tuple BestKey(C.S.DataCentre != Cell, Mine - 1);
+  for (const auto &[Name, D] : C.St.daemons()) {
+    std::tuple Key(D.DataCentre != Cell, Load[Name]);
+    if (Name != C.S.Name && Key < BestKey) {
+      Best = Name;
+      BestKey = Key;
+    }
+  }
+  return Best;
+}
+
+void Ownership::handOver() {
+  if (C.now() < HandOverAt)
+    return;
+  HandOverAt = C.now() + HandOverCheck;
+  bool Curious = false;
+  for (auto &[Cell, O] : Owners) {
+    std::string Better = betterOwner(Cell);
+    if (Better.empty())
+      continue;
+    Curious = true;
+    if (!Others.ready(Better) || !O->calm())
+      continue;
+    O->release();
+    HandOverAt = C.now() + HandOverPeriod;
+    break;
+  }
+  Others.setCurious(Curious);
 }
 
 void Ownership::watchCells() {
   for (const auto &[Cell, View] : C.St.cells())
     Watches.try_emplace(Cell, Watch{.LastSign = C.now()});
-  for (const auto &[Name, H] : Hosts.hosts())
-    if (!H.DataCentre.empty())
-      Watches.try_emplace(H.DataCentre, Watch{.LastSign = C.now()});
+  if (std::exchange(HostsSeen, Hosts.generation()) != Hosts.generation())
+    for (const auto &[Name, H] : Hosts.hosts())
+      if (!H.DataCentre.empty())
+        Watches.try_emplace(H.DataCentre, Watch{.LastSign = C.now()});
   for (auto &[Cell, W] : Watches)
     if (!owned(Cell))
       review(Cell, W);
@@ -103,9 +157,7 @@
 }
 
 unsigned Ownership::rank(std::string_view Cell, std::string_view Owner) const {
-  std::map<std::string_view, unsigned> Load;
-  for (const auto &[Name, View] : C.St.cells())
-    ++Load[View.Owner];
+  auto Load = load();
   auto Key = [&](std::string_view Name, const state::Daemon &D) {
     return std::tuple(D.DataCentre != Cell, Load[Name], Name);
   };
@@ -231,6 +283,7 @@
   auto O =
       std::make_shared<CellOwner>(C, Queue, Hosts, Taken->Cell, View->Epoch);
   O->OnAnswer = OnAnswer;
+  O->PushedAnswer = PushedAnswer;
   Owners.insert_or_assign(Taken->Cell, O);
   O->begin();
   C.log(EventClaimed, "owner of cell " + Taken->Cell + " in epoch " +
--- a/packages/control/lib/Ownership.h
+++ b/packages/control/lib/Ownership.h
@@ -2,6 +2,7 @@
 #define HEATHERSADDLE_CONTROL_OWNERSHIP_H
 
 #include "CellOwner.h"
+#include "Members.h"
 #include "Tail.h"
 
 namespace heathersaddle::control {
@@ -10,11 +11,13 @@
 class Ownership {
 public:
   Ownership(Core &C, AppendQueue &Queue, HostList &Hosts, Tail &T)
-      : C(C), Queue(Queue), Hosts(Hosts), Log(T) {}
+      : C(C), Queue(Queue), Hosts(Hosts), Log(T), Others(C, Queue) {}
 
   using AnswerHandler =
-      std::function<void(const state::Job &, std::vector<std::string>)>;
+      std::function<void(const state::Job &, const std::vector<std::string> &)>;
   AnswerHandler OnAnswer;
+  std::function<const std::vector<std::string> *(const state::Job &)>
+      PushedAnswer;
 
   void tick(bool LogDown, bool Stopping);
   void onApplied(const state::Record &R, const state::Verdict &V);
@@ -41,6 +44,9 @@
   };
 
   void watchCells();
+  void handOver();
+  std::string betterOwner(const std::string &Cell) const;
+  std::map<std::string_view, unsigned> load() const;
   void review(const std::string &Cell, Watch &W);
   bool due(const std::string &Cell, const state::Cell *View, const Watch &W);
   unsigned rank(std::string_view Cell, std::string_view Owner) const;
@@ -55,6 +61,9 @@
   AppendQueue &Queue;
   HostList &Hosts;
   Tail &Log;
+  Members Others;
+  std::uint64_t HostsSeen = 0;
+  base::MonoTime HandOverAt{};
   std::map<std::string, Watch, std::less<>> Watches;
   std::map<std::string, std::shared_ptr<CellOwner>, std::less<>> Owners;
 };
--- a/packages/control/lib/Requests.cpp
+++ b/packages/control/lib/Requests.cpp
@@ -38,7 +38,8 @@
 }
 } // namespace
 
-void Requests::submit(SubmitRequest Request, Completion<SubmitResult> Done) {
+void Requests::submit(SubmitRequest Request,
+                      const Completion<SubmitResult> &Done) {
   state::JobSpec &Spec = Request.Spec;
   Spec.AcceptedMs = C.T.Wall;
   Spec.Id = Request.Key.empty() ? freshJobId(C.S.Incarnation, ++Counter)
@@ -47,6 +48,10 @@
     onAccepted(Spec, {FateKind::Voided, 0, {}}, Done);
     return;
   }
+  if (auto Why = refusal(Spec)) {
+    Done(tl::unexpected(std::move(*Why)));
+    return;
+  }
   std::string Cell = chooseCell(C.St, Spec);
   if (Cell.empty()) {
     Done(base::makeError(base::ErrorCode::Unavailable, "submit",
@@ -65,6 +70,20 @@
   }
 }
 
+std::optional<base::Error> Requests::refusal(const state::JobSpec &Spec) const {
+  // The state decides at the record's place; this spares the log the records
+  // that would certainly be voided.
+  const state::Plan *Terms = C.St.terms(Spec.Account);
+  if (!Terms || C.St.departed(Spec.Account))
+    return base::Error{base::ErrorCode::PermissionDenied, "submit", "",
+                       "the account may submit nothing", "account"};
+  if (C.St.liveJobs(Spec.Account) >= Terms->MaxJobs)
+    return base::Error{base::ErrorCode::ResourceExhausted, "submit", "",
+                       "the account has as many live jobs as its plan allows",
+                       "max_jobs"};
+  return std::nullopt;
+}
+
 void Requests::onAccepted(const state::JobSpec &Spec, const Fate &F,
                           const Completion<SubmitResult> &Done) const {
   if (F.Kind == FateKind::Applied) {
@@ -98,6 +117,13 @@
   return A;
 }
 
+const std::vector<std::string> *Requests::early(const state::Job &J) const {
+  auto It = Early.find(J.Spec.Id);
+  return It != Early.end() && It->second.Attempt == J.Attempt
+             ? &It->second.Parts
+             : nullptr;
+}
+
 bool Requests::ended(std::string_view Job) const {
   const state::Job *J = C.St.job(Job);
   return !J || !J->live() || Early.contains(Job);
@@ -128,8 +154,8 @@
   ByJob.emplace(std::string(Job), std::prev(Waiters.end()));
 }
 
-void Requests::complete(std::vector<Waiter> Ready) {
-  for (Waiter &W : Ready)
+void Requests::complete(const std::vector<Waiter> &Ready) {
+  for (const Waiter &W : Ready)
     W.Done(status(W.Job, W.Account));
 }
 
@@ -144,7 +170,7 @@
     Waiters.erase(It->second);
     It = ByJob.erase(It);
   }
-  complete(std::move(Ready));
+  complete(Ready);
 }
 
 void Requests::onJobChanged(std::string_view Job) {
@@ -160,7 +186,7 @@
     Ready.push_back(std::move(*It->second));
     Waiters.erase(It->second);
   }
-  complete(std::move(Ready));
+  complete(Ready);
 }
 
 void Requests::onRestored() {
@@ -178,11 +204,11 @@
   std::vector<Waiter> Ready(std::make_move_iterator(Waiters.begin()),
                             std::make_move_iterator(Waiters.end()));
   Waiters.clear();
-  complete(std::move(Ready));
+  complete(Ready);
 }
 
 void Requests::cancel(std::string_view Job, std::string_view Account,
-                      Completion<JobAnswer> Done) {
+                      const Completion<JobAnswer> &Done) {
   auto Now = status(Job, Account);
   if (!Now || Now->Status == state::JobStatus::Ended) {
     Done(std::move(Now));
@@ -207,7 +233,7 @@
 }
 
 void Requests::publish(state::ListChange Change,
-                       Completion<state::ListVerdict> Done) {
+                       const Completion<state::ListVerdict> &Done) {
   ++Open;
   auto OnFate = [this, Kind = Change.Kind, Base = Change.Base,
                  Done](const Fate &F) {
@@ -232,7 +258,8 @@
   }
 }
 
-void Requests::pushAnswer(const state::Job &J, std::vector<std::string> Parts) {
+void Requests::pushAnswer(const state::Job &J,
+                          const std::vector<std::string> &Parts) {
   const state::Cell *Cell = C.St.cell(J.Cell);
   json::array List;
   for (const std::string &P : Parts)
@@ -269,7 +296,7 @@
   if (Early.size() >= MaxEarly)
     return base::makeError(base::ErrorCode::Unavailable, "peer answers",
                            "too many pushed answers are kept");
-  EarlyAnswer A{{}, Epoch};
+  EarlyAnswer A{{}, Attempt};
   for (const json::value &P : *Parts)
     A.Parts.emplace_back(P.is_string() ? std::string(P.as_string()) : "");
   Early.insert_or_assign(Job, std::move(A));
--- a/packages/control/lib/Requests.h
+++ b/packages/control/lib/Requests.h
@@ -3,6 +3,7 @@
 
 #include "AppendQueue.h"
 #include <list>
+#include <optional>
 
 namespace heathersaddle::control {
 
@@ -11,14 +12,15 @@
 public:
   Requests(Core &C, AppendQueue &Queue) : C(C), Queue(Queue) {}
 
-  void submit(SubmitRequest Request, Completion<SubmitResult> Done);
+  void submit(SubmitRequest Request, const Completion<SubmitResult> &Done);
   void wait(std::string_view Job, std::string_view Account,
             base::Millis MaxWait, Completion<JobAnswer> Done);
   base::Expected<JobAnswer> status(std::string_view Job,
                                    std::string_view Account) const;
   void cancel(std::string_view Job, std::string_view Account,
-              Completion<JobAnswer> Done);
-  void publish(state::ListChange Change, Completion<state::ListVerdict> Done);
+              const Completion<JobAnswer> &Done);
+  void publish(state::ListChange Change,
+               const Completion<state::ListVerdict> &Done);
 
   /// Completes waiters whose time is over.
   void tick();
@@ -31,8 +33,10 @@
 
   /// Sends an answer that the log cannot take now to all peers, and serves it
   /// here.
-  void pushAnswer(const state::Job &J, std::vector<std::string> Parts);
+  void pushAnswer(const state::Job &J, const std::vector<std::string> &Parts);
   base::Expected<json::value> onPushedAnswer(const json::value &Body);
+  /// The parts of a pushed answer to this attempt, or null.
+  const std::vector<std::string> *early(const state::Job &J) const;
 
 private:
   struct Waiter {
@@ -43,11 +47,12 @@
   };
   struct EarlyAnswer {
     std::vector<std::string> Parts;
-    std::uint64_t Epoch = 0;
+    unsigned Attempt = 0;
   };
+  std::optional<base::Error> refusal(const state::JobSpec &Spec) const;
   void onAccepted(const state::JobSpec &Spec, const Fate &F,
                   const Completion<SubmitResult> &Done) const;
-  void complete(std::vector<Waiter> Ready);
+  void complete(const std::vector<Waiter> &Ready);
   JobAnswer answer(const state::Job &J) const;
   bool ended(std::string_view Job) const;
 
--- a/packages/control/lib/Track.h
+++ b/packages/control/lib/Track.h
@@ -44,6 +44,7 @@
   unsigned Attempt = 0;
   bool Doomed = false;    ///< The attempt cannot succeed; stop all of it.
   bool Invalid = false;   ///< A worker rejected the task as malformed.
+  bool Steady = false;    ///< All tasks run and nothing is to be done.
   bool Concluded = false; ///< The record that ends the attempt is in flight.
   bool AnswerPushed = false;
   std::string Reason;
--- a/packages/control/lib/WorkerLink.cpp
+++ b/packages/control/lib/WorkerLink.cpp
@@ -19,6 +19,8 @@
 constexpr base::Millis PollGapMost{5'000};
 /// Unreachable for this long, a worker gets no new work.
 constexpr base::Millis LostAfter{10'000};
+/// Least time between two lists, so that a long stop does not become a loop.
+constexpr base::Millis ListGap{500};
 /// Allowance for clocks that run at different speeds, in percent.
 constexpr int DriftPercent = 1;
 } // namespace
@@ -39,7 +41,7 @@
       greet(Me);
     return;
   }
-  if (!ListOut && (!Synced || ListWanted))
+  if (!ListOut && (!Synced || (ListWanted && C.now() >= ListAt)))
     list(Me);
   if (!Synced)
     return;
@@ -70,7 +72,7 @@
   json::object Body = header();
   Body["commands"] = json::array();
   C.callWorker(Worker, Address, "/v1/commands", std::move(Body), C.S.CallLimit,
-               [Me, R = Round](base::Expected<json::value> Reply) {
+               [Me, R = Round](const base::Expected<json::value> &Reply) {
                  auto Link = Me.lock();
                  if (Link && Link->Round == R)
                    Link->onGreeted(Reply);
@@ -86,16 +88,18 @@
 void WorkerLink::list(const Self &Me) {
   ListOut = true;
   ListWanted = false;
+  ListAt = C.now() + ListGap;
   std::uint64_t Since = L.nextChange();
-  C.callWorker(Worker, Address, "/v1/sync", syncBody(base::Millis(0), true),
-               C.S.CallLimit,
-               [Me, Since, R = Round](base::Expected<json::value> Reply) {
-                 auto Link = Me.lock();
-                 if (!Link || Link->Round != R)
-                   return;
-                 Link->ListOut = false;
-                 Link->onSync(Reply, true, Since);
-               });
+  C.callWorker(
+      Worker, Address, "/v1/sync", syncBody(base::Millis(0), true),
+      C.S.CallLimit,
+      [Me, Since, R = Round](const base::Expected<json::value> &Reply) {
+        auto Link = Me.lock();
+        if (!Link || Link->Round != R)
+          return;
+        Link->ListOut = false;
+        Link->onSync(Reply, true, Since);
+      });
 }
 
 void WorkerLink::poll(const Self &Me) {
@@ -103,7 +107,7 @@
   base::Millis Wait = Unsettled.empty() ? C.S.SyncWait : base::Millis(0);
   C.callWorker(Worker, Address, "/v1/sync", syncBody(Wait, false),
                Wait + C.S.CallLimit,
-               [Me, R = Round](base::Expected<json::value> Reply) {
+               [Me, R = Round](const base::Expected<json::value> &Reply) {
                  auto Link = Me.lock();
                  if (!Link || Link->Round != R)
                    return;
@@ -124,7 +128,7 @@
     List.push_back(std::move(Cmd.Body));
   Body["commands"] = std::move(List);
   C.callWorker(Worker, Address, "/v1/commands", std::move(Body), C.S.CallLimit,
-               [Me, R = Round](base::Expected<json::value> Reply) {
+               [Me, R = Round](const base::Expected<json::value> &Reply) {
                  auto Link = Me.lock();
                  if (Link && Link->Round == R)
                    Link->onDelivered(Reply);
--- a/packages/control/lib/WorkerLink.h
+++ b/packages/control/lib/WorkerLink.h
@@ -124,6 +124,7 @@
   std::deque<WorkerEvent> Unsettled;
   base::MonoTime RetryAt{};
   base::MonoTime PollAt{};
+  base::MonoTime ListAt{};
   base::MonoTime FailingSince{};
   base::Millis PollGap{};
   unsigned Failures = 0;
--- a/packages/control/lib/WorkerWire.cpp
+++ b/packages/control/lib/WorkerWire.cpp
@@ -4,13 +4,15 @@
 #include "WorkerWire.h"
 #include "heathersaddle/base/Json.h"
 #include "heathersaddle/pool/Shape.h"
-#include "heathersaddle/state/State.h"
 
 namespace heathersaddle::control {
 
 namespace {
 constexpr std::size_t MaxItems = 4'096;
 constexpr std::size_t MaxName = 256;
+/// Above state::MaxAnswerBytes: an answer that is too large must still be seen,
+/// because it ends its job.
+constexpr std::size_t MaxText = 64 * 1024 * 1024;
 
 const json::array *list(const json::object &Reply, std::string_view Field) {
   const json::value *V = Reply.if_contains(Field);
@@ -29,7 +31,7 @@
                         std::initializer_list<std::string_view> Fields) {
   for (std::string_view F : Fields)
     if (R.find(F))
-      return R.string(F, "", state::MaxAnswerBytes);
+      return R.string(F, "", MaxText);
   return {};
 }
 } // namespace
--- a/packages/control/tests/JobStoryTest.cpp
+++ b/packages/control/tests/JobStoryTest.cpp
@@ -127,6 +127,7 @@
   Hosts[0].Leaving = true;
   run(5'000);
   std::vector<std::string> Ids;
+  Ids.reserve(24);
   for (int I = 0; I < 24; ++I)
     Ids.push_back(submit(owner(), 1, true, "ok:100"));
   run(5'000);
--- a/packages/control/tests/OutageStoryTest.cpp
+++ b/packages/control/tests/OutageStoryTest.cpp
@@ -190,3 +190,32 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Daemons)
+
+// Guards against one daemon that keeps every cell because it came first.
+BOOST_AUTO_TEST_CASE(TakeTheCellsOfTheirOwnDataCentre) {
+  World W;
+  W.addWorker("n1", "north", "r1");
+  W.addWorker("s1", "south", "r2");
+  Node &North = W.addDaemon("d1", "north");
+  BOOST_REQUIRE(
+      W.runUntil([&] { return North.ownedCells().size() == 2; }, 20'000));
+  Node &South = W.addDaemon("d2", "south");
+  BOOST_REQUIRE(W.runUntil(
+      [&] { return South.ownedCells() == std::vector<std::string>{"south"}; },
+      120'000));
+  std::uint64_t Epoch = North.state().cell("south")->Epoch;
+  W.run(600'000);
+  BOOST_TEST(North.ownedCells() == std::vector<std::string>{"north"});
+  BOOST_TEST(North.state().cell("south")->Epoch == Epoch);
+}
+
+// Guards against entries of replaced hosts that delay every takeover.
+BOOST_FIXTURE_TEST_CASE(ThatAreGoneAreRemoved, TwoDaemons) {
+  Daemons[Other].Alive = false;
+  BOOST_TEST(runUntil(
+      [&] { return !owner().state().daemons().contains(Other); }, 120'000));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
