Test the whole daemon and serve the burn report

GET /v1/report/burn serves package report's figures. A sync without a wait no longer queues behind the long poll of the same worker.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -20,6 +20,20 @@
     {event::CallerRejected, "caller_rejected", Debug},
     {event::OperatorPublished, "operator_published", Info},
     {event::PeerRejected, "peer_rejected", Warning},
+    // Package control, which numbers its events itself.
+    {300, "state_recovered", Info},
+    {301, "log_trimmed", Warning},
+    {302, "log_down", Warning},
+    {303, "log_up", Info},
+    {304, "cell_claimed", Info},
+    {305, "cell_deposed", Warning},
+    {306, "cell_released", Info},
+    {307, "worker_lost", Warning},
+    {308, "worker_back", Info},
+    {309, "worker_restarted", Warning},
+    {310, "record_voided", Warning},
+    {311, "snapshot_written", Info},
+    {312, "snapshot_invalid", Error},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/daemon/lib/Adapters.cpp
+++ b/packages/daemon/lib/Adapters.cpp
@@ -65,13 +65,23 @@
   });
 }
 
+/// Whether the worker may hold the request; a sync without a wait answers at
+/// once and must not queue behind one that waits.
+static bool isLongPoll(const control::WorkerAction &A) {
+  const boost::json::object *Body = A.Body.if_object();
+  const boost::json::value *Wait =
+      Body ? Body->if_contains("wait_ms") : nullptr;
+  return A.Path == "/v1/sync" && Wait && Wait->is_int64() &&
+         Wait->get_int64() > 0;
+}
+
 void Adapters::run(const control::WorkerAction &A) {
   net::ClientRequest R;
   R.Method = "POST";
   R.Target = A.Path;
   R.Body = boost::json::serialize(A.Body);
   R.TimeLimit = A.TimeLimit;
-  net::HttpClient &Client = A.Path == "/v1/sync" ? Syncs : Commands;
+  net::HttpClient &Client = isLongPoll(A) ? Syncs : Commands;
   Client.send(A.Address, std::move(R),
               [this, Call = A.Call, Worker = A.Worker](const auto &Got) {
                 ToNode(
--- a/packages/daemon/lib/Api.cpp
+++ b/packages/daemon/lib/Api.cpp
@@ -17,6 +17,8 @@
     {"POST", "/v1/jobs/*/cancel", Access::Account, &Api::cancel, true, false},
     {"GET", "/v1/jobs/*/explain", Access::Account, &Api::explain, true, false},
     {"GET", "/v1/pool", Access::AccountOrOperator, &Api::pool, true, false},
+    {"GET", "/v1/report/burn", Access::AccountOrOperator, &Api::burn, true,
+     false},
     {"GET", "/v1/lists/history", Access::Operator, &Api::history, true, false},
     {"GET", "/v1/lists/*", Access::Operator, &Api::readList, true, false},
     {"POST", "/v1/lists/*", Access::Operator, &Api::publish, true, false},
@@ -171,6 +173,10 @@
   auto Taken = Owner->Settings.Clock() - Begun;
   Owner->Counters.add("heathersaddle_request_seconds_total", Where,
                       static_cast<double>(Taken.count()) / 1000.0);
+  if (To && To->Who != Access::Anyone && To->Who != Access::Peer) {
+    std::lock_guard Lock(Owner->StatsMutex);
+    Owner->Stats.record(static_cast<double>(Taken.count()), R.Status);
+  }
   if (To && To->Who == Access::Peer) {
     Owner->PeerIn += Request.WireBytes;
     Owner->PeerOut += R.Body.size();
--- a/packages/daemon/lib/Api.h
+++ b/packages/daemon/lib/Api.h
@@ -5,6 +5,7 @@
 #include "Operations.h"
 #include "RateLimiter.h"
 #include "heathersaddle/net/Message.h"
+#include "heathersaddle/report/RequestStats.h"
 #include <atomic>
 #include <functional>
 #include <optional>
@@ -61,6 +62,7 @@
   void cancel(const std::shared_ptr<Call> &C);
   void explain(const std::shared_ptr<Call> &C);
   void pool(const std::shared_ptr<Call> &C);
+  void burn(const std::shared_ptr<Call> &C);
   void readList(const std::shared_ptr<Call> &C);
   void publish(const std::shared_ptr<Call> &C);
   void history(const std::shared_ptr<Call> &C);
@@ -73,6 +75,8 @@
   Operations Ops;
   Metrics &Counters;
   RateLimiter Rates;
+  std::mutex StatsMutex; ///< Guards Stats.
+  report::RequestStats Stats;
   std::atomic<bool> Stopping{false};
   std::atomic<int> InProgress{0};
   std::atomic<std::uint64_t> PeerIn{0};
--- a/packages/daemon/lib/ApiPool.cpp
+++ b/packages/daemon/lib/ApiPool.cpp
@@ -11,6 +11,19 @@
   Ops.Pool(C->Account, answerWith(C));
 }
 
+void Api::burn(const std::shared_ptr<Call> &C) {
+  Ops.Burn(C->Account, [C](const base::Expected<report::BurnReport> &Result) {
+    if (!Result)
+      return C->fail(Result.error());
+    report::BurnReport Report = *Result;
+    if (C->IsOperator) {
+      std::lock_guard Lock(C->Owner->StatsMutex);
+      Report.Requests = C->Owner->Stats.figures();
+    }
+    C->sendJson(200, report::toJson(Report));
+  });
+}
+
 static std::optional<state::ListKind> kindOf(std::string_view Name) {
   if (Name == "customers")
     return state::ListKind::Customers;
--- a/packages/daemon/lib/Driver.cpp
+++ b/packages/daemon/lib/Driver.cpp
@@ -17,7 +17,7 @@
 static constexpr base::Millis TickPeriod{40};
 
 Driver::Driver(const Settings &S, net::Executor &Traffic, Metrics &Counters)
-    : Traffic(Traffic), Counters(Counters), Node(S.Node),
+    : Traffic(Traffic), Counters(Counters), Name(S.Node.Name), Node(S.Node),
       Outside(S, Traffic, [this](auto Work) { onNode(std::move(Work)); }) {}
 
 Driver::~Driver() { halt(); }
@@ -266,6 +266,12 @@
       Encode(viewPool(N.state(), Account));
     });
   };
+  Ops.Burn = [this](const std::string &Account, Done<report::BurnReport> Next) {
+    onNode([this, Account, Next = onTraffic(std::move(Next))](control::Node &N,
+                                                              Now) {
+      Next(report::buildReport(N.state(), Name, Account));
+    });
+  };
   Ops.ReadList = [this](state::ListKind Kind, const JsonDone &Next) {
     auto Send = [this, Next](const auto &List, std::uint64_t Version) {
       Traffic.post([Next, List, Version] {
--- a/packages/daemon/lib/Driver.h
+++ b/packages/daemon/lib/Driver.h
@@ -57,6 +57,7 @@
   net::Executor &Traffic;
   Metrics &Counters;
   net::Executor Control{1};
+  std::string Name;
   control::Node Node;
   Adapters Outside;
   std::map<std::uint64_t, Waiter> Waiters;
--- a/packages/daemon/lib/Operations.h
+++ b/packages/daemon/lib/Operations.h
@@ -2,6 +2,7 @@
 #define HEATHERSADDLE_DAEMON_OPERATIONS_H
 
 #include "heathersaddle/control/Node.h"
+#include "heathersaddle/report/BurnReport.h"
 #include <boost/json/value.hpp>
 #include <functional>
 #include <memory>
@@ -51,6 +52,8 @@
   std::function<void(std::string Job, std::string Account, JsonDone)> Explain;
   /// The pool as \p Account sees it, or as operators do when it is empty.
   std::function<void(std::string Account, JsonDone)> Pool;
+  /// The service-level report over \p Account, or over all when it is empty.
+  std::function<void(std::string Account, Done<report::BurnReport>)> Burn;
   std::function<void(state::ListKind, JsonDone)> ReadList;
   std::function<void(state::ListKind, std::uint64_t Base,
                      boost::json::value List, Done<PublishReply>)>
--- /dev/null
+++ b/packages/daemon/tests/DaemonTest.cpp
@@ -0,0 +1,188 @@
+#include "heathersaddle/daemon/Daemon.h"
+#include "LogStandIn.h"
+#include "heathersaddle/base/Hash.h"
+#include "heathersaddle/net/HttpClient.h"
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+using namespace heathersaddle;
+using namespace heathersaddle::daemon;
+using test::LogStandIn;
+
+namespace {
+
+constexpr const char *Job = R"({"shape":{},"kind":"render"})";
+
+/// A whole daemon in this process, over real sockets.
+struct Running {
+  explicit Running(LogStandIn &Log, const std::string &Name = "entry1") {
+    Settings S;
+    S.ListenPort = 0;
+    S.LogAddress = Log.Address;
+    S.OperatorTokenSha256 = base::sha256Hex("operator");
+    S.PeerKey = "0123456789abcdef";
+    S.DrainDelay = {};
+    S.Node.Name = Name;
+    S.Node.DataCentre = "dc1";
+    S.Node.ReadWait = base::Millis(1'000);
+    D.emplace(S);
+    Address = "127.0.0.1:" + std::to_string(D->start().value());
+    while (get("/readyz", "").Status != 200)
+      ;
+    while (get("/v1/pool", "operator").Body.find("\"owner\":\"" + Name) ==
+           std::string::npos)
+      ;
+  }
+  net::ClientResponse send(net::ClientRequest R, const std::string &Token) {
+    if (!Token.empty())
+      R.Headers["Authorization"] = "Bearer " + Token;
+    R.TimeLimit = std::chrono::milliseconds(60'000);
+    net::BlockingClient Client;
+    auto Got = Client.send(Address, std::move(R));
+    BOOST_REQUIRE_MESSAGE(Got, (Got ? "" : Got.error().toString()));
+    return *Got;
+  }
+  net::ClientResponse get(const std::string &Target, const std::string &Token) {
+    return send({.Target = Target}, Token);
+  }
+  net::ClientResponse post(const std::string &Target, const std::string &Token,
+                           const std::string &Body,
+                           const std::string &Key = "") {
+    net::ClientRequest R{.Method = "POST", .Target = Target, .Body = Body};
+    if (!Key.empty())
+      R.Headers["Idempotency-Key"] = Key;
+    return send(std::move(R), Token);
+  }
+  /// Publishes one plan without a guarantee and two accounts with it.
+  void addAccounts() {
+    auto Plans = post("/v1/lists/plans", "operator",
+                      R"({"base":0,"plans":[{"name":"basic"}]})");
+    BOOST_REQUIRE_MESSAGE(Plans.Status == 200, Plans.Body);
+    std::string List;
+    for (const char *Name : {"maison-a", "maison-b"})
+      List += std::string(List.empty() ? "" : ",") + R"({"account":")" + Name +
+              R"(","plan":"basic","token_sha256":")" +
+              base::sha256Hex(std::string(Name) + "-token") + "\"}";
+    auto Customers = post("/v1/lists/customers", "operator",
+                          R"({"base":0,"customers":[)" + List + "]}");
+    BOOST_REQUIRE_MESSAGE(Customers.Status == 200, Customers.Body);
+  }
+  std::string submit(const std::string &Key) {
+    auto R = post("/v1/jobs", "maison-a-token", Job, Key);
+    BOOST_REQUIRE_MESSAGE(R.Status == 202, R.Body);
+    auto Value = base::parseJson(R.Body, "test");
+    return std::string(Value->at("job").as_string());
+  }
+
+  std::optional<Daemon> D;
+  std::string Address;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(WholeDaemon)
+
+// Guards against accounts that see each other's jobs through the real state.
+BOOST_AUTO_TEST_CASE(KeepsAccountsApart) {
+  LogStandIn Log;
+  Running S(Log);
+  S.addAccounts();
+  std::string Id = S.submit("k1");
+  BOOST_TEST(S.submit("k1") == Id);
+  BOOST_TEST(S.post("/v1/jobs", "maison-a-token",
+                    R"({"shape":{},"kind":"other"})", "k1")
+                 .Status == 409u);
+  auto Own = S.get("/v1/jobs/" + Id, "maison-a-token");
+  BOOST_TEST(Own.Status == 200u);
+  for (const char *Path : {"", "/explain"}) {
+    auto Foreign = S.get("/v1/jobs/" + Id + Path, "maison-b-token");
+    auto Unknown = S.get(std::string("/v1/jobs/none") + Path, "maison-b-token");
+    BOOST_TEST(Foreign.Status == 404u);
+    BOOST_TEST(Foreign.Body == Unknown.Body);
+  }
+  BOOST_TEST(
+      S.post("/v1/jobs/" + Id + "/cancel", "maison-b-token", "").Status ==
+      404u);
+  auto Pool = S.get("/v1/pool", "maison-b-token");
+  BOOST_TEST(Pool.Status == 200u);
+  BOOST_TEST(Pool.Body.find("maison-a") == std::string::npos);
+}
+
+// Guards against two operators who both believe their version is in force.
+BOOST_AUTO_TEST_CASE(DecidesBetweenListVersions) {
+  LogStandIn Log;
+  Running S(Log);
+  S.addAccounts();
+  auto Lost = S.post("/v1/lists/plans", "operator",
+                     R"({"base":0,"plans":[{"name":"other"}]})");
+  BOOST_TEST(Lost.Status == 409u);
+  BOOST_TEST(Lost.Body.find(R"("version":1)") != std::string::npos, Lost.Body);
+  auto Invalid = S.post("/v1/lists/plans", "operator",
+                        R"({"base":1,"plans":[]})"); // Accounts use it.
+  BOOST_TEST(Invalid.Status == 409u);
+  auto Plans = S.get("/v1/lists/plans", "operator");
+  BOOST_TEST(Plans.Body.find("basic") != std::string::npos);
+  BOOST_TEST(S.get("/v1/lists/history", "operator").Status == 200u);
+}
+
+// Guards against metrics that are declared but never set.
+BOOST_AUTO_TEST_CASE(CountsControlTraffic) {
+  LogStandIn Log;
+  Running S(Log);
+  std::string Text = S.get("/metrics", "").Body;
+  for (const char *Start :
+       {"heathersaddle_control_bytes_total{kind=\"log\",direction=\"in\"} ",
+        "heathersaddle_control_bytes_total{kind=\"log\",direction=\"out\"} ",
+        "heathersaddle_process_cpu_seconds_total ",
+        "heathersaddle_control_cpu_seconds_total ",
+        "heathersaddle_process_resident_bytes ",
+        "heathersaddle_caller_bytes_total{direction=\"in\"} "}) {
+    std::size_t At = Text.find("\n" + std::string(Start));
+    BOOST_REQUIRE_MESSAGE(At != std::string::npos, Start);
+    BOOST_TEST(std::stod(Text.substr(At + 1 + std::string(Start).size())) > 0,
+               Start);
+  }
+}
+
+// Guards against "not run" or silence during an outage of the log, and against
+// answers that disappear with it.
+BOOST_AUTO_TEST_CASE(SurvivesAnOutageOfTheLog) {
+  LogStandIn Log;
+  Running S(Log);
+  S.addAccounts();
+  std::string Id = S.submit("before");
+  Log.setDown(true);
+  net::ClientResponse R;
+  do
+    R = S.post("/v1/jobs", "maison-a-token", Job, "during");
+  while (R.Status == 202);
+  BOOST_TEST(R.Status == 503u, R.Body);
+  BOOST_TEST(R.Headers.contains("retry-after"));
+  BOOST_TEST(S.get("/v1/jobs/" + Id, "maison-a-token").Status == 200u);
+  Log.setDown(false);
+  while (S.post("/v1/jobs", "maison-a-token", Job, "during").Status != 202)
+    ;
+}
+
+// Guards against a planned stop that interrupts requests, never ends or leaves
+// its traces behind.
+BOOST_AUTO_TEST_CASE(StopsGracefully) {
+  LogStandIn Log;
+  Running S(Log);
+  S.addAccounts();
+  std::string Id = S.submit("k1");
+  auto Waiting = std::async(std::launch::async, [&] {
+    return S.get("/v1/jobs/" + Id + "?wait_ms=60000", "maison-a-token");
+  });
+  // The daemon counts this request and the waiting one.
+  while (
+      S.get("/metrics", "").Body.find("heathersaddle_requests_in_progress 2") ==
+      std::string::npos)
+    ;
+  S.D->requestStop();
+  BOOST_TEST(S.D->wait() == 0);
+  BOOST_TEST(Waiting.get().Status == 200u);
+  BOOST_TEST(Log.contains("daemon_left"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
