--- a/packages/daemon/tests/DaemonTest.cpp
+++ b/packages/daemon/tests/DaemonTest.cpp
@@ -171,8 +171,13 @@
   Running S(Log);
   S.addAccounts();
   std::string Id = S.submit("k1");
-  auto Waiting = std::async(std::launch::async, [&] {
-    return S.get("/v1/jobs/" + Id + "?wait_ms=60000", "maison-a-token");
+  auto Waiting = std::async(std::launch::async, [&S, &Id] {
+    net::ClientRequest R{
+        .Target = "/v1/jobs/" + Id + "?wait_ms=60000",
+        .Headers = {{"Authorization", "Bearer maison-a-token"}},
+        .TimeLimit = std::chrono::milliseconds(60'000)};
+    net::BlockingClient Client;
+    return Client.send(S.Address, R);
   });
   // The daemon counts this request and the waiting one.
   while (
@@ -181,7 +186,9 @@
     ;
   S.D->requestStop();
   BOOST_TEST(S.D->wait() == 0);
-  BOOST_TEST(Waiting.get().Status == 200u);
+  auto Answer = Waiting.get();
+  BOOST_REQUIRE(Answer);
+  BOOST_TEST(Answer->Status == 200u);
   BOOST_TEST(Log.contains("daemon_left"));
 }
 
