--- /dev/null
+++ b/scripts/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers of the demonstration and fault scripts."""
