Add socket-free models of the platform's log and workers

The fault tests and the stand-in's HTTP side need the same behaviour of the log and the workers. Adds LogModel and WorkerModel with injected clocks, task behaviour and fault switches. Worker requests and replies are JSON values as in the design page. The worker keeps an audit trail of what really ran. Tests cover trimming, lost answers, epochs, leases over pauses, tombstones, reservations and unacknowledged events.

--- /dev/null
+++ b/packages/platform/include/heathersaddle/platform/WorkerModel.h
@@ -0,0 +1,194 @@
+#ifndef HEATHERSADDLE_PLATFORM_WORKERMODEL_H
+#define HEATHERSADDLE_PLATFORM_WORKERMODEL_H
+
+#include "heathersaddle/base/Error.h"
+#include "heathersaddle/base/Time.h"
+#include <boost/json/value.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace heathersaddle::platform {
+
+inline constexpr std::size_t MaxCommands = 256; ///< In one request.
+
+/// What a task's behaviour may depend on.
+struct TaskRequest {
+  std::string Kind;
+  std::string Input;
+  unsigned Task = 0;
+  unsigned Tasks = 1;
+};
+
+/// How a task will behave when nothing interrupts it.
+struct TaskOutcome {
+  base::Millis RunTime{}; ///< In all, without earlier progress.
+  bool Success = true;
+  std::string Answer; ///< The error's text when not successful.
+};
+
+using TaskBehaviour = std::function<TaskOutcome(const TaskRequest &)>;
+
+struct WorkerModelSettings {
+  unsigned Slots = 8;
+  base::Millis UsagePeriod{30'000}; ///< 0: no periodic usage reports.
+  /// Refuse what was stopped before it arrived. Only a test that checks
+  /// whether the loss of this rule is noticed sets it to false.
+  bool RememberStopped = true;
+};
+
+enum class RunEnd { Finished, Failed, Stopped, Lapsed, Restarted };
+
+/// One reservation and what became of it, as it really happened. Times are on
+/// the worker's clock.
+struct AuditEntry {
+  std::uint64_t Boot = 0;
+  std::uint64_t Epoch = 0; ///< Under which it was reserved.
+  std::string Job;
+  unsigned Attempt = 0;
+  unsigned Task = 0;
+  unsigned Tasks = 1;
+  std::uint64_t Slots = 0;
+  base::Millis Reserved{};
+  std::optional<base::Millis> Started; ///< Unset: the task never ran.
+  std::optional<base::Millis> Ended;
+  RunEnd How = RunEnd::Finished; ///< Valid when Ended is set.
+  std::string Answer;
+};
+
+/// An HTTP status and the JSON body.
+struct WorkerReply {
+  unsigned Status = 200;
+  boost::json::value Body;
+};
+
+/// One worker of the platform without sockets: the protocol of section 6 of
+/// docs/design.md. Every call passes the worker's own clock, which must not
+/// run backwards.
+///
+/// \code
+///   WorkerModel W({.Slots = 8}, Boot, Behaviour);
+///   WorkerReply R = W.sync(Body, Now); // renews the lease
+///   R = W.commands(Body, Now);
+///   W.advance(Now);                    // tasks end, the lease lapses
+/// \endcode
+///
+/// Rules that the page leaves open:
+/// - Without a lease in force, reserve and start are refused as "busy".
+/// - A start without a reservation is accepted for a single task only.
+/// - An attempt whose lease lapsed counts as stopped.
+/// - A stop with a grace period keeps all progress; one without keeps the
+///   progress of the last checkpoint.
+/// - A lower epoch gives 409 with `{"error":{...},"epoch":N}`.
+class WorkerModel {
+public:
+  WorkerModel(WorkerModelSettings Settings, std::uint64_t Boot,
+              TaskBehaviour Behaviour);
+
+  /// POST /v1/commands
+  WorkerReply commands(const boost::json::value &Body, base::Millis Now);
+  /// POST /v1/sync: renews the lease, acknowledges, and replies at once.
+  WorkerReply sync(const boost::json::value &Body, base::Millis Now);
+  /// Whether the reply to \p Body, after sync(), should be held back until
+  /// there are events or `wait_ms` is over; then call collect().
+  bool shouldWait(const boost::json::value &Body) const;
+  /// The reply to \p Body without its effects.
+  WorkerReply collect(const boost::json::value &Body, base::Millis Now);
+
+  /// Lets time pass.
+  void advance(base::Millis Now);
+  /// The earliest time at which advance() would do something.
+  std::optional<base::Millis> nextChange() const;
+
+  /// The process stops at once: tasks, lease, events and tombstones are gone.
+  void restart(std::uint64_t NewBoot, base::Millis Now);
+  /// The host stops running. Nothing happens until resume(); then the lease is
+  /// checked before anything else.
+  void pause(base::Millis Now);
+  void resume(base::Millis Now);
+  bool paused() const { return PausedAt.has_value(); }
+
+  std::uint64_t boot() const { return Boot; }
+  const std::vector<AuditEntry> &audit() const { return Audit; }
+
+private:
+  using Attempt = std::pair<std::string, unsigned>;
+  using TaskId = std::pair<Attempt, unsigned>;
+  enum class TaskState { Reserved, Running, Finished, Failed, Stopped };
+
+  struct Task {
+    TaskState State = TaskState::Reserved;
+    TaskRequest Request;
+    TaskOutcome Outcome;
+    std::uint64_t Slots = 0;
+    std::size_t AuditIndex = 0;
+    unsigned Percent = 100; ///< Speed.
+    base::Millis ProgressAt{};
+    base::Millis Progress{};   ///< At time ProgressAt.
+    base::Millis Checkpoint{}; ///< Progress that a stop keeps.
+    std::optional<base::Millis> StopAt;
+    base::Millis NextUsage{};
+
+    bool active() const {
+      return State == TaskState::Reserved || State == TaskState::Running;
+    }
+  };
+  struct Event {
+    std::uint64_t Number = 0;
+    std::string Type;
+    TaskId Id;
+    std::string Text; ///< Answer or error.
+    base::Millis Progress{};
+  };
+
+  // Lifecycle (WorkerModel.cpp).
+  base::Millis progressOf(const Task &T, base::Millis Now) const;
+  base::Millis finishTime(const Task &T) const;
+  std::optional<base::Millis> changeOf(const Task &T) const;
+  void settle(const TaskId &Id, Task &T, base::Millis Now);
+  void end(const TaskId &Id, Task &T, RunEnd How, base::Millis Now);
+  void lapse(base::Millis Now);
+  void addEvent(std::string_view Type, const TaskId &Id, const Task &T,
+                std::string Text = {});
+  void addUsage(const TaskId &Id, Task &T, base::Millis Now);
+  bool leased(base::Millis Now) const { return Now < LeaseUntil; }
+
+  // Commands (WorkerCommands.cpp).
+  struct Command;
+  std::string_view execute(const Command &C, base::Millis Now);
+  std::string_view reserve(const Command &C, base::Millis Now);
+  std::string_view start(const Command &C, base::Millis Now);
+  std::string_view stop(const Command &C, base::Millis Now);
+  std::string_view adjust(const Command &C, base::Millis Now);
+  std::uint64_t usedSlots() const;
+
+  // Requests (WorkerRequests.cpp).
+  std::optional<WorkerReply> admit(const boost::json::value &Body,
+                                   std::string_view Step);
+  boost::json::array eventList(std::uint64_t After) const;
+  boost::json::array taskList(base::Millis Now) const;
+
+  WorkerModelSettings Settings;
+  std::uint64_t Boot;
+  TaskBehaviour Behaviour;
+  std::map<std::string, std::uint64_t, std::less<>> Epochs;
+  std::uint64_t CurrentEpoch = 0; ///< Of the request being handled.
+  base::Millis LeaseUntil{};
+  std::map<TaskId, Task> Tasks;
+  std::set<Attempt> Stopped;
+  std::deque<Event> Events;
+  std::uint64_t LastEvent = 0;
+  std::optional<base::Millis> PausedAt;
+  std::vector<AuditEntry> Audit;
+};
+
+} // namespace heathersaddle::platform
+
+#endif
--- /dev/null
+++ b/packages/platform/lib/WorkerModel.cpp
@@ -0,0 +1,168 @@
+// Approach: every running task stores its progress at a known time, so all
+// future changes (finish, stop after grace, usage report, lease end) follow
+// from stored values; advance() carries them out in the order of time.
+// Bounds: one change at a time; the number of tasks is bounded by the slots
+// and the ended tasks of one boot.
+#include "heathersaddle/platform/WorkerModel.h"
+#include <algorithm>
+
+namespace heathersaddle::platform {
+
+using base::Millis;
+
+WorkerModel::WorkerModel(WorkerModelSettings S, std::uint64_t Boot,
+                         TaskBehaviour Behaviour)
+    : Settings(S), Boot(Boot), Behaviour(std::move(Behaviour)) {}
+
+Millis WorkerModel::progressOf(const Task &T, Millis Now) const {
+  if (T.State != TaskState::Running)
+    return T.Progress;
+  return T.Progress + (Now - T.ProgressAt) * T.Percent / 100;
+}
+
+Millis WorkerModel::finishTime(const Task &T) const {
+  Millis Left = std::max(Millis{0}, T.Outcome.RunTime - T.Progress);
+  // Rounded up, so that the progress at this time is complete.
+  return T.ProgressAt + (Left * 100 + Millis(T.Percent - 1)) / T.Percent;
+}
+
+std::optional<Millis> WorkerModel::changeOf(const Task &T) const {
+  if (T.State != TaskState::Running)
+    return T.State == TaskState::Reserved ? T.StopAt : std::nullopt;
+  Millis At = finishTime(T);
+  if (T.StopAt)
+    At = std::min(At, *T.StopAt);
+  if (Settings.UsagePeriod.count() > 0)
+    At = std::min(At, T.NextUsage);
+  return At;
+}
+
+std::optional<Millis> WorkerModel::nextChange() const {
+  if (PausedAt)
+    return std::nullopt;
+  std::optional<Millis> Next;
+  bool AnyActive = false;
+  for (const auto &[Id, T] : Tasks) {
+    AnyActive = AnyActive || T.active();
+    if (auto At = changeOf(T); At && (!Next || *At < *Next))
+      Next = At;
+  }
+  if (AnyActive && (!Next || LeaseUntil < *Next))
+    Next = LeaseUntil;
+  return Next;
+}
+
+void WorkerModel::advance(Millis Now) {
+  for (auto At = nextChange(); At && *At <= Now; At = nextChange()) {
+    if (*At >= LeaseUntil) {
+      lapse(std::max(*At, LeaseUntil));
+      continue;
+    }
+    for (auto &[Id, T] : Tasks)
+      if (auto Due = changeOf(T); Due && *Due <= *At)
+        settle(Id, T, *At);
+  }
+}
+
+void WorkerModel::settle(const TaskId &Id, Task &T, Millis Now) {
+  if (T.State == TaskState::Running && finishTime(T) <= Now)
+    return end(Id, T, T.Outcome.Success ? RunEnd::Finished : RunEnd::Failed,
+               Now);
+  if (T.StopAt && *T.StopAt <= Now) {
+    T.Checkpoint = progressOf(T, Now);
+    return end(Id, T, RunEnd::Stopped, Now);
+  }
+  addUsage(Id, T, Now);
+}
+
+void WorkerModel::end(const TaskId &Id, Task &T, RunEnd How, Millis Now) {
+  AuditEntry &A = Audit[T.AuditIndex];
+  A.Ended = Now;
+  A.How = How;
+  T.Progress = progressOf(T, Now);
+  T.StopAt.reset();
+  switch (How) {
+  case RunEnd::Finished:
+    T.State = TaskState::Finished;
+    A.Answer = T.Outcome.Answer;
+    return addEvent("finished", Id, T, T.Outcome.Answer);
+  case RunEnd::Failed:
+    T.State = TaskState::Failed;
+    return addEvent("failed", Id, T, T.Outcome.Answer);
+  case RunEnd::Stopped:
+  case RunEnd::Lapsed:
+  case RunEnd::Restarted:
+    T.State = TaskState::Stopped;
+    T.Progress = T.Checkpoint;
+    return addEvent(How == RunEnd::Stopped ? "stopped" : "lapsed", Id, T);
+  }
+}
+
+void WorkerModel::lapse(Millis Now) {
+  for (auto &[Id, T] : Tasks) {
+    if (!T.active())
+      continue;
+    Stopped.insert(Id.first);
+    end(Id, T, RunEnd::Lapsed, Now);
+  }
+}
+
+void WorkerModel::addEvent(std::string_view Type, const TaskId &Id,
+                           const Task &T, std::string Text) {
+  Events.push_back(
+      {++LastEvent, std::string(Type), Id, std::move(Text), T.Progress});
+}
+
+void WorkerModel::addUsage(const TaskId &Id, Task &T, Millis Now) {
+  // Only the latest report of a task is kept, so that reports that nobody
+  // acknowledges do not pile up.
+  std::erase_if(
+      Events, [&](const Event &E) { return E.Type == "usage" && E.Id == Id; });
+  T.Progress = progressOf(T, Now);
+  T.ProgressAt = Now;
+  T.NextUsage = Now + Settings.UsagePeriod;
+  addEvent("usage", Id, T);
+}
+
+void WorkerModel::restart(std::uint64_t NewBoot, Millis Now) {
+  advance(Now);
+  for (auto &[Id, T] : Tasks) {
+    if (!T.active())
+      continue;
+    Audit[T.AuditIndex].Ended = Now;
+    Audit[T.AuditIndex].How = RunEnd::Restarted;
+  }
+  Boot = NewBoot;
+  Tasks.clear();
+  Stopped.clear();
+  Events.clear();
+  Epochs.clear();
+  LastEvent = 0;
+  LeaseUntil = Millis{0};
+  PausedAt.reset();
+}
+
+void WorkerModel::pause(Millis Now) {
+  advance(Now);
+  if (!PausedAt)
+    PausedAt = Now;
+}
+
+void WorkerModel::resume(Millis Now) {
+  if (!PausedAt)
+    return;
+  Millis Gap = Now - *PausedAt;
+  PausedAt.reset();
+  for (auto &[Id, T] : Tasks) {
+    if (T.State == TaskState::Running)
+      T.ProgressAt += Gap;
+    if (T.StopAt)
+      T.StopAt = std::max(*T.StopAt, Now);
+    T.NextUsage = std::max(T.NextUsage, Now);
+  }
+  if (!leased(Now))
+    lapse(Now);
+  advance(Now);
+}
+
+} // namespace heathersaddle::platform
--- /dev/null
+++ b/packages/platform/tests/ModelTest.cpp
@@ -0,0 +1,156 @@
+#define BOOST_TEST_MODULE platform
+#include "heathersaddle/platform/LogModel.h"
+#include "heathersaddle/platform/WorkerModel.h"
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace heathersaddle;
+using namespace heathersaddle::platform;
+namespace json = boost::json;
+using base::Millis;
+
+namespace {
+
+struct Fixture {
+  WorkerModel W{
+      {.Slots = 8, .UsagePeriod = Millis{0}}, 7, [](const TaskRequest &R) {
+        return TaskOutcome{Millis{1000}, R.Kind != "bad",
+                           "answer of " + R.Input};
+      }};
+
+  WorkerReply sync(std::uint64_t Epoch, int Now, int LeaseUntil,
+                   std::uint64_t After = 0) {
+    return W.sync({{"cell", "c"},
+                   {"epoch", Epoch},
+                   {"owner", "d"},
+                   {"lease_until_ms", LeaseUntil},
+                   {"after", After},
+                   {"wait_ms", 0},
+                   {"full", true}},
+                  Millis{Now});
+  }
+  /// The result's code, or "ok", or the status when the request failed.
+  std::string send(int Now, std::string_view Op, std::string_view Job,
+                   int Tasks = 1, std::string_view Slots = "1",
+                   std::uint64_t Epoch = 1) {
+    json::object C{{"op", Op},       {"job", Job},     {"attempt", 1},
+                   {"task", 0},      {"tasks", Tasks}, {"slots", Slots},
+                   {"kind", "good"}, {"input", Job}};
+    WorkerReply R = W.commands({{"cell", "c"},
+                                {"epoch", Epoch},
+                                {"owner", "d"},
+                                {"commands", json::array{C}}},
+                               Millis{Now});
+    if (R.Status != 200)
+      return std::to_string(R.Status);
+    const json::value &Result = R.Body.at("results").at(0);
+    return Result.at("ok").as_bool()
+               ? "ok"
+               : std::string(Result.at("code").as_string());
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TheLog)
+
+// Guards against a test that cannot tell a lost answer from a lost append.
+BOOST_AUTO_TEST_CASE(KeepsRecordsWhoseAnswerWasLost) {
+  LogModel L;
+  std::vector<std::string> Batch{"a", "b"};
+  L.faults().LoseAnswers = true;
+  auto Lost = L.append("control", Batch, 1);
+  BOOST_REQUIRE(!Lost);
+  BOOST_TEST((Lost.error().Code == base::ErrorCode::Unresolved));
+  L.faults() = {.Down = true};
+  BOOST_TEST(!L.append("control", Batch, 2));
+  L.faults() = {};
+  BOOST_TEST(L.append("control", Batch, 3).value() == 2u);
+}
+
+// Guards against serving records as if nothing had been trimmed before them.
+BOOST_AUTO_TEST_CASE(ReportsTrimmedOffsets) {
+  LogModel L;
+  for (int I = 0; I != 4; ++I)
+    BOOST_REQUIRE(L.append("control", std::vector<std::string>{"r"}, I));
+  L.trimOlderThan("control", 2);
+  auto Page = L.read("control", 1, 10);
+  BOOST_REQUIRE(Page);
+  BOOST_TEST(Page->Trimmed);
+  BOOST_TEST(Page->Oldest == 2u);
+  BOOST_TEST(L.read("control", 2, 1)->Records.size() == 1u);
+  L.trimBefore("control", 9);
+  BOOST_TEST(L.read("control", 4, 1)->Next == 4u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(TheWorker, Fixture)
+
+// Guards against an old owner that still starts work.
+BOOST_AUTO_TEST_CASE(RefusesLowerEpochs) {
+  sync(2, 0, 10'000);
+  BOOST_TEST(send(1, "start", "j", 1, "1", 1) == "409");
+  BOOST_TEST(sync(1, 2, 99'000).Body.at("epoch").to_number<int>() == 2);
+  BOOST_TEST(W.audit().empty());
+}
+
+// Guards against a task that runs without or beyond its lease.
+BOOST_AUTO_TEST_CASE(StopsEverythingWhenTheLeaseLapses) {
+  BOOST_TEST(send(0, "start", "j") == "busy");
+  sync(1, 1, 500);
+  BOOST_TEST(send(2, "start", "j") == "ok");
+  W.advance(Millis{5000});
+  BOOST_REQUIRE(W.audit().size() == 1u);
+  BOOST_TEST(W.audit()[0].Ended->count() == 500);
+  BOOST_TEST((W.audit()[0].How == RunEnd::Lapsed));
+  sync(1, 5001, 9000);
+  BOOST_TEST(send(5002, "start", "j") == "stopped");
+}
+
+// Guards against a paused worker that goes on after its lease.
+BOOST_AUTO_TEST_CASE(ChecksTheLeaseFirstWhenResumed) {
+  sync(1, 0, 5000);
+  send(100, "start", "j");
+  W.pause(Millis{200});
+  W.advance(Millis{6000});
+  BOOST_TEST(!W.audit()[0].Ended);
+  W.resume(Millis{6000});
+  BOOST_TEST((W.audit()[0].How == RunEnd::Lapsed));
+}
+
+// Guards against a late start that overtakes its stop.
+BOOST_AUTO_TEST_CASE(RemembersStopsOfUnknownAttempts) {
+  sync(1, 0, 10'000);
+  BOOST_TEST(send(1, "stop", "j") == "ok");
+  BOOST_TEST(send(2, "start", "j") == "stopped");
+}
+
+// Guards against a gang member that starts without a reservation, two tasks
+// on one slot, and a repeated start that runs a task twice.
+BOOST_AUTO_TEST_CASE(ReservesBeforeItStarts) {
+  sync(1, 0, 10'000);
+  BOOST_TEST(send(1, "start", "g", 2) == "not_reserved");
+  BOOST_TEST(send(2, "reserve", "g", 2, "3") == "ok");
+  BOOST_TEST(send(3, "start", "j", 1, "2") == "busy");
+  BOOST_TEST(send(4, "start", "g", 2, "3") == "ok");
+  W.advance(Millis{2000});
+  BOOST_TEST(send(2001, "start", "g", 2, "3") == "ok");
+  BOOST_TEST(W.audit().size() == 1u);
+}
+
+// Guards against answers that are gone before anybody recorded them.
+BOOST_AUTO_TEST_CASE(KeepsEventsUntilAcknowledged) {
+  sync(1, 0, 10'000);
+  send(1, "start", "j");
+  auto Seen = sync(1, 2000, 10'000).Body;
+  BOOST_REQUIRE(Seen.at("events").as_array().size() == 2u);
+  BOOST_TEST(Seen.at("events").at(1).at("answer").as_string() == "answer of j");
+  BOOST_TEST(sync(1, 2001, 0, 1).Body.at("events").as_array().size() == 1u);
+  BOOST_TEST(sync(1, 2002, 0, 2).Body.at("events").as_array().empty());
+  BOOST_TEST(Seen.at("tasks").at(0).at("state").as_string() == "finished");
+  W.restart(8, Millis{3000});
+  BOOST_TEST(sync(1, 3001, 0).Body.at("boot").to_number<int>() == 8);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
