Add the stand-in's HTTP side and the command-line tool

Daemons need a platform to run against, and operators and callers need a tool that never claims more than a server said. The stand-in serves log, host list and workers on loopback with fault switches and an audit; the tool retries with one idempotency key and separates unavailable from unresolved. Both have tests, the stand-in's over real sockets.

--- /dev/null
+++ b/packages/platform/include/heathersaddle/platform/TaskKinds.h
@@ -0,0 +1,25 @@
+#ifndef HEATHERSADDLE_PLATFORM_TASKKINDS_H
+#define HEATHERSADDLE_PLATFORM_TASKKINDS_H
+
+#include "heathersaddle/platform/WorkerModel.h"
+
+namespace heathersaddle::platform {
+
+/// The work that stand-in workers do:
+///
+/// - `echo`: answers at once, see echoAnswer().
+/// - `sleep:MS`: answers the same after MS milliseconds.
+/// - `fail`, `fail:MS`: fails, after MS milliseconds.
+/// - `overrun`: answers after 10 minutes, whatever run time was declared.
+/// - `large:BYTES`: answers at once with BYTES bytes, at most 1 MiB.
+///
+/// Any other kind fails and names itself in the error.
+TaskOutcome standardBehaviour(const TaskRequest &Request);
+
+/// "TASK/TASKS:HASH:INPUT", where HASH is the 64-bit FNV-1a hash of the input
+/// as 16 hexadecimal digits. A checker can compute it without the worker.
+std::string echoAnswer(const TaskRequest &Request);
+
+} // namespace heathersaddle::platform
+
+#endif
--- /dev/null
+++ b/packages/platform/lib/LogService.h
@@ -0,0 +1,59 @@
+#ifndef HEATHERSADDLE_PLATFORM_LOGSERVICE_H
+#define HEATHERSADDLE_PLATFORM_LOGSERVICE_H
+
+#include "heathersaddle/net/Message.h"
+#include "heathersaddle/platform/LogModel.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+#include <list>
+
+namespace heathersaddle::platform {
+
+/// Serves a LogModel over HTTP: waiting reads, late and lost answers.
+class LogService {
+public:
+  explicit LogService(boost::asio::io_context &Io) : Io(Io) {}
+
+  /// \p Rest is the path after "/v1/streams/".
+  void handle(std::string_view Rest, const net::Request &R, net::Respond Reply);
+
+  void setDown(bool Down);
+  void setDelay(base::Millis Delay) { Log.faults().Delay = Delay; }
+  /// The next \p Count appends take effect and are answered with 503.
+  void loseAnswers(unsigned Count) { AnswersToLose = Count; }
+  void trim(std::string_view Stream, std::uint64_t Before);
+
+  boost::json::object statistics() const;
+
+private:
+  struct Waiter {
+    std::string Stream;
+    std::uint64_t From = 0;
+    std::size_t Max = 0;
+    net::Respond Reply;
+    boost::asio::steady_timer Timer;
+  };
+  using WaiterList = std::list<Waiter>;
+
+  void append(std::string_view Stream, const net::Request &R,
+              net::Respond Reply);
+  void read(std::string_view Stream, const net::Request &R, net::Respond Reply);
+  void hold(Waiter W, base::Millis Wait);
+  /// Answers those waiters that have something to read, or all.
+  void wake(bool All);
+  void answer(net::Respond Reply, net::Response What);
+  net::Response page(const Waiter &W, bool &Empty) const;
+
+  boost::asio::io_context &Io;
+  LogModel Log;
+  WaiterList Waiters;
+  unsigned AnswersToLose = 0;
+  std::uint64_t Appends = 0;
+  std::uint64_t Records = 0;
+  std::uint64_t Bytes = 0;
+};
+
+} // namespace heathersaddle::platform
+
+#endif
--- /dev/null
+++ b/packages/platform/lib/Standin.cpp
@@ -0,0 +1,211 @@
+// Everything runs on the one thread of the io_context, so the models need no
+// locks. A fault request is checked as a whole before any switch is set.
+
+#include "heathersaddle/platform/Standin.h"
+#include "HostList.h"
+#include "LogService.h"
+#include "Replies.h"
+#include "WorkerService.h"
+#include "heathersaddle/base/Json.h"
+#include <map>
+
+namespace heathersaddle::platform {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t MaxBodyBytes = 8UL * 1024 * 1024;
+constexpr std::int64_t MaxDelayMs = 600'000;
+constexpr std::string_view StreamsPath = "/v1/streams/";
+
+} // namespace
+
+struct Standin::Impl {
+  Impl(boost::asio::io_context &Io, StandinSettings S)
+      : Io(Io), Settings(S), Log(Io), Hosts(S.HostListLag),
+        Server(Io, net::ServerLimits{.MaxBodyBytes = MaxBodyBytes},
+               [this](const net::Request &R, net::Respond Reply) {
+                 handle(R, std::move(Reply));
+               }) {
+    std::mt19937_64 Random(S.Seed);
+    for (unsigned D = 1; D <= S.DataCentres; ++D)
+      for (unsigned R = 1; R <= S.Racks; ++R)
+        for (unsigned W = 1; W <= S.WorkersPerRack; ++W)
+          addWorker(D, R, W, Random());
+  }
+
+  void addWorker(unsigned D, unsigned R, unsigned W, std::uint64_t Seed) {
+    WorkerPlace P;
+    P.DataCentre = "dc-" + std::to_string(D);
+    P.Rack = P.DataCentre + "-r" + std::to_string(R);
+    P.Name = P.Rack + "-w" + std::to_string(W);
+    P.Slots = Settings.Slots;
+    P.UsagePeriod = Settings.UsagePeriod;
+    Workers.push_back(std::make_unique<WorkerService>(
+        Io, std::move(P), Seed,
+        [this](std::string_view Cell, std::uint64_t Epoch,
+               std::string_view Owner) { epochSeen(Cell, Epoch, Owner); }));
+  }
+
+  base::Expected<std::uint16_t> start() {
+    for (auto &W : Workers) {
+      if (auto Done = W->listen(); !Done)
+        return tl::unexpected(Done.error());
+      Hosts.add({{"name", W->place().Name},
+                 {"address", "127.0.0.1:" + std::to_string(W->port())},
+                 {"data_centre", W->place().DataCentre},
+                 {"rack", W->place().Rack},
+                 {"slots", Settings.Slots},
+                 {"accelerators", Settings.Accelerators},
+                 {"cores", Settings.Cores},
+                 {"memory_mb", Settings.MemoryMb},
+                 {"connections", Settings.Connections}});
+    }
+    return Server.listen("127.0.0.1", Settings.Port);
+  }
+
+  void epochSeen(std::string_view Cell, std::uint64_t Epoch,
+                 std::string_view Owner) {
+    std::uint64_t &Known = Epochs[std::string(Cell)];
+    if (Epoch <= Known)
+      return;
+    Known = Epoch;
+    Owners.push_back(json::object{{"cell", Cell},
+                                  {"epoch", Epoch},
+                                  {"owner", Owner},
+                                  {"at_ms", platformNow().count()}});
+  }
+
+  void handle(const net::Request &R, net::Respond Reply) {
+    std::string_view Path = R.Path;
+    if (Path.starts_with(StreamsPath))
+      return Log.handle(Path.substr(StreamsPath.size()), R, std::move(Reply));
+    if (Path == "/v1/hosts" && R.Method == "GET")
+      return Reply(jsonReply(200, {{"hosts", Hosts.visible(platformNow())}}));
+    if (Path == "/v1/audit" && R.Method == "GET")
+      return Reply(jsonReply(200, audit()));
+    if (Path == "/v1/faults" && R.Method == "POST")
+      return Reply(setFaults(R.Body));
+    Reply(notFound());
+  }
+
+  json::value audit() const {
+    json::array Runs;
+    for (const auto &W : Workers)
+      W->addAudit(Runs);
+    return json::object{{"now_ms", platformNow().count()},
+                        {"runs", std::move(Runs)},
+                        {"owners", Owners},
+                        {"log", Log.statistics()}};
+  }
+
+  net::Response setFaults(const std::string &Text) {
+    auto Body = base::parseJson(Text, "faults");
+    if (!Body)
+      return errorReply(Body.error());
+    base::JsonReader R(*Body, "faults");
+    const std::string Name = R.string("worker", "", 128);
+    auto Chosen = choose(Name);
+    if (!Name.empty() && Chosen.empty())
+      R.fail("worker", "names no worker");
+    check(R, Name);
+    if (R.error())
+      return errorReply(*R.error());
+    setLogFaults(R);
+    for (WorkerService *W : Chosen)
+      if (auto Done = setWorkerFaults(R, *W); !Done)
+        return errorReply(Done.error());
+    return jsonReply(200, {{"workers", Chosen.size()}});
+  }
+
+  static void check(base::JsonReader &R, const std::string &Worker) {
+    R.allowOnly({"log_down", "log_slow_ms", "log_lose_answers", "trim_stream",
+                 "trim_before", "worker", "down", "restart", "paused",
+                 "failing", "late_ms", "twice", "cut_from", "host_state"});
+    for (const char *Name :
+         {"log_down", "down", "restart", "paused", "failing", "twice"})
+      R.booleanOr(Name, false);
+    for (const char *Name : {"log_slow_ms", "late_ms", "log_lose_answers"})
+      R.integerOr(Name, 0, 0, MaxDelayMs);
+    R.string("trim_stream", "", 64);
+    R.integerOr("trim_before", 0, 0, std::int64_t(1) << 53);
+    R.string("cut_from", "", 128);
+    const std::string State = R.string("host_state", "live", 16);
+    if (State != "live" && State != "leaving" && State != "gone")
+      R.fail("host_state", "must be live, leaving or gone");
+    for (const char *Name : {"down", "restart", "paused", "failing", "late_ms",
+                             "twice", "cut_from", "host_state"})
+      if (Worker.empty() && R.find(Name))
+        R.fail("worker", "is required for a worker's switch");
+  }
+
+  void setLogFaults(base::JsonReader &R) {
+    if (R.find("log_slow_ms"))
+      Log.setDelay(base::Millis(R.integerOr("log_slow_ms", 0, 0, MaxDelayMs)));
+    if (R.find("log_lose_answers"))
+      Log.loseAnswers(
+          unsigned(R.integerOr("log_lose_answers", 0, 0, MaxDelayMs)));
+    if (R.find("trim_before"))
+      Log.trim(R.string("trim_stream", "control", 64),
+               std::uint64_t(
+                   R.integerOr("trim_before", 0, 0, std::int64_t(1) << 53)));
+    if (R.find("log_down"))
+      Log.setDown(R.booleanOr("log_down", false));
+  }
+
+  base::Expected<void> setWorkerFaults(base::JsonReader &R, WorkerService &W) {
+    if (R.find("failing"))
+      W.setFailing(R.booleanOr("failing", false));
+    if (R.find("late_ms"))
+      W.setLate(base::Millis(R.integerOr("late_ms", 0, 0, MaxDelayMs)));
+    if (R.find("twice"))
+      W.setTwice(R.booleanOr("twice", false));
+    if (R.find("cut_from"))
+      W.cutFrom(R.string("cut_from", "", 128));
+    if (R.find("host_state"))
+      Hosts.setState(W.place().Name, R.string("host_state", "live", 16),
+                     platformNow());
+    if (R.booleanOr("restart", false))
+      W.restart();
+    if (R.find("paused"))
+      W.setPaused(R.booleanOr("paused", false));
+    if (R.find("down"))
+      return W.setDown(R.booleanOr("down", false));
+    return {};
+  }
+
+  /// The worker \p Name, or with "*" at the end all whose name begins so.
+  std::vector<WorkerService *> choose(std::string_view Name) {
+    const bool Prefix = Name.ends_with('*');
+    if (Prefix)
+      Name.remove_suffix(1);
+    std::vector<WorkerService *> Found;
+    for (auto &W : Workers) {
+      std::string_view Own = W->place().Name;
+      if (Prefix ? Own.starts_with(Name) : Own == Name)
+        Found.push_back(W.get());
+    }
+    return Found;
+  }
+
+  boost::asio::io_context &Io;
+  StandinSettings Settings;
+  LogService Log;
+  HostList Hosts;
+  std::vector<std::unique_ptr<WorkerService>> Workers;
+  std::map<std::string, std::uint64_t> Epochs;
+  json::array Owners;
+  net::HttpServer Server; ///< Last: its handler uses the others.
+};
+
+Standin::Standin(boost::asio::io_context &Io, StandinSettings Settings)
+    : I(std::make_unique<Impl>(Io, Settings)) {}
+
+Standin::~Standin() = default;
+
+base::Expected<std::uint16_t> Standin::start() { return I->start(); }
+
+std::size_t Standin::workerCount() const { return I->Workers.size(); }
+
+} // namespace heathersaddle::platform
--- /dev/null
+++ b/packages/platform/lib/WorkerService.cpp
@@ -0,0 +1,280 @@
+// One timer per worker fires at the model's next change or at the end of the
+// earliest waiting sync. After every request and every timer the waiters are
+// looked through once. Bounds: MaxWaiters waiting syncs, MaxHeld held requests.
+
+#include "WorkerService.h"
+#include "Replies.h"
+#include "heathersaddle/base/Json.h"
+#include "heathersaddle/platform/TaskKinds.h"
+#include <algorithm>
+#include <chrono>
+
+namespace heathersaddle::platform {
+
+namespace json = boost::json;
+using base::Millis;
+
+namespace {
+
+constexpr std::size_t MaxWaiters = 64;
+constexpr std::size_t MaxHeld = 1'024;
+constexpr std::int64_t MaxWaitMs = 120'000;
+constexpr std::int64_t MaxClockOffsetMs = 1'000'000;
+// Boot ids stay exact in JSON readers that use doubles.
+constexpr std::uint64_t MaxBoot = 1ULL << 52;
+
+std::string_view name(RunEnd How) {
+  switch (How) {
+  case RunEnd::Finished:
+    return "finished";
+  case RunEnd::Failed:
+    return "failed";
+  case RunEnd::Stopped:
+    return "stopped";
+  case RunEnd::Lapsed:
+    return "lapsed";
+  case RunEnd::Restarted:
+    return "restarted";
+  }
+  return "unknown";
+}
+
+std::string ownerOf(const json::value &Body) {
+  base::JsonReader R(Body, "worker");
+  return R.string("owner", "", 128);
+}
+
+std::uint64_t epochOf(const json::value &Body) {
+  base::JsonReader R(Body, "worker");
+  return std::uint64_t(
+      R.integerOr("epoch", 0, 0, std::numeric_limits<std::int64_t>::max()));
+}
+
+std::string cellOf(const json::value &Body) {
+  base::JsonReader R(Body, "worker");
+  return R.string("cell", "", 64);
+}
+
+} // namespace
+
+Millis platformNow() {
+  using Clock = std::chrono::steady_clock;
+  static const Clock::time_point Start = Clock::now();
+  return std::chrono::duration_cast<Millis>(Clock::now() - Start);
+}
+
+WorkerService::WorkerService(boost::asio::io_context &Io, WorkerPlace P,
+                             std::uint64_t Seed, EpochSeen Seen)
+    : Io(Io), Place(std::move(P)), Random(Seed),
+      ClockOffset(std::uniform_int_distribution<std::int64_t>(
+          1, MaxClockOffsetMs)(Random)),
+      Model({.Slots = Place.Slots, .UsagePeriod = Place.UsagePeriod}, newBoot(),
+            [this](const TaskRequest &R) { return behave(R); }),
+      Seen(std::move(Seen)), Timer(Io) {}
+
+WorkerService::~WorkerService() = default;
+
+std::uint64_t WorkerService::newBoot() {
+  return std::uniform_int_distribution<std::uint64_t>(1, MaxBoot)(Random);
+}
+
+Millis WorkerService::clock() const { return platformNow() + ClockOffset; }
+
+TaskOutcome WorkerService::behave(const TaskRequest &Request) const {
+  if (Failing)
+    return {Millis(0), false, "the worker fails every task"};
+  return standardBehaviour(Request);
+}
+
+base::Expected<void> WorkerService::listen() {
+  Server = std::make_unique<net::HttpServer>(
+      Io, net::ServerLimits{.MaxBodyBytes = 16UL * 1024 * 1024},
+      [this](net::Request R, net::Respond Reply) {
+        handle(std::move(R), std::move(Reply));
+      });
+  auto Given = Server->listen("127.0.0.1", Port);
+  if (!Given)
+    return tl::unexpected(Given.error());
+  Port = *Given;
+  return {};
+}
+
+void WorkerService::handle(net::Request R, net::Respond Reply) {
+  bool Cut = false;
+  if (!CutOwner.empty())
+    if (auto Body = base::parseJson(R.Body, "worker"))
+      Cut = ownerOf(*Body) == CutOwner;
+  if (!Cut && !Model.paused())
+    return serve(R, std::move(Reply));
+  if (HeldRequests.size() >= MaxHeld)
+    HeldRequests.pop_front();
+  HeldRequests.push_back({std::move(R), std::move(Reply)});
+}
+
+void WorkerService::serve(const net::Request &R, net::Respond Reply) {
+  bool Commands = R.Path == "/v1/commands";
+  if (R.Method != "POST" || (!Commands && R.Path != "/v1/sync"))
+    return Reply(notFound());
+  auto Body = base::parseJson(R.Body, "worker");
+  if (!Body)
+    return Reply(errorReply(Body.error()));
+  if (Commands) {
+    WorkerReply Result = Model.commands(*Body, clock());
+    if (Twice)
+      Result = Model.commands(*Body, clock());
+    note(*Body, Result);
+    send(std::move(Result), std::move(Reply));
+  } else {
+    sync(*Body, std::move(Reply));
+  }
+  progress();
+}
+
+void WorkerService::sync(const json::value &Body, net::Respond Reply) {
+  WorkerReply Result = Model.sync(Body, clock());
+  note(Body, Result);
+  if (Result.Status != 200 || !Model.shouldWait(Body))
+    return send(repeated(std::move(Result)), std::move(Reply));
+  base::JsonReader R(Body, "sync");
+  Millis Wait(R.integerOr("wait_ms", 0, 0, MaxWaitMs));
+  if (Waiters.size() >= MaxWaiters) {
+    send(Model.collect(Waiters.front().Body, clock()),
+         std::move(Waiters.front().Reply));
+    Waiters.pop_front();
+  }
+  Waiters.push_back({Body, std::move(Reply), clock() + Wait});
+}
+
+void WorkerService::note(const json::value &Body, const WorkerReply &R) {
+  if (R.Status == 200)
+    Seen(cellOf(Body), epochOf(Body), ownerOf(Body));
+}
+
+/// Adds the events of the previous reply once more.
+WorkerReply WorkerService::repeated(WorkerReply R) {
+  json::object *Body = R.Body.if_object();
+  if (!Body || !Body->contains("events"))
+    return R;
+  json::array Fresh = Body->at("events").as_array();
+  if (Twice) {
+    json::array Both = LastEvents;
+    Both.insert(Both.end(), Fresh.begin(), Fresh.end());
+    Body->at("events") = std::move(Both);
+  }
+  LastEvents = std::move(Fresh);
+  return R;
+}
+
+void WorkerService::send(WorkerReply R, net::Respond Reply) {
+  net::Response What = jsonReply(R.Status, R.Body);
+  if (Late.count() == 0)
+    return Reply(std::move(What));
+  auto Delay = std::make_shared<boost::asio::steady_timer>(Io, Late);
+  Delay->async_wait([Delay, Reply = std::move(Reply), What = std::move(What)](
+                        const boost::system::error_code &) { Reply(What); });
+}
+
+void WorkerService::progress() {
+  Timer.cancel();
+  if (Model.paused() || !Server)
+    return;
+  Model.advance(clock());
+  answerWaiters();
+  auto Next = Model.nextChange();
+  for (const Waiter &W : Waiters)
+    if (!Next || W.Until < *Next)
+      Next = W.Until;
+  if (!Next)
+    return;
+  Timer.expires_after(std::max(*Next - clock(), Millis(0)));
+  Timer.async_wait([this](const boost::system::error_code &Ec) {
+    if (!Ec)
+      progress();
+  });
+}
+
+// A sync that waits under an epoch that has been superseded is answered at
+// once, so that its owner learns of the new epoch.
+void WorkerService::answerWaiters() {
+  std::deque<Waiter> Still;
+  std::deque<Waiter> Due;
+  for (Waiter &W : Waiters) {
+    bool Ends = clock() >= W.Until || !Model.shouldWait(W.Body) ||
+                Model.collect(W.Body, clock()).Status != 200;
+    (Ends ? Due : Still).push_back(std::move(W));
+  }
+  Waiters = std::move(Still);
+  for (Waiter &W : Due)
+    send(repeated(Model.collect(W.Body, clock())), std::move(W.Reply));
+}
+
+void WorkerService::dropRequests() {
+  Waiters.clear();
+  HeldRequests.clear();
+  LastEvents.clear();
+}
+
+base::Expected<void> WorkerService::setDown(bool Down) {
+  if (Down == !Server)
+    return {};
+  if (!Down)
+    return listen();
+  Server.reset();
+  dropRequests();
+  Model.restart(newBoot(), clock());
+  progress();
+  return {};
+}
+
+void WorkerService::restart() {
+  dropRequests();
+  Model.restart(newBoot(), clock());
+  progress();
+}
+
+void WorkerService::setPaused(bool Paused) {
+  if (Paused == Model.paused())
+    return;
+  if (Paused) {
+    Model.pause(clock());
+    return progress();
+  }
+  Model.resume(clock());
+  std::deque<Held> Late = std::move(HeldRequests);
+  HeldRequests.clear();
+  for (Held &H : Late)
+    handle(std::move(H.R), std::move(H.Reply));
+  progress();
+}
+
+void WorkerService::cutFrom(std::string Owner) {
+  CutOwner = std::move(Owner);
+  if (CutOwner.empty()) {
+    if (!Model.paused())
+      HeldRequests.clear();
+    return;
+  }
+  std::erase_if(
+      Waiters, [this](const Waiter &W) { return ownerOf(W.Body) == CutOwner; });
+}
+
+void WorkerService::addAudit(json::array &Runs) const {
+  for (const AuditEntry &A : Model.audit()) {
+    if (!A.Started)
+      continue;
+    json::object Run{{"worker", Place.Name},
+                     {"data_centre", Place.DataCentre},
+                     {"boot", A.Boot},
+                     {"epoch", A.Epoch},
+                     {"job", A.Job},
+                     {"attempt", A.Attempt},
+                     {"task", A.Task},
+                     {"tasks", A.Tasks},
+                     {"started_ms", (*A.Started - ClockOffset).count()}};
+    Run["ended_ms"] = A.Ended ? (*A.Ended - ClockOffset).count() : 0;
+    Run["ended"] = A.Ended ? name(A.How) : "running";
+    Runs.push_back(std::move(Run));
+  }
+}
+
+} // namespace heathersaddle::platform
--- /dev/null
+++ b/packages/tool/include/heathersaddle/tool/Commands.h
@@ -0,0 +1,47 @@
+#ifndef HEATHERSADDLE_TOOL_COMMANDS_H
+#define HEATHERSADDLE_TOOL_COMMANDS_H
+
+#include "heathersaddle/tool/Caller.h"
+#include "heathersaddle/tool/CommandLine.h"
+#include <functional>
+#include <string>
+
+namespace heathersaddle::tool {
+
+/// Exit codes of the program; docs/tool.md.
+enum class ExitCode : int {
+  Done = 0,
+  Refused = 1,     ///< A server answered with an error.
+  Usage = 2,       ///< The command line is wrong; nothing was sent.
+  Unavailable = 3, ///< No server gave an answer; no try was delivered
+                   ///< or every server said that nothing took effect.
+  Unresolved = 4,  ///< The call may have taken effect.
+  Conflict = 5,    ///< 409: the key or the list version is taken.
+  NotEnded = 6,    ///< The time to wait is over; the job has not ended.
+  JobFailed = 10,
+  JobCancelled = 11,
+  JobNotRun = 12,
+  JobUnknown = 13
+};
+
+/// What a command prints and how it exits.
+struct CommandResult {
+  ExitCode Code = ExitCode::Done;
+  std::string Out; ///< For the standard output.
+  std::string Err; ///< For the standard error.
+};
+
+/// Clocks and randomness of the commands, injected for tests.
+struct CommandContext {
+  Caller *Servers = nullptr;
+  std::function<base::Millis()> MonoNow;
+  std::function<void(base::Millis)> Pause;
+  std::function<std::string()> NewKey; ///< An unused idempotency key.
+};
+
+/// Runs any command but Help and DevPlatform.
+CommandResult run(const Invocation &I, const CommandContext &Context);
+
+} // namespace heathersaddle::tool
+
+#endif
--- /dev/null
+++ b/packages/tool/include/heathersaddle/tool/Program.h
@@ -0,0 +1,23 @@
+#ifndef HEATHERSADDLE_TOOL_PROGRAM_H
+#define HEATHERSADDLE_TOOL_PROGRAM_H
+
+#include "heathersaddle/tool/CommandLine.h"
+#include "heathersaddle/tool/Commands.h"
+
+namespace heathersaddle::tool {
+
+/// The process's environment and files.
+Surroundings processSurroundings();
+
+/// Sends calls over HTTP; blocks the calling thread.
+Transport httpTransport();
+
+/// Runs a remote command against real servers and clocks.
+CommandResult runRemote(const Invocation &I);
+
+/// Serves the stand-in until SIGINT or SIGTERM and prints its address first.
+int servePlatform(const Invocation &I);
+
+} // namespace heathersaddle::tool
+
+#endif
--- /dev/null
+++ b/packages/tool/include/heathersaddle/tool/Render.h
@@ -0,0 +1,19 @@
+#ifndef HEATHERSADDLE_TOOL_RENDER_H
+#define HEATHERSADDLE_TOOL_RENDER_H
+
+#include <boost/json/value.hpp>
+#include <string>
+
+namespace heathersaddle::tool {
+
+/// Text for a person: "name: value" lines; an array of objects becomes a
+/// table whose columns are the fields in order of first appearance. Control
+/// characters are replaced, so an answer cannot steer the terminal.
+std::string renderText(const boost::json::value &Value);
+
+/// One line of JSON.
+std::string renderJson(const boost::json::value &Value);
+
+} // namespace heathersaddle::tool
+
+#endif
--- /dev/null
+++ b/packages/tool/lib/Caller.cpp
@@ -0,0 +1,100 @@
+// The tool must not say that nothing happened when a try may have arrived.
+// A try is certain to have had no effect only when the connection was refused
+// or when the server's error says "run":"not_run". A 503 without that field
+// counts as unresolved. A refusal that follows an unresolved try does not
+// settle the earlier one, because it may describe the repeat only.
+
+#include "heathersaddle/tool/Caller.h"
+#include "heathersaddle/base/Json.h"
+#include <algorithm>
+#include <charconv>
+
+namespace heathersaddle::tool {
+
+namespace {
+
+constexpr unsigned MaxDoublings = 10;
+constexpr unsigned StatusTooManyRequests = 429;
+constexpr unsigned FirstServerError = 500;
+
+bool retryable(const HttpReply &R) {
+  return R.Status == StatusTooManyRequests || R.Status >= FirstServerError;
+}
+
+bool saysNotRun(const HttpReply &R) {
+  auto Value = base::parseJson(R.Body, "error body");
+  if (!Value || !Value->is_object())
+    return false;
+  const auto *Error = Value->as_object().if_contains("error");
+  if (!Error || !Error->is_object())
+    return false;
+  const auto *Run = Error->as_object().if_contains("run");
+  return Run && Run->is_string() && Run->as_string() == "not_run";
+}
+
+base::Millis retryAfter(const CallResult &Last) {
+  if (!Last.Reply)
+    return base::Millis(0);
+  auto Found = Last.Reply->Headers.find("retry-after");
+  if (Found == Last.Reply->Headers.end())
+    return base::Millis(0);
+  const std::string &Text = Found->second;
+  unsigned Seconds = 0;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Seconds);
+  return base::Millis(std::min(Seconds, 3600U) * 1000LL);
+}
+
+} // namespace
+
+Caller::Caller(std::vector<std::string> Servers, RetryRules Rules,
+               Transport Send, std::function<void(base::Millis)> Pause,
+               std::uint64_t Seed)
+    : Servers(std::move(Servers)), Rules(Rules), Send(std::move(Send)),
+      Pause(std::move(Pause)), Random(Seed) {}
+
+CallResult Caller::call(const HttpCall &Call) {
+  CallResult Result;
+  for (unsigned Try = 0; Try < Rules.Attempts; ++Try) {
+    if (Try > 0) {
+      pause(Try, Result);
+      Current = (Current + 1) % Servers.size();
+    }
+    Result.Server = Servers[Current];
+    Result.Tries = Try + 1;
+    Result.Reply.reset();
+    Result.Failure.clear();
+    auto Reply = Send(Result.Server, Call);
+    if (!Reply) {
+      Result.Failure = Reply.error().Message;
+      if (Reply.error().Code != base::ErrorCode::Unavailable)
+        Result.MayHaveTakenEffect = true;
+      continue;
+    }
+    Result.Reply = *std::move(Reply);
+    if (Result.succeeded())
+      Result.MayHaveTakenEffect = false;
+    if (!retryable(*Result.Reply))
+      break;
+    if (Result.Reply->Status >= FirstServerError && !saysNotRun(*Result.Reply))
+      Result.MayHaveTakenEffect = true;
+  }
+  return Result;
+}
+
+// Other servers are tried at once in the first round, because one refused
+// connection says nothing about them; a 429 holds for the account everywhere.
+void Caller::pause(unsigned Try, const CallResult &Last) {
+  bool Limited = Last.Reply && Last.Reply->Status == StatusTooManyRequests;
+  bool RoundComplete = Try % Servers.size() == 0;
+  if (!Limited && !RoundComplete)
+    return;
+  auto Round = std::min<std::size_t>(Try / Servers.size(), MaxDoublings);
+  const base::Millis Growing = Rules.FirstPause * (1LL << Round);
+  const base::Millis Longest = std::min(Growing, Rules.LongestPause);
+  std::uniform_int_distribution<std::int64_t> Jitter(Longest.count() / 2,
+                                                     Longest.count());
+  base::Millis Wanted(Jitter(Random));
+  Pause(std::min(std::max(Wanted, retryAfter(Last)), Rules.LongestPause));
+}
+
+} // namespace heathersaddle::tool
--- /dev/null
+++ b/packages/tool/lib/CommandLine.cpp
@@ -0,0 +1,422 @@
+// Each command has its own cxxopts description, so an unknown flag of one
+// command is not accepted because another command knows it. cxxopts reports
+// errors by exceptions; they end in parseCommandLine().
+
+#include "heathersaddle/tool/CommandLine.h"
+#include "Help.h"
+#include <algorithm>
+#include <array>
+#include <cxxopts.hpp>
+
+namespace heathersaddle::tool {
+
+using base::ErrorCode;
+using base::Expected;
+using base::makeError;
+
+namespace {
+
+constexpr std::size_t MaxInputBytes = 64 * 1024;
+constexpr std::size_t MaxListBytes = 256 * 1024;
+constexpr unsigned MaxAttempts = 100;
+
+struct VerbName {
+  std::string_view Name;
+  Verb Command;
+};
+constexpr std::array<VerbName, 7> PlainVerbs{
+    {{"submit", Verb::Submit},
+     {"status", Verb::Status},
+     {"wait", Verb::Wait},
+     {"cancel", Verb::Cancel},
+     {"pool", Verb::Pool},
+     {"explain", Verb::Explain},
+     {"dev-platform", Verb::DevPlatform}}};
+constexpr std::array<VerbName, 3> ListVerbs{{{"publish", Verb::ListsPublish},
+                                             {"show", Verb::ListsShow},
+                                             {"history", Verb::ListsHistory}}};
+
+tl::unexpected<base::Error> usage(std::string_view Field,
+                                  std::string_view Message) {
+  return makeError(ErrorCode::InvalidArgument, "command line", Message, {},
+                   Field);
+}
+
+template <class Names>
+std::optional<Verb> findVerb(const Names &In, std::string_view Name) {
+  for (const VerbName &V : In)
+    if (V.Name == Name)
+      return V.Command;
+  return std::nullopt;
+}
+
+bool takesJob(Verb V) {
+  return V == Verb::Status || V == Verb::Wait || V == Verb::Cancel ||
+         V == Verb::Explain;
+}
+
+bool takesList(Verb V) {
+  return V == Verb::ListsPublish || V == Verb::ListsShow;
+}
+
+void addConnectionFlags(cxxopts::Options &O) {
+  O.add_options("Connection")(
+      "server", "HOST:PORT of a daemon; repeat for more, tried in order",
+      cxxopts::value<std::vector<std::string>>())(
+      "token-file", "file that holds the bearer token",
+      cxxopts::value<std::string>())(
+      "attempts", "tries of one call over all servers, 1 to 100",
+      cxxopts::value<unsigned>()->default_value("8"));
+}
+
+void addSubmitFlags(cxxopts::Options &O) {
+  O.add_options("Job")("tasks", "tasks of the gang, 1 to 64",
+                       cxxopts::value<unsigned>()->default_value("1"))(
+      "accelerators", "accelerators of one task",
+      cxxopts::value<unsigned>()->default_value("1"))(
+      "slots", "slots of one task; 0: as many as accelerators",
+      cxxopts::value<unsigned>()->default_value("0"))(
+      "within", "none, worker or rack",
+      cxxopts::value<std::string>()->default_value("none"))(
+      "kind", "kind of the work",
+      cxxopts::value<std::string>()->default_value("echo"))(
+      "input", "the input as text", cxxopts::value<std::string>())(
+      "input-file", "file that holds the input; - is the standard input",
+      cxxopts::value<std::string>())(
+      "idempotent", "the job may be started again after a loss")(
+      "urgent", "start before other work")("deadline-ms", "deadline, in ms",
+                                           cxxopts::value<std::int64_t>())(
+      "run-time-ms", "declared run time, in ms",
+      cxxopts::value<std::int64_t>())("cores", "cores of one task",
+                                      cxxopts::value<unsigned>())(
+      "memory-mb", "memory of one task, in MB",
+      cxxopts::value<std::uint64_t>())(
+      "key", "idempotency key; generated when absent",
+      cxxopts::value<std::string>())("wait", "wait for the answer");
+}
+
+void addPlatformFlags(cxxopts::Options &O) {
+  O.add_options("Stand-in")("data-centres", "number of data centres",
+                            cxxopts::value<unsigned>()->default_value("3"))(
+      "racks", "racks in a data centre",
+      cxxopts::value<unsigned>()->default_value("2"))(
+      "workers-per-rack", "workers in a rack",
+      cxxopts::value<unsigned>()->default_value("8"))(
+      "slots", "slots of a worker, 1 to 64",
+      cxxopts::value<unsigned>()->default_value("8"))(
+      "accelerators", "accelerators of a worker, at most its slots",
+      cxxopts::value<unsigned>()->default_value("8"))(
+      "port", "port of the log and the host list; 0: a free one",
+      cxxopts::value<unsigned>()->default_value("7070"))(
+      "seed", "seed of injected faults",
+      cxxopts::value<std::uint64_t>()->default_value("1"))(
+      "host-list-lag-ms", "delay of the host list, in ms",
+      cxxopts::value<std::int64_t>()->default_value("0"));
+}
+
+cxxopts::Options describe(Verb V, const std::string &Name) {
+  cxxopts::Options O("heathersaddle " + Name, std::string(summary(V)));
+  O.add_options()("h,help", "print this help")(
+      "output", "text or json",
+      cxxopts::value<std::string>()->default_value("text"))(
+      "operands", "", cxxopts::value<std::vector<std::string>>());
+  O.parse_positional({"operands"});
+  if (V == Verb::DevPlatform)
+    addPlatformFlags(O);
+  else
+    addConnectionFlags(O);
+  if (V == Verb::Submit)
+    addSubmitFlags(O);
+  if (V == Verb::Submit || V == Verb::Wait)
+    O.add_options()("timeout-ms", "how long to wait, in ms",
+                    cxxopts::value<std::int64_t>()->default_value("60000"));
+  if (V == Verb::ListsPublish)
+    O.add_options()("base",
+                    "version that the file changes; the one in force when "
+                    "absent",
+                    cxxopts::value<std::uint64_t>());
+  O.custom_help("[flags]");
+  O.positional_help(std::string(operands(V)));
+  return O;
+}
+
+bool validServer(std::string_view Server) {
+  auto Colon = Server.rfind(':');
+  if (Colon == std::string_view::npos || Colon == 0)
+    return false;
+  std::string_view Port = Server.substr(Colon + 1);
+  if (Port.empty() || Port.size() > 5 ||
+      !std::all_of(Port.begin(), Port.end(),
+                   [](char C) { return C >= '0' && C <= '9'; }))
+    return false;
+  int Number = std::stoi(std::string(Port));
+  return Number > 0 && Number <= 65535;
+}
+
+std::vector<std::string> splitList(std::string_view Text) {
+  std::vector<std::string> Items;
+  while (!Text.empty()) {
+    auto End = Text.find_first_of(", ");
+    if (End != 0)
+      Items.emplace_back(Text.substr(0, End));
+    if (End == std::string_view::npos)
+      break;
+    Text.remove_prefix(End + 1);
+  }
+  return Items;
+}
+
+std::string trimmed(std::string Text) {
+  while (!Text.empty() && (Text.back() == '\n' || Text.back() == '\r'))
+    Text.pop_back();
+  return Text;
+}
+
+/// Reads the parsed flags of one command into an Invocation.
+class Reader {
+public:
+  Reader(const cxxopts::ParseResult &Flags, const Surroundings &From,
+         Invocation &Into)
+      : Flags(Flags), From(From), Into(Into) {}
+
+  Expected<void> read() {
+    const auto Format = Flags["output"].as<std::string>();
+    if (Format != "text" && Format != "json")
+      return usage("output", "must be text or json");
+    Into.Format = Format == "json" ? Output::Json : Output::Text;
+    if (auto Done = readOperands(); !Done)
+      return Done;
+    if (Into.Command == Verb::DevPlatform)
+      return readPlatform();
+    if (auto Done = readConnection(); !Done)
+      return Done;
+    if (Flags.count("timeout-ms"))
+      Into.TimeLimit = base::Millis(Flags["timeout-ms"].as<std::int64_t>());
+    if (Into.TimeLimit < base::Millis(0))
+      return usage("timeout-ms", "must not be negative");
+    if (Into.Command == Verb::Submit)
+      return readSubmit();
+    return {};
+  }
+
+private:
+  Expected<void> readOperands() {
+    std::vector<std::string> Given;
+    if (Flags.count("operands"))
+      Given = Flags["operands"].as<std::vector<std::string>>();
+    std::size_t Wanted = 0;
+    if (takesJob(Into.Command) || takesList(Into.Command))
+      Wanted = 1;
+    if (Into.Command == Verb::ListsPublish)
+      Wanted = 2;
+    if (Given.size() != Wanted)
+      return usage("", "expects " + std::to_string(Wanted) + " operands, not " +
+                           std::to_string(Given.size()) + "; see --help");
+    if (takesJob(Into.Command))
+      return readJob(Given[0]);
+    if (takesList(Into.Command))
+      return readList(Given);
+    return {};
+  }
+
+  Expected<void> readJob(const std::string &Job) {
+    bool Plain = !Job.empty() && Job.size() <= 128 &&
+                 std::all_of(Job.begin(), Job.end(), [](unsigned char C) {
+                   return std::isalnum(C) || C == '-' || C == '_' || C == '.';
+                 });
+    if (!Plain)
+      return usage("JOB", "is not a job id");
+    Into.Job = Job;
+    return {};
+  }
+
+  Expected<void> readList(const std::vector<std::string> &Given) {
+    if (Given[0] != "customers" && Given[0] != "plans")
+      return usage("LIST", "must be customers or plans");
+    Into.ListName = Given[0];
+    if (Into.Command != Verb::ListsPublish)
+      return {};
+    auto Text = From.ReadFile(Given[1]);
+    if (!Text)
+      return tl::unexpected(Text.error());
+    if (Text->size() > MaxListBytes)
+      return usage("FILE", "is longer than 256 KiB");
+    Into.ListText = *std::move(Text);
+    if (Flags.count("base"))
+      Into.ListBase = Flags["base"].as<std::uint64_t>();
+    return {};
+  }
+
+  Expected<void> readConnection() {
+    if (Flags.count("server"))
+      Into.Servers = Flags["server"].as<std::vector<std::string>>();
+    else if (auto Text = From.Variable("HEATHERSADDLE_SERVERS"))
+      Into.Servers = splitList(*Text);
+    if (Into.Servers.empty())
+      return usage("server", "is required, or HEATHERSADDLE_SERVERS");
+    for (const std::string &S : Into.Servers)
+      if (!validServer(S))
+        return usage("server", "'" + S + "' is not HOST:PORT");
+    Into.Attempts = Flags["attempts"].as<unsigned>();
+    if (Into.Attempts < 1 || Into.Attempts > MaxAttempts)
+      return usage("attempts", "must be within 1 and 100");
+    return readToken();
+  }
+
+  // The token is not a flag, because other users can read command lines.
+  Expected<void> readToken() {
+    if (Flags.count("token-file")) {
+      auto Text = From.ReadFile(Flags["token-file"].as<std::string>());
+      if (!Text)
+        return tl::unexpected(Text.error());
+      Into.Token = trimmed(*std::move(Text));
+    } else if (auto Text = From.Variable("HEATHERSADDLE_TOKEN")) {
+      Into.Token = *Text;
+    }
+    if (Into.Token.find_first_of("\r\n") != std::string::npos)
+      return usage("token-file", "must hold one line");
+    return {};
+  }
+
+  Expected<void> readSubmit() {
+    SubmitArguments &S = Into.Submit;
+    S.Tasks = Flags["tasks"].as<unsigned>();
+    S.Accelerators = Flags["accelerators"].as<unsigned>();
+    S.Slots = Flags["slots"].as<unsigned>();
+    S.Within = Flags["within"].as<std::string>();
+    S.Kind = Flags["kind"].as<std::string>();
+    S.Idempotent = Flags.count("idempotent") != 0;
+    S.Urgent = Flags.count("urgent") != 0;
+    S.ThenWait = Flags.count("wait") != 0;
+    optional("deadline-ms", S.DeadlineMs);
+    optional("run-time-ms", S.RunTimeMs);
+    optional("cores", S.Cores);
+    optional("memory-mb", S.MemoryMb);
+    optional("key", S.Key);
+    optional("input", S.Input);
+    if (Flags.count("input-file")) {
+      if (Flags.count("input"))
+        return usage("input-file", "must not be given together with --input");
+      auto Text = From.ReadFile(Flags["input-file"].as<std::string>());
+      if (!Text)
+        return tl::unexpected(Text.error());
+      S.Input = *std::move(Text);
+    }
+    return checkSubmit();
+  }
+
+  Expected<void> checkSubmit() const {
+    const SubmitArguments &S = Into.Submit;
+    if (S.Tasks < 1 || S.Tasks > 64)
+      return usage("tasks", "must be within 1 and 64");
+    if (S.Accelerators > 64)
+      return usage("accelerators", "must be within 0 and 64");
+    if (S.Slots > 64)
+      return usage("slots", "must be within 0 and 64");
+    if (S.Slots == 0 && S.Accelerators == 0)
+      return usage("slots", "is required for a task without accelerators");
+    if (S.Within != "none" && S.Within != "worker" && S.Within != "rack")
+      return usage("within", "must be none, worker or rack");
+    if (S.DeadlineMs < 0)
+      return usage("deadline-ms", "must not be negative");
+    if (S.RunTimeMs < 0)
+      return usage("run-time-ms", "must not be negative");
+    if (S.Input.size() > MaxInputBytes)
+      return usage("input", "is longer than 64 KiB");
+    bool Printable =
+        std::all_of(S.Key.begin(), S.Key.end(),
+                    [](unsigned char C) { return C > 32 && C < 127; });
+    if (S.Key.size() > 128 || !Printable)
+      return usage("key", "must be at most 128 printable characters");
+    return {};
+  }
+
+  Expected<void> readPlatform() {
+    PlatformArguments &P = Into.Platform;
+    P.DataCentres = Flags["data-centres"].as<unsigned>();
+    P.Racks = Flags["racks"].as<unsigned>();
+    P.Workers = Flags["workers-per-rack"].as<unsigned>();
+    P.Slots = Flags["slots"].as<unsigned>();
+    P.Accelerators = Flags["accelerators"].as<unsigned>();
+    P.Port = Flags["port"].as<unsigned>();
+    P.Seed = Flags["seed"].as<std::uint64_t>();
+    P.HostListLagMs = Flags["host-list-lag-ms"].as<std::int64_t>();
+    if (P.DataCentres < 1 || P.DataCentres > 8)
+      return usage("data-centres", "must be within 1 and 8");
+    if (P.Racks < 1 || P.Racks > 128)
+      return usage("racks", "must be within 1 and 128");
+    if (P.Workers < 1 || P.Workers > 64)
+      return usage("workers-per-rack", "must be within 1 and 64");
+    if (P.Slots < 1 || P.Slots > 64)
+      return usage("slots", "must be within 1 and 64");
+    if (P.Accelerators > P.Slots)
+      return usage("accelerators", "must not exceed the slots");
+    if (P.Port > 65535)
+      return usage("port", "must be within 0 and 65535");
+    if (P.HostListLagMs < 0)
+      return usage("host-list-lag-ms", "must not be negative");
+    return {};
+  }
+
+  template <class T> void optional(const char *Flag, T &Value) const {
+    if (Flags.count(Flag))
+      Value = Flags[Flag].as<T>();
+  }
+
+  const cxxopts::ParseResult &Flags;
+  const Surroundings &From;
+  Invocation &Into;
+};
+
+Expected<Invocation> parseCommand(Verb V, const std::string &Name,
+                                  std::span<const std::string> Args,
+                                  const Surroundings &From) {
+  cxxopts::Options O = describe(V, Name);
+  std::vector<const char *> Raw{"heathersaddle"};
+  for (const std::string &A : Args)
+    Raw.push_back(A.c_str());
+  Invocation Result;
+  try {
+    auto Flags = O.parse(static_cast<int>(Raw.size()), Raw.data());
+    if (Flags.count("help")) {
+      Result.HelpText =
+          O.help() + "\nExample:\n  " + std::string(example(V)) + "\n";
+      return Result;
+    }
+    Result.Command = V;
+    if (auto Done = Reader(Flags, From, Result).read(); !Done)
+      return tl::unexpected(Done.error());
+  } catch (const cxxopts::exceptions::exception &E) {
+    return usage("", E.what());
+  }
+  return Result;
+}
+
+} // namespace
+
+Expected<Invocation> parseCommandLine(std::span<const std::string> Args,
+                                      const Surroundings &From) {
+  if (Args.empty())
+    return usage("", "a command is required; see heathersaddle --help");
+  const std::string &First = Args[0];
+  if (First == "--help" || First == "-h" || First == "help") {
+    Invocation Help;
+    Help.HelpText = overview();
+    return Help;
+  }
+  if (auto V = findVerb(PlainVerbs, First))
+    return parseCommand(*V, First, Args.subspan(1), From);
+  if (First != "lists")
+    return usage("", "'" + First + "' is not a command; see --help");
+  if (Args.size() > 1)
+    if (auto V = findVerb(ListVerbs, Args[1]))
+      return parseCommand(*V, "lists " + Args[1], Args.subspan(2), From);
+  if (Args.size() > 1 && (Args[1] == "--help" || Args[1] == "-h")) {
+    Invocation Help;
+    Help.HelpText = overview();
+    return Help;
+  }
+  return usage("", "lists expects publish, show or history");
+}
+
+} // namespace heathersaddle::tool
