--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= 10
 
-.PHONY: all packages build check lint
+.PHONY: all packages build check lint demo faults
 
 all: build
 
@@ -18,3 +18,12 @@
 
 lint: build
 	@scripts/lint.sh $(BUILD)
+
+# A deployment on loopback under load and failures; SEED selects the load.
+SEED ?= 1
+demo: build
+	@python3 scripts/demo.py --build $(BUILD) --seed $(SEED)
+
+# Measures failure handling with real processes over loopback.
+faults: build
+	@python3 scripts/faults.py --build $(BUILD) --seed $(SEED)
--- a/packages/tool/include/heathersaddle/tool/CommandLine.h
+++ b/packages/tool/include/heathersaddle/tool/CommandLine.h
@@ -39,7 +39,7 @@
   std::string Input;
   bool Idempotent = false;
   bool Urgent = false;
-  std::int64_t DeadlineMs = 0; ///< 0: none.
+  std::int64_t DeadlineMs = 0; ///< After acceptance; 0: none.
   std::int64_t RunTimeMs = 0;  ///< 0: not declared.
   unsigned Cores = 0;
   std::uint64_t MemoryMb = 0;
--- a/packages/tool/lib/Caller.cpp
+++ b/packages/tool/lib/Caller.cpp
@@ -1,8 +1,9 @@
 // The tool must not say that nothing happened when a try may have arrived.
 // A try is certain to have had no effect only when the connection was refused
-// or when the server's error says "run":"not_run". A 503 without that field
-// counts as unresolved. A refusal that follows an unresolved try does not
-// settle the earlier one, because it may describe the repeat only.
+// or when the server's error says so: "run":"not_run", or for calls without
+// that field the code "unavailable". Any other 5xx counts as unresolved. A
+// refusal that follows an unresolved try does not settle the earlier one,
+// because it may describe the repeat only.
 
 #include "heathersaddle/tool/Caller.h"
 #include "heathersaddle/base/Json.h"
@@ -21,15 +22,24 @@
   return R.Status == StatusTooManyRequests || R.Status >= FirstServerError;
 }
 
-bool saysNotRun(const HttpReply &R) {
+std::string errorField(const HttpReply &R, std::string_view Name) {
   auto Value = base::parseJson(R.Body, "error body");
   if (!Value || !Value->is_object())
-    return false;
+    return {};
   const auto *Error = Value->as_object().if_contains("error");
   if (!Error || !Error->is_object())
-    return false;
-  const auto *Run = Error->as_object().if_contains("run");
-  return Run && Run->is_string() && Run->as_string() == "not_run";
+    return {};
+  const auto *Field = Error->as_object().if_contains(
+      boost::json::string_view(Name.data(), Name.size()));
+  return Field && Field->is_string() ? std::string(Field->as_string())
+                                     : std::string();
+}
+
+bool saysNoEffect(const HttpReply &R) {
+  const std::string Run = errorField(R, "run");
+  if (!Run.empty())
+    return Run == "not_run";
+  return errorField(R, "code") == "unavailable";
 }
 
 base::Millis retryAfter(const CallResult &Last) {
@@ -75,7 +85,8 @@
       Result.MayHaveTakenEffect = false;
     if (!retryable(*Result.Reply))
       break;
-    if (Result.Reply->Status >= FirstServerError && !saysNotRun(*Result.Reply))
+    if (Result.Reply->Status >= FirstServerError &&
+        !saysNoEffect(*Result.Reply))
       Result.MayHaveTakenEffect = true;
   }
   return Result;
--- a/packages/tool/lib/CommandLine.cpp
+++ b/packages/tool/lib/CommandLine.cpp
@@ -84,13 +84,13 @@
       "input-file", "file that holds the input; - is the standard input",
       cxxopts::value<std::string>())(
       "idempotent", "the job may be started again after a loss")(
-      "urgent", "start before other work")("deadline-ms", "deadline, in ms",
-                                           cxxopts::value<std::int64_t>())(
-      "run-time-ms", "declared run time, in ms",
-      cxxopts::value<std::int64_t>())("cores", "cores of one task",
-                                      cxxopts::value<unsigned>())(
-      "memory-mb", "memory of one task, in MB",
-      cxxopts::value<std::uint64_t>())(
+      "urgent", "start before other work")(
+      "deadline-ms", "deadline, in ms after acceptance",
+      cxxopts::value<std::int64_t>())("run-time-ms", "declared run time, in ms",
+                                      cxxopts::value<std::int64_t>())(
+      "cores", "cores of one task",
+      cxxopts::value<unsigned>())("memory-mb", "memory of one task, in MB",
+                                  cxxopts::value<std::uint64_t>())(
       "key", "idempotency key; generated when absent",
       cxxopts::value<std::string>())("wait", "wait for the answer");
 }
--- a/packages/tool/tests/CommandsTest.cpp
+++ b/packages/tool/tests/CommandsTest.cpp
@@ -104,6 +104,10 @@
   BOOST_TEST((run({reset(), refused()}).Code == ExitCode::Unresolved));
   BOOST_TEST((run({reply(503)}).Code == ExitCode::Unresolved));
   BOOST_TEST((run({reset(), reply(403)}).Code == ExitCode::Unresolved));
+  BOOST_TEST(
+      (run({reply(503,
+                  R"({"error":{"code":"unavailable","run":"unresolved"}})")})
+           .Code == ExitCode::Unresolved));
   BOOST_TEST((run({reset(), reply(503, NotRun)}).Code == ExitCode::Unresolved));
 }
 
@@ -111,6 +115,8 @@
 BOOST_FIXTURE_TEST_CASE(SettledCallsAreReportedAsTheServerSaid, Submit) {
   I.Attempts = 3;
   BOOST_TEST((run({reply(503, NotRun)}).Code == ExitCode::Unavailable));
+  BOOST_TEST((run({reply(503, R"({"error":{"code":"unavailable"}})")}).Code ==
+              ExitCode::Unavailable));
   BOOST_TEST((run({refused(), reply(400)}).Code == ExitCode::Refused));
   BOOST_TEST((run({reply(409)}).Code == ExitCode::Conflict));
   BOOST_TEST((run({reset(), reply(202, Accepted)}).Code == ExitCode::Done));
--- a/scripts/harness/deployment.py
+++ b/scripts/harness/deployment.py
@@ -124,7 +124,7 @@
                 f"--name={name}",
                 f"--listen={address}",
                 f"--data-centre={centre}",
-                f"--platform={self.platform_address}",
+                f"--log={self.platform_address}",
                 f"--operator-token-sha256={sha256(OPERATOR_TOKEN)}",
             ],
             self.folder,
