--- a/packages/platform/lib/WorkerService.cpp
+++ b/packages/platform/lib/WorkerService.cpp
@@ -123,7 +123,7 @@
     if (Twice)
       Result = Model.commands(*Body, clock());
     note(*Body, Result);
-    send(std::move(Result), std::move(Reply));
+    send(Result, std::move(Reply));
   } else {
     sync(*Body, std::move(Reply));
   }
@@ -165,7 +165,7 @@
   return R;
 }
 
-void WorkerService::send(WorkerReply R, net::Respond Reply) {
+void WorkerService::send(const WorkerReply &R, net::Respond Reply) {
   net::Response What = jsonReply(R.Status, R.Body);
   if (Late.count() == 0)
     return Reply(std::move(What));
--- a/packages/platform/lib/WorkerService.h
+++ b/packages/platform/lib/WorkerService.h
@@ -73,7 +73,7 @@
   void handle(net::Request R, net::Respond Reply);
   void serve(const net::Request &R, net::Respond Reply);
   void sync(const boost::json::value &Body, net::Respond Reply);
-  void send(WorkerReply R, net::Respond Reply);
+  void send(const WorkerReply &R, net::Respond Reply);
   WorkerReply repeated(WorkerReply R);
   void note(const boost::json::value &Body, const WorkerReply &R);
   /// Lets time pass, answers waiters and sets the timer.
--- a/packages/tool/lib/Commands.cpp
+++ b/packages/tool/lib/Commands.cpp
@@ -51,7 +51,8 @@
   return json::object{{"error", std::move(Error)}};
 }
 
-CommandResult failure(const Invocation &I, ExitCode Code, json::value Body) {
+CommandResult failure(const Invocation &I, ExitCode Code,
+                      const json::value &Body) {
   CommandResult Result;
   Result.Code = Code;
   (I.Format == Output::Json ? Result.Out : Result.Err) = show(I, Body);
@@ -69,13 +70,13 @@
                           R);
     if (!Key.empty())
       Body["error"].as_object()["key"] = Key;
-    return failure(I, ExitCode::Unresolved, std::move(Body));
+    return failure(I, ExitCode::Unresolved, Body);
   }
   if (!R.Reply || R.Reply->Status >= 500 || R.Reply->Status == 429) {
     auto Body = errorBody("unavailable", "no server settled the call", R);
     if (!Key.empty())
       Body["error"].as_object()["key"] = Key;
-    return failure(I, ExitCode::Unavailable, std::move(Body));
+    return failure(I, ExitCode::Unavailable, Body);
   }
   ExitCode Code =
       R.Reply->Status == 409 ? ExitCode::Conflict : ExitCode::Refused;
