--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -105,11 +105,12 @@
     try:
         load = run(deployment, args, started)
         audit = deployment.audit()
+        deployment.save_evidence()
     finally:
         deployment.close()
     verdict = report(load, audit)
     if not verdict.good or verdict.accepted == 0:
-        print("logs in " + deployment.folder)
+        print("logs, audit and control stream in " + deployment.folder)
         return 1
     return 0
 
--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -251,11 +251,12 @@
         run.load.finish(args.drain)
         run.say("the callers are done")
         audit = deployment.audit()
+        deployment.save_evidence()
     finally:
         deployment.close()
     if report(run, audit, time.monotonic() - run.started):
         return 0
-    print("logs in " + deployment.folder)
+    print("logs, audit and control stream in " + deployment.folder)
     return 1
 
 
--- a/scripts/harness/deployment.py
+++ b/scripts/harness/deployment.py
@@ -195,6 +195,23 @@
             raise SystemExit("the stand-in gave no audit")
         return reply.body
 
+    def save_evidence(self):
+        """Writes the audit and the control stream beside the programs' logs."""
+        path = os.path.join(self.folder, "audit.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(self.audit(), file)
+        offset = 0
+        path = os.path.join(self.folder, "control.jsonl")
+        with open(path, "w", encoding="utf-8") as file:
+            while True:
+                target = f"/v1/streams/control/records?from={offset}&max=1000"
+                records = call(self.platform_address, "GET", target).body
+                if not records.get("records"):
+                    return
+                for text in records["records"]:
+                    file.write(f"{offset} {text}\n")
+                    offset += 1
+
     def owner_of(self, cell):
         """The daemon under whose epoch the cell's workers act."""
         newest = {}
