--- a/packages/bench/lib/Sim.h
+++ b/packages/bench/lib/Sim.h
@@ -137,13 +137,24 @@
   }
 }
 
-// A job of a unit's shape is entitled when its account has no more jobs of
-// the unit than the unit's count.
+// A job of a unit's shape is entitled when its account has fewer jobs of the
+// unit than the unit's count and does not use its guaranteed number of
+// accelerators itself for other work.
 template <Deciding S> bool Sim<S>::entitled(const LoadJob &J) const {
   if (J.Unit < 0)
     return false;
+  unsigned Slots = J.View.Shape.totalSlots();
+  for (std::size_t N = 0; N != Lives.size(); ++N)
+    if (Lives[N].Placed && L.Jobs[N].View.Account == J.View.Account &&
+        L.Jobs[N].View.Shape.Accelerators)
+      Slots += L.Jobs[N].View.Shape.totalSlots();
   for (const pool::Guarantee &G : L.Guarantees)
     if (G.Account == J.View.Account) {
+      unsigned Guaranteed = 0;
+      for (const pool::GuaranteeUnit &U : G.Units)
+        Guaranteed += U.Accelerators * U.Workers * U.Count;
+      if (Slots > Guaranteed)
+        return false;
       auto Have = Outstanding.find({G.Account, J.Unit});
       return Have == Outstanding.end() || Have->second < G.Units[J.Unit].Count;
     }
--- a/packages/policy/lib/Holds.cpp
+++ b/packages/policy/lib/Holds.cpp
@@ -16,6 +16,9 @@
 
 static constexpr unsigned MaxReservations = 4;
 static constexpr unsigned ReserveAttempts = 4;
+// Reservations beyond the first hold at most one slot in this many: slots that
+// drain are idle, and several large gangs would idle most of a small cell.
+static constexpr unsigned ReservedPart = 8;
 static constexpr std::size_t ReserveWorkers = 256;
 static constexpr base::WallMs ReserveEveryMs = 1'000;
 // A hold that is not served within this many grace periods is given up.
@@ -262,15 +265,20 @@
   if (Now < S.NextReserveMs)
     return;
   S.NextReserveMs = Now + ReserveEveryMs;
-  auto Reserved = std::count_if(S.Holds.begin(), S.Holds.end(), [](auto &H) {
-    return H.second.Kind == HoldKind::Gang;
-  });
+  unsigned Reserved = 0, Slots = 0;
+  for (const auto &[Id, H] : S.Holds)
+    if (const Job *J = S.find(Id); J && H.Kind == HoldKind::Gang) {
+      ++Reserved;
+      Slots += J->Shape.totalSlots();
+    }
   if (Reserved >= MaxReservations)
     return;
   std::vector<Job *> Waiting = longWaiting();
   for (std::size_t N = 0; N != Waiting.size() && N != ReserveAttempts; ++N)
-    if (reserve(*Waiting[N]))
-      return;
+    if (!Reserved ||
+        (Slots + Waiting[N]->Shape.totalSlots()) * ReservedPart <= T.UpSlots)
+      if (reserve(*Waiting[N]))
+        return;
 }
 
 } // namespace heathersaddle::policy
--- a/packages/policy/lib/Pass.h
+++ b/packages/policy/lib/Pass.h
@@ -41,6 +41,10 @@
   Outcome tryPlace(Job &J);
   Outcome placeFree(Job &J);
   bool placeAsBackfill(Job &J);
+  std::optional<pool::Tasks> search(const Job &J, const pool::Query &Q,
+                                    int Kind);
+  bool placeOwn(Job &J, pool::Query Q);
+  bool ownSlotsFree(const pool::Query &Q) const;
   void propose(Job &J, const pool::Tasks &Where);
   void block(const pool::Tasks &Where);
   std::vector<pool::RowId> avoided(const Job &J) const;
@@ -119,6 +123,9 @@
   std::set<std::string, std::less<>> StoppedNow;
   std::vector<pool::Home> NewHomes;
   std::vector<std::uint32_t> Proposers;
+  /// Fewest tasks of a kind (search, slots, accelerators, adjacency) that were
+  /// found not to fit; slots only become fewer during a pass.
+  std::map<std::tuple<int, unsigned, bool, pool::Adjacency>, unsigned> Misses;
   unsigned Examined = 0;
   unsigned Searches = 0; ///< Costly ones; bounded per pass.
   bool Deferred = false; ///< The last job's search was put off.
--- a/packages/policy/lib/Place.cpp
+++ b/packages/policy/lib/Place.cpp
@@ -70,37 +70,75 @@
   return Base;
 }
 
+// A search whose answer does not depend on the account, so that a failure is
+// remembered for the rest of the pass.
+std::optional<Tasks> Pass::search(const Job &J, const Query &Q, int Kind) {
+  std::tuple Key(Kind, J.Shape.SlotsPerTask, J.Shape.Accelerators,
+                 J.Shape.Within);
+  if (auto Miss = Misses.find(Key);
+      Miss != Misses.end() && Miss->second <= J.Shape.Tasks)
+    return std::nullopt;
+  auto Found = T.find(J.Shape, Q);
+  if (!Found && Q.Avoid.empty()) {
+    auto [Miss, Fresh] = Misses.try_emplace(Key, J.Shape.Tasks);
+    Miss->second = std::min(Miss->second, J.Shape.Tasks);
+  }
+  return Found;
+}
+
+bool Pass::placeOwn(Job &J, Query Q) {
+  if (T.homeSlots(Q.Account) < J.Shape.totalSlots())
+    return false;
+  std::vector<pool::SlotMask> Blocked;
+  Q.In = Domain::Own;
+  Q.Blocked = &Base;
+  if (!S.Holds.empty()) {
+    Blocked = ownBlocks(S, J, Base);
+    Q.Blocked = &Blocked;
+  }
+  auto Found = T.find(J.Shape, Q);
+  if (Found)
+    propose(J, *Found);
+  return Found.has_value();
+}
+
+bool Pass::ownSlotsFree(const Query &Q) const {
+  auto Rows = T.homeRows(Q.Account);
+  return std::any_of(Rows.begin(), Rows.end(), [&](pool::RowId W) {
+    return T.Rows[W].open() & T.Rows[W].homeOf(Q.Account) & ~Soft[W];
+  });
+}
+
 Pass::Outcome Pass::placeFree(Job &J) {
   std::vector<pool::RowId> Avoid = avoided(J);
-  Query Q{Domain::Own, T.account(S.Accounts[J.Account].Name), &Base, Avoid};
-  auto Try = [&](Domain In, const std::vector<pool::SlotMask> &Blocked) {
-    Q.In = In;
-    Q.Blocked = &Blocked;
-    auto Found = T.find(J.Shape, Q);
+  Query Q{Domain::Spare, T.account(S.Accounts[J.Account].Name), &Soft, Avoid};
+  auto Accept = [&](const std::optional<Tasks> &Found) {
     if (Found)
       propose(J, *Found);
     return Found.has_value();
   };
-  if (T.homeSlots(Q.Account) >= J.Shape.totalSlots()) {
-    if (S.Holds.empty() ? Try(Domain::Own, Base)
-                        : Try(Domain::Own, ownBlocks(S, J, Base)))
-      return Outcome::Placed;
-  }
-  if (T.OpenSlots < J.Shape.totalSlots())
-    return Outcome::Blocked;
-  if (Try(Domain::Spare, Soft))
+  // Work without accelerators leaves the account's accelerators alone while
+  // other slots are free.
+  bool Fast = J.Shape.Accelerators;
+  if (Fast && placeOwn(J, Q))
+    return Outcome::Placed;
+  bool Room = T.OpenSlots >= J.Shape.totalSlots();
+  if (Room && Accept(search(J, Q, 0)))
     return Outcome::Placed;
-  if (J.Shape.Tasks > 1 && T.homeSlots(Q.Account) &&
-      Try(Domain::OwnOrSpare, Soft))
+  if (!Fast && placeOwn(J, Q))
     return Outcome::Placed;
-  if (T.Homes.empty())
+  if (!Room || T.Homes.empty())
     return Outcome::Blocked;
+  Q.In = Domain::OwnOrSpare;
+  if (J.Shape.Tasks > 1 && ownSlotsFree(Q) && Accept(T.find(J.Shape, Q)))
+    return Outcome::Placed;
   // A home exchanged for a free one makes the job guaranteed at no cost.
   if (Searches < SearchesPerPass &&
       reclaim(J, /*AtNoLoss=*/true) == Outcome::Waits)
     return Outcome::Waits;
-  return J.Idempotent && Try(Domain::Any, Soft) ? Outcome::Placed
-                                                : Outcome::Blocked;
+  Q.In = Domain::Any;
+  return J.Idempotent && Accept(search(J, Q, 1)) ? Outcome::Placed
+                                                 : Outcome::Blocked;
 }
 
 // Slots kept for a draining gang may be used meanwhile by a job that can be
@@ -116,7 +154,7 @@
     return false;
   std::vector<pool::RowId> Avoid = avoided(J);
   Query Q{Domain::Any, T.account(S.Accounts[J.Account].Name), &Hard, Avoid};
-  auto Found = T.find(J.Shape, Q);
+  auto Found = search(J, Q, 2);
   if (Found)
     propose(J, *Found);
   return Found.has_value();
--- a/packages/policy/lib/Reclaim.cpp
+++ b/packages/policy/lib/Reclaim.cpp
@@ -39,7 +39,9 @@
   case HoldKind::Overrun:
     return J->Idempotent && !J->Urgent && J->Overrun && !T.isGuaranteed(R);
   case HoldKind::Gang:
-    return J->Idempotent && !J->Urgent && !T.isGuaranteed(R);
+    // Gangs are not moved for one another: each move would idle a region.
+    return J->Idempotent && !J->Urgent && J->Shape.Tasks == 1 &&
+           !T.isGuaranteed(R);
   case HoldKind::Swap:
     return false;
   }
@@ -252,7 +254,7 @@
 // back.
 Pass::Outcome Pass::reclaim(Job &J, bool AtNoLoss) {
   Claim C = claimOf(J, HoldKind::Guarantee);
-  if (T.homeSlots(C.Owner) < J.Shape.totalSlots())
+  if (!J.Shape.Accelerators || T.homeSlots(C.Owner) < J.Shape.totalSlots())
     return Outcome::Blocked;
   ++Searches;
   std::vector<SlotMask> Saved = Base;
--- a/packages/pool/include/heathersaddle/pool/PoolAccess.h
+++ b/packages/pool/include/heathersaddle/pool/PoolAccess.h
@@ -137,7 +137,8 @@
   struct Buckets {
     std::array<Bits, Orders> ByOrder;
   };
-  std::optional<Tasks> findOne(unsigned Size, bool Accelerators,
+  enum SlotKind { Plain, Accelerated, All };
+  std::optional<Tasks> findOne(unsigned Size, SlotKind Kind,
                                const Query &Q) const;
   /// A task placed by looking at the account's home workers only.
   std::optional<Tasks> findOneOwn(const Shape &S, const Query &Q) const;
@@ -148,8 +149,8 @@
   NameMap AccountByName;
   std::vector<JobId> FreeJobIds;
   /// Ranks of workers with a maximal free block of each order, for
-  /// [any, spare][plain, accelerated] slots.
-  Buckets Index[2][2];
+  /// [any, spare][plain, accelerated, all] slots.
+  Buckets Index[2][3];
   friend class Pool;
 };
 
--- a/packages/pool/lib/Search.cpp
+++ b/packages/pool/lib/Search.cpp
@@ -111,9 +111,9 @@
   return placeMasks(T, S, Free);
 }
 
-std::optional<Tasks> Table::findOne(unsigned Size, bool Accelerators,
+std::optional<Tasks> Table::findOne(unsigned Size, SlotKind Kind,
                                     const Query &Q) const {
-  const Buckets &B = Index[Q.In == Domain::Spare][Accelerators];
+  const Buckets &B = Index[Q.In == Domain::Spare][Kind];
   unsigned First = std::bit_width(Size) - 1;
   for (unsigned K = First; K != Orders; ++K) {
     const Bits &Words = B.ByOrder[K];
@@ -121,7 +121,9 @@
       for (std::uint64_t W = Words[I]; W; W &= W - 1) {
         RowId Worker = Order[I * 64 + std::countr_zero(W)];
         SlotMask Fast = Rows[Worker].Accelerated;
-        SlotMask Free = allowed(Worker, Q) & (Accelerators ? Fast : ~Fast);
+        SlotMask Free = allowed(Worker, Q);
+        if (Kind != All)
+          Free &= Kind == Accelerated ? Fast : ~Fast;
         if (Cut C = bestCut(Free, Size); C.Slots)
           return Tasks{{Worker, C.Slots}};
       }
@@ -172,9 +174,10 @@
   if (Q.In == Domain::Own)
     return S.Tasks == 1 ? findOneOwn(S, Q) : scanOwn(S, Q);
   if (S.Tasks == 1 && Q.In != Domain::OwnOrSpare) {
-    auto Found = findOne(S.SlotsPerTask, S.Accelerators, Q);
-    if (Found || S.Accelerators)
-      return Found;
+    if (S.Accelerators)
+      return findOne(S.SlotsPerTask, Accelerated, Q);
+    auto Found = findOne(S.SlotsPerTask, Plain, Q);
+    return Found ? Found : findOne(S.SlotsPerTask, All, Q);
   }
   std::vector<SlotMask> Free(Rows.size(), 0);
   for (RowId W : Order)
--- a/packages/pool/lib/Table.cpp
+++ b/packages/pool/lib/Table.cpp
@@ -74,12 +74,13 @@
   std::size_t Word = R.Rank / 64;
   std::uint64_t Bit = std::uint64_t{1} << R.Rank % 64;
   for (unsigned Spare = 0; Spare != 2; ++Spare) {
-    for (unsigned Fast = 0; Fast != 2; ++Fast) {
+    for (unsigned Kind : {Plain, Accelerated, All}) {
       SlotMask Free = Spare ? Open & ~R.Homed : Open;
-      Free &= Fast ? R.Accelerated : ~R.Accelerated;
+      if (Kind != All)
+        Free &= Kind == Accelerated ? R.Accelerated : ~R.Accelerated;
       unsigned Found = maximalOrders(Free);
       for (unsigned K = 0; K != Orders; ++K) {
-        std::uint64_t &W = Index[Spare][Fast].ByOrder[K][Word];
+        std::uint64_t &W = Index[Spare][Kind].ByOrder[K][Word];
         W = Found >> K & 1 ? W | Bit : W & ~Bit;
       }
     }
@@ -95,8 +96,8 @@
   std::sort(Order.begin(), Order.end(), [this](RowId A, RowId B) {
     return Rows[A].Spec.Name < Rows[B].Spec.Name;
   });
-  for (auto &Kind : Index)
-    for (Buckets &B : Kind)
+  for (auto &Kinds : Index)
+    for (Buckets &B : Kinds)
       for (Bits &Words : B.ByOrder)
         Words.assign(Order.size() / 64 + 1, 0);
   for (std::uint32_t Rank = 0; Rank != Order.size(); ++Rank) {
