Move homes off lost workers; fail impossible gang searches by counting

Change: a home on a lost worker moves to spare slots when its account asks; a gang search is skipped when a count shows that it cannot fit.

--- a/packages/policy/lib/Pass.h
+++ b/packages/policy/lib/Pass.h
@@ -75,7 +75,9 @@
   // Swap.cpp: exchanging homes.
   bool trySwap(Job &J, const pool::Tasks &Region, std::int64_t Cost,
                std::int64_t MostLoss);
-  std::optional<pool::Tasks> spareRegion(const pool::Home &H) const;
+  bool rebind(const Job &J);
+  std::optional<pool::Tasks> spareRegion(const pool::Home &H,
+                                         bool Held = false) const;
   bool movable(const pool::Tasks &Region, pool::AccountId NewOwner) const;
   std::int64_t regionCost(const pool::Tasks &Region) const;
   bool sameShape(const pool::Home &A, const pool::Home &B) const;
--- a/packages/policy/lib/Place.cpp
+++ b/packages/policy/lib/Place.cpp
@@ -78,6 +78,12 @@
   if (auto Miss = Misses.find(Key);
       Miss != Misses.end() && Miss->second <= J.Shape.Tasks)
     return std::nullopt;
+  if (Q.Avoid.empty() && J.Shape.Tasks > 1 && !Misses.contains(Key)) {
+    unsigned Fewest = T.mostFits(J.Shape, Q) + 1;
+    Misses.emplace(Key, Fewest);
+    if (Fewest <= J.Shape.Tasks)
+      return std::nullopt;
+  }
   auto Found = T.find(J.Shape, Q);
   if (!Found && Q.Avoid.empty()) {
     auto [Miss, Fresh] = Misses.try_emplace(Key, J.Shape.Tasks);
--- a/packages/policy/lib/Reclaim.cpp
+++ b/packages/policy/lib/Reclaim.cpp
@@ -269,7 +269,7 @@
   std::int64_t Cost = Region ? costOf(*Region, C) : 0;
   Base = std::move(Saved);
   if (!Region)
-    return Outcome::Blocked;
+    return rebind(J) ? Outcome::Waits : Outcome::Blocked;
   if (AtNoLoss)
     return trySwap(J, *Region, Cost, 0) ? Outcome::Waits : Outcome::Blocked;
   // A swap for a small gain only moves the loss to another account.
--- a/packages/policy/lib/Swap.cpp
+++ b/packages/policy/lib/Swap.cpp
@@ -84,14 +84,23 @@
   return Around;
 }
 
-// A free region outside all homes with the shape of the home: one block on
-// each of as many workers.
-std::optional<Tasks> Pass::spareRegion(const pool::Home &H) const {
+// A region outside all homes with the shape of the home, one block on each of
+// as many workers: free, or also held by jobs that could then be stopped.
+std::optional<Tasks> Pass::spareRegion(const pool::Home &H, bool Held) const {
   unsigned Size = std::popcount(H.Slots[0].Slots);
   std::vector<SlotMask> Free(T.Rows.size(), 0);
   for (RowId W : T.Order) {
     const pool::Row &R = T.Rows[W];
-    SlotMask M = R.open() & R.Accelerated & ~R.Homed & ~Soft[W];
+    if (R.Status != pool::WorkerStatus::Up)
+      continue;
+    SlotMask M = R.Unheld;
+    if (Held)
+      for (pool::JobId Id : holders({{W, R.All}}))
+        if (const Job *J = S.find(T.Jobs[Id].Name);
+            J && J->Idempotent && !J->Urgent)
+          for (const pool::TaskSlots &Part : T.Jobs[Id].Where)
+            M |= Part.Worker == W ? Part.Slots : 0;
+    M &= R.Accelerated & ~R.Homed & ~Soft[W];
     Free[W] = SickRow[W] ? 0 : pool::bestCut(M, Size).Slots;
   }
   for (const pool::Placement &Part : H.Slots)
@@ -103,6 +112,36 @@
   return pool::placeOn(T, Shape, std::move(Free));
 }
 
+// A home whose worker is lost moves to spare slots when its account needs it.
+// Jobs that hold those slots become borrowers, so they must be stoppable.
+bool Pass::rebind(const Job &J) {
+  AccountId Owner = T.account(S.Accounts[J.Account].Name);
+  for (std::uint32_t H = 0; H != T.Homes.size(); ++H) {
+    const pool::Home &Mine = T.Homes[H];
+    if (T.account(Mine.Account) != Owner)
+      continue;
+    Tasks Old = regionOf(Mine);
+    bool Lost = std::any_of(Old.begin(), Old.end(), [&](auto &Part) {
+      return T.Rows[Part.Worker].Status == pool::WorkerStatus::Lost;
+    });
+    if (!Lost || !holders(Old).empty())
+      continue;
+    auto Region = spareRegion(Mine);
+    if (!Region)
+      Region = spareRegion(Mine, /*Held=*/true);
+    if (!Region)
+      continue;
+    if (NewHomes.empty())
+      NewHomes = T.Homes;
+    if (!(NewHomes[H] == Mine))
+      continue;
+    NewHomes[H].Slots = T.named(*Region);
+    block(*Region);
+    return true;
+  }
+  return false;
+}
+
 std::optional<Pass::Exchange> Pass::bestExchange(std::uint32_t Home,
                                                  std::int64_t MostLoss) const {
   const pool::Home &Mine = T.Homes[Home];
--- a/packages/policy/tests/SchedulerTest.cpp
+++ b/packages/policy/tests/SchedulerTest.cpp
@@ -218,6 +218,23 @@
   }
 }
 
+// Guards against a guarantee that is lost with a worker although spare slots
+// could hold it, and against taking them from work that a stop would lose.
+BOOST_AUTO_TEST_CASE(MoveToSpareSlotsWhenTheirWorkerIsLost) {
+  World W;
+  W.addWorkers(3, 8, 3);
+  W.guarantee({{"a", {{8, 1, false, 1}}}});
+  std::string Stays = W.submit("b", {1, 8}, false).Id;
+  std::string Leaves = W.submit("b", {1, 8}, true).Id;
+  W.settle();
+  W.loseWorker("w0");
+  std::string Mine = W.submit("a", {1, 8}, false).Id;
+  W.settle();
+  BOOST_TEST(W.Cell.isGuaranteed(Mine));
+  BOOST_TEST(W.runs(Stays));
+  BOOST_TEST(!W.runs(Leaves));
+}
+
 // Guards against lending a home to work that a stop would lose.
 BOOST_AUTO_TEST_CASE(AreNeverLentToNonIdempotentJobs) {
   World W;
--- a/packages/pool/include/heathersaddle/pool/PoolAccess.h
+++ b/packages/pool/include/heathersaddle/pool/PoolAccess.h
@@ -115,6 +115,8 @@
   bool isBorrowing(const JobRow &Job) const;
 
   std::optional<Tasks> find(const Shape &S, const Query &Q) const;
+  /// Most tasks of the shape's kind that fit now; find() fails beyond it.
+  unsigned mostFits(const Shape &S, const Query &Q) const;
   /// The mask that \p Q allows on \p Worker.
   SlotMask allowed(RowId Worker, const Query &Q) const;
   std::vector<Placement> named(const Tasks &Where) const;
--- a/packages/pool/lib/Search.cpp
+++ b/packages/pool/lib/Search.cpp
@@ -167,6 +167,29 @@
   return placeOn(*this, S, std::move(Free));
 }
 
+unsigned Table::mostFits(const Shape &S, const Query &Q) const {
+  unsigned Sum = 0, Most = 0;
+  auto Add = [&](RowId W) {
+    SlotMask Free = allowed(W, Q);
+    if (S.Accelerators)
+      Free &= Rows[W].Accelerated;
+    unsigned Fits = Free ? countFits(Free, S.SlotsPerTask) : 0;
+    Sum += Fits;
+    Most = std::max(Most, Fits);
+  };
+  if (S.Within != Adjacency::Rack) {
+    std::for_each(Order.begin(), Order.end(), Add);
+    return S.Within == Adjacency::Worker ? Most : Sum;
+  }
+  unsigned Best = 0;
+  for (const auto &[Name, Members] : Racks) {
+    Sum = 0;
+    std::for_each(Members.begin(), Members.end(), Add);
+    Best = std::max(Best, Sum);
+  }
+  return Best;
+}
+
 std::optional<Tasks> Table::find(const Shape &S, const Query &Q) const {
   if (S.Tasks == 0 || S.Tasks > MaxTasks || S.SlotsPerTask == 0 ||
       S.SlotsPerTask > MaxSlots)
