--- a/packages/bench/lib/Load.cpp
+++ b/packages/bench/lib/Load.cpp
@@ -81,9 +81,9 @@
                unsigned Accelerators, const std::string &Prefix) {
     for (unsigned W = 0; W != Count; ++W) {
       std::string Number = std::to_string(10'000 + W);
-      std::string Rack = std::to_string(10'000 + W / PerRack);
-      L.Workers.push_back(
-          {Prefix + Number, Prefix + "r" + Rack, Slots, Accelerators});
+      std::string Rack = Prefix;
+      Rack.append("r").append(std::to_string(10'000 + W / PerRack));
+      L.Workers.push_back({Prefix + Number, Rack, Slots, Accelerators});
     }
   }
 
--- a/packages/bench/lib/Sim.h
+++ b/packages/bench/lib/Sim.h
@@ -131,7 +131,7 @@
           std::chrono::duration<double, std::milli>(After - Before).count(),
           Ds.size());
     for (const policy::Decision &D : Ds)
-      std::visit([this](const auto &Each) { apply(Each); }, D);
+      std::visit([this](const auto &Each) { this->apply(Each); }, D);
     if (!Sched.hasMore())
       return;
   }
--- a/packages/bench/main/Bench.cpp
+++ b/packages/bench/main/Bench.cpp
@@ -66,13 +66,18 @@
   figure(R, At + ".completion_p99", "ms", "none",
          [](const Meter &M) { return M.CompletionAll.quantile(0.99); });
   if (R.Policy.Completion.size() <= 8)
-    for (const auto &[Account, S] : R.Policy.Completion) {
-      figure(R, At + ".completion_mean." + Account, "ms", "none",
-             [&](const Meter &M) { return M.Completion.at(Account).mean(); });
-      figure(R, At + ".completion_p99." + Account, "ms", "none",
-             [&](const Meter &M) {
-               return M.Completion.at(Account).quantile(0.99);
-             });
+    for (const auto &Each : R.Policy.Completion) {
+      const std::string &Account = Each.first;
+      std::string Name = At;
+      Name.append(".completion_mean.").append(Account);
+      figure(R, Name, "ms", "none", [&Account](const Meter &M) {
+        return M.Completion.at(Account).mean();
+      });
+      Name = At;
+      Name.append(".completion_p99.").append(Account);
+      figure(R, Name, "ms", "none", [&Account](const Meter &M) {
+        return M.Completion.at(Account).quantile(0.99);
+      });
     }
   figure(R, At + ".fragmentation", "share", "none",
          [](const Meter &M) { return M.Fragmentation.mean(); });
@@ -181,7 +186,8 @@
     while (S.pendingCount() < Queue)
       Submit();
     Decide();
-  } while (P.freeSlotCount() > 32 && Running.size() < Workers * 32);
+  } while (P.freeSlotCount() > 32 &&
+           Running.size() < Workers * std::size_t{32});
   while (S.hasMore())
     Decide();
   constexpr unsigned Rounds = 2'000;
--- a/packages/policy/lib/Holds.cpp
+++ b/packages/policy/lib/Holds.cpp
@@ -272,6 +272,7 @@
     return ByWait{}(std::get<2>(A), std::get<2>(B));
   });
   std::vector<Job *> Jobs;
+  Jobs.reserve(Found.size());
   for (const auto &[Later, Use, J] : Found)
     Jobs.push_back(J);
   return Jobs;
