End jobs whose worker lists the task but lost its event

A random test left jobs running for ever: the worker listed the task as ended, but its event was gone. Such a task now counts as lost, or as failed. The fake worker acknowledged events again while a sync waited, which real workers do not; it now does so once.

--- a/packages/control/lib/CellOutcomes.cpp
+++ b/packages/control/lib/CellOutcomes.cpp
@@ -69,7 +69,7 @@
       if (T.Tasks[I].What == Seen::Gone && !T.Tasks[I].Clean) {
         Result = state::Outcome::Unknown;
         Reason = "worker " + J.Tasks[I].Worker +
-                 " was lost and the job must not be repeated";
+                 " lost the task and the job must not be repeated";
       }
   if (Reason.empty())
     Reason = J.StopReason.empty() ? T.Reason : "stopped: " + J.StopReason;
--- a/packages/control/lib/CellReports.cpp
+++ b/packages/control/lib/CellReports.cpp
@@ -142,8 +142,10 @@
   } else if (L && L->State == "stopped") {
     noteStopped(X, L->ProgressMs);
   } else if (L) {
-    // Finished or failed: its event carries the answer and comes first.
+    // Finished or failed, but the event with the answer, which comes before
+    // the list, is not there: the worker lost it.
     X.Clean = false;
+    X.What = L->State == "failed" ? Seen::Failed : Seen::Gone;
   } else if (X.StopOk) {
     noteStopped(X, J.ProgressMs);
   } else if (!J.Started || (restartable(J) && X.What < Seen::Running)) {
--- a/packages/control/tests/FakeWorker.cpp
+++ b/packages/control/tests/FakeWorker.cpp
@@ -90,7 +90,8 @@
 }
 
 std::optional<json::object> FakeWorker::handle(const std::string &Path,
-                                               const json::object &Body) {
+                                               const json::object &Body,
+                                               bool First) {
   std::uint64_t &Known = Epochs[text(Body, "cell")];
   auto Epoch = Body.at("epoch").to_number<std::uint64_t>();
   if (Epoch < Known)
@@ -111,7 +112,7 @@
   LeaseUntil =
       std::max(LeaseUntil, Body.at("lease_until_ms").to_number<std::int64_t>());
   auto After = Body.at("after").to_number<std::uint64_t>();
-  while (!Events.empty() && Events.front().Seq <= After)
+  while (First && !Events.empty() && Events.front().Seq <= After)
     Events.pop_front();
   json::array List;
   for (const Event &E : Events)
--- a/packages/control/tests/FakeWorker.h
+++ b/packages/control/tests/FakeWorker.h
@@ -25,8 +25,9 @@
   using Id = std::tuple<std::string, unsigned, unsigned>;
 
   /// Empty when the epoch is lower than the known one.
-  std::optional<boost::json::object> handle(const std::string &Path,
-                                            const boost::json::object &Body);
+  /// \p First: the request arrives now; otherwise it has been waiting.
+  std::optional<boost::json::object>
+  handle(const std::string &Path, const boost::json::object &Body, bool First);
   bool shouldWait(const boost::json::object &Body) const;
   void advance(std::int64_t Now);
   void restart();
--- a/packages/control/tests/World.cpp
+++ b/packages/control/tests/World.cpp
@@ -138,7 +138,7 @@
   if (W.Down)
     return Fail(base::ErrorCode::Unavailable);
   bool Start = json::serialize(A.Body).find("\"start\"") != std::string::npos;
-  auto Reply = W.handle(A.Path, Body);
+  auto Reply = W.handle(A.Path, Body, !std::exchange(C.Arrived, true));
   if (!Reply)
     return Fail(base::ErrorCode::Conflict);
   if (Start && LoseStartReplies > 0) {
--- a/packages/control/tests/World.h
+++ b/packages/control/tests/World.h
@@ -61,6 +61,7 @@
     Node *Owner = nullptr;
     Action What;
     std::int64_t Since = 0;
+    bool Arrived = false;
   };
   bool serve(Call &C);
   bool serve(Call &C, AppendAction &A);
