Use the state clock for acceptance; test parts of a killed owner

A daemon with a wrong wall clock gave its jobs a wrong waiting time. Nothing guarded against acknowledging a gang's first part too early; a mutation that did so passed.

--- a/packages/control/include/heathersaddle/control/Node.h
+++ b/packages/control/include/heathersaddle/control/Node.h
@@ -113,18 +113,19 @@
   /// Accepts a job: completes once its record has been applied, or with an
   /// error that says whether it certainly did not run (any code but
   /// Unresolved).
-  void submit(SubmitRequest Request, Completion<SubmitResult> Done, Now T);
+  void submit(SubmitRequest Request, const Completion<SubmitResult> &Done,
+              Now T);
   /// Completes when the job has ended or \p MaxWait is over.
   void wait(std::string_view Job, std::string_view Account,
             base::Millis MaxWait, Completion<JobAnswer> Done, Now T);
   base::Expected<JobAnswer> status(std::string_view Job,
                                    std::string_view Account) const;
   void cancel(std::string_view Job, std::string_view Account,
-              Completion<JobAnswer> Done, Now T);
+              const Completion<JobAnswer> &Done, Now T);
   /// Publishes a list change; completes with the verdict at its place in the
   /// log.
-  void publish(state::ListChange Change, Completion<state::ListVerdict> Done,
-               Now T);
+  void publish(state::ListChange Change,
+               const Completion<state::ListVerdict> &Done, Now T);
   base::Expected<policy::Explanation>
   explain(std::string_view Job, std::string_view Account, Now T) const;
 
--- a/packages/control/lib/Node.cpp
+++ b/packages/control/lib/Node.cpp
@@ -206,7 +206,8 @@
                          "there is no such path");
 }
 
-void Node::submit(SubmitRequest Request, Completion<SubmitResult> Done, Now T) {
+void Node::submit(SubmitRequest Request, const Completion<SubmitResult> &Done,
+                  Now T) {
   I->C.T = T;
   if (auto Why = I->refusal("submit")) {
     Done(tl::unexpected(std::move(*Why)));
@@ -229,7 +230,7 @@
 }
 
 void Node::cancel(std::string_view Job, std::string_view Account,
-                  Completion<JobAnswer> Done, Now T) {
+                  const Completion<JobAnswer> &Done, Now T) {
   I->C.T = T;
   if (auto Why = I->refusal("cancel")) {
     Done(tl::unexpected(std::move(*Why)));
@@ -240,7 +241,7 @@
 }
 
 void Node::publish(state::ListChange Change,
-                   Completion<state::ListVerdict> Done, Now T) {
+                   const Completion<state::ListVerdict> &Done, Now T) {
   I->C.T = T;
   if (auto Why = I->refusal("publish")) {
     Done(tl::unexpected(std::move(*Why)));
--- a/packages/control/lib/Requests.cpp
+++ b/packages/control/lib/Requests.cpp
@@ -41,7 +41,7 @@
 void Requests::submit(SubmitRequest Request,
                       const Completion<SubmitResult> &Done) {
   state::JobSpec &Spec = Request.Spec;
-  Spec.AcceptedMs = C.T.Wall;
+  Spec.AcceptedMs = C.clock();
   Spec.Id = Request.Key.empty() ? freshJobId(C.S.Incarnation, ++Counter)
                                 : keyedJobId(Spec.Account, Request.Key);
   if (C.St.job(Spec.Id)) {
--- a/packages/control/tests/OutageStoryTest.cpp
+++ b/packages/control/tests/OutageStoryTest.cpp
@@ -116,6 +116,19 @@
       }
 }
 
+// Guards against parts that were acknowledged before the log had them.
+BOOST_AUTO_TEST_CASE(IsKilledBetweenTwoPartsLeavesTheFirstWithItsWorker) {
+  std::string Id = submit(other(), 2, false, "ok:20000");
+  BOOST_REQUIRE(running(Id));
+  Workers[place(Id, 0)].Tasks.begin()->second.Kind = "ok:1000";
+  run(8'000);
+  Daemons[Owner].Alive = false;
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 200'000));
+  BOOST_TEST(bool(job(Id).Result == state::Outcome::Finished));
+  BOOST_TEST(job(Id).Parts.at(0) == "part 0");
+  BOOST_TEST(starts(Id) == 2U);
+}
+
 // Guards against an owner that acts after its cell was taken over.
 BOOST_AUTO_TEST_CASE(IsPausedActsNoMoreAfterItResumes) {
   std::string Id = submit(other(), 2, false, "ok:20000");
