--- a/packages/control/tests/FakeWorker.cpp
+++ b/packages/control/tests/FakeWorker.cpp
@@ -64,6 +64,10 @@
     advance(Clock);
     return "";
   }
+  if (Op == "checkpoint" || Op == "throttle") {
+    ++Adjustments[Op];
+    return It == Tasks.end() ? "not_reserved" : "";
+  }
   if (Tombstones.contains(Attempt))
     return "stopped";
   if (It == Tasks.end()) {
@@ -86,7 +90,8 @@
 }
 
 std::optional<json::object> FakeWorker::handle(const std::string &Path,
-                                               const json::object &Body) {
+                                               const json::object &Body,
+                                               bool First) {
   std::uint64_t &Known = Epochs[text(Body, "cell")];
   auto Epoch = Body.at("epoch").to_number<std::uint64_t>();
   if (Epoch < Known)
@@ -107,7 +112,7 @@
   LeaseUntil =
       std::max(LeaseUntil, Body.at("lease_until_ms").to_number<std::int64_t>());
   auto After = Body.at("after").to_number<std::uint64_t>();
-  while (!Events.empty() && Events.front().Seq <= After)
+  while (First && !Events.empty() && Events.front().Seq <= After)
     Events.pop_front();
   json::array List;
   for (const Event &E : Events)
@@ -132,6 +137,15 @@
   return LastSeq <= After || Events.empty();
 }
 
+void FakeWorker::reportUsage() {
+  for (const auto &[Of, T] : Tasks) {
+    Task Now = T;
+    Now.Progress = progress(T);
+    if (T.State == "running")
+      add("usage", Of, Now);
+  }
+}
+
 void FakeWorker::restart() {
   Tasks.clear();
   Tombstones.clear();
--- a/packages/control/tests/FakeWorker.h
+++ b/packages/control/tests/FakeWorker.h
@@ -25,15 +25,18 @@
   using Id = std::tuple<std::string, unsigned, unsigned>;
 
   /// Empty when the epoch is lower than the known one.
-  std::optional<boost::json::object> handle(const std::string &Path,
-                                            const boost::json::object &Body);
+  /// \p First: the request arrives now; otherwise it has been waiting.
+  std::optional<boost::json::object>
+  handle(const std::string &Path, const boost::json::object &Body, bool First);
   bool shouldWait(const boost::json::object &Body) const;
   void advance(std::int64_t Now);
   void restart();
+  void reportUsage();
   unsigned running() const;
 
   std::map<Id, Task> Tasks;
   std::map<std::string, unsigned> Starts; ///< Executions by job, all boots.
+  std::map<std::string, unsigned> Adjustments; ///< Commands by name.
   bool Down = false;
   bool RepeatCommands = false;
   std::int64_t LeaseUntil = 0;
