Bound reads of the log by bytes and repair two client faults

A connection timer that fired after its link was dropped dereferenced a null exchange, and a kept connection that failed while writing was judged by the previous response.

--- a/packages/daemon/lib/Adapters.cpp
+++ b/packages/daemon/lib/Adapters.cpp
@@ -3,14 +3,22 @@
 #include "Adapters.h"
 #include "Decode.h"
 #include "heathersaddle/base/Log.h"
+#include <algorithm>
 #include <boost/json/serialize.hpp>
 
 namespace heathersaddle::daemon {
 
 using control::Node;
 
-static net::ClientLimits limits(std::size_t Connections, std::size_t Queued) {
+/// Holds any one record, however much JSON's escapes lengthen it (4 times for a
+/// snapshot's chunk), and keeps the memory for a read small.
+static constexpr std::size_t MaxLogResponseBytes = 4UL * 1024 * 1024;
+
+static net::ClientLimits
+limits(std::size_t Connections, std::size_t Queued,
+       std::size_t ResponseBytes = net::ClientLimits().MaxResponseBytes) {
   net::ClientLimits L;
+  L.MaxResponseBytes = ResponseBytes;
   L.MaxConnections = Connections;
   L.MaxQueued = Queued;
   return L;
@@ -20,7 +28,7 @@
     : LogAddress(S.LogAddress),
       HostsAddress(S.HostsAddress.empty() ? S.LogAddress : S.HostsAddress),
       PeerKey(S.PeerKey), Traffic(Traffic), ToNode(std::move(ToNode)),
-      Log(Traffic.context(), limits(4, 16)),
+      Log(Traffic.context(), limits(4, 16, MaxLogResponseBytes)),
       Hosts(Traffic.context(), limits(1, 4)),
       Commands(Traffic.context(), limits(2, 256)),
       Syncs(Traffic.context(), limits(1, 4)),
@@ -51,15 +59,36 @@
   });
 }
 
-void Adapters::run(const control::ReadAction &A) {
+std::uint32_t Adapters::readMax(const control::ReadAction &A) {
+  std::lock_guard Lock(Mutex);
+  auto Found = ReadMax.find(A.Stream);
+  return Found == ReadMax.end() ? A.Max : std::min(A.Max, Found->second);
+}
+
+void Adapters::setReadMax(const std::string &Stream, std::uint32_t Max) {
+  std::lock_guard Lock(Mutex);
+  ReadMax[Stream] = std::clamp(Max, 1U, 1U << 20);
+}
+
+void Adapters::run(const control::ReadAction &A) { read(A); }
+
+// A record has up to 64 KiB of input and a snapshot's chunk up to 192 KiB, so
+// a full read could take 100 MB. A read that is too large is repeated with half
+// as many records; every later read may have twice as many again.
+void Adapters::read(const control::ReadAction &A) {
+  std::uint32_t Max = readMax(A);
   net::ClientRequest R;
   R.Target = "/v1/streams/" + A.Stream +
              "/records?from=" + std::to_string(A.From) +
-             "&max=" + std::to_string(A.Max) +
+             "&max=" + std::to_string(Max) +
              "&wait_ms=" + std::to_string(A.Wait.count());
   R.TimeLimit = A.TimeLimit;
-  Log.send(LogAddress, std::move(R), [this, Call = A.Call](const auto &Got) {
-    ToNode([Call, Result = decodeRead(Got)](Node &N, Now T) {
+  Log.send(LogAddress, std::move(R), [this, A, Max](const HttpResult &Got) {
+    bool TooLarge = !Got && Got.error().Code == base::ErrorCode::TooLarge;
+    setReadMax(A.Stream, TooLarge ? Max / 2 : Max * 2);
+    if (TooLarge && Max > 1)
+      return read(A);
+    ToNode([Call = A.Call, Result = decodeRead(Got)](Node &N, Now T) {
       N.onRead(Call, Result, T);
     });
   });
--- a/packages/daemon/lib/Adapters.h
+++ b/packages/daemon/lib/Adapters.h
@@ -5,6 +5,8 @@
 #include "heathersaddle/daemon/Settings.h"
 #include "heathersaddle/net/Executor.h"
 #include "heathersaddle/net/HttpClient.h"
+#include <map>
+#include <mutex>
 
 namespace heathersaddle::daemon {
 
@@ -38,11 +40,18 @@
   void run(const control::HostsAction &A);
   void run(const control::LogAction &A);
 
+  void read(const control::ReadAction &A);
+  /// Records to ask for at once.
+  std::uint32_t readMax(const control::ReadAction &A);
+  void setReadMax(const std::string &Stream, std::uint32_t Max);
+
   std::string LogAddress;
   std::string HostsAddress;
   std::string PeerKey;
   net::Executor &Traffic;
   Deliver ToNode;
+  std::mutex Mutex; ///< Guards ReadMax.
+  std::map<std::string, std::uint32_t> ReadMax;
   net::HttpClient Log;
   net::HttpClient Hosts;
   net::HttpClient Commands;
--- a/packages/daemon/tests/DaemonTest.cpp
+++ b/packages/daemon/tests/DaemonTest.cpp
@@ -164,6 +164,16 @@
     ;
 }
 
+// Guards against a start that fails for ever because one read of the log would
+// exceed the limit on responses.
+BOOST_AUTO_TEST_CASE(ReadsALogOfLargeRecords) {
+  LogStandIn Log;
+  for (int N = 0; N < 100; ++N)
+    Log.put("control", std::string(200'000, 'x'));
+  Running S(Log);
+  BOOST_TEST(S.get("/readyz", "").Status == 200u);
+}
+
 // Guards against a planned stop that interrupts requests, never ends or leaves
 // its traces behind.
 BOOST_AUTO_TEST_CASE(StopsGracefully) {
--- a/packages/net/include/heathersaddle/net/HttpClient.h
+++ b/packages/net/include/heathersaddle/net/HttpClient.h
@@ -25,7 +25,8 @@
 /// The callback runs once, on a thread of the io_context. Its error tells what
 /// may have happened: Unavailable, certainly not delivered (refused, breaker
 /// open, no connection in time); Unresolved, perhaps delivered (connection lost
-/// after sending, unusable response); Timeout, perhaps delivered. A GET whose
+/// after sending, unusable response); Timeout, perhaps delivered; TooLarge,
+/// delivered, but the response was above MaxResponseBytes. A GET whose
 /// kept connection turns out to be closed is sent once more.
 class HttpClient {
 public:
--- a/packages/net/lib/HttpClient.cpp
+++ b/packages/net/lib/HttpClient.cpp
@@ -205,7 +205,7 @@
   L->Current->On = L;
   L->Timer.expires_after(Limits.ConnectTimeLimit);
   L->Timer.async_wait([Self = shared_from_this(), L](error_code Ec) {
-    if (!Ec && !L->Connected)
+    if (!Ec && !L->Connected && !L->Gone)
       Self->broken(L, asio::error::timed_out);
   });
   error_code Ec;
@@ -247,6 +247,7 @@
   L->Current->On = L;
   ++L->Uses;
   L->Sent = true;
+  L->Parser.reset();
   error_code Ec;
   L->Timer.cancel();
   L->Socket.cancel(Ec); // Ends the watch for a closed connection.
@@ -343,13 +344,19 @@
     P.Queue.push_front(E);
     return pump(P);
   }
-  if (Stale)
+  if (Ec == http::error::body_limit)
+    P.Breaker.succeeded(); // The peer answers well.
+  else if (Stale)
     P.Breaker.abandoned();
   else
     P.Breaker.failed(now(), Limits, Random);
-  fail(P, E, L->Sent ? ErrorCode::Unresolved : ErrorCode::Unavailable,
-       (L->Sent ? "the connection failed after sending: " : "no connection: ") +
-           Ec.message());
+  if (Ec == http::error::body_limit)
+    fail(P, E, ErrorCode::TooLarge, "the response is too large");
+  else
+    fail(P, E, L->Sent ? ErrorCode::Unresolved : ErrorCode::Unavailable,
+         (L->Sent ? "the connection failed after sending: "
+                  : "no connection: ") +
+             Ec.message());
   pump(P);
 }
 
