Give replaced daemons valid names in the fault script

The '+' in the names was refused by the daemon's settings, so no replacement became ready; a replacement that is not ready now ends the script.

--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -41,7 +41,7 @@
 
     def fresh(self, base):
         self.names += 1
-        return f"{base.split('+')[0]}+{self.names}"
+        return f"{base.split('.')[0]}.{self.names}"
 
     def epoch(self, cell):
         epochs = [e["epoch"] for e in self.deployment.audit()["owners"]
@@ -70,8 +70,9 @@
         centre = self.deployment.centres[name]
         fresh = self.fresh(name)
         self.deployment.start_daemon(fresh, centre)
-        if not self.deployment.balancer.wait_ready([fresh], 30):
-            self.say(f"{fresh} is not ready after 30 s")
+        if not self.deployment.balancer.wait_ready([fresh], 20):
+            raise SystemExit(f"{fresh} is not ready after 20 s; logs in "
+                             + self.deployment.folder)
 
 
 def kill_owner(run, cell):
