--- a/scripts/harness/check.py
+++ b/scripts/harness/check.py
@@ -98,6 +98,9 @@
 def check_answer(verdict, seen, runs, tasks):
     if seen.outcome == "not_run" and runs:
         verdict.note("wrong_answer", f"{seen.job} not_run, but ran: {runs}")
+    if seen.outcome in ("failed", "cancelled"):
+        # No request of the mix fails by itself or is cancelled.
+        verdict.note("wrong_answer", f"{seen.job} {seen.outcome}: {runs}")
     if seen.outcome != "finished":
         return
     wanted = [expected_answer(seen.body["input"], t, tasks) for t in range(tasks)]
--- a/scripts/harness/test_check.py
+++ b/scripts/harness/test_check.py
@@ -67,6 +67,8 @@
         short = [expected_answer("x", 0, 2)]
         self.assertEqual(fault_counts(request(parts=short), good)[3], 1)
         self.assertEqual(fault_counts(request("not_run"), good)[3], 1)
+        self.assertEqual(fault_counts(request("failed"), good)[3], 1)
+        self.assertEqual(fault_counts(request("unknown"), good)[3], 0)
 
     # Guards against a percentile that leaves out the slowest value.
     def test_percentile(self):
