--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -112,6 +112,7 @@
     if not verdict.good or verdict.accepted == 0:
         print("logs, audit and control stream in " + deployment.folder)
         return 1
+    deployment.discard_evidence()
     return 0
 
 
--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -144,6 +144,21 @@
     run.deployment.faults(worker=worker, cut_from="")
 
 
+def worker_faults(run, seconds=5):
+    run.say(f"dc-1 answers twice, dc-2 200 ms late, for {seconds} s; "
+            "two workers restart, one loses power")
+    run.deployment.faults(worker="dc-1-*", twice=True)
+    run.deployment.faults(worker="dc-2-*", late_ms=200)
+    run.deployment.faults(worker="dc-1-r1-w1", restart=True)
+    run.deployment.faults(worker="dc-3-r1-w1", restart=True)
+    run.deployment.faults(worker="dc-3-r2-w1", down=True)
+    time.sleep(seconds)
+    run.deployment.faults(worker="dc-1-*", twice=False)
+    run.deployment.faults(worker="dc-2-*", late_ms=0)
+    run.deployment.faults(worker="dc-3-r2-w1", down=False)
+    time.sleep(seconds)
+
+
 def publish_versions(run, count):
     """Changes the plans through one daemon and polls every daemon until it
     serves the new version."""
@@ -187,6 +202,7 @@
         kill_owner(run, cell)
     pause_owner(run, "dc-1")
     cut_worker(run, "dc-2")
+    worker_faults(run)
     log_outage(run)
     rolling_stop(run)
     publish_versions(run, run.args.versions)
@@ -256,6 +272,7 @@
     finally:
         deployment.close()
     if report(run, audit, time.monotonic() - run.started):
+        deployment.discard_evidence()
         return 0
     print("logs, audit and control stream in " + deployment.folder)
     return 1
--- a/scripts/harness/deployment.py
+++ b/scripts/harness/deployment.py
@@ -7,6 +7,7 @@
 import json
 import os
 import secrets
+import shutil
 import signal
 import socket
 import subprocess
@@ -212,6 +213,9 @@
                     file.write(f"{offset} {text}\n")
                     offset += 1
 
+    def discard_evidence(self):
+        shutil.rmtree(self.folder)
+
     def owner_of(self, cell):
         """The daemon under whose epoch the cell's workers act."""
         newest = {}
