Add the stateful fuzzer: simulation, callers, oracle and steps

Failures come together in ways that single tests do not cover. Adds a deterministic simulation of daemons, workers and the log under virtual time, steps drawn from a seed, and an oracle that knows what callers were told, what the workers' audit trails show and what the log holds. Not linked yet: control and state have not been merged.

--- /dev/null
+++ b/packages/fuzz/include/heathersaddle/fuzz/Step.h
@@ -0,0 +1,79 @@
+#ifndef HEATHERSADDLE_FUZZ_STEP_H
+#define HEATHERSADDLE_FUZZ_STEP_H
+
+#include "heathersaddle/base/Time.h"
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace heathersaddle::fuzz {
+
+/// A small reproducible generator (SplitMix64).
+class Random {
+public:
+  explicit Random(std::uint64_t Seed) : S(Seed) {}
+  std::uint64_t next();
+  /// Below \p Bound, which must not be 0.
+  std::uint64_t below(std::uint64_t Bound) { return next() % Bound; }
+  std::uint64_t within(std::uint64_t Min, std::uint64_t Max) {
+    return Min + below(Max - Min + 1);
+  }
+  bool chance(unsigned Percent) { return below(100) < Percent; }
+
+private:
+  std::uint64_t S;
+};
+
+enum class StepKind {
+  Submit,
+  Repeat,         ///< The same key and body, through any daemon.
+  ConflictingKey, ///< The same key with another body.
+  Wait,
+  Cancel,
+  CancelBurst,
+  Publish,
+  PublishRace, ///< The same base version through two daemons.
+  Idle,
+  CrashDaemon,
+  StopDaemon, ///< A planned, graceful stop.
+  PauseDaemon,
+  CutLog,
+  CutWorkers,
+  CutPeers,
+  CutRegion,
+  LogDown,
+  LogLosesAnswers,
+  LogSlow,
+  Trim,
+  ClockJump,
+  WorkerRestart,
+  WorkerPause,
+  WorkerCut,
+  WorkerLate,
+  WorkerFailing,
+  HostLeaves,
+  RackLost,
+  Chaos ///< Messages are lost, delayed, reordered and repeated.
+};
+
+std::string_view name(StepKind Kind);
+/// Whether the step injects a fault.
+bool isFault(StepKind Kind);
+
+/// One drawn step. The numbers are raw draws: the world reduces them to what
+/// exists when the step is taken, so that steps can be removed at will.
+struct Step {
+  StepKind Kind = StepKind::Idle;
+  std::uint64_t A = 0;
+  std::uint64_t B = 0;
+  base::Millis Lasts{};   ///< How long a fault stays.
+  base::Millis Advance{}; ///< Virtual time after the step; 0: next at once.
+};
+
+std::vector<Step> drawSteps(std::uint64_t Seed, unsigned Count);
+/// One line for the trace.
+std::string describe(const Step &S);
+
+} // namespace heathersaddle::fuzz
+
+#endif
--- /dev/null
+++ b/packages/fuzz/lib/Callers.cpp
@@ -0,0 +1,251 @@
+// Approach: each completion is checked at once against what other callers
+// were told before; what really ran is the oracle's part.
+#include "Callers.h"
+#include <algorithm>
+
+namespace heathersaddle::fuzz {
+
+using base::ErrorCode;
+using control::JobAnswer;
+using state::Outcome;
+
+static state::Customer customer(std::string Account, std::string Plan) {
+  return {std::move(Account), std::string(64, 'a'), std::move(Plan), false};
+}
+
+state::ListChange firstPlans() {
+  state::ListChange C;
+  C.Kind = state::ListKind::Plans;
+  C.PutPlans = {{"firm", {{2, 1, false, 1}}, 2},
+                {"gang", {{1, 1, false, 1}}},
+                {"spare", {}, 1}};
+  return C;
+}
+
+state::ListChange firstCustomers() {
+  state::ListChange C;
+  C.Kind = state::ListKind::Customers;
+  C.PutCustomers = {customer("a0", "firm"), customer("a1", "gang"),
+                    customer("a2", "spare")};
+  return C;
+}
+
+state::JobSpec Callers::drawSpec(Random &Draw) {
+  state::JobSpec S;
+  S.Account = "a" + std::to_string(Draw.below(3));
+  S.Kind = Draw.chance(10) ? "bad" : Draw.chance(40) ? "slow" : "quick";
+  S.Input = "r" + std::to_string(Requests.size());
+  S.Digest = "digest-" + S.Input;
+  S.Idempotent = Draw.chance(50);
+  S.Urgent = Draw.chance(15);
+  S.RunTimeMs = std::int64_t(Draw.within(10, 60'000));
+  S.Shape.SlotsPerTask = 1U << Draw.below(3);
+  S.Shape.Accelerators = Draw.chance(80);
+  if (Draw.chance(40)) {
+    S.Shape.Tasks = unsigned(Draw.within(2, 4));
+    S.Shape.SlotsPerTask = 1U << Draw.below(2);
+    S.Shape.Within = Draw.chance(70)   ? pool::Adjacency::None
+                     : Draw.chance(50) ? pool::Adjacency::Rack
+                                       : pool::Adjacency::Worker;
+  }
+  if (Draw.chance(5)) // No worker is that large.
+    S.Shape.SlotsPerTask = 16;
+  return S;
+}
+
+void Callers::submitNew(DaemonHost &D, Random Draw) {
+  CallerRequest R;
+  R.Spec = drawSpec(Draw);
+  if (Draw.chance(70))
+    R.Key = "key-" + R.Spec.Input;
+  Requests.push_back(std::move(R));
+  send(D, Requests.size() - 1);
+}
+
+void Callers::repeat(DaemonHost &D, std::size_t Which) {
+  if (!Requests[Which].Key.empty())
+    send(D, Which);
+}
+
+void Callers::submitConflicting(DaemonHost &D, std::size_t Which) {
+  if (Requests[Which].Key.empty())
+    return;
+  CallerRequest R;
+  R.Spec = Requests[Which].Spec;
+  R.Key = Requests[Which].Key;
+  R.Spec.Input = "r" + std::to_string(Requests.size());
+  R.Spec.Digest = "digest-" + R.Spec.Input;
+  Requests.push_back(std::move(R));
+  send(D, Requests.size() - 1);
+}
+
+void Callers::repeatOpen(DaemonHost &D) {
+  for (std::size_t I = 0; I != Requests.size(); ++I)
+    if (Requests[I].Jobs.empty() && Requests[I].Open + Requests[I].Unresolved)
+      repeat(D, I);
+}
+
+void Callers::send(DaemonHost &D, std::size_t Which) {
+  ++Requests[Which].Open;
+  D.post([this, &D, Which](control::Node &N, DaemonHost::Now T) {
+    D.requestBegan();
+    N.submit(
+        {Requests[Which].Spec, Requests[Which].Key},
+        [this, &D, Which](base::Expected<control::SubmitResult> R) {
+          D.requestEnded();
+          onSubmitted(Which, R);
+        },
+        T);
+  });
+}
+
+void Callers::onSubmitted(std::size_t Which,
+                          const base::Expected<control::SubmitResult> &R) {
+  CallerRequest &Request = Requests[Which];
+  --Request.Open;
+  if (!R) {
+    ++(R.error().Code == ErrorCode::Unresolved ? Request.Unresolved
+                                               : Request.Refused);
+    return;
+  }
+  Request.Jobs.insert(R->Job);
+  if (Request.Jobs.size() > 1)
+    return Around.Report("same-key", "request " + Request.Spec.Input +
+                                         " was given two jobs");
+  for (std::size_t I = 0; I != Requests.size(); ++I)
+    if (I != Which && Requests[I].Jobs.contains(R->Job))
+      Around.Report("same-key", "job " + R->Job + " was given to " +
+                                    Requests[I].Spec.Input + " and " +
+                                    Request.Spec.Input);
+}
+
+void Callers::wait(DaemonHost &D, std::size_t Which, Millis MaxWait) {
+  if (Requests[Which].Jobs.empty())
+    return;
+  D.post([=, this, &D](control::Node &N, DaemonHost::Now T) {
+    D.requestBegan();
+    N.wait(
+        *Requests[Which].Jobs.begin(), Requests[Which].Spec.Account, MaxWait,
+        [this, &D, Which](base::Expected<JobAnswer> R) {
+          D.requestEnded();
+          if (R)
+            check(Which, *R);
+        },
+        T);
+  });
+}
+
+void Callers::cancel(DaemonHost &D, std::size_t Which) {
+  if (Requests[Which].Jobs.empty())
+    return;
+  Requests[Which].CancelSent = true;
+  D.post([=, this, &D](control::Node &N, DaemonHost::Now T) {
+    D.requestBegan();
+    N.cancel(
+        *Requests[Which].Jobs.begin(), Requests[Which].Spec.Account,
+        [this, &D, Which](base::Expected<JobAnswer> R) {
+          D.requestEnded();
+          if (R)
+            check(Which, *R);
+        },
+        T);
+  });
+}
+
+void Callers::check(std::size_t Which, const JobAnswer &Answer) {
+  CallerRequest &R = Requests[Which];
+  if (!R.Jobs.contains(Answer.Job))
+    Around.Report("answer", R.Spec.Input + " was told of job " + Answer.Job);
+  if (Answer.Status != state::JobStatus::Ended) {
+    if (R.Final)
+      Around.Report("one-outcome", "job " + Answer.Job +
+                                       " had ended and now is " +
+                                       std::string(name(Answer.Status)));
+    return;
+  }
+  if (!R.Final) {
+    R.Final = Answer;
+    return checkFinal(Which, Answer);
+  }
+  if (R.Final->Result != Answer.Result || R.Final->Parts != Answer.Parts ||
+      R.Final->Ran != Answer.Ran)
+    Around.Report("one-outcome", "job " + Answer.Job + " ended as " +
+                                     std::string(state::name(R.Final->Result)) +
+                                     " and as " +
+                                     std::string(state::name(Answer.Result)));
+}
+
+void Callers::checkFinal(std::size_t Which, const JobAnswer &Answer) {
+  const CallerRequest &R = Requests[Which];
+  auto Wrong = [&](std::string_view Text) {
+    Around.Report("answer", "job " + Answer.Job + " (" + R.Spec.Input +
+                                "): " + std::string(Text));
+  };
+  if (Answer.Result == Outcome::None)
+    Wrong("ended without an outcome");
+  if (Answer.Result == Outcome::Cancelled && !R.CancelSent)
+    Wrong("cancelled although nobody asked for it");
+  if (Answer.Result == Outcome::NotRun && Answer.Ran)
+    Wrong("not_run and ran");
+  if (Answer.Result == Outcome::Unknown && R.Spec.Idempotent)
+    Wrong("unknown although it may be run again");
+  if (Answer.Result != Outcome::Finished)
+    return;
+  unsigned Tasks = R.Spec.Shape.Tasks;
+  if (Answer.Parts.size() != Tasks)
+    return Wrong("the answer has " + std::to_string(Answer.Parts.size()) +
+                 " of " + std::to_string(Tasks) + " parts");
+  for (unsigned I = 0; I != Tasks; ++I)
+    if (Answer.Parts[I] != expectedAnswer(R.Spec.Input, I, Tasks))
+      return Wrong("part " + std::to_string(I) + " is " + Answer.Parts[I]);
+}
+
+void Callers::publish(DaemonHost &D, Random Draw) {
+  if (!D.node())
+    return;
+  state::ListChange C;
+  C.Kind =
+      Draw.chance(50) ? state::ListKind::Plans : state::ListKind::Customers;
+  C.Base = D.node()->state().version(C.Kind);
+  if (Draw.chance(15) && C.Base > 0)
+    --C.Base;
+  std::string Tag = std::to_string(++Changes);
+  if (C.Kind == state::ListKind::Customers) {
+    C.PutCustomers = {customer("extra-" + Tag, "spare")};
+    if (Draw.chance(30)) {
+      C.PutCustomers.push_back(customer("a2", "spare"));
+      C.PutCustomers.back().Departed = Draw.chance(50);
+    }
+  } else {
+    C.PutPlans = {{"plan-" + Tag, {}, 1}};
+    if (Draw.chance(30)) // May be more than the workers hold.
+      C.PutPlans.push_back(
+          {"gang", {{1, 1, false, unsigned(Draw.within(1, 12))}}});
+  }
+  publish(D, std::move(C));
+}
+
+void Callers::publish(DaemonHost &D, state::ListChange Change) {
+  D.post([=, this, &D](control::Node &N, DaemonHost::Now T) {
+    D.requestBegan();
+    N.publish(
+        Change,
+        [this, &D](base::Expected<state::ListVerdict> R) {
+          D.requestEnded();
+          onPublished(R);
+        },
+        T);
+  });
+}
+
+void Callers::onPublished(const base::Expected<state::ListVerdict> &R) {
+  if (!R || !R->Accepted)
+    return;
+  for (const PublishedList &P : Published)
+    if (P.Verdict.Kind == R->Kind && P.Verdict.Version == R->Version)
+      Around.Report("lists", "version " + std::to_string(R->Version) +
+                                 " was accepted twice");
+  Published.push_back({*R, Around.Sim.now()});
+}
+
+} // namespace heathersaddle::fuzz
--- /dev/null
+++ b/packages/fuzz/lib/DaemonHost.h
@@ -0,0 +1,109 @@
+#ifndef HEATHERSADDLE_FUZZ_DAEMONHOST_H
+#define HEATHERSADDLE_FUZZ_DAEMONHOST_H
+
+#include "WorkerHost.h"
+#include "heathersaddle/control/Node.h"
+#include <memory>
+#include <set>
+
+namespace heathersaddle::fuzz {
+
+class DaemonHost;
+
+/// Bound of requirement 6.
+inline constexpr Millis LeavingBound{5'000};
+
+/// What surrounds a daemon; the world provides it.
+struct Surroundings {
+  Simulation &Sim;
+  Random &Rng;
+  Network &Net;
+  LogHost &Log;
+  std::vector<std::unique_ptr<WorkerHost>> &Workers;
+  std::vector<std::unique_ptr<DaemonHost>> &Daemons;
+  /// Reports the violation of a rule.
+  std::function<void(std::string Rule, std::string Detail)> Report;
+};
+
+/// One daemon process in virtual time: carries out the actions of its Node.
+/// A crash loses the node; what still arrives for it is dropped.
+class DaemonHost {
+public:
+  using Now = control::Node::Now;
+  using Use = std::function<void(control::Node &, Now)>;
+
+  DaemonHost(Surroundings &Around, unsigned Index,
+             control::NodeSettings Settings)
+      : Around(Around), Index(Index), Settings(std::move(Settings)) {}
+
+  void start();
+  void crash(Millis Lasts);
+  void pause(Millis Lasts);
+  /// Stops as planned, and starts again \p Lasts after it has stopped.
+  void stopGracefully(Millis Lasts);
+  void jumpClock(Millis By) { WallSkew += By; }
+  void heal();
+
+  /// Hands \p Run to the node: at once, when it resumes, or never when it is
+  /// not running or crashes before. The order of arrival is kept.
+  void post(Use Run);
+  /// The same for an answer that is only meant for generation \p For.
+  void postTo(unsigned For, Use Run);
+
+  /// The running node; null when there is none.
+  const control::Node *node() const { return Node.get(); }
+  bool paused() const { return Around.Sim.now() < PausedUntil; }
+  bool stopping() const { return Stopping; }
+  unsigned generation() const { return Generation; }
+  Millis startedAt() const { return StartedAt; }
+  /// When the last fault that keeps it from the log ends or ended.
+  Millis disturbedUntil() const;
+  const std::string &name() const { return Settings.Name; }
+
+  /// Requests of callers that are in progress in this process.
+  void requestBegan() { ++InProgress; }
+  void requestEnded() { --InProgress; }
+
+private:
+  template <class T>
+  using Handler = std::function<void(control::Node &, std::uint64_t,
+                                     base::Expected<T>, Now)>;
+  template <class T>
+  void call(std::uint64_t Call, Endpoint To, Millis TimeLimit, Handler<T> On,
+            std::function<void(Reply<T>)> Serve);
+  template <class T>
+  void finish(unsigned For, std::uint64_t Call, Handler<T> On,
+              base::Expected<T> Result);
+
+  void carryOut(const control::AppendAction &A);
+  void carryOut(const control::ReadAction &A);
+  void carryOut(const control::WorkerAction &A);
+  void carryOut(const control::PeerAction &A);
+  void carryOut(const control::HostsAction &A);
+  void carryOut(const control::LogAction &) {}
+  void noteLeaving(const std::vector<control::HostEntry> &Hosts);
+  bool mayGiveWork(const std::string &Worker) const;
+
+  Now now() const;
+  void run(const Use &Run);
+  void resume();
+  void tick(unsigned For);
+  void finishStop();
+
+  Surroundings &Around;
+  unsigned Index;
+  control::NodeSettings Settings;
+  std::unique_ptr<control::Node> Node;
+  unsigned Generation = 0;
+  std::set<std::uint64_t> OpenCalls;
+  std::vector<std::pair<unsigned, Use>> Backlog;
+  /// Since when the host list that this process read shows a worker leaving.
+  std::map<std::string, Millis> LeavingSince;
+  Millis PausedUntil{}, StartedAt{}, WallSkew{}, StopLasts{};
+  bool Stopping = false;
+  int InProgress = 0;
+};
+
+} // namespace heathersaddle::fuzz
+
+#endif
--- /dev/null
+++ b/packages/fuzz/lib/LogHost.cpp
@@ -0,0 +1,95 @@
+// Approach: the model decides; this adds waiting, timed faults and the errors
+// that an HTTP client would report. A 503 is Unresolved for an append, since
+// the platform also sends it after the append took effect.
+#include "LogHost.h"
+#include "heathersaddle/state/Record.h"
+
+namespace heathersaddle::fuzz {
+
+using base::ErrorCode;
+using base::makeError;
+
+template <class T>
+void LogHost::answer(const Reply<T> &Done, base::Expected<T> R) {
+  if (Sim.now() >= SlowUntil)
+    return Done(std::move(R));
+  Sim.after(Millis(Rng.within(200, 4'000)),
+            [Done, R = std::move(R)] { Done(R); });
+}
+
+void LogHost::append(const control::AppendAction &A,
+                     Reply<std::uint64_t> Done) {
+  if (isDown())
+    return answer<std::uint64_t>(
+        Done, makeError(ErrorCode::Unresolved, "append", "the log is down"));
+  auto First = Model.append(A.Stream, A.Records, Sim.now().count());
+  if (First && A.Stream == "control")
+    noteControl(*First, A.Records);
+  if (First)
+    serveWaiters(A.Stream);
+  if (Sim.now() >= LosesUntil)
+    return answer(Done, First);
+  if (Rng.chance(50)) // Otherwise the caller's time limit ends the call.
+    answer<std::uint64_t>(Done, makeError(ErrorCode::Unresolved, "append",
+                                          "the answer was lost"));
+}
+
+void LogHost::noteControl(std::uint64_t First,
+                          const std::vector<std::string> &Texts) {
+  for (std::size_t I = 0; I != Texts.size(); ++I) {
+    auto R = state::decode(Texts[I]);
+    if (R)
+      if (auto *S = std::get_if<state::SnapshotTaken>(&R->What))
+        Covered = std::max(Covered, S->Covered);
+    Seen(First + I, Texts[I]);
+  }
+}
+
+base::Expected<control::ReadResult>
+LogHost::page(const control::ReadAction &A) const {
+  auto Page = Model.read(A.Stream, A.From, A.Max);
+  if (!Page)
+    return tl::unexpected(Page.error());
+  return control::ReadResult{Page->Oldest, Page->Next, Page->Trimmed,
+                             std::move(Page->Records)};
+}
+
+void LogHost::read(const control::ReadAction &A,
+                   Reply<control::ReadResult> Done) {
+  if (isDown())
+    return answer<control::ReadResult>(
+        Done, makeError(ErrorCode::Unavailable, "read", "the log is down"));
+  auto Page = page(A);
+  if (!Page || Page->Trimmed || !Page->Records.empty() || A.Wait.count() == 0)
+    return answer(Done, std::move(Page));
+  std::uint64_t Id = NextWaiter++;
+  Waiters.push_back({Id, A, std::move(Done)});
+  Sim.after(A.Wait, [this, Id] { expire(Id); });
+}
+
+void LogHost::serveWaiters(const std::string &Stream) {
+  for (auto It = Waiters.begin(); It != Waiters.end();) {
+    auto Page = page(It->Request);
+    if (It->Request.Stream != Stream || !Page || Page->Records.empty()) {
+      ++It;
+      continue;
+    }
+    answer(It->Done, std::move(Page));
+    It = Waiters.erase(It);
+  }
+}
+
+void LogHost::expire(std::uint64_t Id) {
+  for (auto It = Waiters.begin(); It != Waiters.end(); ++It) {
+    if (It->Id != Id)
+      continue;
+    if (!isDown())
+      answer(It->Done, page(It->Request));
+    Waiters.erase(It);
+    return;
+  }
+}
+
+void LogHost::trim() { Model.trimBefore("control", Covered); }
+
+} // namespace heathersaddle::fuzz
--- /dev/null
+++ b/packages/fuzz/lib/LogHost.h
@@ -0,0 +1,65 @@
+#ifndef HEATHERSADDLE_FUZZ_LOGHOST_H
+#define HEATHERSADDLE_FUZZ_LOGHOST_H
+
+#include "Simulation.h"
+#include "heathersaddle/control/Actions.h"
+#include "heathersaddle/platform/LogModel.h"
+#include <functional>
+#include <list>
+
+namespace heathersaddle::fuzz {
+
+template <class T> using Reply = std::function<void(base::Expected<T>)>;
+
+/// The platform's log in virtual time: long polls and timed faults.
+class LogHost {
+public:
+  /// Called with each record of `control`, at once.
+  using Observer =
+      std::function<void(std::uint64_t Offset, const std::string &Text)>;
+
+  LogHost(Simulation &Sim, Random &Rng, Observer Seen)
+      : Sim(Sim), Rng(Rng), Seen(std::move(Seen)) {}
+
+  void append(const control::AppendAction &A, Reply<std::uint64_t> Done);
+  void read(const control::ReadAction &A, Reply<control::ReadResult> Done);
+
+  void down(Millis Lasts) { extend(DownUntil, Lasts); }
+  void loseAnswers(Millis Lasts) { extend(LosesUntil, Lasts); }
+  void slow(Millis Lasts) { extend(SlowUntil, Lasts); }
+  /// Drops the records that the newest snapshot covers.
+  void trim();
+  void heal() { DownUntil = LosesUntil = SlowUntil = Millis{}; }
+  Millis disturbedUntil() const {
+    return std::max({DownUntil, LosesUntil, SlowUntil});
+  }
+
+private:
+  struct Waiter {
+    std::uint64_t Id = 0;
+    control::ReadAction Request;
+    Reply<control::ReadResult> Done;
+  };
+  void extend(Millis &Until, Millis Lasts) {
+    Until = std::max(Until, Sim.now() + Lasts);
+  }
+  bool isDown() const { return Sim.now() < DownUntil; }
+  base::Expected<control::ReadResult> page(const control::ReadAction &A) const;
+  void serveWaiters(const std::string &Stream);
+  void expire(std::uint64_t Waiter);
+  void noteControl(std::uint64_t First, const std::vector<std::string> &Texts);
+  template <class T> void answer(const Reply<T> &Done, base::Expected<T> R);
+
+  Simulation &Sim;
+  Random &Rng;
+  Observer Seen;
+  platform::LogModel Model;
+  std::list<Waiter> Waiters;
+  std::uint64_t NextWaiter = 0;
+  std::uint64_t Covered = 0; ///< By the newest snapshot in the log.
+  Millis DownUntil{}, LosesUntil{}, SlowUntil{};
+};
+
+} // namespace heathersaddle::fuzz
+
+#endif
--- /dev/null
+++ b/packages/fuzz/lib/Simulation.h
@@ -0,0 +1,86 @@
+#ifndef HEATHERSADDLE_FUZZ_SIMULATION_H
+#define HEATHERSADDLE_FUZZ_SIMULATION_H
+
+#include "heathersaddle/base/Time.h"
+#include "heathersaddle/fuzz/Step.h"
+#include <functional>
+#include <map>
+#include <queue>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace heathersaddle::fuzz {
+
+using base::Millis;
+
+/// Virtual time and the events that are due in it.
+class Simulation {
+public:
+  using Task = std::function<void()>;
+
+  Millis now() const { return Now; }
+  void after(Millis Delay, Task Run);
+  /// Runs all events up to \p Until, in order of time, then of insertion.
+  /// Returns early once stop() was called.
+  void runUntil(Millis Until);
+  void stop() { Stopped = true; }
+
+private:
+  struct Entry {
+    Millis At;
+    std::uint64_t Order;
+    Task Run;
+    bool operator<(const Entry &O) const {
+      return std::pair(At, Order) > std::pair(O.At, O.Order);
+    }
+  };
+  Millis Now{};
+  std::uint64_t Inserted = 0;
+  bool Stopped = false;
+  std::priority_queue<Entry> Queue;
+};
+
+/// What a daemon talks to.
+struct Endpoint {
+  enum class Kind { Log, Hosts, Worker, Daemon };
+  Kind What = Kind::Log;
+  unsigned Index = 0;
+  auto operator<=>(const Endpoint &) const = default;
+};
+
+/// What becomes of one message.
+struct Fate {
+  bool Lost = false;
+  Millis Delay{};
+  Millis RepeatAfter{}; ///< 0: delivered once.
+};
+
+/// The links between daemons and everything else. Faults end by themselves.
+class Network {
+public:
+  Network(Simulation &Sim, Random &Rng) : Sim(Sim), Rng(Rng) {}
+
+  void cut(unsigned Daemon, Endpoint To, Millis Lasts);
+  void chaos(Millis Lasts) { extend(ChaosUntil, Lasts); }
+  bool isCut(unsigned Daemon, Endpoint To) const;
+  /// Draws the fate of a message on the link, in either direction.
+  Fate draw(unsigned Daemon, Endpoint To);
+  /// When the last fault on the link ends or ended.
+  Millis disturbedUntil(unsigned Daemon, Endpoint To) const;
+  void heal();
+  std::uint64_t faults() const { return FaultCount; }
+
+private:
+  void extend(Millis &Until, Millis Lasts) const;
+
+  Simulation &Sim;
+  Random &Rng;
+  std::map<std::pair<unsigned, Endpoint>, Millis> CutUntil;
+  Millis ChaosUntil{};
+  std::uint64_t FaultCount = 0;
+};
+
+} // namespace heathersaddle::fuzz
+
+#endif
--- /dev/null
+++ b/packages/fuzz/lib/WorkerHost.h
@@ -0,0 +1,92 @@
+#ifndef HEATHERSADDLE_FUZZ_WORKERHOST_H
+#define HEATHERSADDLE_FUZZ_WORKERHOST_H
+
+#include "LogHost.h"
+#include "heathersaddle/platform/WorkerModel.h"
+#include <list>
+
+namespace heathersaddle::fuzz {
+
+inline constexpr unsigned WorkerSlots = 4;
+
+/// The answer that task \p Task of a gang must give to \p Input.
+std::string expectedAnswer(std::string_view Input, unsigned Task,
+                           unsigned Tasks);
+/// How a sound worker runs the task; a function of the input alone.
+platform::TaskOutcome soundOutcome(const platform::TaskRequest &R);
+
+/// One worker host in virtual time.
+class WorkerHost {
+public:
+  struct Pause {
+    Millis From, To;
+  };
+  /// Reports what is wrong with a request of a daemon.
+  using Complaint = std::function<void(std::string)>;
+
+  WorkerHost(Simulation &Sim, Random &Rng, control::HostEntry Entry,
+             bool RememberStopped, Complaint Complain);
+
+  /// Serves /v1/commands and /v1/sync for a connection made under \p Boot.
+  void serve(const std::string &Path, const boost::json::value &Body,
+             std::uint64_t Boot, const Reply<boost::json::value> &Done);
+
+  void restart();
+  void pause(Millis Lasts);
+  void late(Millis Lasts) { extend(LateUntil, Lasts); }
+  void failing(Millis Lasts) { extend(FailingUntil, Lasts); }
+  void leave(Millis Lasts);
+  /// The host is off and then starts again.
+  void off(Millis Lasts);
+  void heal();
+
+  std::uint64_t boot() const { return Model.boot(); }
+  bool isOff() const { return Sim.now() < OffUntil; }
+  /// The entry in the platform's host list.
+  control::HostEntry entry() const;
+  const std::vector<platform::AuditEntry> &audit() const {
+    return Model.audit();
+  }
+  /// Virtual time of a time in the audit trail.
+  Millis virtualTime(Millis Clock) const { return Clock - Skew; }
+  const std::vector<Pause> &pauses() const { return Pauses; }
+  const std::string &name() const { return Host.Name; }
+
+private:
+  struct Held {
+    std::uint64_t Id = 0;
+    boost::json::value Body;
+    Reply<boost::json::value> Done;
+  };
+  void extend(Millis &Until, Millis Lasts) {
+    Until = std::max(Until, Sim.now() + Lasts);
+  }
+  Millis clock() const { return Sim.now() + Skew; }
+  void resume();
+  void handle(const std::string &Path, const boost::json::value &Body,
+              const Reply<boost::json::value> &Done);
+  void hold(const boost::json::value &Body,
+            const Reply<boost::json::value> &Done);
+  void expire(std::uint64_t Id);
+  void serveHeld();
+  void scheduleChange();
+  void answer(const Reply<boost::json::value> &Done,
+              platform::WorkerReply Reply);
+
+  Simulation &Sim;
+  Random &Rng;
+  control::HostEntry Host;
+  Complaint Complain;
+  Millis Skew; ///< Of the worker's clock; constant.
+  platform::WorkerModel Model;
+  std::list<Held> Waiting;
+  std::vector<std::function<void()>> Backlog; ///< Arrived while paused.
+  std::vector<Pause> Pauses;
+  std::uint64_t NextHeld = 0;
+  std::uint64_t Wakeup = 0; ///< Only the latest scheduled change counts.
+  Millis PausedUntil{}, LateUntil{}, FailingUntil{}, LeavingUntil{}, OffUntil{};
+};
+
+} // namespace heathersaddle::fuzz
+
+#endif
--- a/packages/platform/include/heathersaddle/platform/WorkerModel.h
+++ b/packages/platform/include/heathersaddle/platform/WorkerModel.h
@@ -56,6 +56,7 @@
   unsigned Task = 0;
   unsigned Tasks = 1;
   std::uint64_t Slots = 0;
+  std::string InputHead; ///< At most the first 64 bytes.
   base::Millis Reserved{};
   std::optional<base::Millis> Started; ///< Unset: the task never ran.
   std::optional<base::Millis> Ended;
--- a/packages/platform/lib/WorkerCommands.cpp
+++ b/packages/platform/lib/WorkerCommands.cpp
@@ -92,6 +92,7 @@
   A.Task = C.Id.second;
   A.Tasks = C.Request.Tasks;
   A.Slots = C.Slots;
+  A.InputHead = C.Request.Input.substr(0, 64);
   A.Reserved = Now;
   Audit.push_back(std::move(A));
   Tasks.emplace(C.Id, std::move(T));
