--- a/packages/fuzz/app/Main.cpp
+++ b/packages/fuzz/app/Main.cpp
@@ -115,6 +115,7 @@
 int main(int Argc, char **Argv) {
   Options O;
   bool NoShrink = false;
+  bool Trace = false;
   cxxopts::Options Flags("heathersaddle_fuzz", "Stateful failure testing");
   auto Add = Flags.add_options();
   Add("seed", "first seed", cxxopts::value(O.First));
@@ -123,6 +124,7 @@
   Add("jobs", "threads", cxxopts::value(O.Jobs));
   Add("no-shrink", "print violations at once", cxxopts::value(NoShrink));
   Add("first", "stop at the first violation", cxxopts::value(O.StopAtFirst));
+  Add("trace", "print every event of a single seed", cxxopts::value(Trace));
   Add("verbose", "print each seed", cxxopts::value(O.Verbose));
   Add("help", "print this help");
   try {
@@ -135,6 +137,8 @@
     std::cerr << "heathersaddle_fuzz: " << E.what() << "\n";
     return 2;
   }
-  O.Shrink = !NoShrink;
+  O.Shrink = !NoShrink && !Trace;
+  if (Trace)
+    O.Run.Trace = [](const std::string &Line) { std::cout << Line << "\n"; };
   return Campaign(O).run();
 }
--- a/packages/fuzz/include/heathersaddle/fuzz/Run.h
+++ b/packages/fuzz/include/heathersaddle/fuzz/Run.h
@@ -2,6 +2,7 @@
 #define HEATHERSADDLE_FUZZ_RUN_H
 
 #include "heathersaddle/fuzz/Step.h"
+#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -13,6 +14,8 @@
   /// False switches off the workers' memory of stops, to check that the run
   /// notices.
   bool RememberStopped = true;
+  /// Takes a line for each step, record, command and log event; may be empty.
+  std::function<void(const std::string &Line)> Trace;
 };
 
 /// The first requirement that a run found broken.
--- a/packages/fuzz/lib/Callers.h
+++ b/packages/fuzz/lib/Callers.h
@@ -42,6 +42,8 @@
   void repeatOpen(DaemonHost &D);
 
   const std::vector<CallerRequest> &requests() const { return Requests; }
+  /// Why the last list version was refused.
+  const std::string &lastRefusal() const { return Refusal; }
   const std::vector<PublishedList> &published() const { return Published; }
   /// Checks an answer about \p Which that a caller or the end check got.
   void check(std::size_t Which, const control::JobAnswer &Answer);
@@ -57,6 +59,7 @@
   Surroundings &Around;
   std::vector<CallerRequest> Requests;
   std::vector<PublishedList> Published;
+  std::string Refusal;
   unsigned Changes = 0;
 };
 
--- a/packages/fuzz/lib/DaemonHost.cpp
+++ b/packages/fuzz/lib/DaemonHost.cpp
@@ -3,6 +3,7 @@
 // request may take effect although its caller sees a time-out.
 #include "DaemonHost.h"
 #include <algorithm>
+#include <boost/json.hpp>
 #include <functional>
 
 namespace heathersaddle::fuzz {
@@ -34,11 +35,14 @@
   Settings.Incarnation = Around.Rng.next() >> 1;
   Settings.Seed = Around.Rng.next();
   Node = std::make_unique<control::Node>(Settings);
+  Around.trace(name(),
+               "starts, writer " + std::to_string(Settings.Incarnation));
   run([](control::Node &N, Now T) { N.start(T); });
   tick(Generation);
 }
 
 void DaemonHost::crash(Millis Lasts) {
+  Around.trace(name(), "ends");
   Node.reset();
   Around.Sim.after(Lasts, [this, For = Generation] {
     if (For == Generation)
@@ -177,6 +181,9 @@
       std::mem_fn(&control::Node::onWorkerReply),
       [=, this, &W, Boot = W.boot()](const Reply<json::value> &Done) {
         std::size_t Before = W.audit().size();
+        if (Around.Sink)
+          Around.trace(name(),
+                       W.name() + " " + A.Path + " " + json::serialize(A.Body));
         W.serve(A.Path, A.Body, Boot, Done);
         if (!Allowed && W.audit().size() > Before)
           Around.Report("leaving", name() + " gave new work to " + W.name() +
--- a/packages/fuzz/lib/DaemonHost.h
+++ b/packages/fuzz/lib/DaemonHost.h
@@ -23,6 +23,12 @@
   std::vector<std::unique_ptr<DaemonHost>> &Daemons;
   /// Reports the violation of a rule.
   std::function<void(std::string Rule, std::string Detail)> Report;
+  std::function<void(const std::string &Line)> Sink; ///< May be empty.
+
+  void trace(const std::string &Who, const std::string &Text) const {
+    if (Sink)
+      Sink(std::to_string(Sim.now().count()) + " " + Who + " " + Text);
+  }
 };
 
 /// One daemon process in virtual time: carries out the actions of its Node.
@@ -80,7 +86,7 @@
   void carryOut(const control::WorkerAction &A);
   void carryOut(const control::PeerAction &A);
   void carryOut(const control::HostsAction &A);
-  void carryOut(const control::LogAction &) {}
+  void carryOut(const control::LogAction &A) { Around.trace(name(), A.Text); }
   void noteLeaving(const std::vector<control::HostEntry> &Hosts);
   bool mayGiveWork(const std::string &Worker) const;
 
