Give up placements on workers that are leaving; read the log in shorter waits

An attempt that was recorded before its worker began to leave was reserved on the worker whenever it answered again, also minutes later (seed 70). The owner now dooms such an attempt as long as the worker has not taken it. A long poll that was lost with its connection blocked the tail for 13 s, longer than the 8 s in which a list must be in force (seed 36). The wait is now 3 s, so that wait and call limit together stay below the bound.

--- a/packages/control/include/heathersaddle/control/Node.h
+++ b/packages/control/include/heathersaddle/control/Node.h
@@ -29,7 +29,9 @@
   base::Millis WorkerLease{150'000};
   base::Millis HostListPeriod{2'000};
   base::Millis CallLimit{3'000};
-  base::Millis ReadWait{10'000};
+  /// Together with CallLimit below the 8 s bound for lists: a read that is
+  /// lost with its connection is noticed only when its time limit is over.
+  base::Millis ReadWait{3'000};
   base::Millis UnknownGrace{30'000};
   std::uint64_t SnapshotRecords = 10'000;
   base::Millis SnapshotPeriod{6 * 3'600'000};
--- a/packages/control/lib/CellDispatch.cpp
+++ b/packages/control/lib/CellDispatch.cpp
@@ -94,10 +94,23 @@
   return J.Tasks.size() == 1 && J.Spec.Idempotent;
 }
 
+bool CellOwner::departing(std::string_view Worker) const {
+  const HostEntry *H = Hosts.host(Worker);
+  return Hosts.known() && (!H || H->Leaving);
+}
+
 void CellOwner::advanceTask(const state::Job &J, Track &T, unsigned Task) {
   TaskTrack &X = T.Tasks[Task];
   if (X.Waiting || X.final())
     return;
+  // A placement that was recorded before its worker began to leave is given
+  // up when the worker has not taken it yet.
+  if ((!J.Started || X.What == Seen::Absent) &&
+      departing(J.Tasks[Task].Worker)) {
+    doom(T, "worker " + J.Tasks[Task].Worker + " is leaving");
+    Dirty.insert(J.Spec.Id);
+    return;
+  }
   if (!J.Started) {
     if (X.What == Seen::Absent)
       send(Op::Reserve, J, T, Task);
--- a/packages/control/lib/CellOwner.h
+++ b/packages/control/lib/CellOwner.h
@@ -104,6 +104,8 @@
   static void noteStopped(TaskTrack &X, std::int64_t ProgressMs);
   void onListedTask(const state::Job &J, TaskTrack &T, const ListedTask *L);
   bool restartable(const state::Job &J) const;
+  /// Whether the host list shows the worker leaving, or no longer at all.
+  bool departing(std::string_view Worker) const;
   json::object commandBody(Op What, const state::Job &J, unsigned Task) const;
 
   // CellOutcomes.cpp
