End jobs that failed on every worker of a small cell

A job avoided every worker on which it had failed. In a cell whose workers were all among them it waited for ever, since it takes failures on three workers to end it. It now runs again where it failed, until it has failed too often.

--- a/packages/policy/lib/Core.h
+++ b/packages/policy/lib/Core.h
@@ -15,7 +15,8 @@
 
 /// What only few jobs have: failures and a decided end.
 struct Trouble {
-  std::vector<std::string> FailedOn;      ///< All workers, for avoidance.
+  std::vector<std::string> FailedOn; ///< All workers, for avoidance.
+  bool NoOther = false; ///< The shape does not fit beside FailedOn.
   std::vector<std::string> SoundFailures; ///< Workers believed healthy.
   unsigned Failures = 0;
   bool Ends = false;
--- a/packages/policy/lib/Pass.cpp
+++ b/packages/policy/lib/Pass.cpp
@@ -102,7 +102,8 @@
 
 // Whether the job could not run even with all workers present and idle.
 // Workers that are lost or quarantined count, since they may return.
-bool Pass::neverFits(const Job &J) const {
+// With \p Without, workers on which the job failed do not count.
+bool Pass::neverFits(const Job &J, bool Without) const {
   const Account &A = S.Accounts[J.Account];
   if (A.Terms.MaxSlots && J.Shape.totalSlots() > A.Terms.MaxSlots)
     return true;
@@ -112,6 +113,8 @@
     const pool::Row &R = T.Rows[W];
     if (R.Status == pool::WorkerStatus::Leaving)
       continue;
+    if (Without && std::ranges::count(J.Issues->FailedOn, R.Spec.Name))
+      continue;
     Idle[W] = J.Idempotent ? R.All : R.All & (~R.Homed | R.homeOf(Owner));
   }
   return !pool::placeOn(T, J.Shape, std::move(Idle));
@@ -224,6 +227,14 @@
       return false;
     }
     C.FitsAt = T.Structure;
+    // A small cell may have no other workers to try. The job then runs again
+    // where it failed, until it has failed too often.
+    if (J->Issues && !J->Issues->FailedOn.empty() && !J->Issues->NoOther &&
+        neverFits(*J, /*Without=*/true)) {
+      J->Issues->NoOther = PutOff = Progress = true;
+      C.Round = S.Round;
+      return false;
+    }
   }
   C.Round = S.Round;
   PutOff |= Deferred;
--- a/packages/policy/lib/Pass.h
+++ b/packages/policy/lib/Pass.h
@@ -34,7 +34,7 @@
   bool scanAccount(std::uint32_t Id);
   bool examine(JobClass &C);
   JobClass *nextClass(Account &A) const;
-  bool neverFits(const Job &J) const;
+  bool neverFits(const Job &J, bool Without = false) const;
   std::uint64_t version() const { return T.Version + S.Changes + 1; }
 
   // Place.cpp: free slots.
--- a/packages/policy/lib/Place.cpp
+++ b/packages/policy/lib/Place.cpp
@@ -23,7 +23,7 @@
 
 std::vector<pool::RowId> Pass::avoided(const Job &J) const {
   std::vector<pool::RowId> Rows;
-  if (J.Issues)
+  if (J.Issues && !J.Issues->NoOther)
     for (const std::string &W : J.Issues->FailedOn)
       if (pool::RowId R = T.row(W); R != NoId)
         Rows.push_back(R);
--- a/packages/policy/lib/Reclaim.cpp
+++ b/packages/policy/lib/Reclaim.cpp
@@ -61,7 +61,7 @@
   const pool::Row &R = T.Rows[W];
   if (R.Status != pool::WorkerStatus::Up || SickRow[W])
     return 0;
-  if (const Trouble *Issues = C.For->Issues.get())
+  if (const Trouble *Issues = C.For->Issues.get(); Issues && !Issues->NoOther)
     if (std::find(Issues->FailedOn.begin(), Issues->FailedOn.end(),
                   R.Spec.Name) != Issues->FailedOn.end())
       return 0;
--- a/packages/policy/tests/SchedulerTest.cpp
+++ b/packages/policy/tests/SchedulerTest.cpp
@@ -380,6 +380,23 @@
     BOOST_TEST((*W.Cell.status(Spec.Name) == WorkerStatus::Up));
 }
 
+// Guards against a job that waits for ever because it has failed on every
+// worker of a small cell.
+BOOST_AUTO_TEST_CASE(BadJobEndsInACellWithTwoWorkers) {
+  World W;
+  W.addWorkers(2, 8, 2);
+  std::string Bad = W.submit("a", {1, 1}, true).Id;
+  for (unsigned N = 0; W.Ended.empty() && N != 40; ++N, W.Now += 60'000) {
+    W.settle();
+    if (!W.runs(Bad))
+      continue;
+    W.endAttempt(Bad, AttemptEnd::TaskFailed,
+                 {W.Cell.placements(Bad)[0].Worker});
+  }
+  BOOST_REQUIRE(W.Ended.size() == 1U);
+  BOOST_TEST(W.Ended[0].Failed);
+}
+
 // Guards against retries that crowd out first attempts, and against retries
 // that never come when nothing else starts.
 BOOST_AUTO_TEST_CASE(RetriesKeepToTheirBudget) {
