--- a/packages/control/lib/CellDispatch.cpp
+++ b/packages/control/lib/CellDispatch.cpp
@@ -5,6 +5,7 @@
 // to a full sync and another round.
 // Bounds: one command without a reply per task; only dirty jobs are advanced.
 #include "CellOwner.h"
+#include "heathersaddle/base/TestSwitches.h"
 
 namespace heathersaddle::control {
 
@@ -84,10 +85,14 @@
     commitStart(J, T);
 }
 
-void CellOwner::commitStart(const state::Job &J, const Track &T) {
-  if (std::all_of(T.Tasks.begin(), T.Tasks.end(),
-                  [](const TaskTrack &X) { return X.What == Seen::Reserved; }))
-    record(state::StartCommitted{by(), J.Spec.Id, J.Attempt}, J.Spec.Id);
+void CellOwner::commitStart(const state::Job &J, Track &T) {
+  if (!std::all_of(T.Tasks.begin(), T.Tasks.end(),
+                   [](const TaskTrack &X) { return X.What == Seen::Reserved; }))
+    return;
+  record(state::StartCommitted{by(), J.Spec.Id, J.Attempt}, J.Spec.Id);
+  if (!base::enforced(base::SafetyRule::OwnRecordFirst))
+    for (unsigned I = 0; I < T.Tasks.size(); ++I)
+      send(Op::Start, J, T, I);
 }
 
 bool CellOwner::restartable(const state::Job &J) const {
--- a/packages/control/lib/CellOwner.h
+++ b/packages/control/lib/CellOwner.h
@@ -93,7 +93,7 @@
   void send(Op What, const state::Job &J, Track &T, unsigned Task);
   void stopStray(const std::string &Worker, const TaskName &N);
   void stopAll(const state::Job &J, Track &T);
-  void commitStart(const state::Job &J, const Track &T);
+  void commitStart(const state::Job &J, Track &T);
   struct Found {
     const state::Job *Job = nullptr;
     Track *Attempt = nullptr;
--- a/packages/control/lib/Snapshots.cpp
+++ b/packages/control/lib/Snapshots.cpp
@@ -5,6 +5,7 @@
 #include "Snapshots.h"
 #include "heathersaddle/base/Hash.h"
 #include "heathersaddle/base/Json.h"
+#include "heathersaddle/base/TestSwitches.h"
 
 namespace heathersaddle::control {
 
@@ -68,7 +69,8 @@
   std::string Text;
   for (const std::string &Part : P.Parts)
     Text += Part;
-  if (base::sha256Hex(Text) != P.Hash)
+  if (base::enforced(base::SafetyRule::SnapshotCheck) &&
+      base::sha256Hex(Text) != P.Hash)
     return;
   Best = std::move(Text);
   BestCovered = P.Covered;
--- a/packages/fuzz/app/Main.cpp
+++ b/packages/fuzz/app/Main.cpp
@@ -1,8 +1,10 @@
 // Runs many seeds of the fuzzer and prints what was violated.
+#include "heathersaddle/base/TestSwitches.h"
 #include "heathersaddle/fuzz/Run.h"
 #include <atomic>
 #include <cxxopts.hpp>
 #include <iostream>
+#include <map>
 #include <mutex>
 #include <thread>
 
@@ -112,10 +114,31 @@
 
 } // namespace
 
+// Switches off one safety rule; false when this build cannot.
+static bool switchOff(const std::string &Rule, Options &O) {
+  if (Rule == "tombstones") {
+    O.Run.RememberStopped = false;
+    return true;
+  }
+#ifdef HEATHERSADDLE_TEST_SWITCHES
+  using heathersaddle::base::SafetyRule;
+  const std::map<std::string, SafetyRule> Rules{
+      {"epoch-check", SafetyRule::EpochCheck},
+      {"own-record-first", SafetyRule::OwnRecordFirst},
+      {"snapshot-check", SafetyRule::SnapshotCheck}};
+  if (auto It = Rules.find(Rule); It != Rules.end()) {
+    heathersaddle::base::SwitchedOff = It->second;
+    return true;
+  }
+#endif
+  return Rule.empty();
+}
+
 int main(int Argc, char **Argv) {
   Options O;
   bool NoShrink = false;
   bool Trace = false;
+  std::string Without;
   cxxopts::Options Flags("heathersaddle_fuzz", "Stateful failure testing");
   auto Add = Flags.add_options();
   Add("seed", "first seed", cxxopts::value(O.First));
@@ -126,6 +149,8 @@
   Add("first", "stop at the first violation", cxxopts::value(O.StopAtFirst));
   Add("trace", "print every event of a single seed", cxxopts::value(Trace));
   Add("verbose", "print each seed", cxxopts::value(O.Verbose));
+  Add("without", "safety rule to switch off (test builds only)",
+      cxxopts::value(Without));
   Add("help", "print this help");
   try {
     auto Given = Flags.parse(Argc, Argv);
@@ -137,6 +162,11 @@
     std::cerr << "heathersaddle_fuzz: " << E.what() << "\n";
     return 2;
   }
+  if (!switchOff(Without, O)) {
+    std::cerr << "heathersaddle_fuzz: this build cannot switch off \""
+              << Without << "\"\n";
+    return 2;
+  }
   O.Shrink = !NoShrink && !Trace;
   if (Trace)
     O.Run.Trace = [](const std::string &Line) { std::cout << Line << "\n"; };
--- a/packages/fuzz/include/heathersaddle/fuzz/Step.h
+++ b/packages/fuzz/include/heathersaddle/fuzz/Step.h
@@ -45,6 +45,7 @@
   LogLosesAnswers,
   LogSlow,
   Trim,
+  DamageSnapshots, ///< The log stores damaged snapshot chunks.
   ClockJump,
   WorkerRestart,
   WorkerPause,
--- a/packages/fuzz/lib/Callers.cpp
+++ b/packages/fuzz/lib/Callers.cpp
@@ -87,6 +87,14 @@
       repeat(D, I);
 }
 
+void Callers::restorePlans(DaemonHost &D) {
+  if (!D.node())
+    return;
+  state::ListChange C = firstPlans();
+  C.Base = D.node()->state().version(C.Kind);
+  publish(D, std::move(C));
+}
+
 void Callers::send(DaemonHost &D, std::size_t Which) {
   ++Requests[Which].Open;
   D.post([this, &D, Which](control::Node &N, DaemonHost::Now T) {
--- a/packages/fuzz/lib/Callers.h
+++ b/packages/fuzz/lib/Callers.h
@@ -40,6 +40,9 @@
   void publish(DaemonHost &D, state::ListChange Change);
   /// Repeats all requests that have a key but no certain answer yet.
   void repeatOpen(DaemonHost &D);
+  /// Publishes the first plans again, so that there are spare slots for the
+  /// accounts without a guarantee.
+  void restorePlans(DaemonHost &D);
 
   const std::vector<CallerRequest> &requests() const { return Requests; }
   /// Why the last list version was refused.
--- a/packages/fuzz/lib/DaemonHost.cpp
+++ b/packages/fuzz/lib/DaemonHost.cpp
@@ -82,7 +82,7 @@
 
 void DaemonHost::heal() {
   WallSkew = Millis{};
-  PausedUntil = Millis{};
+  PausedUntil = std::min(PausedUntil, Around.Sim.now());
   resume();
   if (!Node)
     start();
--- a/packages/fuzz/lib/DaemonHost.h
+++ b/packages/fuzz/lib/DaemonHost.h
@@ -65,6 +65,7 @@
   /// When the last fault that keeps it from the log ends or ended.
   Millis disturbedUntil() const;
   const std::string &name() const { return Settings.Name; }
+  Now now() const;
 
   /// Requests of callers that are in progress in this process.
   void requestBegan() { ++InProgress; }
@@ -90,7 +91,6 @@
   void noteLeaving(const std::vector<control::HostEntry> &Hosts);
   bool mayGiveWork(const std::string &Worker) const;
 
-  Now now() const;
   void run(const Use &Run);
   void resume();
   void tick(unsigned For);
--- a/packages/fuzz/lib/LogHost.cpp
+++ b/packages/fuzz/lib/LogHost.cpp
@@ -22,7 +22,10 @@
   if (isDown())
     return answer<std::uint64_t>(
         Done, makeError(ErrorCode::Unresolved, "append", "the log is down"));
-  auto First = Model.append(A.Stream, A.Records, Sim.now().count());
+  std::vector<std::string> Records = A.Records;
+  if (A.Stream == "snapshots" && Sim.now() < DamagesUntil)
+    damage(Records);
+  auto First = Model.append(A.Stream, Records, Sim.now().count());
   if (First && A.Stream == "control")
     noteControl(*First, A.Records);
   if (First)
@@ -34,13 +37,29 @@
                                           "the answer was lost"));
 }
 
+// Changes one digit of the state's text, so that it mostly stays well-formed.
+void LogHost::damage(std::vector<std::string> &Chunks) {
+  for (std::string &Text : Chunks) {
+    std::size_t Covered = Text.find("\"covered\":");
+    std::size_t Data = Text.find("\"data\":");
+    if (Covered == std::string::npos || Data == std::string::npos)
+      continue;
+    Damaged.insert(std::strtoull(&Text[Covered + 10], nullptr, 10));
+    std::size_t From = Data + Rng.below(Text.size() - Data);
+    std::size_t Digit = Text.find_first_of("123456789", From);
+    if (Digit != std::string::npos)
+      Text[Digit] = Text[Digit] == '9' ? '1' : char(Text[Digit] + 1);
+  }
+}
+
 void LogHost::noteControl(std::uint64_t First,
                           const std::vector<std::string> &Texts) {
   for (std::size_t I = 0; I != Texts.size(); ++I) {
     auto R = state::decode(Texts[I]);
     if (R)
       if (auto *S = std::get_if<state::SnapshotTaken>(&R->What))
-        Covered = std::max(Covered, S->Covered);
+        if (!Damaged.contains(S->Covered))
+          Covered = std::max(Covered, S->Covered);
     Seen(First + I, Texts[I]);
   }
 }
@@ -90,6 +109,11 @@
   }
 }
 
+void LogHost::heal() {
+  for (Millis *Until : {&DownUntil, &LosesUntil, &SlowUntil, &DamagesUntil})
+    *Until = std::min(*Until, Sim.now());
+}
+
 void LogHost::trim() { Model.trimBefore("control", Covered); }
 
 } // namespace heathersaddle::fuzz
--- a/packages/fuzz/lib/LogHost.h
+++ b/packages/fuzz/lib/LogHost.h
@@ -6,6 +6,7 @@
 #include "heathersaddle/platform/LogModel.h"
 #include <functional>
 #include <list>
+#include <set>
 
 namespace heathersaddle::fuzz {
 
@@ -27,9 +28,12 @@
   void down(Millis Lasts) { extend(DownUntil, Lasts); }
   void loseAnswers(Millis Lasts) { extend(LosesUntil, Lasts); }
   void slow(Millis Lasts) { extend(SlowUntil, Lasts); }
-  /// Drops the records that the newest snapshot covers.
+  /// Damages the snapshot chunks that are appended meanwhile.
+  void damageSnapshots(Millis Lasts) { extend(DamagesUntil, Lasts); }
+  /// Drops the records that the newest sound snapshot covers.
   void trim();
-  void heal() { DownUntil = LosesUntil = SlowUntil = Millis{}; }
+  /// Ends all faults now.
+  void heal();
   Millis disturbedUntil() const {
     return std::max({DownUntil, LosesUntil, SlowUntil});
   }
@@ -45,6 +49,7 @@
   }
   bool isDown() const { return Sim.now() < DownUntil; }
   base::Expected<control::ReadResult> page(const control::ReadAction &A) const;
+  void damage(std::vector<std::string> &Chunks);
   void serveWaiters(const std::string &Stream);
   void expire(std::uint64_t Waiter);
   void noteControl(std::uint64_t First, const std::vector<std::string> &Texts);
@@ -56,8 +61,9 @@
   platform::LogModel Model;
   std::list<Waiter> Waiters;
   std::uint64_t NextWaiter = 0;
-  std::uint64_t Covered = 0; ///< By the newest snapshot in the log.
-  Millis DownUntil{}, LosesUntil{}, SlowUntil{};
+  std::uint64_t Covered = 0;       ///< By the newest snapshot in the log.
+  std::set<std::uint64_t> Damaged; ///< Covered offsets of such snapshots.
+  Millis DownUntil{}, LosesUntil{}, SlowUntil{}, DamagesUntil{};
 };
 
 } // namespace heathersaddle::fuzz
--- a/packages/fuzz/lib/Oracle.cpp
+++ b/packages/fuzz/lib/Oracle.cpp
@@ -258,13 +258,28 @@
   return true;
 }
 
+// What the owner says about a job that waits.
+std::string Oracle::explanation(const state::Job &J) const {
+  for (const auto &D : Around.Daemons) {
+    if (!D->node())
+      continue;
+    auto Owned = D->node()->ownedCells();
+    if (std::find(Owned.begin(), Owned.end(), J.Cell) == Owned.end())
+      continue;
+    auto E = D->node()->explain(J.Spec.Id, J.Spec.Account, D->now());
+    return E ? ": " + E->Limit + ", " + E->Detail : ": " + E.error().toString();
+  }
+  return ": no owner";
+}
+
 void Oracle::checkEnd() {
   for (const auto &[Id, J] : Reference.jobs())
     if (J.live())
-      Around.Report("ends-once",
-                    "job " + Id + " (" + J.Spec.Input + ") is " +
-                        std::string(state::name(J.Status)) + " in attempt " +
-                        std::to_string(J.Attempt) + " in cell " + J.Cell);
+      Around.Report("ends-once", "job " + Id + " (" + J.Spec.Input + ") is " +
+                                     std::string(state::name(J.Status)) +
+                                     " in attempt " +
+                                     std::to_string(J.Attempt) + " in cell " +
+                                     J.Cell + explanation(J));
   for (std::size_t I = 0; I != Told.requests().size(); ++I)
     for (const std::string &Job : Told.requests()[I].Jobs)
       for (const auto &D : Around.Daemons) {
--- a/packages/fuzz/lib/Oracle.h
+++ b/packages/fuzz/lib/Oracle.h
@@ -49,6 +49,7 @@
                        const std::vector<Member> &Members);
   void checkAnswers(const std::map<Attempt, std::vector<Member>> &Attempts);
   void checkSlots();
+  std::string explanation(const state::Job &J) const;
   void checkDigests();
   void checkStop(const state::StopRequested &Stop, bool Guaranteed);
 
--- a/packages/fuzz/lib/Simulation.cpp
+++ b/packages/fuzz/lib/Simulation.cpp
@@ -55,8 +55,9 @@
 }
 
 void Network::heal() {
-  CutUntil.clear();
-  ChaosUntil = Millis{};
+  for (auto &[Link, Until] : CutUntil)
+    Until = std::min(Until, Sim.now());
+  ChaosUntil = std::min(ChaosUntil, Sim.now());
 }
 
 } // namespace heathersaddle::fuzz
--- a/packages/state/lib/ApplyOwnership.cpp
+++ b/packages/state/lib/ApplyOwnership.cpp
@@ -2,6 +2,7 @@
 // between claims: only the first claim that names the current epoch wins.
 
 #include "Applier.h"
+#include "heathersaddle/base/TestSwitches.h"
 
 namespace heathersaddle::state {
 
@@ -14,7 +15,8 @@
   if (Found == S.Cells.end())
     return makeError(ErrorCode::NotFound, "apply", "unknown cell " + By.Cell);
   Cell &C = Found->second;
-  if (By.Epoch != C.Epoch || C.OwnerWriter != R.Writer || C.Owner.empty())
+  if (base::enforced(base::SafetyRule::EpochCheck) &&
+      (By.Epoch != C.Epoch || C.OwnerWriter != R.Writer || C.Owner.empty()))
     return makeError(ErrorCode::PermissionDenied, "apply",
                      "the writer does not own cell " + By.Cell + " in epoch " +
                          std::to_string(By.Epoch) + "; the epoch is " +
