Leave a believed log outage, shorten lost reads, complete requests at a stop

When the tail then showed the records and nothing else was to be appended, it never changed its mind: it refused requests and claimed no cell for ever. Seeing the batch in the tail now ends the failures. After a failure reads are short, and the backoff of the tail is at most 1 s.

--- a/packages/control/lib/AppendQueue.cpp
+++ b/packages/control/lib/AppendQueue.cpp
@@ -30,8 +30,12 @@
 }
 
 void AppendQueue::pump() {
-  if (Now == Phase::Unresolved && batchSeen())
+  if (Now == Phase::Unresolved && batchSeen()) {
+    // The log took the batch although its responses were lost. Without this a
+    // node with nothing else to append would believe in an outage for ever.
     Now = Phase::Idle;
+    Failures = 0;
+  }
   if (Now == Phase::Unresolved && C.now() >= RetryAt) {
     if (batchHasExpired())
       sendFence();
--- a/packages/control/lib/Node.cpp
+++ b/packages/control/lib/Node.cpp
@@ -276,8 +276,11 @@
   I->StopBy = T.Mono + StopLimit;
   I->Callers.flush();
   I->Owners.release();
-  if (!I->Log.caughtUp())
+  if (!I->Log.caughtUp()) {
+    I->Queue.abandon();
+    I->Callers.flush();
     I->Left = true;
+  }
   I->proceed(T);
 }
 
--- a/packages/control/lib/Tail.cpp
+++ b/packages/control/lib/Tail.cpp
@@ -12,14 +12,16 @@
 namespace {
 constexpr std::uint32_t ReadMax = 512;
 constexpr base::Millis RetryFirst{100};
-constexpr base::Millis RetryMost{5'000};
+/// Together with the limit of a lost read below the 8 s bound for lists.
+constexpr base::Millis RetryMost{1'000};
 /// Wait before looking for a newer snapshot when none is usable.
 constexpr base::Millis SnapshotRetry{2'000};
 } // namespace
 
 void Tail::tick() {
   if (LongCall == 0 && C.now() >= RetryAt)
-    read(LongCall, CaughtUp ? C.S.ReadWait : base::Millis(0));
+    // After a failure short reads find out sooner that the log is back.
+    read(LongCall, CaughtUp && Failures == 0 ? C.S.ReadWait : base::Millis(0));
 }
 
 void Tail::probe() {
