Test the fuzzer's hosts and the faults it found in control

Adds named tests for placements on leaving workers, for an outage that a node goes on believing in, and for the bound of a lost read. Mutation checks count only seeds that are clean with all rules enforced.

--- /dev/null
+++ b/packages/control/tests/AppendQueueTest.cpp
@@ -0,0 +1,40 @@
+#include "AppendQueue.h"
+#include <boost/test/unit_test.hpp>
+
+namespace heathersaddle::control {
+
+BOOST_AUTO_TEST_SUITE(AQueueOfAppends)
+
+// Guards against a node that has nothing to append and believes for ever that
+// the log is down, because the responses of its last appends were lost.
+BOOST_AUTO_TEST_CASE(StopsFailingWhenTheTailShowsItsRecords) {
+  Core C(NodeSettings{.Name = "d1", .Incarnation = 7});
+  AppendQueue Q(C);
+  BOOST_REQUIRE(Q.push(state::Noop{}, nullptr));
+  std::string Text;
+  for (int Try = 0; Try != 2; ++Try) {
+    C.T.Mono += base::Millis(10'000);
+    Q.pump();
+    BOOST_REQUIRE(!C.Out.empty());
+    auto Sent = std::get<AppendAction>(C.Out.back());
+    Text = Sent.Records.front();
+    Q.onAppended(Sent.Call, base::makeError(base::ErrorCode::Unresolved,
+                                            "append", "lost"));
+  }
+  BOOST_REQUIRE(Q.failing());
+  state::Verdict V;
+  V.Applied = true;
+  Q.onApplied(*state::decode(Text), 0, V);
+  Q.pump();
+  BOOST_TEST(!Q.failing());
+}
+
+// Guards against a lost read that outlasts the bound for lists in force.
+BOOST_AUTO_TEST_CASE(ReadsEndWellBeforeTheListBound) {
+  NodeSettings S;
+  BOOST_TEST((S.ReadWait + S.CallLimit < base::Millis(8'000)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace heathersaddle::control
--- a/packages/control/tests/JobStoryTest.cpp
+++ b/packages/control/tests/JobStoryTest.cpp
@@ -134,4 +134,22 @@
     BOOST_TEST(Workers[Hosts[0].Name].Starts[Id] == 0U);
 }
 
+// Guards against a recorded placement that is sent to a worker long after the
+// host list showed it leaving.
+BOOST_AUTO_TEST_CASE(LeavesBeforeItTookItsTask) {
+  for (const HostEntry &H : Hosts)
+    Cut.insert({{"d1", H.Name}, {"d2", H.Name}});
+  std::string Id = submit(owner(), 1, true, "ok:100");
+  run(1'000);
+  BOOST_REQUIRE(job(Id).placed());
+  std::string First = place(Id);
+  for (HostEntry &H : Hosts)
+    H.Leaving = H.Name == First;
+  run(5'000);
+  Cut.clear();
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 300'000));
+  BOOST_TEST(bool(job(Id).Result == state::Outcome::Finished));
+  BOOST_TEST(Workers[First].Starts[Id] == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/scripts/mutations.sh
+++ b/scripts/mutations.sh
@@ -1,16 +1,28 @@
 #!/usr/bin/env bash
-# Switches off one safety rule at a time and expects the fuzzer to notice.
+# Switches off one safety rule at a time and expects the fuzzer to notice. A
+# violation counts only on a seed that is clean with all rules enforced.
 set -euo pipefail
 Program=$1/packages/fuzz/heathersaddle_fuzz
+MaxSeeds=${MAX_SEEDS:-3000}
 Missed=0
 for Rule in epoch-check own-record-first snapshot-check tombstones; do
-  # The program fails as soon as it finds a violation.
-  if Output=$("$Program" --seeds 3000 --first --no-shrink --without "$Rule"); then
-    echo "mutation $Rule: not noticed"
-    Missed=1
+  First=1
+  Noticed=
+  while [ "$First" -le "$MaxSeeds" ]; do
+    Output=$("$Program" --seed "$First" --seeds $((MaxSeeds - First + 1)) \
+      --first --no-shrink --without "$Rule") && break
+    Seed=$(sed -n 's/^violation: seed=\([0-9]*\) .*/\1/p' <<<"$Output" | head -n1)
+    if "$Program" --seed "$Seed" --seeds 1 --no-shrink >/dev/null; then
+      Noticed=$(grep -m1 '^violation' <<<"$Output" | cut -c1-160)
+      break
+    fi
+    First=$((Seed + 1))
+  done
+  if [ -n "$Noticed" ]; then
+    echo "mutation $Rule: noticed after $Seed seeds: $Noticed"
   else
-    echo "mutation $Rule: $(grep -m1 '^violation' <<<"$Output" | cut -c1-160)"
-    echo "  $(tail -n1 <<<"$Output")"
+    echo "mutation $Rule: not noticed in $MaxSeeds seeds"
+    Missed=1
   fi
 done
 exit "$Missed"
