--- a/packages/control/lib/CellDispatch.cpp
+++ b/packages/control/lib/CellDispatch.cpp
@@ -5,6 +5,7 @@
 // to a full sync and another round.
 // Bounds: one command without a reply per task; only dirty jobs are advanced.
 #include "CellOwner.h"
+#include "heathersaddle/base/TestSwitches.h"
 
 namespace heathersaddle::control {
 
@@ -97,20 +98,37 @@
              });
 }
 
-void CellOwner::commitStart(const state::Job &J, const Track &T) {
-  if (std::all_of(T.Tasks.begin(), T.Tasks.end(),
-                  [](const TaskTrack &X) { return X.What == Seen::Reserved; }))
-    record(state::StartCommitted{by(), J.Spec.Id, J.Attempt}, J.Spec.Id);
+void CellOwner::commitStart(const state::Job &J, Track &T) {
+  if (!std::all_of(T.Tasks.begin(), T.Tasks.end(),
+                   [](const TaskTrack &X) { return X.What == Seen::Reserved; }))
+    return;
+  record(state::StartCommitted{by(), J.Spec.Id, J.Attempt}, J.Spec.Id);
+  if (!base::enforced(base::SafetyRule::OwnRecordFirst))
+    for (unsigned I = 0; I < T.Tasks.size(); ++I)
+      send(Op::Start, J, T, I);
 }
 
 bool CellOwner::restartable(const state::Job &J) const {
   return J.Tasks.size() == 1 && J.Spec.Idempotent;
 }
 
+bool CellOwner::departing(std::string_view Worker) const {
+  const HostEntry *H = Hosts.host(Worker);
+  return Hosts.known() && (!H || H->Leaving);
+}
+
 void CellOwner::advanceTask(const state::Job &J, Track &T, unsigned Task) {
   TaskTrack &X = T.Tasks[Task];
   if (X.Waiting || X.final())
     return;
+  // A placement that was recorded before its worker began to leave is given
+  // up when the worker has not taken it yet.
+  if ((!J.Started || X.What == Seen::Absent) &&
+      departing(J.Tasks[Task].Worker)) {
+    doom(T, "worker " + J.Tasks[Task].Worker + " is leaving");
+    Dirty.insert(J.Spec.Id);
+    return;
+  }
   if (!J.Started) {
     if (X.What == Seen::Absent)
       send(Op::Reserve, J, T, Task);
--- a/packages/control/lib/CellOwner.h
+++ b/packages/control/lib/CellOwner.h
@@ -101,7 +101,7 @@
   void send(Op What, const state::Job &J, Track &T, unsigned Task);
   void stopStray(const std::string &Worker, const TaskName &N);
   void stopAll(const state::Job &J, Track &T);
-  void commitStart(const state::Job &J, const Track &T);
+  void commitStart(const state::Job &J, Track &T);
   struct Found {
     const state::Job *Job = nullptr;
     Track *Attempt = nullptr;
@@ -112,6 +112,8 @@
   static void noteStopped(TaskTrack &X, std::int64_t ProgressMs);
   void onListedTask(const state::Job &J, TaskTrack &T, const ListedTask *L);
   bool restartable(const state::Job &J) const;
+  /// Whether the host list shows the worker leaving, or no longer at all.
+  bool departing(std::string_view Worker) const;
   json::object commandBody(Op What, const state::Job &J, unsigned Task) const;
 
   // CellUpkeep.cpp
