Wait for the second run before judging an overlap

The test of an unreachable worker ended when the second start was recorded, before it could run; a build that ignored the lease bound passed.

--- a/packages/control/tests/JobStoryTest.cpp
+++ b/packages/control/tests/JobStoryTest.cpp
@@ -130,7 +130,7 @@
         for (auto &[Name, W] : Workers)
           Running += W.running();
         Overlap = Overlap || Running > 1;
-        return job(Id).Attempt == 2 && job(Id).Started;
+        return starts(Id) == 2;
       },
       400'000);
   BOOST_TEST(Moved);
