--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 SEEDS ?= 300
 
-.PHONY: all packages build check lint bench demo faults fuzz mutations
+.PHONY: all packages build check lint sanitize bench demo faults fuzz mutations
 
 all: build
 
@@ -21,6 +21,20 @@
 lint: build
 	@scripts/lint.sh $(BUILD)
 
+# All tests under the address and undefined-behaviour sanitizers, and the
+# packages with threads under the thread sanitizer.
+sanitize: packages
+	@cmake -S . -B $(BUILD)-address -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+	  -DHEATHERSADDLE_SANITIZE=address >$(BUILD)-address.log 2>&1 || \
+	  { cat $(BUILD)-address.log; exit 1; }
+	@cmake --build $(BUILD)-address -j $(JOBS)
+	@ctest --test-dir $(BUILD)-address --output-on-failure -j 4
+	@cmake -S . -B $(BUILD)-thread -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
+	  -DHEATHERSADDLE_SANITIZE=thread >$(BUILD)-thread.log 2>&1 || \
+	  { cat $(BUILD)-thread.log; exit 1; }
+	@cmake --build $(BUILD)-thread -j $(JOBS) --target net_test daemon_test platform_test
+	@ctest --test-dir $(BUILD)-thread --output-on-failure -R '^(net|daemon|platform)$$'
+
 bench: build
 	@$(BUILD)/packages/bench/heathersaddle_bench $(BENCH_ARGS)
 
--- a/packages/daemon/lib/Driver.cpp
+++ b/packages/daemon/lib/Driver.cpp
@@ -55,19 +55,24 @@
   observe();
 }
 
+void Driver::refreshDirectory() {
+  std::array Versions{Node.state().version(state::ListKind::Customers),
+                      Node.state().version(state::ListKind::Plans)};
+  if (Accounts && Versions == DirectoryVersions)
+    return;
+  auto Next = makeDirectory(Node.state());
+  DirectoryVersions = Versions;
+  std::lock_guard Lock(Mutex);
+  Accounts = std::move(Next);
+}
+
 void Driver::observe() {
   bool Ready = Node.ready();
   if (Ready != IsReady.exchange(Ready) && !Handing)
     base::logEvent(Ready ? base::event::Ready : base::event::NotReady,
                    Ready ? "the state is complete" : "the state is not usable");
-  std::array Versions{Node.state().version(state::ListKind::Customers),
-                      Node.state().version(state::ListKind::Plans)};
-  if (Ready && (!Accounts || Versions != DirectoryVersions)) {
-    auto Next = makeDirectory(Node.state());
-    DirectoryVersions = Versions;
-    std::lock_guard Lock(Mutex);
-    Accounts = std::move(Next);
-  }
+  if (Ready)
+    refreshDirectory();
   // During an outage of the log the last state still answers callers.
   MayServe = Ready || (MayServe && Node.logDown());
   if (Handing && OnStopped && Node.stopped())
@@ -177,6 +182,8 @@
         return Next(tl::unexpected(V.error()));
       if (!V->Accepted)
         return Next(refusal(Node.state(), Kind, V->Reason));
+      // The reply promises that this daemon knows the new tokens already.
+      refreshDirectory();
       Next(PublishReply{true, json::object{{"list", state::name(Kind)},
                                            {"version", V->Version}}});
     };
--- a/packages/daemon/lib/Driver.h
+++ b/packages/daemon/lib/Driver.h
@@ -42,6 +42,7 @@
   void step();
   void tickLater();
   void observe();
+  void refreshDirectory();
   void refreshMetrics();
   /// A completion that runs \p Next on a traffic thread.
   template <class T> Done<T> onTraffic(Done<T> Next);
