--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 # Entry points for building and proving heathersaddle.
 BUILD ?= build
 JOBS ?= 10
+# Lets checkouts in different folders share the compiler cache.
+export CCACHE_BASEDIR ?= $(CURDIR)
+export CCACHE_NOHASHDIR ?= 1
 
 SEEDS ?= 300
 
