Share the look-up of a cell's job and the codec limits

Cause: three handlers repeated the same look-up, three files the same limits. Change: Applier::jobIn; MaxName and MaxReason in JsonFields.h.

--- a/packages/state/lib/Applier.h
+++ b/packages/state/lib/Applier.h
@@ -41,6 +41,8 @@
   Result on(const JobEnded &B);
   Result on(const Rerouted &B);
   Result on(const Forgotten &B);
+  /// The job \p Id of a cell that the writer owns.
+  base::Expected<Job *> jobIn(const Authority &By, std::string_view Id);
   /// The live job \p Id of the cell in attempt \p Attempt.
   base::Expected<Job *> attemptOf(const Authority &By, std::string_view Id,
                                   unsigned Attempt);
--- a/packages/state/lib/ApplyJobs.cpp
+++ b/packages/state/lib/ApplyJobs.cpp
@@ -53,8 +53,7 @@
 
 } // namespace
 
-base::Expected<Job *>
-Applier::attemptOf(const Authority &By, std::string_view Id, unsigned Attempt) {
+base::Expected<Job *> Applier::jobIn(const Authority &By, std::string_view Id) {
   V.Job = Id;
   auto C = owned(By);
   if (!C)
@@ -63,13 +62,20 @@
   if (Found == S.Jobs.end() || Found->second.Cell != By.Cell)
     return makeError(ErrorCode::NotFound, "apply",
                      "the cell has no job " + std::string(Id));
-  Job &J = Found->second;
-  if (!J.live())
+  return &Found->second;
+}
+
+base::Expected<Job *>
+Applier::attemptOf(const Authority &By, std::string_view Id, unsigned Attempt) {
+  auto J = jobIn(By, Id);
+  if (!J)
+    return J;
+  if (!(*J)->live())
     return conflict("the job has ended");
-  if (J.Attempt != Attempt)
-    return conflict("the job is in attempt " + std::to_string(J.Attempt),
+  if ((*J)->Attempt != Attempt)
+    return conflict("the job is in attempt " + std::to_string((*J)->Attempt),
                     "attempt");
-  return &J;
+  return J;
 }
 
 Applier::Result Applier::on(const JobAccepted &B) {
@@ -150,15 +156,11 @@
 }
 
 Applier::Result Applier::on(const Placed &B) {
-  V.Job = B.Job;
-  auto C = owned(B.By);
-  if (!C)
-    return tl::unexpected(C.error());
-  auto Found = S.Jobs.find(B.Job);
-  if (Found == S.Jobs.end() || Found->second.Cell != B.By.Cell)
-    return makeError(ErrorCode::NotFound, "apply",
-                     "the cell has no job " + B.Job);
-  Job &J = Found->second;
+  auto Found = jobIn(B.By, B.Job);
+  if (!Found)
+    return tl::unexpected(Found.error());
+  Job &J = **Found;
+  Cell &C = S.Cells[B.By.Cell];
   if (J.Status != JobStatus::Pending || J.CancelWanted)
     return conflict("the job is not waiting for a placement");
   if (B.Attempt != J.Attempt + 1)
@@ -166,9 +168,9 @@
                     "attempt");
   if (J.EverStarted && !J.Spec.Idempotent)
     return conflict("a non-idempotent job may have run already");
-  if (Result Ok = checkPlacement(**C, J, B); !Ok)
+  if (Result Ok = checkPlacement(C, J, B); !Ok)
     return Ok;
-  if (Result Ok = (*C)->Pool.allocate(J.Spec.Id, J.Spec.Account, B.Tasks); !Ok)
+  if (Result Ok = C.Pool.allocate(J.Spec.Id, J.Spec.Account, B.Tasks); !Ok)
     return Ok;
   J.Attempt = B.Attempt;
   J.Tasks = B.Tasks;
@@ -329,19 +331,16 @@
 }
 
 Applier::Result Applier::on(const Rerouted &B) {
-  V.Job = B.Job;
-  auto C = owned(B.By);
-  if (!C)
-    return tl::unexpected(C.error());
-  auto Found = S.Jobs.find(B.Job);
+  auto Found = jobIn(B.By, B.Job);
+  if (!Found)
+    return tl::unexpected(Found.error());
   auto To = S.Cells.find(B.ToCell);
-  if (Found == S.Jobs.end() || Found->second.Cell != B.By.Cell ||
-      To == S.Cells.end())
-    return makeError(ErrorCode::NotFound, "apply", "unknown job or cell");
-  Job &J = Found->second;
+  if (To == S.Cells.end())
+    return makeError(ErrorCode::NotFound, "apply", "unknown cell " + B.ToCell);
+  Job &J = **Found;
   if (J.Status != JobStatus::Pending)
     return conflict("only a pending job can move to another cell");
-  (*C)->Live.erase({J.AcceptedOffset, J.Spec.Id});
+  S.Cells[J.Cell].Live.erase({J.AcceptedOffset, J.Spec.Id});
   To->second.Live.emplace(J.AcceptedOffset, J.Spec.Id);
   J.Cell = B.ToCell;
   return {};
--- a/packages/state/lib/JsonFields.cpp
+++ b/packages/state/lib/JsonFields.cpp
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::size_t MaxText = 256 * 1024;
-constexpr std::size_t MaxName = 128;
 
 constexpr std::array<std::string_view, 6> OutcomeNames{
     "none", "finished", "failed", "cancelled", "not_run", "unknown"};
--- a/packages/state/lib/JsonFields.h
+++ b/packages/state/lib/JsonFields.h
@@ -11,6 +11,10 @@
 
 namespace heathersaddle::state {
 
+/// Longest name and longest reason in records and snapshots, in bytes.
+inline constexpr std::size_t MaxName = 128;
+inline constexpr std::size_t MaxReason = 1024;
+
 boost::json::value toJson(const JobSpec &S);
 JobSpec specFrom(const boost::json::value &Value, base::JsonReader &Parent);
 
--- a/packages/state/lib/RecordCodec.cpp
+++ b/packages/state/lib/RecordCodec.cpp
@@ -12,9 +12,6 @@
 
 namespace {
 
-constexpr std::size_t MaxName = 128;
-constexpr std::size_t MaxReason = 1024;
-
 template <class... Ts> struct Overloaded : Ts... { using Ts::operator()...; };
 template <class... Ts> Overloaded(Ts...) -> Overloaded<Ts...>;
 
--- a/packages/state/lib/Snapshot.cpp
+++ b/packages/state/lib/Snapshot.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-constexpr std::size_t MaxName = 128;
-constexpr std::size_t MaxReason = 1024;
 constexpr std::size_t MaxItems = 1'000'000;
 constexpr std::int64_t MaxNumber = std::int64_t{1} << 53;
 
