Let work that must not be repeated probe a suspect worker in the end

After a quarantine one job probes the worker. A non-idempotent job left the probe to others and waited for ever when no idempotent job came and no other worker could hold it. It now avoids suspect workers only for the length of the first quarantine.

--- a/packages/policy/lib/Pass.cpp
+++ b/packages/policy/lib/Pass.cpp
@@ -240,7 +240,7 @@
   PutOff |= Deferred;
   // The retry budget refills with time, and a partial search looks at other
   // workers the next time.
-  if (Deferred || Partial || (J->Retry && Tokens < 100))
+  if (Deferred || Partial || awaitsProbe(*J) || (J->Retry && Tokens < 100))
     return false;
   C.BlockedAt = version();
   Progress = true;
--- a/packages/policy/lib/Pass.h
+++ b/packages/policy/lib/Pass.h
@@ -43,6 +43,7 @@
   bool placeAsBackfill(Job &J);
   void propose(Job &J, const pool::Tasks &Where);
   void block(const pool::Tasks &Where);
+  bool awaitsProbe(const Job &J) const;
   std::vector<pool::RowId> avoided(const Job &J) const;
   bool quotaAllows(const Job &J) const;
 
--- a/packages/policy/lib/Place.cpp
+++ b/packages/policy/lib/Place.cpp
@@ -21,13 +21,20 @@
          A.Used + A.Proposed + J.Shape.totalSlots() <= A.Terms.MaxSlots;
 }
 
+// A job that must not be repeated leaves the probe of a suspect worker to
+// others, but not for ever: there may be nobody else to probe it.
+bool Pass::awaitsProbe(const Job &J) const {
+  return !J.Idempotent && Now - J.AcceptedMs < S.Set.QuarantineFirst.count() &&
+         std::find(SickRow.begin(), SickRow.end(), true) != SickRow.end();
+}
+
 std::vector<pool::RowId> Pass::avoided(const Job &J) const {
   std::vector<pool::RowId> Rows;
   if (J.Issues && !J.Issues->NoOther)
     for (const std::string &W : J.Issues->FailedOn)
       if (pool::RowId R = T.row(W); R != NoId)
         Rows.push_back(R);
-  if (!J.Idempotent)
+  if (awaitsProbe(J))
     for (pool::RowId R = 0; R != SickRow.size(); ++R)
       if (SickRow[R])
         Rows.push_back(R);
--- a/packages/policy/tests/SchedulerTest.cpp
+++ b/packages/policy/tests/SchedulerTest.cpp
@@ -397,6 +397,31 @@
   BOOST_TEST(W.Ended[0].Failed);
 }
 
+// Guards against a job that must not be repeated and waits for ever for
+// somebody else to probe the only worker.
+BOOST_AUTO_TEST_CASE(SuspectWorkerIsProbedByWhateverWaits) {
+  World W;
+  W.addWorkers(1, 8, 1);
+  for (unsigned N = 0; N != 3; ++N) {
+    JobView &V = W.submit("a", {1, 1}, true);
+    V.Kind = "kind" + std::to_string(N);
+    W.Sched.jobPending(V, W.Now);
+    W.settle();
+    std::string Id = V.Id;
+    W.endAttempt(Id, AttemptEnd::TaskFailed, {"w0"});
+    W.cancel(Id);
+  }
+  W.settle();
+  W.Now += 60'000;
+  W.settle();
+  std::string Only = W.submit("a", {1, 1}, false).Id;
+  W.settle();
+  BOOST_TEST(!W.runs(Only));
+  W.Now += 60'000;
+  W.settle();
+  BOOST_TEST(W.runs(Only));
+}
+
 // Guards against retries that crowd out first attempts, and against retries
 // that never come when nothing else starts.
 BOOST_AUTO_TEST_CASE(RetriesKeepToTheirBudget) {
