--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 SEEDS ?= 300
 
-.PHONY: all packages build check lint fuzz mutations
+.PHONY: all packages build check lint bench demo faults fuzz mutations
 
 all: build
 
@@ -21,6 +21,18 @@
 lint: build
 	@scripts/lint.sh $(BUILD)
 
+bench: build
+	@$(BUILD)/packages/bench/heathersaddle_bench $(BENCH_ARGS)
+
+# A deployment on loopback under load and failures; SEED selects the load.
+SEED ?= 1
+demo: build
+	@python3 scripts/demo.py --build $(BUILD) --seed $(SEED)
+
+# Measures failure handling with real processes over loopback.
+faults: build
+	@python3 scripts/faults.py --build $(BUILD) --seed $(SEED)
+
 fuzz: build
 	@$(BUILD)/packages/fuzz/heathersaddle_fuzz --seeds $(SEEDS) --jobs $(JOBS)
 
--- a/packages/control/lib/CellOutcomes.cpp
+++ b/packages/control/lib/CellOutcomes.cpp
@@ -69,7 +69,7 @@
       if (T.Tasks[I].What == Seen::Gone && !T.Tasks[I].Clean) {
         Result = state::Outcome::Unknown;
         Reason = "worker " + J.Tasks[I].Worker +
-                 " was lost and the job must not be repeated";
+                 " lost the task and the job must not be repeated";
       }
   if (Reason.empty())
     Reason = J.StopReason.empty() ? T.Reason : "stopped: " + J.StopReason;
@@ -92,13 +92,13 @@
   else if (Why == Seen::Gone)
     E.Why = state::AttemptEnd::WorkerLost;
   // A gang resumes as a whole, so its least progress counts. A task whose end
-  // nobody saw has the checkpoint it started from.
+  // nobody saw has its last confirmed checkpoint.
   std::int64_t Least = INT64_MAX;
   for (unsigned I = 0; I < T.Tasks.size(); ++I) {
     const TaskTrack &X = T.Tasks[I];
     bool Kept = X.What == Seen::Stopped || X.What == Seen::Finished;
     if (X.What != Seen::Finished)
-      Least = std::min(Least, Kept ? X.ProgressMs : J.ProgressMs);
+      Least = std::min(Least, Kept ? X.ProgressMs : X.CheckpointMs);
     bool Guilty = X.What == Why || (Why == Seen::Gone && X.Lapsed);
     if (Why != Seen::Stopped && Guilty)
       E.FailedWorkers.push_back(J.Tasks[I].Worker);
@@ -107,6 +107,22 @@
   T.Concluded = record(std::move(E), J.Spec.Id);
 }
 
+bool CellOwner::takePushedAnswer(const state::Job &J, Track &T) {
+  const std::vector<std::string> *Parts =
+      PushedAnswer ? PushedAnswer(J) : nullptr;
+  if (!Parts || Parts->size() != T.Tasks.size() || T.AnswerPushed)
+    return false;
+  // Callers were told this answer during a log outage; it must become the
+  // recorded one even if the workers were lost since.
+  T.AnswerPushed = true;
+  for (std::size_t I = 0; I < Parts->size(); ++I) {
+    T.Tasks[I].What = Seen::Finished;
+    T.Tasks[I].Text = (*Parts)[I];
+    T.Tasks[I].Clean = false;
+  }
+  return true;
+}
+
 void CellOwner::cancelPending(const state::Job &J) {
   end(J, state::Outcome::Cancelled, "cancelled", J.EverStarted);
 }
--- a/packages/control/lib/CellReports.cpp
+++ b/packages/control/lib/CellReports.cpp
@@ -8,10 +8,13 @@
 
 template <class F>
 void CellOwner::forTasksOn(const std::string &Worker, F Visit) {
-  for (auto &[Id, T] : Tracks) {
+  for (const std::string &Id : view()->Pool.jobsOn(Worker)) {
     const state::Job *J = C.St.job(Id);
-    if (!J || !J->placed() || J->Attempt != T.Attempt)
+    auto It = Tracks.find(Id);
+    if (!J || It == Tracks.end() || !J->placed() ||
+        J->Attempt != It->second.Attempt)
       continue;
+    Track &T = It->second;
     for (unsigned I = 0; I < T.Tasks.size(); ++I)
       if (J->Tasks[I].Worker == Worker)
         Visit(*J, T, I);
@@ -24,6 +27,10 @@
   if (!F.Job)
     return;
   TaskTrack &X = *F.Task;
+  if (Cmd.What == Op::Checkpoint && Ok)
+    X.CheckpointMs = std::max(X.CheckpointMs, X.AskedMs);
+  if (Cmd.What == Op::Checkpoint || Cmd.What == Op::Throttle)
+    return;
   Dirty.insert(Cmd.Name.Job);
   X.Waiting = false;
   X.Change = nextChange();
@@ -48,7 +55,7 @@
 
 void CellOwner::onLost(const std::string &Worker, const Command &Cmd) {
   Found F = find(Worker, Cmd.Name);
-  if (!F.Job)
+  if (!F.Job || Cmd.What == Op::Checkpoint || Cmd.What == Op::Throttle)
     return;
   Dirty.insert(Cmd.Name.Job);
   F.Task->Waiting = false;
@@ -93,6 +100,7 @@
     X.Lapsed = true;
     noteStopped(X, E.ProgressMs);
   } else if (E.Kind == "usage") {
+    X.UsageMs = E.ProgressMs;
     Scheduler.usage(E.Name.Job, E.ProgressMs, C.clock());
   }
 }
@@ -134,8 +142,10 @@
   } else if (L && L->State == "stopped") {
     noteStopped(X, L->ProgressMs);
   } else if (L) {
-    // Finished or failed: its event carries the answer and comes first.
+    // Finished or failed, but the event with the answer, which comes before
+    // the list, is not there: the worker lost it.
     X.Clean = false;
+    X.What = L->State == "failed" ? Seen::Failed : Seen::Gone;
   } else if (X.StopOk) {
     noteStopped(X, J.ProgressMs);
   } else if (!J.Started || (restartable(J) && X.What < Seen::Running)) {
--- a/packages/control/tests/OutageStoryTest.cpp
+++ b/packages/control/tests/OutageStoryTest.cpp
@@ -116,6 +116,19 @@
       }
 }
 
+// Guards against parts that were acknowledged before the log had them.
+BOOST_AUTO_TEST_CASE(IsKilledBetweenTwoPartsLeavesTheFirstWithItsWorker) {
+  std::string Id = submit(other(), 2, false, "ok:20000");
+  BOOST_REQUIRE(running(Id));
+  Workers[place(Id, 0)].Tasks.begin()->second.Kind = "ok:1000";
+  run(8'000);
+  Daemons[Owner].Alive = false;
+  BOOST_REQUIRE(runUntil([&] { return ended(Id); }, 200'000));
+  BOOST_TEST(bool(job(Id).Result == state::Outcome::Finished));
+  BOOST_TEST(job(Id).Parts.at(0) == "part 0");
+  BOOST_TEST(starts(Id) == 2U);
+}
+
 // Guards against an owner that acts after its cell was taken over.
 BOOST_AUTO_TEST_CASE(IsPausedActsNoMoreAfterItResumes) {
   std::string Id = submit(other(), 2, false, "ok:20000");
@@ -190,3 +203,32 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Daemons)
+
+// Guards against one daemon that keeps every cell because it came first.
+BOOST_AUTO_TEST_CASE(TakeTheCellsOfTheirOwnDataCentre) {
+  World W;
+  W.addWorker("n1", "north", "r1");
+  W.addWorker("s1", "south", "r2");
+  Node &North = W.addDaemon("d1", "north");
+  BOOST_REQUIRE(
+      W.runUntil([&] { return North.ownedCells().size() == 2; }, 20'000));
+  Node &South = W.addDaemon("d2", "south");
+  BOOST_REQUIRE(W.runUntil(
+      [&] { return South.ownedCells() == std::vector<std::string>{"south"}; },
+      120'000));
+  std::uint64_t Epoch = North.state().cell("south")->Epoch;
+  W.run(600'000);
+  BOOST_TEST(North.ownedCells() == std::vector<std::string>{"north"});
+  BOOST_TEST(North.state().cell("south")->Epoch == Epoch);
+}
+
+// Guards against entries of replaced hosts that delay every takeover.
+BOOST_FIXTURE_TEST_CASE(ThatAreGoneAreRemoved, TwoDaemons) {
+  Daemons[Other].Alive = false;
+  BOOST_TEST(runUntil(
+      [&] { return !owner().state().daemons().contains(Other); }, 120'000));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/policy/lib/Pass.h
+++ b/packages/policy/lib/Pass.h
@@ -41,6 +41,10 @@
   Outcome tryPlace(Job &J);
   Outcome placeFree(Job &J);
   bool placeAsBackfill(Job &J);
+  std::optional<pool::Tasks> search(const Job &J, const pool::Query &Q,
+                                    int Kind);
+  bool placeOwn(Job &J, pool::Query Q);
+  bool ownSlotsFree(const pool::Query &Q) const;
   void propose(Job &J, const pool::Tasks &Where);
   void block(const pool::Tasks &Where);
   bool awaitsProbe(const Job &J) const;
@@ -72,7 +76,9 @@
   // Swap.cpp: exchanging homes.
   bool trySwap(Job &J, const pool::Tasks &Region, std::int64_t Cost,
                std::int64_t MostLoss);
-  std::optional<pool::Tasks> spareRegion(const pool::Home &H) const;
+  bool rebind(const Job &J);
+  std::optional<pool::Tasks> spareRegion(const pool::Home &H,
+                                         bool Held = false) const;
   bool movable(const pool::Tasks &Region, pool::AccountId NewOwner) const;
   std::int64_t regionCost(const pool::Tasks &Region) const;
   bool sameShape(const pool::Home &A, const pool::Home &B) const;
@@ -98,6 +104,8 @@
   std::optional<pool::Tasks> earliestRegion(const Job &J, const Claim &C,
                                             std::span<const pool::RowId> Rows,
                                             base::WallMs &Due) const;
+  Job *headOf(const Account &A) const;
+  bool isLarge(const Job &J) const;
   std::vector<Job *> longWaiting();
   void reserveGangs();
   bool reserve(Job &J);
@@ -120,6 +128,9 @@
   std::set<std::string, std::less<>> StoppedNow;
   std::vector<pool::Home> NewHomes;
   std::vector<std::uint32_t> Proposers;
+  /// Fewest tasks of a kind (search, slots, accelerators, adjacency) that were
+  /// found not to fit; slots only become fewer during a pass.
+  std::map<std::tuple<int, unsigned, bool, pool::Adjacency>, unsigned> Misses;
   unsigned Examined = 0;
   unsigned Searches = 0; ///< Costly ones; bounded per pass.
   bool Deferred = false; ///< The last job's search was put off.
