--- a/packages/fuzz/lib/Callers.cpp
+++ b/packages/fuzz/lib/Callers.cpp
@@ -92,7 +92,7 @@
     return;
   state::ListChange C = firstPlans();
   C.Base = D.node()->state().version(C.Kind);
-  publish(D, std::move(C));
+  publish(D, C);
 }
 
 void Callers::send(DaemonHost &D, std::size_t Which) {
@@ -101,7 +101,7 @@
     D.requestBegan();
     N.submit(
         {Requests[Which].Spec, Requests[Which].Key},
-        [this, &D, Which](base::Expected<control::SubmitResult> R) {
+        [this, &D, Which](const base::Expected<control::SubmitResult> &R) {
           D.requestEnded();
           onSubmitted(Which, R);
         },
@@ -228,15 +228,15 @@
       C.PutPlans.push_back(
           {"gang", {{1, 1, false, unsigned(Draw.within(1, 12))}}});
   }
-  publish(D, std::move(C));
+  publish(D, C);
 }
 
-void Callers::publish(DaemonHost &D, state::ListChange Change) {
+void Callers::publish(DaemonHost &D, const state::ListChange &Change) {
   D.post([=, this, &D](control::Node &N, DaemonHost::Now T) {
     D.requestBegan();
     N.publish(
         Change,
-        [this, &D](base::Expected<state::ListVerdict> R) {
+        [this, &D](const base::Expected<state::ListVerdict> &R) {
           D.requestEnded();
           onPublished(R);
         },
--- a/packages/fuzz/lib/Callers.h
+++ b/packages/fuzz/lib/Callers.h
@@ -37,7 +37,7 @@
   void cancel(DaemonHost &D, std::size_t Which);
   void publish(DaemonHost &D, Random Draw);
   /// Publishes \p Change and notes the verdict.
-  void publish(DaemonHost &D, state::ListChange Change);
+  void publish(DaemonHost &D, const state::ListChange &Change);
   /// Repeats all requests that have a key but no certain answer yet.
   void repeatOpen(DaemonHost &D);
   /// Publishes the first plans again, so that there are spare slots for the
--- a/packages/fuzz/lib/DaemonHost.cpp
+++ b/packages/fuzz/lib/DaemonHost.cpp
@@ -155,17 +155,19 @@
 }
 
 void DaemonHost::carryOut(const control::AppendAction &A) {
-  call<std::uint64_t>(
-      A.Call, {Endpoint::Kind::Log, 0}, A.TimeLimit,
-      std::mem_fn(&control::Node::onAppended),
-      [this, A](Reply<std::uint64_t> Done) { Around.Log.append(A, Done); });
+  call<std::uint64_t>(A.Call, {Endpoint::Kind::Log, 0}, A.TimeLimit,
+                      std::mem_fn(&control::Node::onAppended),
+                      [this, A](const Reply<std::uint64_t> &Done) {
+                        Around.Log.append(A, Done);
+                      });
 }
 
 void DaemonHost::carryOut(const control::ReadAction &A) {
-  call<control::ReadResult>(
-      A.Call, {Endpoint::Kind::Log, 0}, A.TimeLimit,
-      std::mem_fn(&control::Node::onRead),
-      [this, A](Reply<control::ReadResult> Done) { Around.Log.read(A, Done); });
+  call<control::ReadResult>(A.Call, {Endpoint::Kind::Log, 0}, A.TimeLimit,
+                            std::mem_fn(&control::Node::onRead),
+                            [this, A](const Reply<control::ReadResult> &Done) {
+                              Around.Log.read(A, Done);
+                            });
 }
 
 void DaemonHost::carryOut(const control::WorkerAction &A) {
--- a/packages/fuzz/lib/LogHost.cpp
+++ b/packages/fuzz/lib/LogHost.cpp
@@ -18,7 +18,7 @@
 }
 
 void LogHost::append(const control::AppendAction &A,
-                     Reply<std::uint64_t> Done) {
+                     const Reply<std::uint64_t> &Done) {
   if (isDown())
     return answer<std::uint64_t>(
         Done, makeError(ErrorCode::Unresolved, "append", "the log is down"));
--- a/packages/fuzz/lib/LogHost.h
+++ b/packages/fuzz/lib/LogHost.h
@@ -22,7 +22,7 @@
   LogHost(Simulation &Sim, Random &Rng, Observer Seen)
       : Sim(Sim), Rng(Rng), Seen(std::move(Seen)) {}
 
-  void append(const control::AppendAction &A, Reply<std::uint64_t> Done);
+  void append(const control::AppendAction &A, const Reply<std::uint64_t> &Done);
   void read(const control::ReadAction &A, Reply<control::ReadResult> Done);
 
   void down(Millis Lasts) { extend(DownUntil, Lasts); }
--- a/packages/fuzz/lib/Simulation.h
+++ b/packages/fuzz/lib/Simulation.h
@@ -46,7 +46,9 @@
   enum class Kind { Log, Hosts, Worker, Daemon };
   Kind What = Kind::Log;
   unsigned Index = 0;
-  auto operator<=>(const Endpoint &) const = default;
+  bool operator<(const Endpoint &O) const {
+    return std::pair(What, Index) < std::pair(O.What, O.Index);
+  }
 };
 
 /// What becomes of one message.
--- a/packages/fuzz/lib/World.cpp
+++ b/packages/fuzz/lib/World.cpp
@@ -77,7 +77,8 @@
     E.Cores = 8;
     E.MemoryMb = 1'000;
     Workers.push_back(std::make_unique<WorkerHost>(
-        Sim, Rng, E, RememberStopped, [this, N = E.Name](std::string Text) {
+        Sim, Rng, E, RememberStopped,
+        [this, N = E.Name](const std::string &Text) {
           report("protocol", N + ": " + Text);
         }));
   }
