Record answers that an owner without the log pushed to its peers

Ruled out: holding answers back during an outage, which breaks the promise that they reach their callers; checking the epoch, which a takeover changes although the answer of the attempt stays genuine. Change: record answer_relayed, valid from any daemon for a started attempt that has not ended; a peer appends it on receipt, and tells callers before it is recorded only while its own log is down.

--- a/packages/control/lib/CellScheduling.cpp
+++ b/packages/control/lib/CellScheduling.cpp
@@ -106,7 +106,8 @@
     Scheduler.attemptEnded(Id, toPolicy(E->Why), E->FailedWorkers, C.clock());
     if (J->live())
       feedPending(*J);
-  } else if (std::holds_alternative<state::JobEnded>(What)) {
+  } else if (std::holds_alternative<state::JobEnded>(What) ||
+             std::holds_alternative<state::AnswerRelayed>(What)) {
     if (J->Result == state::Outcome::Finished)
       Scheduler.jobFinished(Id, C.clock());
     else
--- a/packages/control/lib/Node.cpp
+++ b/packages/control/lib/Node.cpp
@@ -30,6 +30,7 @@
                              const std::vector<std::string> &Parts) {
       Callers.pushAnswer(J, Parts);
     };
+    Callers.LogDown = [this] { return logDown(); };
     Owners.PushedAnswer = [this](const state::Job &J) {
       return Callers.early(J);
     };
--- a/packages/control/lib/Requests.cpp
+++ b/packages/control/lib/Requests.cpp
@@ -299,9 +299,25 @@
   EarlyAnswer A{{}, Attempt};
   for (const json::value &P : *Parts)
     A.Parts.emplace_back(P.is_string() ? std::string(P.as_string()) : "");
-  Early.insert_or_assign(Job, std::move(A));
-  onJobChanged(Job);
+  if (A.Parts.size() != J->Spec.Shape.Tasks)
+    return base::makeError(base::ErrorCode::InvalidArgument, "peer answers",
+                           "the answer is not whole", Cell, "answer");
+  relay(*J, A);
+  // With the log at hand the answer is told once it is recorded: telling it
+  // before would contradict a record that comes first.
+  if (LogDown && LogDown()) {
+    Early.insert_or_assign(Job, std::move(A));
+    onJobChanged(Job);
+  }
   return json::object{{"ok", true}};
 }
 
+void Requests::relay(const state::Job &J, const EarlyAnswer &A) {
+  if (!Relaying.insert(J.Spec.Id).second)
+    return;
+  auto OnFate = [this, Id = J.Spec.Id](const Fate &) { Relaying.erase(Id); };
+  if (!Queue.push(state::AnswerRelayed{J.Spec.Id, A.Attempt, A.Parts}, OnFate))
+    Relaying.erase(J.Spec.Id);
+}
+
 } // namespace heathersaddle::control
--- a/packages/control/lib/Requests.h
+++ b/packages/control/lib/Requests.h
@@ -2,8 +2,10 @@
 #define HEATHERSADDLE_CONTROL_REQUESTS_H
 
 #include "AppendQueue.h"
+#include <functional>
 #include <list>
 #include <optional>
+#include <set>
 
 namespace heathersaddle::control {
 
@@ -31,12 +33,14 @@
   void flush();
   bool idle() const { return Open == 0 && Waiters.empty(); }
 
-  /// Sends an answer that the log cannot take now to all peers, and serves it
-  /// here.
+  /// Sends an answer that this daemon cannot record now to all peers, which
+  /// record it as soon as their log takes it.
   void pushAnswer(const state::Job &J, const std::vector<std::string> &Parts);
   base::Expected<json::value> onPushedAnswer(const json::value &Body);
   /// The parts of a pushed answer to this attempt, or null.
   const std::vector<std::string> *early(const state::Job &J) const;
+  /// Whether the log is down for this daemon.
+  std::function<bool()> LogDown;
 
 private:
   struct Waiter {
@@ -55,12 +59,14 @@
   void complete(const std::vector<Waiter> &Ready);
   JobAnswer answer(const state::Job &J) const;
   bool ended(std::string_view Job) const;
+  void relay(const state::Job &J, const EarlyAnswer &A);
 
   Core &C;
   AppendQueue &Queue;
   std::list<Waiter> Waiters;
   std::multimap<std::string, std::list<Waiter>::iterator, std::less<>> ByJob;
   std::map<std::string, EarlyAnswer, std::less<>> Early;
+  std::set<std::string, std::less<>> Relaying; ///< Answer records in flight.
   std::uint64_t Counter = 0;
   unsigned Open = 0; ///< Requests whose record has no fate yet.
 };
--- a/packages/fuzz/lib/Oracle.cpp
+++ b/packages/fuzz/lib/Oracle.cpp
@@ -28,9 +28,10 @@
     return;
   if (Stop)
     checkStop(*Stop, Guaranteed);
-  if (const auto *End = std::get_if<state::JobEnded>(&R->What))
-    if (++EndRecords[End->Job] > 1)
-      Around.Report("one-outcome", "job " + End->Job + " ended twice");
+  bool Ends = std::holds_alternative<state::JobEnded>(R->What) ||
+              std::holds_alternative<state::AnswerRelayed>(R->What);
+  if (Ends && ++EndRecords[V.Job] > 1)
+    Around.Report("one-outcome", "job " + V.Job + " ended twice");
 }
 
 void Oracle::checkStop(const state::StopRequested &Stop, bool Guaranteed) {
--- a/packages/state/include/heathersaddle/state/Record.h
+++ b/packages/state/include/heathersaddle/state/Record.h
@@ -115,6 +115,14 @@
   bool Ran = true;                ///< false: certainly nothing ran.
   std::vector<std::string> Parts; ///< One answer a task, in task order.
 };
+/// A finished attempt's whole answer, from a daemon that got it directly from
+/// an owner that could not reach the log. Any daemon may write it: the attempt
+/// number, not the epoch, says that the answer is genuine.
+struct AnswerRelayed {
+  std::string Job;
+  unsigned Attempt = 0;
+  std::vector<std::string> Parts;
+};
 struct Rerouted {
   Authority By;
   std::string Job;
@@ -141,8 +149,8 @@
     std::variant<JobAccepted, CancelRequested, Claim, Released, Heartbeat,
                  DaemonJoined, DaemonLeft, WorkerSeen, WorkerStatusChanged,
                  Placed, StartCommitted, StopRequested, AttemptEnded, JobEnded,
-                 Rerouted, HomesMoved, ListPublished, Forgotten, SnapshotTaken,
-                 Noop>;
+                 AnswerRelayed, Rerouted, HomesMoved, ListPublished, Forgotten,
+                 SnapshotTaken, Noop>;
 
 /// One record of the stream `control`.
 struct Record {
--- a/packages/state/lib/Applier.h
+++ b/packages/state/lib/Applier.h
@@ -39,6 +39,7 @@
   Result on(const StopRequested &B);
   Result on(const AttemptEnded &B);
   Result on(const JobEnded &B);
+  Result on(const AnswerRelayed &B);
   Result on(const Rerouted &B);
   Result on(const Forgotten &B);
   /// The job \p Id of a cell that the writer owns.
--- a/packages/state/lib/ApplyJobs.cpp
+++ b/packages/state/lib/ApplyJobs.cpp
@@ -330,6 +330,22 @@
   return {};
 }
 
+Applier::Result Applier::on(const AnswerRelayed &B) {
+  V.Job = B.Job;
+  auto Found = S.Jobs.find(B.Job);
+  if (Found == S.Jobs.end())
+    return makeError(ErrorCode::NotFound, "apply", "unknown job " + B.Job);
+  Job &J = Found->second;
+  V.Cell = J.Cell;
+  if (!J.live() || J.Attempt != B.Attempt || !J.Started)
+    return conflict("the job is not running in that attempt", "attempt");
+  if (B.Parts.size() != J.Spec.Shape.Tasks ||
+      totalBytes(B.Parts) > MaxAnswerBytes)
+    return invalid("the answer is not whole or too large", "parts");
+  endJob(J, {{}, B.Job, B.Attempt, Outcome::Finished, "", true, B.Parts});
+  return {};
+}
+
 Applier::Result Applier::on(const Rerouted &B) {
   auto Found = jobIn(B.By, B.Job);
   if (!Found)
--- a/packages/state/lib/RecordCodec.cpp
+++ b/packages/state/lib/RecordCodec.cpp
@@ -89,6 +89,9 @@
   O["parts"] = toJson(B.Parts);
   return O;
 }
+json::value bodyOf(const AnswerRelayed &B) {
+  return {{"job", B.Job}, {"attempt", B.Attempt}, {"parts", toJson(B.Parts)}};
+}
 json::value bodyOf(const Rerouted &B) {
   json::object O = with(B.By);
   O["job"] = B.Job;
@@ -250,6 +253,9 @@
     return readAttemptEnded(R);
   if (Kind == "job_ended")
     return readJobEnded(R);
+  if (Kind == "answer_relayed")
+    return AnswerRelayed{R.string("job", MaxName), attempt(R),
+                         textsFrom(R, "parts", pool::MaxTasks)};
   if (Kind == "rerouted")
     return Rerouted{authority(R), R.string("job", MaxName),
                     R.string("to", MaxName)};
@@ -286,6 +292,7 @@
           [](const StopRequested &) { return "stop_requested"; },
           [](const AttemptEnded &) { return "attempt_ended"; },
           [](const JobEnded &) { return "job_ended"; },
+          [](const AnswerRelayed &) { return "answer_relayed"; },
           [](const Rerouted &) { return "rerouted"; },
           [](const HomesMoved &) { return "homes_moved"; },
           [](const ListPublished &) { return "list_published"; },
--- a/packages/state/tests/JobsTest.cpp
+++ b/packages/state/tests/JobsTest.cpp
@@ -153,6 +153,21 @@
   BOOST_TEST(S.cell("dc1")->Pool.usedSlots() == 0u);
 }
 
+// Guards against losing an answer that callers were told, because its owner
+// was cut off from the log and superseded meanwhile.
+BOOST_AUTO_TEST_CASE(WithAnAnswerThatAnotherDaemonRelays) {
+  accept(spec("j", "a"));
+  place("j", 1, true, {{homeWorker("a"), 1}});
+  append(2, DaemonJoined{"d2", "127.0.0.1:2", "dc1"});
+  append(2, Claim{"dc1", "d2", 1});
+  BOOST_TEST(!append(3, AnswerRelayed{"j", 2, {"answer"}}).Applied);
+  BOOST_TEST(!append(3, AnswerRelayed{"j", 1, {}}).Applied);
+  BOOST_TEST(append(3, AnswerRelayed{"j", 1, {"answer"}}).Applied);
+  BOOST_TEST((S.job("j")->Result == Outcome::Finished));
+  BOOST_TEST(!append(3, AnswerRelayed{"j", 1, {"other"}}).Applied);
+  BOOST_TEST(S.cell("dc1")->Pool.usedSlots() == 0u);
+}
+
 // Guards against an answer with a part missing.
 BOOST_AUTO_TEST_CASE(WithOnePartPerTask) {
   std::string W = homeWorker("a");
