Measure idle held slots and add the load of one target cell

The bench ran the target size as one cell of 3,600 workers, but a scheduler decides for one data centre of 720. The load target-cell has that size. The figures idle_while_waiting, held_idle, completion_mean_gangs and completion_mean_small show where the completion time of the Northern Thailand load goes.

--- a/packages/bench/lib/Load.cpp
+++ b/packages/bench/lib/Load.cpp
@@ -193,8 +193,8 @@
   }
 }
 
-Load target(std::uint64_t Seed, double Share) {
-  Generator G("target", Seed);
+static Load generateTarget(const char *Name, std::uint64_t Seed, double Share) {
+  Generator G(Name, Seed);
   G.workers(static_cast<unsigned>(675 * Share), 15, 8, 8, "g");
   G.workers(static_cast<unsigned>(2'925 * Share), 15, 32, 0, "p");
   auto Accounts = static_cast<unsigned>(760 * Share);
@@ -228,4 +228,10 @@
   return G.finish(End);
 }
 
+Load target(std::uint64_t Seed) { return generateTarget("target", Seed, 1); }
+
+Load targetCell(std::uint64_t Seed) {
+  return generateTarget("target-cell", Seed, 1.0 / 5);
+}
+
 } // namespace heathersaddle::bench
--- a/packages/bench/lib/Load.h
+++ b/packages/bench/lib/Load.h
@@ -38,9 +38,11 @@
 Load dakar(std::uint64_t Seed);
 /// Overnight redraws and urgent corrections on 48 workers, racks of 6.
 Load thailand(std::uint64_t Seed);
-/// 3,600 workers and 87,000 running tasks of 760 accounts; \p Share scales the
-/// pool and the load down.
-Load target(std::uint64_t Seed, double Share = 1);
+/// 3,600 workers and 87,000 running tasks of 760 accounts in one cell.
+Load target(std::uint64_t Seed);
+/// One of the target's five data centres, which is what one scheduler decides
+/// for: 720 workers (135 with accelerators), 17,400 running tasks.
+Load targetCell(std::uint64_t Seed);
 
 } // namespace heathersaddle::bench
 
--- a/packages/bench/lib/Meter.h
+++ b/packages/bench/lib/Meter.h
@@ -26,16 +26,24 @@
     DecideMs.add(Ms);
     this->Decisions += Decisions;
   }
-  void completed(const std::string &Account, base::WallMs Ms) {
-    Completion[Account].add(static_cast<double>(Ms));
-    CompletionAll.add(static_cast<double>(Ms));
+  void completed(const LoadJob &J, base::WallMs Ms) {
+    auto Value = static_cast<double>(Ms);
+    Completion[J.View.Account].add(Value);
+    CompletionAll.add(Value);
+    if (J.View.Shape.Tasks > 1)
+      CompletionGang.add(Value);
+    else if (!J.View.Urgent)
+      CompletionSmall.add(Value);
   }
   void started(const LoadJob &J, base::WallMs WaitMs, bool Entitled);
   void sampleFragmentation(const pool::Table &T, const Load &L,
                            const std::set<std::size_t> &Waiting);
 
   Samples DecideMs, UrgentStart, GangWait, Reclaim, Fragmentation;
-  Samples CompletionAll;
+  Samples CompletionAll, CompletionGang, CompletionSmall;
+  /// While jobs wait: shares of the cell's slots that are free, and that are
+  /// free but kept for a gang.
+  Samples Idle, HeldIdle;
   std::map<std::string, Samples> Completion;
   std::size_t Decisions = 0;
   unsigned Violations = 0, Entitled = 0;
--- a/packages/bench/lib/Sim.h
+++ b/packages/bench/lib/Sim.h
@@ -79,6 +79,7 @@
   }
   bool entitled(const LoadJob &J) const;
   void finishMeter();
+  void sampleIdle();
 
   const Load &L;
   S &Sched;
@@ -161,6 +162,13 @@
   return false;
 }
 
+template <Deciding S> void Sim<S>::sampleIdle() {
+  const pool::Table &T = pool::PoolAccess::table(Cell);
+  M.Idle.add(static_cast<double>(T.OpenSlots) / T.UpSlots);
+  if constexpr (requires { Sched.heldIdleSlots(Cell); })
+    M.HeldIdle.add(static_cast<double>(Sched.heldIdleSlots(Cell)) / T.UpSlots);
+}
+
 template <Deciding S> void Sim<S>::submit(std::size_t J) {
   const LoadJob &Job = L.Jobs[J];
   Lives[J].Accepted = true;
@@ -195,7 +203,7 @@
     }
     Sched.jobFinished(Job.View.Id, Now);
     if (Job.View.AcceptedMs >= L.MeasureMs)
-      M.completed(Job.View.Account, Now - Job.View.AcceptedMs);
+      M.completed(Job, Now - Job.View.AcceptedMs);
     return;
   }
   case What::Stopped: {
@@ -213,8 +221,10 @@
     push(Now + L.TickMs, What::Tick, 0);
     if (Now % ReportEveryMs == 0)
       report();
-    if (Now >= L.MeasureMs && Now % (5 * L.TickMs) == 0 && !Waiting.empty())
+    if (Now >= L.MeasureMs && Now % (5 * L.TickMs) == 0 && !Waiting.empty()) {
       M.sampleFragmentation(pool::PoolAccess::table(Cell), L, Waiting);
+      sampleIdle();
+    }
     return;
   }
 }
@@ -313,7 +323,7 @@
       continue;
     base::WallMs Age = L.EndMs - Job.View.AcceptedMs;
     ++M.Unfinished;
-    M.completed(Job.View.Account, Age);
+    M.completed(Job, Age);
     if (Lives[J].FirstMs < 0)
       M.started(Job, Age, Lives[J].Entitled);
   }
--- a/packages/bench/main/Bench.cpp
+++ b/packages/bench/main/Bench.cpp
@@ -63,6 +63,14 @@
          [](const Meter &M) { return M.UrgentStart.quantile(0.99); });
   figure(R, At + ".completion_mean", "ms", "none",
          [](const Meter &M) { return M.CompletionAll.mean(); });
+  figure(R, At + ".completion_mean_gangs", "ms", "none",
+         [](const Meter &M) { return M.CompletionGang.mean(); });
+  figure(R, At + ".completion_mean_small", "ms", "none",
+         [](const Meter &M) { return M.CompletionSmall.mean(); });
+  figure(R, At + ".idle_while_waiting", "share", "none",
+         [](const Meter &M) { return M.Idle.mean(); });
+  figure(R, At + ".held_idle", "share", "none",
+         [](const Meter &M) { return M.HeldIdle.mean(); });
   figure(R, At + ".completion_p99", "ms", "none",
          [](const Meter &M) { return M.CompletionAll.quantile(0.99); });
   if (R.Policy.Completion.size() <= 8)
@@ -236,7 +244,7 @@
                   cxxopts::value<std::uint64_t>()->default_value("7"))(
       "drain-ms", "GangDrainMost of the policy; -1: its default",
       cxxopts::value<std::int64_t>()->default_value("-1"))(
-      "load", "dakar, thailand, target, sizes or all",
+      "load", "dakar, thailand, target-cell, target, sizes or all",
       cxxopts::value<std::string>()->default_value("all"));
   auto Args = O.parse(Argc, Argv);
   auto Seed = Args["seed"].as<std::uint64_t>();
@@ -247,6 +255,8 @@
     runLoad(dakar(Seed), true, Drain);
   if (Which == "all" || Which == "thailand")
     runLoad(thailand(Seed), true, Drain);
+  if (Which == "all" || Which == "target-cell")
+    runLoad(targetCell(Seed), false, Drain);
   if (Which == "all" || Which == "target")
     runLoad(target(Seed), false, Drain);
   if (Which == "all" || Which == "sizes") {
--- a/packages/policy/include/heathersaddle/policy/Scheduler.h
+++ b/packages/policy/include/heathersaddle/policy/Scheduler.h
@@ -137,6 +137,8 @@
   Explanation explain(std::string_view Job, const pool::Pool &P,
                       base::WallMs Now) const;
   std::size_t pendingCount() const;
+  /// Free slots that are kept for gangs.
+  unsigned heldIdleSlots(const pool::Pool &P) const;
   /// Borrowing jobs that run four times as long as their kind does; they are
   /// to be throttled. In name order.
   std::vector<std::string> throttled(const pool::Pool &P) const;
--- a/packages/policy/lib/Holds.cpp
+++ b/packages/policy/lib/Holds.cpp
@@ -312,4 +312,14 @@
   }
 }
 
+unsigned Scheduler::heldIdleSlots(const pool::Pool &P) const {
+  const pool::Table &T = pool::PoolAccess::table(P);
+  unsigned Sum = 0;
+  for (const auto &[Id, H] : I->Holds)
+    for (const pool::TaskSlots &Part : H.Region)
+      if (H.Kind == HoldKind::Gang && Part.Worker < T.Rows.size())
+        Sum += std::popcount(T.Rows[Part.Worker].open() & Part.Slots);
+  return Sum;
+}
+
 } // namespace heathersaddle::policy
