Order an account's jobs by wait per slot; bound its reserved work

Cause: the oldest job of an account got a reservation as soon as the one before it had started, so wide jobs ran in order of age and held half of the Northern Thailand cell while a thousand small jobs waited. Slots held for them were not idle (0.0001 to 0.0012 of the cell).

Change: within an account the class whose head has waited longest per slot goes first, except within the guarantee, where age decides.

--- a/packages/policy/lib/Core.h
+++ b/packages/policy/lib/Core.h
@@ -33,8 +33,9 @@
   JobState State = JobState::Idle;
   bool Urgent = false;
   bool Idempotent = false;
-  bool Retry = false;   ///< Its last attempt failed.
-  bool Overrun = false; ///< Ran four times its estimate.
+  bool Retry = false;    ///< Its last attempt failed.
+  bool Overrun = false;  ///< Ran four times its estimate.
+  bool Reserved = false; ///< Proposed or placed in a region held for it.
   unsigned Attempts = 0;
   base::WallMs AcceptedMs = 0;
   base::WallMs DeadlineMs = 0;
@@ -85,6 +86,7 @@
   AccountTerms Terms;
   unsigned Used = 0;     ///< Slots of placed and stopping jobs.
   unsigned Proposed = 0; ///< Slots of decisions that have not taken effect.
+  unsigned Reserved = 0; ///< Slots of placed jobs that had a reservation.
   std::map<ClassKey, JobClass> Classes;
 };
 
--- a/packages/policy/lib/Events.cpp
+++ b/packages/policy/lib/Events.cpp
@@ -68,6 +68,9 @@
   if (J.State != JobState::Placed && J.State != JobState::Stopping)
     return;
   Accounts[J.Account].Used -= J.Shape.totalSlots();
+  if (J.Reserved)
+    Accounts[J.Account].Reserved -= J.Shape.totalSlots();
+  J.Reserved = false;
   Overruns.erase(&J);
   Overrunning.erase(&J);
   J.Overrun = false;
@@ -115,6 +118,8 @@
   J->StartMs = J->ProgressAt = Now;
   ++J->Attempts;
   I->Accounts[J->Account].Used += J->Shape.totalSlots();
+  if (J->Reserved)
+    I->Accounts[J->Account].Reserved += J->Shape.totalSlots();
   if (J->Retry)
     I->RetryTokens -= 100;
   else
--- a/packages/policy/lib/Holds.cpp
+++ b/packages/policy/lib/Holds.cpp
@@ -95,6 +95,7 @@
   if (!Busy) {
     if (J.Retry && Tokens < 100)
       return false;
+    J.Reserved = H.Kind == HoldKind::Gang;
     propose(J, H.Region);
     return false;
   }
@@ -282,6 +283,32 @@
   return J.Shape.totalSlots() * ReservedPart > T.UpSlots;
 }
 
+// Slots of an account's jobs that have a reservation or were placed by one.
+unsigned Pass::reservedBy(std::uint32_t Account) const {
+  unsigned Sum = S.Accounts[Account].Reserved;
+  auto Add = [&](const std::string &Id, bool OnlyReserved) {
+    const Job *J = S.find(Id);
+    if (J && J->Account == Account && (J->Reserved || !OnlyReserved))
+      Sum += J->Shape.totalSlots();
+  };
+  for (const auto &[Id, H] : S.Holds)
+    if (H.Kind == HoldKind::Gang)
+      Add(Id, false);
+  for (const auto &[Id, Where] : S.Proposals)
+    Add(Id, true);
+  return Sum;
+}
+
+// Whether the account's jobs that run in regions held for them leave room for
+// one more. Without this bound the wide jobs of an account start in order of
+// age, and its many small jobs wait behind them. An account that has none of
+// them running may always have one, so its oldest job does not wait for good.
+bool Pass::mayReserveMore(const Job &J) const {
+  unsigned Have = reservedBy(J.Account);
+  return J.Urgent || Have == 0 ||
+         (Have + J.Shape.totalSlots()) * ReservedPart <= T.UpSlots;
+}
+
 void Pass::reserveGangs() {
   if (Now < S.NextReserveMs)
     return;
@@ -305,7 +332,7 @@
             ? !Large
             : Reserved < MaxReservations &&
                   (Small + J->Shape.totalSlots()) * ReservedPart <= T.UpSlots;
-    if (!Allowed)
+    if (!Allowed || !mayReserveMore(*J))
       continue;
     if (reserve(*J) || --Attempts == 0)
       return;
--- a/packages/policy/lib/Pass.cpp
+++ b/packages/policy/lib/Pass.cpp
@@ -120,6 +120,23 @@
   return !pool::placeOn(T, J.Shape, std::move(Idle));
 }
 
+// Whether A goes before B of the same account: the longer wait for each slot it
+// asks for. Otherwise many small jobs wait for a few wide ones that are older;
+// those can have a reservation. Within its guarantee the older one goes first,
+// since a younger small job could take the home the older one is owed.
+bool Pass::goesBefore(const Job &A, const Job &B) const {
+  const Account &Of = S.Accounts[A.Account];
+  unsigned Wider = std::max(A.Shape.totalSlots(), B.Shape.totalSlots());
+  if (Of.Used + Of.Proposed + Wider <= T.homeSlots(T.account(Of.Name)))
+    return ByWait{}(&A, &B);
+  auto Wait = [&](const Job &J) {
+    return std::max<base::WallMs>(Now - J.AcceptedMs, 1);
+  };
+  base::WallMs ForA = Wait(A) * B.Shape.totalSlots();
+  base::WallMs ForB = Wait(B) * A.Shape.totalSlots();
+  return ForA != ForB ? ForA > ForB : ByWait{}(&A, &B);
+}
+
 JobClass *Pass::nextClass(Account &A) const {
   JobClass *Best = nullptr;
   bool BestUrgent = false;
@@ -129,7 +146,7 @@
       continue;
     if (!Best || Urgent > BestUrgent ||
         (Urgent == BestUrgent &&
-         ByWait{}(*C.Jobs.begin(), *Best->Jobs.begin()))) {
+         goesBefore(**C.Jobs.begin(), **Best->Jobs.begin()))) {
       Best = &C;
       BestUrgent = Urgent;
     }
--- a/packages/policy/lib/Pass.h
+++ b/packages/policy/lib/Pass.h
@@ -34,6 +34,7 @@
   bool scanAccount(std::uint32_t Id);
   bool examine(JobClass &C);
   JobClass *nextClass(Account &A) const;
+  bool goesBefore(const Job &A, const Job &B) const;
   bool neverFits(const Job &J, bool Without = false) const;
   std::uint64_t version() const { return T.Version + S.Changes + 1; }
 
@@ -105,6 +106,8 @@
                                             base::WallMs &Due) const;
   Job *headOf(const Account &A) const;
   bool isLarge(const Job &J) const;
+  unsigned reservedBy(std::uint32_t Account) const;
+  bool mayReserveMore(const Job &J) const;
   std::vector<Job *> longWaiting();
   void reserveGangs();
   bool reserve(Job &J);
--- a/packages/policy/lib/Place.cpp
+++ b/packages/policy/lib/Place.cpp
@@ -167,6 +167,7 @@
 }
 
 Pass::Outcome Pass::tryPlace(Job &J) {
+  J.Reserved = false;
   if (!quotaAllows(J) || (J.Retry && Tokens < 100))
     return Outcome::Blocked;
   if (Outcome O = placeFree(J); O != Outcome::Blocked)
