--- a/packages/policy/lib/Health.cpp
+++ b/packages/policy/lib/Health.cpp
@@ -53,6 +53,7 @@
     if (!H.Probing)
       continue;
     SickRow[W] = true;
+    SickRows.push_back(W);
     if (!H.ProbeJob.empty())
       Base[W] = ~pool::SlotMask{0};
   }
--- a/packages/policy/lib/Pass.h
+++ b/packages/policy/lib/Pass.h
@@ -123,10 +123,11 @@
   const pool::Table &T;
   const base::WallMs Now;
   std::vector<Decision> Out;
-  std::vector<pool::SlotMask> Base; ///< Decided in this pass, or unhealthy.
-  std::vector<pool::SlotMask> Hard; ///< Base and holds, but for gangs'.
-  std::vector<pool::SlotMask> Soft; ///< Hard and gang holds.
-  std::vector<bool> SickRow;        ///< Probing; not for non-idempotent jobs.
+  std::vector<pool::SlotMask> Base;  ///< Decided in this pass, or unhealthy.
+  std::vector<pool::SlotMask> Hard;  ///< Base and holds, but for gangs'.
+  std::vector<pool::SlotMask> Soft;  ///< Hard and gang holds.
+  std::vector<bool> SickRow;         ///< Probing; not for non-idempotent jobs.
+  std::vector<pool::RowId> SickRows; ///< The rows set in SickRow.
   std::set<std::string, std::less<>> StoppedNow;
   std::vector<pool::Home> NewHomes;
   std::vector<std::uint32_t> Proposers;
--- a/packages/policy/lib/Place.cpp
+++ b/packages/policy/lib/Place.cpp
@@ -28,9 +28,7 @@
       if (pool::RowId R = T.row(W); R != NoId)
         Rows.push_back(R);
   if (!J.Idempotent)
-    for (pool::RowId R = 0; R != SickRow.size(); ++R)
-      if (SickRow[R])
-        Rows.push_back(R);
+    Rows.insert(Rows.end(), SickRows.begin(), SickRows.end());
   return Rows;
 }
 
