--- a/packages/policy/tests/SchedulerTest.cpp
+++ b/packages/policy/tests/SchedulerTest.cpp
@@ -315,7 +315,7 @@
   std::vector<std::string> Others;
   for (unsigned N = 0; N != 8; ++N)
     Others.push_back("j" + std::to_string(N));
-  std::ranges::stable_partition(Others, Runs);
+  std::stable_partition(Others.begin(), Others.end(), Runs);
   for (unsigned N = 4; N != 8; ++N)
     W.cancel(Others[N]);
   W.finish(Others[0]);
