--- a/packages/policy/lib/Pass.h
+++ b/packages/policy/lib/Pass.h
@@ -34,6 +34,7 @@
   bool scanAccount(std::uint32_t Id);
   bool examine(JobClass &C);
   JobClass *nextClass(Account &A) const;
+  bool goesBefore(const Job &A, const Job &B) const;
   bool neverFits(const Job &J, bool Without = false) const;
   std::uint64_t version() const { return T.Version + S.Changes + 1; }
 
@@ -106,6 +107,8 @@
                                             base::WallMs &Due) const;
   Job *headOf(const Account &A) const;
   bool isLarge(const Job &J) const;
+  unsigned reservedBy(std::uint32_t Account) const;
+  bool mayReserveMore(const Job &J) const;
   std::vector<Job *> longWaiting();
   void reserveGangs();
   bool reserve(Job &J);
@@ -121,10 +124,11 @@
   const pool::Table &T;
   const base::WallMs Now;
   std::vector<Decision> Out;
-  std::vector<pool::SlotMask> Base; ///< Decided in this pass, or unhealthy.
-  std::vector<pool::SlotMask> Hard; ///< Base and holds, but for gangs'.
-  std::vector<pool::SlotMask> Soft; ///< Hard and gang holds.
-  std::vector<bool> SickRow;        ///< Probing; not for non-idempotent jobs.
+  std::vector<pool::SlotMask> Base;  ///< Decided in this pass, or unhealthy.
+  std::vector<pool::SlotMask> Hard;  ///< Base and holds, but for gangs'.
+  std::vector<pool::SlotMask> Soft;  ///< Hard and gang holds.
+  std::vector<bool> SickRow;         ///< Probing; not for non-idempotent jobs.
+  std::vector<pool::RowId> SickRows; ///< The rows set in SickRow.
   std::set<std::string, std::less<>> StoppedNow;
   std::vector<pool::Home> NewHomes;
   std::vector<std::uint32_t> Proposers;
--- a/packages/policy/lib/Place.cpp
+++ b/packages/policy/lib/Place.cpp
@@ -35,9 +35,7 @@
       if (pool::RowId R = T.row(W); R != NoId)
         Rows.push_back(R);
   if (awaitsProbe(J))
-    for (pool::RowId R = 0; R != SickRow.size(); ++R)
-      if (SickRow[R])
-        Rows.push_back(R);
+    Rows.insert(Rows.end(), SickRows.begin(), SickRows.end());
   return Rows;
 }
 
@@ -174,6 +172,7 @@
 }
 
 Pass::Outcome Pass::tryPlace(Job &J) {
+  J.Reserved = false;
   if (!quotaAllows(J) || (J.Retry && Tokens < 100))
     return Outcome::Blocked;
   if (Outcome O = placeFree(J); O != Outcome::Blocked)
