Report the burn of all daemons and settle lost publishes

Cause: operators had no command for the burn report, and a publish whose answer was lost stayed unresolved although the history tells its fate.

Change: 'report burn' asks every daemon once, names those that are missing and prints the merged report as a table, JSON or an HTML page. The report carries each account's usage; a daemon behind two addresses counts once, and daemons that differ at one offset are named. 'lists publish' reads the history and the list in force when its answer was lost.

--- a/packages/report/include/heathersaddle/report/BurnReport.h
+++ b/packages/report/include/heathersaddle/report/BurnReport.h
@@ -49,6 +49,12 @@
   double MaxMs = 0;
 };
 
+/// What one account got and what was reclaimed, since the state began.
+struct UsageRow {
+  std::string Account;
+  state::Usage Used;
+};
+
 /// What one daemon reports.
 struct BurnReport {
   std::string Daemon;
@@ -56,6 +62,7 @@
   base::WallMs ClockMs = 0; ///< Its state clock.
   std::uint64_t Skewed = 0; ///< Records with a clock off by > 1 s in 6 h.
   std::vector<BurnRow> Rows;
+  std::vector<UsageRow> Usage;            ///< Accounts that have used slots.
   std::optional<RequestFigures> Requests; ///< For operators only.
 };
 
@@ -75,7 +82,8 @@
 };
 
 /// Merges by taking the rows of the daemon that has read furthest, because all
-/// daemons derive the same rows from the log. Fails when there is no report.
+/// daemons derive the same rows from the log. Of two reports of one daemon the
+/// later counts. Fails when there is no report.
 base::Expected<MergedReport> merge(std::span<const BurnReport> Reports,
                                    std::span<const std::string> Missing);
 
--- a/packages/report/lib/BurnReport.cpp
+++ b/packages/report/lib/BurnReport.cpp
@@ -26,6 +26,8 @@
 }
 
 void addRows(BurnReport &R, const state::State &S, std::string_view Account) {
+  if (auto Found = S.usage().find(Account); Found != S.usage().end())
+    R.Usage.push_back({std::string(Account), Found->second});
   for (std::size_t I = 0; I < state::ObjectiveCount; ++I) {
     auto O = static_cast<state::Objective>(I);
     BurnRow Row;
@@ -87,6 +89,52 @@
   return Row;
 }
 
+UsageRow usageFrom(const json::value &Value, JsonReader &Parent) {
+  constexpr std::int64_t Most = std::int64_t{1} << 62;
+  JsonReader R(Value, "read report", "usage.");
+  UsageRow Row;
+  Row.Account = R.string("account", MaxName);
+  Row.Used.GuaranteedSlotMs = R.integer("guaranteed_slot_ms", 0, Most);
+  Row.Used.BorrowedSlotMs = R.integer("borrowed_slot_ms", 0, Most);
+  Row.Used.Reclaimed = R.unsigned64("reclaimed");
+  Row.Used.ReclaimedFor = R.unsigned64("reclaimed_for");
+  if (const base::Error *E = R.error())
+    Parent.fail(E->Field, E->Message);
+  return Row;
+}
+
+/// Two addresses may lead to one daemon; its request figures count once.
+void addDaemon(MergedReport &M, const BurnReport &R) {
+  auto Same =
+      std::find_if(M.Daemons.begin(), M.Daemons.end(),
+                   [&](const BurnReport &D) { return D.Daemon == R.Daemon; });
+  if (Same == M.Daemons.end()) {
+    M.Daemons.push_back(R);
+    return;
+  }
+  M.Warnings.push_back("two addresses lead to daemon " + R.Daemon +
+                       "; its figures are counted once");
+  if (R.Offset > Same->Offset)
+    *Same = R;
+}
+
+/// Reports at one offset are equal, unless a daemon derives a wrong state.
+void warnOfDisagreement(MergedReport &M) {
+  auto Derived = [](const BurnReport &R) {
+    json::value Value = toJson(R);
+    Value.as_object().erase("daemon");
+    Value.as_object().erase("requests");
+    return Value;
+  };
+  const json::value Wanted = Derived(M.Newest);
+  for (const BurnReport &R : M.Daemons)
+    if (R.Offset == M.Newest.Offset && Derived(R) != Wanted)
+      M.Warnings.push_back(R.Daemon + " and " + M.Newest.Daemon +
+                           " give different figures at log offset " +
+                           std::to_string(R.Offset) +
+                           "; trust neither and report it as a fault");
+}
+
 void warnOfLag(MergedReport &M) {
   for (const BurnReport &R : M.Daemons) {
     std::uint64_t Records = M.Newest.Offset - R.Offset;
@@ -138,6 +186,8 @@
   std::set<std::string, std::less<>> Names;
   for (const auto &[Name, C] : S.customers())
     Names.insert(Name);
+  for (const auto &[Name, Used] : S.usage())
+    Names.insert(Name);
   // Departed accounts keep their figures while these are in the windows.
   for (const auto &[Name, Minutes] : S.burn().Accounts)
     Names.insert(Name);
@@ -157,11 +207,16 @@
                     {"target", Row.Target},
                     {"windows", std::move(Windows)}});
   }
-  json::object O{{"daemon", R.Daemon},
-                 {"offset", R.Offset},
-                 {"clock_ms", R.ClockMs},
-                 {"skewed", R.Skewed},
-                 {"rows", std::move(Rows)}};
+  json::array Usage;
+  for (const UsageRow &Row : R.Usage)
+    Usage.push_back({{"account", Row.Account},
+                     {"guaranteed_slot_ms", Row.Used.GuaranteedSlotMs},
+                     {"borrowed_slot_ms", Row.Used.BorrowedSlotMs},
+                     {"reclaimed", Row.Used.Reclaimed},
+                     {"reclaimed_for", Row.Used.ReclaimedFor}});
+  json::object O{{"daemon", R.Daemon},      {"offset", R.Offset},
+                 {"clock_ms", R.ClockMs},   {"skewed", R.Skewed},
+                 {"rows", std::move(Rows)}, {"usage", std::move(Usage)}};
   if (R.Requests)
     O["requests"] = figuresToJson(*R.Requests);
   return O;
@@ -177,6 +232,10 @@
   const json::array *Rows = R.array("rows", true, MaxRows);
   for (std::size_t I = 0; Rows && I < Rows->size(); ++I)
     Report.Rows.push_back(rowFrom((*Rows)[I], R));
+  // Daemons of an earlier version give no usage.
+  const json::array *Usage = R.array("usage", false, MaxRows);
+  for (std::size_t I = 0; Usage && I < Usage->size(); ++I)
+    Report.Usage.push_back(usageFrom((*Usage)[I], R));
   if (const json::value *Requests = R.find("requests"))
     Report.Requests = figuresFrom(*Requests);
   if (const base::Error *E = R.error())
@@ -190,16 +249,18 @@
     return base::makeError(base::ErrorCode::Unavailable, "merge reports",
                            "no daemon gave a report");
   MergedReport M;
-  M.Daemons.assign(Reports.begin(), Reports.end());
+  for (const BurnReport &R : Reports)
+    addDaemon(M, R);
   M.Missing.assign(Missing.begin(), Missing.end());
   M.Newest = *std::max_element(
-      Reports.begin(), Reports.end(),
+      M.Daemons.begin(), M.Daemons.end(),
       [](const auto &A, const auto &B) { return A.Offset < B.Offset; });
   for (const std::string &Text : M.Missing)
     M.Warnings.push_back("no report from " + Text +
                          "; its request figures are missing, the objectives "
                          "are complete");
   warnOfLag(M);
+  warnOfDisagreement(M);
   if (M.Newest.Skewed != 0)
     M.Warnings.push_back(std::to_string(M.Newest.Skewed) +
                          " records of the last 6 h came from clocks that are "
--- a/packages/report/lib/RenderHtml.cpp
+++ b/packages/report/lib/RenderHtml.cpp
@@ -66,6 +66,23 @@
   return Svg + "</svg>";
 }
 
+std::string usageTable(const std::vector<UsageRow> &Usage) {
+  if (Usage.empty())
+    return "";
+  constexpr double HourMs = 3'600'000;
+  std::string Text = "<h2>Usage</h2><table><tr><th>Account<th>Guaranteed, slot "
+                     "hours<th>Borrowed, slot hours<th>Reclaimed from it<th>"
+                     "Reclaimed for it</tr>";
+  for (const UsageRow &Row : Usage)
+    Text += "<tr><td>" + escape(Row.Account) + "<td>" +
+            decimal(static_cast<double>(Row.Used.GuaranteedSlotMs) / HourMs) +
+            "<td>" +
+            decimal(static_cast<double>(Row.Used.BorrowedSlotMs) / HourMs) +
+            "<td>" + std::to_string(Row.Used.Reclaimed) + "<td>" +
+            std::to_string(Row.Used.ReclaimedFor) + "</tr>";
+  return Text + "</table>";
+}
+
 } // namespace
 
 std::string renderHtml(const MergedReport &M) {
@@ -91,7 +108,7 @@
             (Left ? decimal(*Left * 100) + "%" : "no events") + "<td class=\"" +
             Verdict + "\">" + Verdict + "</tr>";
   }
-  return Page + "</table></html>\n";
+  return Page + "</table>" + usageTable(M.Newest.Usage) + "</html>\n";
 }
 
 } // namespace heathersaddle::report
--- a/packages/report/lib/RenderText.cpp
+++ b/packages/report/lib/RenderText.cpp
@@ -2,6 +2,7 @@
 // without events is shown as "-", never as 0.
 
 #include "heathersaddle/report/BurnReport.h"
+#include <algorithm>
 #include <cstdio>
 
 namespace heathersaddle::report {
@@ -24,6 +25,31 @@
   return Cell + "  ";
 }
 
+std::string slotHours(std::int64_t SlotMs) {
+  return decimal(static_cast<double>(SlotMs) / 3'600'000, "%.2f");
+}
+
+std::string usageTable(const std::vector<UsageRow> &Usage) {
+  if (Usage.empty())
+    return "";
+  std::string Text = column("ACCOUNT", 20) + column("GUARANTEED SLOT H", 17) +
+                     column("BORROWED SLOT H", 15) + column("RECLAIMED", 9) +
+                     "RECLAIMED FOR IT\n";
+  for (const UsageRow &Row : Usage)
+    Text += column(Row.Account, 20) +
+            column(slotHours(Row.Used.GuaranteedSlotMs), 17) +
+            column(slotHours(Row.Used.BorrowedSlotMs), 15) +
+            column(std::to_string(Row.Used.Reclaimed), 9) +
+            std::to_string(Row.Used.ReclaimedFor) + "\n";
+  return Text;
+}
+
+bool hasEvents(const MergedReport &M) {
+  return std::any_of(
+      M.Newest.Rows.begin(), M.Newest.Rows.end(),
+      [](const BurnRow &Row) { return Row.verdict() != "no events"; });
+}
+
 json::value orNull(std::optional<double> Value) {
   return Value ? json::value(*Value) : json::value(nullptr);
 }
@@ -45,6 +71,9 @@
     Text += column(Left ? decimal(*Left * 100, "%.1f%%") : "-", 11) +
             std::string(Row.verdict()) + "\n";
   }
+  if (!hasEvents(M))
+    Text += "no events in the last 3 days: no objective can be judged\n";
+  Text += usageTable(M.Newest.Usage);
   for (const BurnReport &R : M.Daemons)
     if (R.Requests)
       Text += "daemon " + R.Daemon + ": " +
@@ -72,15 +101,18 @@
   for (const BurnReport &R : M.Daemons) {
     json::value Daemon = toJson(R);
     Daemon.as_object().erase("rows");
+    Daemon.as_object().erase("usage");
     Daemons.push_back(std::move(Daemon));
   }
   for (const std::string &Text : M.Missing)
     Missing.push_back(json::value(Text));
   for (const std::string &Text : M.Warnings)
     Warnings.push_back(json::value(Text));
-  return {{"offset", M.Newest.Offset},     {"clock_ms", M.Newest.ClockMs},
-          {"rows", std::move(Rows)},       {"daemons", std::move(Daemons)},
-          {"missing", std::move(Missing)}, {"warnings", std::move(Warnings)}};
+  json::value Usage = toJson(M.Newest).at("usage");
+  return {{"offset", M.Newest.Offset},      {"clock_ms", M.Newest.ClockMs},
+          {"rows", std::move(Rows)},        {"usage", std::move(Usage)},
+          {"daemons", std::move(Daemons)},  {"missing", std::move(Missing)},
+          {"warnings", std::move(Warnings)}};
 }
 
 } // namespace heathersaddle::report
--- a/packages/report/tests/BurnReportTest.cpp
+++ b/packages/report/tests/BurnReportTest.cpp
@@ -70,12 +70,37 @@
   BOOST_TEST(!merge({}, Missing));
 }
 
+// Guards against the requests of one daemon that count twice.
+BOOST_AUTO_TEST_CASE(CountsADaemonBehindTwoAddressesOnce) {
+  std::vector<BurnReport> Reports{daemonReport("d1", 10, row(10, 0)),
+                                  daemonReport("d1", 12, row(12, 1))};
+  auto M = merge(Reports, {});
+  BOOST_REQUIRE(M);
+  BOOST_REQUIRE(M->Daemons.size() == 1u);
+  BOOST_TEST(M->Daemons[0].Offset == 12u);
+  BOOST_TEST(renderTable(*M).find("counted once") != std::string::npos);
+}
+
+// Guards against a diverged daemon whose figures pass as the right ones.
+BOOST_AUTO_TEST_CASE(WarnsOfDaemonsThatDifferAtOneOffset) {
+  std::vector<BurnReport> Reports{daemonReport("d1", 10, row(10, 0)),
+                                  daemonReport("d2", 10, row(10, 1))};
+  BOOST_TEST(renderTable(*merge(Reports, {})).find("different figures") !=
+             std::string::npos);
+  Reports[1] = daemonReport("d2", 10, row(10, 0));
+  BOOST_TEST(merge(Reports, {})->Warnings.empty());
+}
+
 // Guards against figures that change between daemon and tool.
 BOOST_AUTO_TEST_CASE(SurvivesItsJsonForm) {
   BurnReport R = daemonReport("d1", 10, row(7, 3));
   R.Requests = RequestFigures{5, 1, 2.5, 4.5, 9};
+  R.Usage = {{"maison", {3'600'000, 7, 2, 1}}};
   auto Again = parseReport(toJson(R));
   BOOST_REQUIRE(Again);
+  BOOST_REQUIRE(Again->Usage.size() == 1u);
+  BOOST_TEST(Again->Usage[0].Used.BorrowedSlotMs == 7);
+  BOOST_TEST(Again->Usage[0].Used.Reclaimed == 2u);
   BOOST_TEST(Again->Rows[0].Windows[3].Bad == 3u);
   BOOST_TEST(Again->Requests->P99Ms == 4.5);
 }
--- a/packages/tool/include/heathersaddle/tool/Caller.h
+++ b/packages/tool/include/heathersaddle/tool/Caller.h
@@ -65,7 +65,12 @@
 
   CallResult call(const HttpCall &Call);
 
+  /// Sends the call once to every server, in order and without retries. An
+  /// address that is given twice is asked once.
+  std::vector<CallResult> callEach(const HttpCall &Call);
+
 private:
+  void attempt(const HttpCall &Call, CallResult &Result);
   void pause(unsigned Try, const CallResult &Last);
 
   std::vector<std::string> Servers;
--- a/packages/tool/include/heathersaddle/tool/CommandLine.h
+++ b/packages/tool/include/heathersaddle/tool/CommandLine.h
@@ -23,6 +23,7 @@
   ListsShow,
   ListsHistory,
   Pool,
+  ReportBurn,
   Explain,
   DevPlatform
 };
@@ -72,6 +73,7 @@
   std::string ListName; ///< "customers" or "plans".
   std::string ListText; ///< Content of the file to publish.
   std::optional<std::uint64_t> ListBase;
+  std::string HtmlFile; ///< Of `report burn`; empty: no page.
   SubmitArguments Submit;
   PlatformArguments Platform;
 };
--- a/packages/tool/include/heathersaddle/tool/Commands.h
+++ b/packages/tool/include/heathersaddle/tool/Commands.h
@@ -18,6 +18,8 @@
   Unresolved = 4,  ///< The call may have taken effect.
   Conflict = 5,    ///< 409: the key or the list version is taken.
   NotEnded = 6,    ///< The time to wait is over; the job has not ended.
+  Incomplete = 7,  ///< The report lacks some daemons; it is printed.
+  NotWritten = 8,  ///< The report is printed, but the file is not written.
   JobFailed = 10,
   JobCancelled = 11,
   JobNotRun = 12,
@@ -37,6 +39,9 @@
   std::function<base::Millis()> MonoNow;
   std::function<void(base::Millis)> Pause;
   std::function<std::string()> NewKey; ///< An unused idempotency key.
+  std::function<base::Expected<void>(const std::string &Path,
+                                     const std::string &Text)>
+      WriteFile;
 };
 
 /// Runs any command but Help and DevPlatform.
--- a/packages/tool/include/heathersaddle/tool/Render.h
+++ b/packages/tool/include/heathersaddle/tool/Render.h
@@ -3,6 +3,7 @@
 
 #include <boost/json/value.hpp>
 #include <string>
+#include <string_view>
 
 namespace heathersaddle::tool {
 
@@ -11,6 +12,9 @@
 /// characters are replaced, so an answer cannot steer the terminal.
 std::string renderText(const boost::json::value &Value);
 
+/// \p Text with control characters other than line ends replaced.
+std::string printable(std::string_view Text);
+
 /// One line of JSON.
 std::string renderJson(const boost::json::value &Value);
 
--- a/packages/tool/lib/Caller.cpp
+++ b/packages/tool/lib/Caller.cpp
@@ -71,27 +71,47 @@
     }
     Result.Server = Servers[Current];
     Result.Tries = Try + 1;
-    Result.Reply.reset();
-    Result.Failure.clear();
-    auto Reply = Send(Result.Server, Call);
-    if (!Reply) {
-      Result.Failure = Reply.error().Message;
-      if (Reply.error().Code != base::ErrorCode::Unavailable)
-        Result.MayHaveTakenEffect = true;
-      continue;
-    }
-    Result.Reply = *std::move(Reply);
-    if (Result.succeeded())
-      Result.MayHaveTakenEffect = false;
-    if (!retryable(*Result.Reply))
+    attempt(Call, Result);
+    if (Result.Reply && !retryable(*Result.Reply))
       break;
-    if (Result.Reply->Status >= FirstServerError &&
-        !saysNoEffect(*Result.Reply))
-      Result.MayHaveTakenEffect = true;
   }
   return Result;
 }
 
+std::vector<CallResult> Caller::callEach(const HttpCall &Call) {
+  std::vector<CallResult> Results;
+  for (const std::string &Server : Servers) {
+    bool Asked = std::any_of(
+        Results.begin(), Results.end(),
+        [&Server](const CallResult &R) { return R.Server == Server; });
+    if (Asked)
+      continue;
+    CallResult Result;
+    Result.Server = Server;
+    Result.Tries = 1;
+    attempt(Call, Result);
+    Results.push_back(std::move(Result));
+  }
+  return Results;
+}
+
+void Caller::attempt(const HttpCall &Call, CallResult &Result) {
+  Result.Reply.reset();
+  Result.Failure.clear();
+  auto Reply = Send(Result.Server, Call);
+  if (!Reply) {
+    Result.Failure = Reply.error().Message;
+    if (Reply.error().Code != base::ErrorCode::Unavailable)
+      Result.MayHaveTakenEffect = true;
+    return;
+  }
+  Result.Reply = *std::move(Reply);
+  if (Result.succeeded())
+    Result.MayHaveTakenEffect = false;
+  if (Result.Reply->Status >= FirstServerError && !saysNoEffect(*Result.Reply))
+    Result.MayHaveTakenEffect = true;
+}
+
 // Other servers are tried at once in the first round, because one refused
 // connection says nothing about them; a 429 holds for the account everywhere.
 void Caller::pause(unsigned Try, const CallResult &Last) {
--- a/packages/tool/lib/CommandLine.cpp
+++ b/packages/tool/lib/CommandLine.cpp
@@ -36,6 +36,8 @@
                                              {"show", Verb::ListsShow},
                                              {"history", Verb::ListsHistory}}};
 
+constexpr std::array<VerbName, 1> ReportVerbs{{{"burn", Verb::ReportBurn}}};
+
 tl::unexpected<base::Error> usage(std::string_view Field,
                                   std::string_view Message) {
   return makeError(ErrorCode::InvalidArgument, "command line", Message, {},
@@ -135,6 +137,9 @@
                     "version that the file changes; the one in force when "
                     "absent",
                     cxxopts::value<std::uint64_t>());
+  if (V == Verb::ReportBurn)
+    O.add_options()("html", "file for the report as one HTML page",
+                    cxxopts::value<std::string>());
   O.custom_help("[flags]");
   O.positional_help(std::string(operands(V)));
   return O;
@@ -194,6 +199,9 @@
       Into.TimeLimit = base::Millis(Flags["timeout-ms"].as<std::int64_t>());
     if (Into.TimeLimit < base::Millis(0))
       return usage("timeout-ms", "must not be negative");
+    optional("html", Into.HtmlFile);
+    if (Flags.count("html") && Into.HtmlFile.empty())
+      return usage("html", "must name a file");
     if (Into.Command == Verb::Submit)
       return readSubmit();
     return {};
@@ -392,6 +400,22 @@
   return Result;
 }
 
+/// A command of two words, such as `lists show`.
+template <class Names>
+Expected<Invocation> parseGroup(const Names &In, std::string_view Known,
+                                std::span<const std::string> Args,
+                                const Surroundings &From) {
+  if (Args.size() > 1)
+    if (auto V = findVerb(In, Args[1]))
+      return parseCommand(*V, Args[0] + " " + Args[1], Args.subspan(2), From);
+  if (Args.size() > 1 && (Args[1] == "--help" || Args[1] == "-h")) {
+    Invocation Help;
+    Help.HelpText = overview();
+    return Help;
+  }
+  return usage("", Args[0] + " expects " + std::string(Known));
+}
+
 } // namespace
 
 Expected<Invocation> parseCommandLine(std::span<const std::string> Args,
@@ -406,17 +430,11 @@
   }
   if (auto V = findVerb(PlainVerbs, First))
     return parseCommand(*V, First, Args.subspan(1), From);
-  if (First != "lists")
-    return usage("", "'" + First + "' is not a command; see --help");
-  if (Args.size() > 1)
-    if (auto V = findVerb(ListVerbs, Args[1]))
-      return parseCommand(*V, "lists " + Args[1], Args.subspan(2), From);
-  if (Args.size() > 1 && (Args[1] == "--help" || Args[1] == "-h")) {
-    Invocation Help;
-    Help.HelpText = overview();
-    return Help;
-  }
-  return usage("", "lists expects publish, show or history");
+  if (First == "lists")
+    return parseGroup(ListVerbs, "publish, show or history", Args, From);
+  if (First == "report")
+    return parseGroup(ReportVerbs, "burn", Args, From);
+  return usage("", "'" + First + "' is not a command; see --help");
 }
 
 } // namespace heathersaddle::tool
--- a/packages/tool/lib/Commands.cpp
+++ b/packages/tool/lib/Commands.cpp
@@ -3,9 +3,9 @@
 // server settles a call, the code is Unavailable or Unresolved.
 
 #include "heathersaddle/tool/Commands.h"
-#include "heathersaddle/base/Json.h"
-#include "heathersaddle/tool/Render.h"
+#include "Remote.h"
 #include <algorithm>
+#include <boost/json/serialize.hpp>
 
 namespace heathersaddle::tool {
 
@@ -18,71 +18,6 @@
 // Between polls, for a server that answers before the asked wait is over.
 constexpr base::Millis PollPause{100};
 
-std::string show(const Invocation &I, const json::value &Value) {
-  return I.Format == Output::Json ? renderJson(Value) : renderText(Value);
-}
-
-HttpCall makeCall(const Invocation &I, std::string Method, std::string Target) {
-  HttpCall Call;
-  Call.Method = std::move(Method);
-  Call.Target = std::move(Target);
-  if (!I.Token.empty())
-    Call.Headers["authorization"] = "Bearer " + I.Token;
-  return Call;
-}
-
-json::value bodyOf(const HttpReply &Reply) {
-  if (auto Value = base::parseJson(Reply.Body, "answer"))
-    return *std::move(Value);
-  return json::object{{"body", Reply.Body}};
-}
-
-json::object errorBody(std::string_view Code, std::string_view Message,
-                       const CallResult &R) {
-  json::object Error{{"code", Code}, {"message", Message}};
-  Error["tries"] = R.Tries;
-  Error["server"] = R.Server;
-  if (!R.Failure.empty())
-    Error["cause"] = R.Failure;
-  if (R.Reply) {
-    Error["status"] = R.Reply->Status;
-    Error["answer"] = bodyOf(*R.Reply);
-  }
-  return json::object{{"error", std::move(Error)}};
-}
-
-CommandResult failure(const Invocation &I, ExitCode Code,
-                      const json::value &Body) {
-  CommandResult Result;
-  Result.Code = Code;
-  (I.Format == Output::Json ? Result.Out : Result.Err) = show(I, Body);
-  return Result;
-}
-
-/// The result of a call that did not succeed. \p Key is the call's idempotency
-/// key, or empty.
-CommandResult unsettled(const Invocation &I, const CallResult &R, bool Reads,
-                        const std::string &Key) {
-  if (R.MayHaveTakenEffect && !Reads) {
-    auto Body = errorBody("unresolved",
-                          "the call may have taken effect; repeat it with the "
-                          "same key to learn the outcome",
-                          R);
-    if (!Key.empty())
-      Body["error"].as_object()["key"] = Key;
-    return failure(I, ExitCode::Unresolved, Body);
-  }
-  if (!R.Reply || R.Reply->Status >= 500 || R.Reply->Status == 429) {
-    auto Body = errorBody("unavailable", "no server settled the call", R);
-    if (!Key.empty())
-      Body["error"].as_object()["key"] = Key;
-    return failure(I, ExitCode::Unavailable, Body);
-  }
-  ExitCode Code =
-      R.Reply->Status == 409 ? ExitCode::Conflict : ExitCode::Refused;
-  return failure(I, Code, bodyOf(*R.Reply));
-}
-
 CommandResult read(const Invocation &I, const CommandContext &C,
                    const std::string &Target) {
   CallResult R = C.Servers->call(makeCall(I, "GET", Target));
@@ -91,12 +26,6 @@
   return {ExitCode::Done, show(I, bodyOf(*R.Reply)), ""};
 }
 
-std::string textField(const json::value &Body, std::string_view Name) {
-  const json::object *O = Body.if_object();
-  const json::value *V = O ? O->if_contains(Name) : nullptr;
-  return V && V->is_string() ? std::string(V->as_string()) : std::string();
-}
-
 ExitCode outcomeCode(const json::value &Body) {
   const std::string Outcome = textField(Body, "outcome");
   if (Outcome == "finished")
@@ -194,63 +123,6 @@
   return {ExitCode::Done, show(I, bodyOf(*R.Reply)), ""};
 }
 
-base::Expected<json::object> listBody(const Invocation &I) {
-  auto Value = base::parseJson(I.ListText, "lists publish");
-  if (!Value)
-    return tl::unexpected(Value.error());
-  if (!Value->is_object() || !Value->as_object().contains(I.ListName))
-    return base::makeError(base::ErrorCode::InvalidArgument, "lists publish",
-                           "must be an object with the field " + I.ListName, {},
-                           "FILE");
-  return std::move(Value->as_object());
-}
-
-CommandResult usageError(const Invocation &I, const base::Error &E) {
-  json::object Error{
-      {"code", base::name(E.Code)}, {"field", E.Field}, {"message", E.Message}};
-  return failure(I, ExitCode::Usage, json::object{{"error", Error}});
-}
-
-/// The version in force, read from a server.
-base::Expected<std::uint64_t> currentVersion(const CallResult &R) {
-  if (R.succeeded()) {
-    json::value Body = bodyOf(*R.Reply);
-    const json::value *V = Body.as_object().if_contains("version");
-    boost::system::error_code Ec;
-    if (V) {
-      auto Version = V->to_number<std::uint64_t>(Ec);
-      if (!Ec)
-        return Version;
-    }
-  }
-  return base::makeError(base::ErrorCode::Unavailable, "lists publish",
-                         "the version in force could not be read", R.Server);
-}
-
-CommandResult publish(const Invocation &I, const CommandContext &C) {
-  auto Body = listBody(I);
-  if (!Body)
-    return usageError(I, Body.error());
-  const std::string Target = "/v1/lists/" + I.ListName;
-  if (I.ListBase) {
-    (*Body)["base"] = *I.ListBase;
-  } else if (!Body->contains("base")) {
-    CallResult R = C.Servers->call(makeCall(I, "GET", Target));
-    auto Version = currentVersion(R);
-    if (!Version)
-      return unsettled(I, R, true, "");
-    (*Body)["base"] = *Version;
-  }
-  HttpCall Call = makeCall(I, "POST", Target);
-  Call.Headers["idempotency-key"] = C.NewKey();
-  Call.Headers["content-type"] = "application/json";
-  Call.Body = json::serialize(*Body);
-  CallResult R = C.Servers->call(Call);
-  if (!R.succeeded())
-    return unsettled(I, R, false, "");
-  return {ExitCode::Done, show(I, bodyOf(*R.Reply)), ""};
-}
-
 } // namespace
 
 CommandResult run(const Invocation &I, const CommandContext &C) {
@@ -273,6 +145,8 @@
     return read(I, C, "/v1/pool");
   case Verb::Explain:
     return read(I, C, "/v1/jobs/" + I.Job + "/explain");
+  case Verb::ReportBurn:
+    return reportBurn(I, C);
   case Verb::Help:
   case Verb::DevPlatform:
     break;
--- a/packages/tool/lib/Help.cpp
+++ b/packages/tool/lib/Help.cpp
@@ -12,7 +12,7 @@
   std::string_view Example;
 };
 
-constexpr std::array<Entry, 10> Entries{{
+constexpr std::array<Entry, 11> Entries{{
     {Verb::Submit, "", "Submits a job.",
      "heathersaddle submit --server 127.0.0.1:7101 --tasks 4 --accelerators 2 "
      "--within rack --kind sleep:500 --input hello --wait"},
@@ -30,6 +30,10 @@
      "heathersaddle lists history"},
     {Verb::Pool, "", "Prints workers, slots and homes.",
      "heathersaddle pool --output json"},
+    {Verb::ReportBurn, "",
+     "Prints the burn of the error budgets, from all daemons.",
+     "heathersaddle report burn --server 127.0.0.1:8480 --server "
+     "127.0.0.1:8481 --html burn.html"},
     {Verb::Explain, "JOB", "Prints why a job waits or where it runs.",
      "heathersaddle explain j-4f0c"},
     {Verb::DevPlatform, "",
@@ -48,7 +52,7 @@
 std::string_view commandName(std::string_view Example) {
   Example.remove_prefix(std::string_view("heathersaddle ").size());
   auto End = Example.find(' ');
-  if (Example.substr(0, End) == "lists")
+  if (Example.substr(0, End) == "lists" || Example.substr(0, End) == "report")
     End = Example.find(' ', End + 1);
   return Example.substr(0, End);
 }
@@ -72,7 +76,8 @@
           "Environment: HEATHERSADDLE_SERVERS (HOST:PORT, separated by "
           "commas),\n  HEATHERSADDLE_TOKEN (bearer token).\n"
           "Exit codes: 0 done, 1 refused, 2 usage, 3 unavailable, "
-          "4 unresolved, 5 conflict,\n  6 not ended yet, 10 failed, "
+          "4 unresolved, 5 conflict,\n  6 not ended yet, 7 report incomplete, "
+          "8 file not written, 10 failed,\n  "
           "11 cancelled, 12 not run, 13 unknown; see docs/tool.md.\n";
   return Text;
 }
--- a/packages/tool/lib/Program.cpp
+++ b/packages/tool/lib/Program.cpp
@@ -43,6 +43,17 @@
   return std::string(Iterator(File), Iterator());
 }
 
+base::Expected<void> writeFile(const std::string &Path,
+                               const std::string &Text) {
+  std::ofstream File(Path, std::ios::binary | std::ios::trunc);
+  File << Text;
+  File.close();
+  if (!File)
+    return base::makeError(base::ErrorCode::InvalidArgument, "write file",
+                           "the file cannot be written", Path);
+  return {};
+}
+
 } // namespace
 
 Surroundings processSurroundings() {
@@ -80,6 +91,7 @@
   Context.MonoNow = monoNow;
   Context.Pause = Pause;
   Context.NewKey = newKey;
+  Context.WriteFile = writeFile;
   return run(I, Context);
 }
 
--- /dev/null
+++ b/packages/tool/lib/Publish.cpp
@@ -0,0 +1,207 @@
+// Publishing a version of a list. An offer names the version it changes, and at
+// most one offer on a version is accepted; that settles an offer whose answer
+// was lost.
+
+#include "Remote.h"
+#include "heathersaddle/base/Json.h"
+#include "heathersaddle/state/Lists.h"
+#include <boost/json/serialize.hpp>
+
+namespace heathersaddle::tool {
+
+namespace json = boost::json;
+
+namespace {
+
+/// An accepted version is in force on every daemon by then.
+constexpr base::Millis InForceBound{8'000};
+constexpr base::Millis SettlePause{500};
+
+base::Expected<json::object> listBody(const Invocation &I) {
+  auto Value = base::parseJson(I.ListText, "lists publish");
+  if (!Value)
+    return tl::unexpected(Value.error());
+  if (!Value->is_object() || !Value->as_object().contains(I.ListName))
+    return base::makeError(base::ErrorCode::InvalidArgument, "lists publish",
+                           "must be an object with the field " + I.ListName, {},
+                           "FILE");
+  return std::move(Value->as_object());
+}
+
+CommandResult usageError(const Invocation &I, const base::Error &E) {
+  json::object Error{
+      {"code", base::name(E.Code)}, {"field", E.Field}, {"message", E.Message}};
+  return failure(I, ExitCode::Usage, json::object{{"error", Error}});
+}
+
+/// The version in force, read from a server.
+base::Expected<std::uint64_t> currentVersion(const CallResult &R) {
+  if (R.succeeded()) {
+    json::value Body = bodyOf(*R.Reply);
+    const json::value *V = Body.as_object().if_contains("version");
+    boost::system::error_code Ec;
+    if (V) {
+      auto Version = V->to_number<std::uint64_t>(Ec);
+      if (!Ec)
+        return Version;
+    }
+  }
+  return base::makeError(base::ErrorCode::Unavailable, "lists publish",
+                         "the version in force could not be read", R.Server);
+}
+
+/// What the servers know of an offer whose answer was lost.
+struct Fate {
+  enum class Kind { Open, InForce, Lost, Superseded } What = Kind::Open;
+  std::uint64_t Version = 0; ///< That was accepted on the offer's base.
+};
+
+const json::array *arrayIn(const json::value &Body, std::string_view Field) {
+  const json::object *O = Body.if_object();
+  const json::value *V = O ? O->if_contains(Field) : nullptr;
+  return V ? V->if_array() : nullptr;
+}
+
+std::uint64_t numberIn(const json::value &Body, std::string_view Field) {
+  const json::object *O = Body.if_object();
+  const json::value *V = O ? O->if_contains(Field) : nullptr;
+  boost::system::error_code Ec;
+  auto Number = V ? V->to_number<std::uint64_t>(Ec) : 0;
+  return Ec ? 0 : Number;
+}
+
+/// The version accepted on \p Base, or 0 when the history shows none.
+std::uint64_t acceptedOn(const json::value &History, const std::string &List,
+                         std::uint64_t Base) {
+  const json::array *Entries = arrayIn(History, "history");
+  if (!Entries)
+    return 0;
+  for (const json::value &Entry : *Entries) {
+    const json::object *O = Entry.if_object();
+    const json::value *Accepted = O ? O->if_contains("accepted") : nullptr;
+    if (Accepted && *Accepted == json::value(true) && O->contains("base") &&
+        textField(Entry, "list") == List && numberIn(Entry, "base") == Base)
+      return numberIn(Entry, "version");
+  }
+  return 0;
+}
+
+/// Compares as the daemons do, so that order and defaults make no difference.
+bool sameList(const std::string &Name, const json::value &A,
+              const json::value &B) {
+  auto Whole = [&Name](const json::value &V) {
+    const json::array *Items = arrayIn(V, Name);
+    return json::value{{Name, Items ? *Items : json::array{}}};
+  };
+  if (Name == "plans") {
+    auto First = state::parsePlans(Whole(A));
+    auto Second = state::parsePlans(Whole(B));
+    return First && Second && *First == *Second;
+  }
+  auto First = state::parseCustomers(Whole(A));
+  auto Second = state::parseCustomers(Whole(B));
+  return First && Second && *First == *Second;
+}
+
+/// One look at the history and, when it shows a version on the offer's base, at
+/// the list in force. The base is spent then, so no copy of the offer that is
+/// still on its way can take effect.
+Fate look(const Invocation &I, const CommandContext &C,
+          const json::value &Offer) {
+  CallResult History = C.Servers->call(makeCall(I, "GET", "/v1/lists/history"));
+  if (!History.succeeded())
+    return {};
+  Fate F;
+  F.Version =
+      acceptedOn(bodyOf(*History.Reply), I.ListName, numberIn(Offer, "base"));
+  if (F.Version == 0)
+    return F;
+  CallResult List =
+      C.Servers->call(makeCall(I, "GET", "/v1/lists/" + I.ListName));
+  if (!List.succeeded())
+    return F;
+  const json::value Body = bodyOf(*List.Reply);
+  const std::uint64_t InForce = numberIn(Body, "version");
+  if (InForce > F.Version)
+    F.What = Fate::Kind::Superseded;
+  else if (InForce == F.Version)
+    F.What = sameList(I.ListName, Offer, Body) ? Fate::Kind::InForce
+                                               : Fate::Kind::Lost;
+  return F;
+}
+
+CommandResult stillOpen(const Invocation &I, const CallResult &R,
+                        std::string_view Message) {
+  return failure(I, ExitCode::Unresolved, errorBody("unresolved", Message, R));
+}
+
+/// Reads the history until it settles the offer or the time in which an
+/// accepted version comes into force is over. No version on the offer's base
+/// proves nothing: the offer may still be on its way to the log.
+CommandResult settle(const Invocation &I, const CommandContext &C,
+                     const CallResult &R, const json::value &Offer) {
+  const base::Millis End = C.MonoNow() + InForceBound;
+  Fate F = look(I, C, Offer);
+  while (F.What == Fate::Kind::Open && C.MonoNow() < End) {
+    C.Pause(SettlePause);
+    F = look(I, C, Offer);
+  }
+  const std::string Version = std::to_string(F.Version);
+  const std::string Base = std::to_string(numberIn(Offer, "base"));
+  switch (F.What) {
+  case Fate::Kind::InForce:
+    return {ExitCode::Done,
+            show(I, json::object{{"list", I.ListName},
+                                 {"version", F.Version},
+                                 {"settled_by", "history"}}),
+            ""};
+  case Fate::Kind::Lost:
+    return failure(I, ExitCode::Conflict,
+                   errorBody("conflict",
+                             "another offer won: version " + Version +
+                                 " has another content, and this offer can no "
+                                 "longer take effect",
+                             R));
+  case Fate::Kind::Superseded:
+    return stillOpen(I, R,
+                     "version " + Version + " was accepted on base " + Base +
+                         " and replaced since; whether it was this offer "
+                         "cannot be told, but no later try can take effect");
+  case Fate::Kind::Open:
+    break;
+  }
+  return stillOpen(I, R,
+                   "the history shows no version on base " + Base +
+                       " yet; publish again with --base " + Base +
+                       ": at most one of the two offers takes effect");
+}
+
+} // namespace
+
+CommandResult publish(const Invocation &I, const CommandContext &C) {
+  auto Body = listBody(I);
+  if (!Body)
+    return usageError(I, Body.error());
+  const std::string Target = "/v1/lists/" + I.ListName;
+  if (I.ListBase) {
+    (*Body)["base"] = *I.ListBase;
+  } else if (!Body->contains("base")) {
+    CallResult R = C.Servers->call(makeCall(I, "GET", Target));
+    auto Version = currentVersion(R);
+    if (!Version)
+      return unsettled(I, R, true, "");
+    (*Body)["base"] = *Version;
+  }
+  HttpCall Call = makeCall(I, "POST", Target);
+  Call.Headers["idempotency-key"] = C.NewKey();
+  Call.Headers["content-type"] = "application/json";
+  Call.Body = json::serialize(*Body);
+  CallResult R = C.Servers->call(Call);
+  if (R.succeeded())
+    return {ExitCode::Done, show(I, bodyOf(*R.Reply)), ""};
+  if (!R.MayHaveTakenEffect)
+    return unsettled(I, R, false, "");
+  return settle(I, C, R, *Body);
+}
+
+} // namespace heathersaddle::tool
--- a/packages/tool/lib/Render.cpp
+++ b/packages/tool/lib/Render.cpp
@@ -11,8 +11,6 @@
 
 namespace json = boost::json;
 
-namespace {
-
 std::string printable(std::string_view Text) {
   std::string Safe;
   for (unsigned char C : Text)
@@ -20,6 +18,8 @@
   return Safe;
 }
 
+namespace {
+
 std::string cell(const json::value &V) {
   if (V.is_string())
     return printable(std::string_view(V.as_string()));
--- a/scripts/harness/client.py
+++ b/scripts/harness/client.py
@@ -13,8 +13,9 @@
 class Reply:
     """An answer, or the reason why there is none in `failure`."""
 
-    def __init__(self, status=0, body=None, failure=None):
+    def __init__(self, status=0, body=None, failure=None, text=""):
         self.status = status
+        self.text = text
         self.body = body if isinstance(body, dict) else {}
         self.failure = failure
 
@@ -42,7 +43,7 @@
         try:
             return Reply(response.status, json.loads(raw or b"{}"))
         except ValueError:
-            return Reply(response.status)
+            return Reply(response.status, text=raw.decode(errors="replace"))
     except TimeoutError:
         return Reply(failure=TIMEOUT)
     except (OSError, http.client.HTTPException):
