--- a/packages/report/include/heathersaddle/report/BurnReport.h
+++ b/packages/report/include/heathersaddle/report/BurnReport.h
@@ -40,6 +40,9 @@
   std::string_view verdict() const;
 };
 
+/// The estimate of the 99th percentile means nothing below this.
+inline constexpr std::uint64_t P99MinRequests = 1'000;
+
 /// Requests that one daemon has served since its start.
 struct RequestFigures {
   std::uint64_t Requests = 0;
@@ -47,6 +50,10 @@
   double MeanMs = 0;
   double P99Ms = 0;
   double MaxMs = 0;
+
+  std::optional<double> mean() const;
+  /// Empty below P99MinRequests.
+  std::optional<double> p99() const;
 };
 
 /// What one account got and what was reclaimed, since the state began.
--- a/packages/report/lib/BurnReport.cpp
+++ b/packages/report/lib/BurnReport.cpp
@@ -159,6 +159,14 @@
   return BadShare / (1 - Target);
 }
 
+std::optional<double> RequestFigures::mean() const {
+  return Requests ? std::optional(MeanMs) : std::nullopt;
+}
+
+std::optional<double> RequestFigures::p99() const {
+  return Requests >= P99MinRequests ? std::optional(P99Ms) : std::nullopt;
+}
+
 std::optional<double> BurnRow::budgetLeft() const {
   auto Burned = burn(WindowsMs.size() - 1);
   return Burned ? std::optional(1 - *Burned) : std::nullopt;
--- a/packages/report/lib/RenderText.cpp
+++ b/packages/report/lib/RenderText.cpp
@@ -44,6 +44,16 @@
   return Text;
 }
 
+std::string requestLine(const BurnReport &R) {
+  if (!R.Requests)
+    return "";
+  const RequestFigures &F = *R.Requests;
+  return "daemon " + R.Daemon + ": " + std::to_string(F.Requests) +
+         " requests, " + std::to_string(F.ServerErrors) +
+         " server errors, mean " + decimal(F.mean(), "%.2f") + " ms, p99 " +
+         decimal(F.p99(), "%.2f") + " ms\n";
+}
+
 bool hasEvents(const MergedReport &M) {
   return std::any_of(
       M.Newest.Rows.begin(), M.Newest.Rows.end(),
@@ -75,12 +85,7 @@
     Text += "no events in the last 3 days: no objective can be judged\n";
   Text += usageTable(M.Newest.Usage);
   for (const BurnReport &R : M.Daemons)
-    if (R.Requests)
-      Text += "daemon " + R.Daemon + ": " +
-              std::to_string(R.Requests->Requests) + " requests, " +
-              std::to_string(R.Requests->ServerErrors) +
-              " server errors, mean " + decimal(R.Requests->MeanMs, "%.2f") +
-              " ms, p99 " + decimal(R.Requests->P99Ms, "%.2f") + " ms\n";
+    Text += requestLine(R);
   for (const std::string &Warning : M.Warnings)
     Text += "warning: " + Warning + "\n";
   return Text;
@@ -102,6 +107,11 @@
     json::value Daemon = toJson(R);
     Daemon.as_object().erase("rows");
     Daemon.as_object().erase("usage");
+    if (R.Requests) {
+      json::object &Figures = Daemon.as_object()["requests"].as_object();
+      Figures["mean_ms"] = orNull(R.Requests->mean());
+      Figures["p99_ms"] = orNull(R.Requests->p99());
+    }
     Daemons.push_back(std::move(Daemon));
   }
   for (const std::string &Text : M.Missing)
--- a/packages/report/tests/BurnReportTest.cpp
+++ b/packages/report/tests/BurnReportTest.cpp
@@ -91,6 +91,20 @@
   BOOST_TEST(merge(Reports, {})->Warnings.empty());
 }
 
+// Guards against latencies of a daemon without enough requests to have any.
+BOOST_AUTO_TEST_CASE(ShowsNoLatencyWithoutEnoughRequests) {
+  BurnReport R = daemonReport("d1", 1, row(1, 0));
+  auto TableWith = [&R](RequestFigures F) {
+    R.Requests = F;
+    return renderTable(*merge(std::vector<BurnReport>{R}, {}));
+  };
+  BOOST_TEST(TableWith({}).find("mean - ms, p99 - ms") != std::string::npos);
+  BOOST_TEST(TableWith({999, 0, 2, 3, 4}).find("mean 2.00 ms, p99 - ms") !=
+             std::string::npos);
+  BOOST_TEST(TableWith({1000, 0, 2, 3, 4}).find("p99 3.00 ms") !=
+             std::string::npos);
+}
+
 // Guards against figures that change between daemon and tool.
 BOOST_AUTO_TEST_CASE(SurvivesItsJsonForm) {
   BurnReport R = daemonReport("d1", 10, row(7, 3));
--- a/packages/tool/lib/ReportBurn.cpp
+++ b/packages/tool/lib/ReportBurn.cpp
@@ -56,11 +56,11 @@
 }
 
 CommandResult noReport(const Invocation &I, const Gathered &All) {
-  bool Refused = All.Refusals == All.Missing.size();
+  bool Refused = All.Refusals > 0;
   json::array Missing(All.Missing.begin(), All.Missing.end());
   json::object Error{
       {"code", Refused ? "refused" : "unavailable"},
-      {"message", Refused ? "every daemon refused the token"
+      {"message", Refused ? "the token was refused; there are no figures"
                           : "no daemon gave a report; there are no figures"},
       {"missing", std::move(Missing)}};
   return failure(I, Refused ? ExitCode::Refused : ExitCode::Unavailable,
--- a/packages/tool/tests/ReportBurnTest.cpp
+++ b/packages/tool/tests/ReportBurnTest.cpp
@@ -84,7 +84,7 @@
   BOOST_TEST((R.Code == ExitCode::Unavailable));
   BOOST_TEST(R.Out.empty());
   BOOST_TEST(has(R.Err, "no daemon gave a report"));
-  R = run({reply(403)});
+  R = run({reply(401), refused()});
   BOOST_TEST((R.Code == ExitCode::Refused));
 }
 
--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -18,10 +18,15 @@
 from harness.deployment import (OPERATOR_TOKEN, Deployment, bearer, customers,
                                 plans)
 from harness.load import Load
+from harness.platform_faults import (fail_tasks, leave_host, log_slow,
+                                     pause_workers, starts_after_leaving,
+                                     starts_in_quarantine, trim_log)
 
 CELLS = ["dc-1", "dc-2", "dc-3"]
 TAKEOVER_TARGET = 8.0
 PUBLISH_TARGET = 8.0
+# Snapshots are frequent, so that the log can be trimmed during a run.
+DAEMON_FLAGS = ["--snapshot-records=500"]
 
 
 class Run:
@@ -33,6 +38,9 @@
         self.in_force = []
         self.planned_stops = set()
         self.recovery = None
+        self.trim_recovery = None
+        self.failing = set()
+        self.leaving = []
         self.load = None
         self.names = 0
 
@@ -197,16 +205,27 @@
         thread.join()
 
 
+STEPS = {
+    "kill_owner": lambda run: [kill_owner(run, cell) for cell in CELLS],
+    "pause_owner": lambda run: pause_owner(run, "dc-1"),
+    "cut_worker": lambda run: cut_worker(run, "dc-2"),
+    "worker_faults": worker_faults,
+    "pause_workers": pause_workers,
+    "leave_host": leave_host,
+    "fail_tasks": fail_tasks,
+    "log_slow": log_slow,
+    "log_outage": log_outage,
+    "rolling_stop": rolling_stop,
+    "publish_versions":
+        lambda run: publish_versions(run, run.args.versions),
+    "trim_log": trim_log,
+    "all_killed": all_killed,
+}
+
+
 def steps(run):
-    for cell in CELLS:
-        kill_owner(run, cell)
-    pause_owner(run, "dc-1")
-    cut_worker(run, "dc-2")
-    worker_faults(run)
-    log_outage(run)
-    rolling_stop(run)
-    publish_versions(run, run.args.versions)
-    all_killed(run)
+    for name in run.args.steps.split(","):
+        STEPS[name](run)
 
 
 def start(run):
@@ -230,7 +249,9 @@
 
 
 def report(run, audit, seconds):
-    verdict = check(run.load.requests, audit)
+    verdict = check(run.load.requests, audit, run.failing)
+    after_leaving = starts_after_leaving(audit, run.leaving)
+    in_quarantine = starts_in_quarantine(audit, run.failing)
     for text in verdict.details[:20]:
         print("fault", text[:400])
     cut = sum(1 for s in run.load.requests
@@ -246,9 +267,16 @@
     figure("partial_gangs", verdict.partial_gangs, "attempts", 0)
     figure("wrong_answer", verdict.wrong_answer, "jobs", 0)
     figure("recovery_time_from_empty", run.recovery, "s", "none")
+    figure("starts_on_leaving_host", after_leaving if run.leaving else None,
+           "tasks", 0)
+    figure("starts_in_quarantine", in_quarantine if run.failing else None,
+           "tasks", 0)
+    figure("recovery_time_after_trim", run.trim_recovery, "s", "none")
+    trimmed = "trim_log" not in run.args.steps or run.trim_recovery is not None
     figure("log_appends_per_second", audit["log"]["appends"] / seconds,
            "appends/s", 300)
-    return verdict.good and cut == 0 and verdict.accepted > 0
+    return (verdict.good and cut == 0 and verdict.accepted > 0
+            and after_leaving == 0 and in_quarantine == 0 and trimmed)
 
 
 def main():
@@ -258,9 +286,15 @@
     parser.add_argument("--rate", type=float, default=8.0)
     parser.add_argument("--drain", type=float, default=90.0)
     parser.add_argument("--versions", type=int, default=20)
+    parser.add_argument("--steps", default=",".join(STEPS),
+                        help="the steps to run, in order")
     args = parser.parse_args()
+    unknown = set(args.steps.split(",")) - set(STEPS)
+    if unknown:
+        parser.error("unknown steps: " + " ".join(sorted(unknown)))
     print(f"faults seed={args.seed}")
-    deployment = Deployment(args.build, random.Random(args.seed), args.seed)
+    deployment = Deployment(args.build, random.Random(args.seed), args.seed,
+                            daemon_flags=DAEMON_FLAGS)
     run = Run(deployment, args)
     try:
         start(run)
