Show no quarantine figure when no worker was due for one

Cause: starts_in_quarantine was 0 also when no worker had failed three distinct jobs in a row, so the figure could pass without a measurement.

Change: the figure is 'none' then; any start still fails the run.

--- a/scripts/faults.py
+++ b/scripts/faults.py
@@ -269,14 +269,13 @@
     figure("recovery_time_from_empty", run.recovery, "s", "none")
     figure("starts_on_leaving_host", after_leaving if run.leaving else None,
            "tasks", 0)
-    figure("starts_in_quarantine", in_quarantine if run.failing else None,
-           "tasks", 0)
+    figure("starts_in_quarantine", in_quarantine, "tasks", 0)
     figure("recovery_time_after_trim", run.trim_recovery, "s", "none")
     trimmed = "trim_log" not in run.args.steps or run.trim_recovery is not None
     figure("log_appends_per_second", audit["log"]["appends"] / seconds,
            "appends/s", 300)
     return (verdict.good and cut == 0 and verdict.accepted > 0
-            and after_leaving == 0 and in_quarantine == 0 and trimmed)
+            and after_leaving == 0 and not in_quarantine and trimmed)
 
 
 def main():
--- a/scripts/harness/platform_faults.py
+++ b/scripts/harness/platform_faults.py
@@ -94,15 +94,16 @@
 
 
 def starts_in_quarantine(audit, failing):
-    """Starts on workers that failed three jobs in a row and should rest."""
-    count = 0
+    """Starts on workers that failed three jobs in a row and should rest; None
+    when no worker did, so that nothing was measured."""
+    count = None
     for worker in failing:
         runs = [r for r in audit["runs"] if r["worker"] == worker]
         failed = third_failure(runs)
         if failed is None:
             continue
         first, last = failed + QUARANTINE_SETTLE_MS, failed + QUARANTINE_MS
-        count += sum(1 for r in runs if first < r["started_ms"] < last)
+        count = (count or 0) + sum(1 for r in runs if first < r["started_ms"] < last)
     return count
 
 
--- a/scripts/harness/test_platform_faults.py
+++ b/scripts/harness/test_platform_faults.py
@@ -35,10 +35,10 @@
         self.assertEqual(
             starts_in_quarantine({"runs": failed + [probe]}, ["w"]), 0)
         mixed = failed[:2] + [run("e", 0, 101), failed[2], late]
-        self.assertEqual(starts_in_quarantine({"runs": mixed}, ["w"]), 0)
+        self.assertIsNone(starts_in_quarantine({"runs": mixed}, ["w"]))
         same = [run("a", 0, 100 + i, "failed") for i in range(3)]
-        self.assertEqual(
-            starts_in_quarantine({"runs": same + [late]}, ["w"]), 0)
+        self.assertIsNone(
+            starts_in_quarantine({"runs": same + [late]}, ["w"]))
 
     # Guards against excusing a failure that no failing worker caused, or of a
     # job that was to run again elsewhere.
