--- a/packages/report/include/heathersaddle/report/BurnReport.h
+++ b/packages/report/include/heathersaddle/report/BurnReport.h
@@ -40,6 +40,9 @@
   std::string_view verdict() const;
 };
 
+/// The estimate of the 99th percentile means nothing below this.
+inline constexpr std::uint64_t P99MinRequests = 1'000;
+
 /// Requests that one daemon has served since its start.
 struct RequestFigures {
   std::uint64_t Requests = 0;
@@ -47,6 +50,16 @@
   double MeanMs = 0;
   double P99Ms = 0;
   double MaxMs = 0;
+
+  std::optional<double> mean() const;
+  /// Empty below P99MinRequests.
+  std::optional<double> p99() const;
+};
+
+/// What one account got and what was reclaimed, since the state began.
+struct UsageRow {
+  std::string Account;
+  state::Usage Used;
 };
 
 /// What one daemon reports.
@@ -56,6 +69,7 @@
   base::WallMs ClockMs = 0; ///< Its state clock.
   std::uint64_t Skewed = 0; ///< Records with a clock off by > 1 s in 6 h.
   std::vector<BurnRow> Rows;
+  std::vector<UsageRow> Usage;            ///< Accounts that have used slots.
   std::optional<RequestFigures> Requests; ///< For operators only.
 };
 
@@ -75,7 +89,8 @@
 };
 
 /// Merges by taking the rows of the daemon that has read furthest, because all
-/// daemons derive the same rows from the log. Fails when there is no report.
+/// daemons derive the same rows from the log. Of two reports of one daemon the
+/// later counts. Fails when there is no report.
 base::Expected<MergedReport> merge(std::span<const BurnReport> Reports,
                                    std::span<const std::string> Missing);
 
