Measure the control traffic of daemons

The budget of 4% of a core, 32 MB and 3 KB/s per daemon had no measurement. make bench-control starts five deployments of 48 to 720 workers with 1 to 6 daemons on loopback and reads bytes by kind, CPU time and memory, idle and with tasks, accounts or list changes added.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 SEEDS ?= 300
 
-.PHONY: all packages build check lint bench demo faults fuzz mutations
+.PHONY: all packages build check lint bench bench-control demo faults fuzz mutations
 
 all: build
 
@@ -24,6 +24,10 @@
 bench: build
 	@$(BUILD)/packages/bench/heathersaddle_bench $(BENCH_ARGS)
 
+# Control traffic, CPU share and memory of daemons on loopback.
+bench-control: build
+	@python3 scripts/bench_control.py --build $(BUILD) --seed $(SEED)
+
 # A deployment on loopback under load and failures; SEED selects the load.
 SEED ?= 1
 demo: build
--- /dev/null
+++ b/scripts/bench_control.py
@@ -0,0 +1,285 @@
+#!/usr/bin/env python3
+"""Measures what the control traffic of a daemon costs, and how it grows.
+
+Control traffic is what a daemon exchanges with the log, the host list, workers
+and peers: HTTP headers and bodies in both directions, without TCP and IP
+headers. Callers' requests are not counted as control bytes, but their CPU time
+and memory are in the process's figures.
+
+Deployments of several sizes run side by side. Each is measured idle and again
+with one quantity raised: running tasks, accounts, or list changes. Prints one
+line per figure: `figure NAME VALUE UNIT [target VALUE]`.
+"""
+
+import argparse
+import sys
+import threading
+import time
+
+from harness.deployment import account_token, customers, plans, sha256
+from harness.traffic import KINDS, UP, USED, Cost, SizedDeployment
+
+# Size that the budget applies to; docs/design.md, section 1.
+OWNER_WORKERS, OWNER_TASKS, CELLS = 720, 17_400, 5
+ACCOUNTS, CHANGES_A_MINUTE, JOBS_A_SECOND = 760, 1_400 / 1_440, 1_800 / 86_400
+BUDGET = {"bytes": 3_000, "cpu": 4, "memory": 32}
+
+# Workers answer a sync after 60 s without events: a window must cover every
+# worker's exchange the same number of times.
+WINDOW_SECONDS = 60
+GANG_TASKS = 64
+CHANGES_TESTED_A_MINUTE = 30
+
+
+def plan_list():
+    content = plans()
+    for plan in content["plans"]:
+        plan["guarantee"] = []
+        plan["max_jobs"] = 10_000
+    return content
+
+
+def customer_list(count, turn=0):
+    """`count` accounts; one token differs from turn to turn."""
+    content = customers()
+    for number in range(len(content["customers"]), count):
+        content["customers"].append(
+            {
+                "account": f"account-{number}",
+                "token_sha256": sha256(f"token-{number}"),
+                "plan": "plan-tide",
+                "departed": False,
+            }
+        )
+    if turn:
+        content["customers"][-1]["token_sha256"] = sha256(f"turn-{turn}")
+    return content
+
+
+class Case(threading.Thread):
+    """One deployment, measured idle and then with one quantity raised."""
+
+    def __init__(self, args, name, daemons, sizes, raised=None):
+        super().__init__(name=name)
+        self.args = args
+        self.daemon_count = daemons
+        self.sizes = sizes
+        self.raised = raised
+        self.idle = self.busy = None
+        self.amount = 0
+        self.log_bytes_a_job = 0
+        self.owners = {}
+        self.failure = None
+        self.deployment = None
+
+    def run(self):
+        try:
+            self.deployment = SizedDeployment(
+                self.args.build, self.args.seed, *self.sizes
+            )
+            self._measure()
+        except (Exception, SystemExit) as error:  # Reported by main().
+            self.failure = repr(error)
+        finally:
+            if self.deployment:
+                self.deployment.close()
+                self.deployment.discard_evidence()
+
+    def _start(self):
+        d = self.deployment
+        for number in range(1, self.daemon_count + 1):
+            centre = f"dc-{1 + (number - 1) % d.cells}"
+            d.start_daemon(f"entry-{number}", centre)
+        if not d.balancer.wait_ready(sorted(d.daemons), 60):
+            raise SystemExit("a daemon is not ready after 60 s")
+        seen = d.wait_for(UP, d.workers, 60)
+        if seen < d.workers:
+            raise SystemExit(f"{seen:.0f} of {d.workers} workers are up")
+        d.publish("plans", plan_list())
+        d.publish("customers", customer_list(4))
+
+    def _window(self, during=None):
+        d = self.deployment
+        before = d.sample()
+        end = time.monotonic() + WINDOW_SECONDS
+        if during:
+            during(end)
+        time.sleep(max(0, end - time.monotonic()))
+        after = d.sample()
+        return {name: Cost(before[name], after[name]) for name in before}
+
+    def _measure(self):
+        self._start()
+        # The first syncs of all workers are over after this pause.
+        time.sleep(5)
+        self.owners = {n: self.deployment.owned(n) for n in self.deployment.daemons}
+        self.idle = self._window()
+        if self.raised:
+            self.busy = getattr(self, "_raise_" + self.raised)()
+
+    def _raise_accounts(self):
+        self.deployment.publish("customers", customer_list(ACCOUNTS))
+        self.amount = ACCOUNTS
+        return self._window()
+
+    def _raise_changes(self):
+        def publish(end):
+            while time.monotonic() < end - 1:
+                began = time.monotonic()
+                self.amount += 1
+                self.deployment.publish(
+                    "customers", customer_list(4, self.amount)
+                )
+                pause = 60 / CHANGES_TESTED_A_MINUTE
+                time.sleep(max(0, pause - (time.monotonic() - began)))
+
+        return self._window(publish)
+
+    def _raise_tasks(self):
+        d = self.deployment
+        before = d.sample()
+        gangs = self.args.tasks // GANG_TASKS
+        accepted = 0
+        for number in range(gangs):
+            body = {
+                "shape": {"tasks": GANG_TASKS, "accelerators": 0, "slots": 1},
+                "kind": "sleep:3600000",
+                "input": f"gang-{number}",
+                "idempotent": True,
+            }
+            accepted += d.submit(body, account_token("tide")).ok
+        wanted = accepted * GANG_TASKS
+        self.amount = d.wait_for(USED, wanted, 45)
+        after = d.sample()
+        moved = sum(
+            after[n].bytes["log"] - before[n].bytes["log"] for n in before
+        )
+        spent = sum(after[n].at - before[n].at for n in before)
+        idle = sum(c.rates["log"] for c in self.idle.values())
+        moved -= idle * spent / len(before)
+        self.log_bytes_a_job = moved / max(1, accepted) / len(before)
+        return self._window()
+
+
+def figure(name, value, unit, target=None):
+    suffix = "" if target is None else f" target {target}"
+    print(f"figure {name} {value:.4g} {unit}{suffix}", flush=True)
+
+
+def show(label, cost, owned):
+    role = f"owner_of_{owned}" if owned else "no_cell"
+    name = f"{label}.{role}"
+    for kind in KINDS:
+        figure(f"{name}.{kind}", cost.rates[kind], "B/s")
+    figure(f"{name}.control", cost.total, "B/s", BUDGET["bytes"])
+    figure(f"{name}.cpu", cost.cpu_percent, "%", BUDGET["cpu"])
+    figure(f"{name}.resident", cost.rss_mb, "MB", BUDGET["memory"])
+    figure(f"{name}.anonymous", cost.anon_mb, "MB")
+
+
+def show_case(case):
+    if case.failure:
+        print(f"failed {case.name}: {case.failure}", flush=True)
+    for state, costs in (("idle", case.idle), (case.raised, case.busy)):
+        for daemon, cost in (costs or {}).items():
+            owned = case.owners.get(daemon, 0)
+            show(f"{case.name}.{daemon}.{state}", cost, owned)
+    if case.busy:
+        figure(f"{case.name}.{case.raised}.amount", case.amount, case.raised)
+
+
+def only(costs):
+    return next(iter(costs.values()))
+
+
+def slope(name, low, high, span, kinds, scale=1.0):
+    """Growth per unit between two costs, for bytes, CPU and memory."""
+    rise = sum(high.rates[k] - low.rates[k] for k in kinds) / span * scale
+    cpu = (high.cpu_percent - low.cpu_percent) / span * scale
+    memory = (high.anon_mb - low.anon_mb) / span * scale
+    figure(f"slope.{name}.bytes", rise, "B/s")
+    figure(f"slope.{name}.cpu", cpu, "%")
+    figure(f"slope.{name}.memory", memory, "MB")
+    return {"bytes": rise, "cpu": cpu, "memory": memory}
+
+
+def slopes(cases):
+    """The slopes of the cases that were measured, by quantity."""
+    found = {}
+    small, large = cases["w48"], cases["w720"]
+    if small.idle and large.idle:
+        found["worker"] = slope(
+            "per_worker", only(small.idle), only(large.idle),
+            OWNER_WORKERS - 48, ["worker", "hosts"],
+        )
+    for quantity, case, kinds in (
+        ("task", large, ["worker", "log"]),
+        ("account", cases["w240"], ["log"]),
+        ("change_a_minute", small, ["log"]),
+    ):
+        if case.busy and case.amount:
+            found[quantity] = slope(
+                "per_" + quantity, only(case.idle), only(case.busy),
+                case.amount, kinds,
+            )
+    three, one = cases["d3"], cases["w48"]
+    if three.idle and one.idle:
+        mean = sum(c.rates["log"] for c in three.idle.values()) / 3
+        rise = (mean - only(one.idle).rates["log"]) / 2
+        figure("slope.per_cell.log_bytes", rise, "B/s")
+        found["cell"] = rise
+    return found
+
+
+def at_target(cases, found):
+    """An owner at the target size, from the slopes. Not itself a run."""
+    if set(found) != {"worker", "task", "account", "change_a_minute", "cell"}:
+        print("estimate missing: a case was not measured", flush=True)
+        return
+    base = only(cases["w48"].idle)
+    for what, start in (
+        ("bytes", base.total + found["cell"] * (CELLS - 1)),
+        ("cpu", base.cpu_percent),
+        ("memory", base.rss_mb),
+    ):
+        value = start + found["worker"][what] * (OWNER_WORKERS - 48)
+        value += found["task"][what] * OWNER_TASKS
+        value += found["account"][what] * ACCOUNTS
+        value += found["change_a_minute"][what] * CHANGES_A_MINUTE
+        if what == "bytes":
+            value += cases["w720"].log_bytes_a_job * JOBS_A_SECOND
+        unit = {"bytes": "B/s", "cpu": "%", "memory": "MB"}[what]
+        figure(f"estimate.owner_at_target.{what}", value, unit, BUDGET[what])
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--tasks", type=int, default=3_200)
+    args = parser.parse_args()
+    print(f"bench-control seed={args.seed} tasks={args.tasks} "
+          f"window={WINDOW_SECONDS} s", flush=True)
+    cases = {
+        case.name: case
+        for case in (
+            Case(args, "w48", 1, (1, 6, 8, 8), "changes"),
+            Case(args, "w240", 1, (1, 30, 8, 8), "accounts"),
+            Case(args, "w720", 1, (1, 90, 8, 32), "tasks"),
+            Case(args, "d3", 3, (3, 2, 8, 8)),
+            Case(args, "d6", 6, (3, 2, 8, 8)),
+        )
+    }
+    for case in cases.values():
+        case.start()
+    for case in cases.values():
+        case.join()
+        show_case(case)
+    at_target(cases, slopes(cases))
+    if cases["w720"].busy:
+        figure("log_bytes_a_job", cases["w720"].log_bytes_a_job, "B")
+    return 1 if any(case.failure for case in cases.values()) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
