State the log's read wait of 3 s in the settings table

The default became 3 s in the node's settings, but the table and the page still named 10 s, so OperatorsSettings/DefaultsAreTheDocumentedOnes failed.

--- a/packages/daemon/lib/Settings.cpp
+++ b/packages/daemon/lib/Settings.cpp
@@ -184,7 +184,7 @@
     {"call-limit-ms", "3000", "100 to 60000",
      "Time limit of one exchange with the log, a worker or a peer", false,
      false, HS_NUMBER(Node.CallLimit, 100, 60'000)},
-    {"read-wait-ms", "10000", "100 to 60000",
+    {"read-wait-ms", "3000", "100 to 60000",
      "How long the log may hold a read request", false, false,
      HS_NUMBER(Node.ReadWait, 100, 60'000)},
     {"unknown-grace-ms", "30000", "0 to 3600000",
