Read host changes only, send fewer usage reports and shorter syncs

An owner of 720 workers read the whole host list every 2 s (64.8 KB/s), and each usage report of a task ended the sync of its worker. GET /v1/hosts takes since= VERSION and replies with the hosts that changed. Usage reports no longer end a wait, and usage_ms bounds them to 5 a second per cell. Worker, log and peer requests have no Content-Type; a sync without news leaves out its empty list.

--- a/packages/control/include/heathersaddle/control/Actions.h
+++ b/packages/control/include/heathersaddle/control/Actions.h
@@ -90,6 +90,13 @@
   bool Leaving = false;
 };
 
+/// Answer to a HostsAction: the whole list, or what changed in it.
+struct HostChanges {
+  bool Whole = true;
+  std::vector<HostEntry> Hosts;  ///< All, or those that are new or changed.
+  std::vector<std::string> Gone; ///< Empty when Whole.
+};
+
 } // namespace heathersaddle::control
 
 #endif
--- a/packages/control/include/heathersaddle/control/Node.h
+++ b/packages/control/include/heathersaddle/control/Node.h
@@ -106,8 +106,12 @@
                      base::Expected<boost::json::value> Reply, Now T);
   void onPeerReply(std::uint64_t Call, base::Expected<boost::json::value> Reply,
                    Now T);
+  /// The whole list of hosts.
   void onHosts(std::uint64_t Call, base::Expected<std::vector<HostEntry>> Hosts,
                Now T);
+  /// What changed since the last result that was passed here.
+  void onHostChanges(std::uint64_t Call, base::Expected<HostChanges> Changes,
+                     Now T);
   /// Handles a request of a peer daemon (path /v1/peer/...).
   base::Expected<boost::json::value>
   onPeerRequest(std::string_view Path, const boost::json::value &Body, Now T);
--- a/packages/control/lib/CellOwner.cpp
+++ b/packages/control/lib/CellOwner.cpp
@@ -11,6 +11,10 @@
 constexpr base::Millis SweepPeriod{1'000};
 constexpr base::Millis ReviewPeriod{500};
 constexpr base::Millis UpkeepPeriod{10'000};
+/// At most 5 usage reports a second in a cell: at about 110 bytes each, 17,400
+/// tasks that report every 30 s would alone cost 64 KB/s.
+constexpr base::Millis UsagePeriodPerTask{200};
+constexpr base::Millis UsagePeriodLeast{30'000};
 constexpr base::Millis HoldFirst{100};
 constexpr base::Millis HoldMost{10'000};
 const std::string HeartbeatKey = "heartbeat";
@@ -96,15 +100,23 @@
   std::erase_if(Holds, [&](const auto &H) {
     return C.now() > H.second.Until + HoldMost;
   });
-  for (const auto &[Id, T] : Tracks)
+  TasksTracked = 0;
+  for (const auto &[Id, T] : Tracks) {
+    TasksTracked += T.Tasks.size();
     if (!T.Steady)
       Dirty.insert(Id);
+  }
   for (const auto &[Worker, L] : Links)
     if (!L->synced())
       for (std::string &Id : view()->Pool.jobsOn(Worker))
         Dirty.insert(std::move(Id));
 }
 
+base::Millis CellOwner::usagePeriod() const {
+  return std::max(UsagePeriodLeast,
+                  UsagePeriodPerTask * std::int64_t(TasksTracked));
+}
+
 void CellOwner::tickLinks() {
   for (auto &[Worker, Link] : Links)
     Link->tick(Link);
--- a/packages/control/lib/CellOwner.h
+++ b/packages/control/lib/CellOwner.h
@@ -51,6 +51,7 @@
   void onDeposed(const std::string &Worker) override;
   bool settled(const WorkerEvent &E) const override;
   std::uint64_t nextChange() override { return ++Change; }
+  base::Millis usagePeriod() const override;
 
 private:
   using Seen = TaskTrack::Seen;
@@ -158,6 +159,7 @@
   bool DecideWanted = true;
   std::uint64_t Change = 0;
   std::uint64_t HostsSeen = 0;
+  std::size_t TasksTracked = 0; ///< At the last sweep.
   std::string RerouteAfterJob;
   std::map<std::string, base::MonoTime, std::less<>> WorkerRetryAt;
   base::MonoTime HeartbeatAt{};
--- a/packages/control/lib/HostList.cpp
+++ b/packages/control/lib/HostList.cpp
@@ -18,15 +18,20 @@
   C.Out.emplace_back(HostsAction{Call, C.S.CallLimit});
 }
 
-void HostList::onHosts(std::uint64_t Which,
-                       base::Expected<std::vector<HostEntry>> Result) {
+void HostList::onChanges(std::uint64_t Which,
+                         base::Expected<HostChanges> Result) {
   if (Which == 0 || Which != Call)
     return;
   Call = 0;
-  if (!Result)
+  if (!Result || (!Result->Whole && !Known))
     return;
-  Hosts.clear();
-  for (HostEntry &H : *Result)
+  if (Result->Whole)
+    Hosts.clear();
+  else if (Result->Hosts.empty() && Result->Gone.empty())
+    return;
+  for (const std::string &Name : Result->Gone)
+    Hosts.erase(Name);
+  for (HostEntry &H : Result->Hosts)
     Hosts.insert_or_assign(H.Name, std::move(H));
   Known = true;
   ++Generation;
--- a/packages/control/lib/HostList.h
+++ b/packages/control/lib/HostList.h
@@ -12,11 +12,10 @@
 
   /// Asks for the list when it is due; owners ask more often.
   void tick(bool Owner);
-  void onHosts(std::uint64_t Call,
-               base::Expected<std::vector<HostEntry>> Result);
+  void onChanges(std::uint64_t Call, base::Expected<HostChanges> Result);
 
   bool known() const { return Known; }
-  /// Rises with each list heard.
+  /// Rises with each whole list and each change heard.
   std::uint64_t generation() const { return Generation; }
   const HostEntry *host(std::string_view Name) const;
   const std::map<std::string, HostEntry, std::less<>> &hosts() const {
--- a/packages/control/lib/Node.cpp
+++ b/packages/control/lib/Node.cpp
@@ -189,8 +189,16 @@
 
 void Node::onHosts(std::uint64_t Call,
                    base::Expected<std::vector<HostEntry>> Hosts, Now T) {
+  onHostChanges(Call, std::move(Hosts).map([](std::vector<HostEntry> &&All) {
+    return HostChanges{true, std::move(All), {}};
+  }),
+                T);
+}
+
+void Node::onHostChanges(std::uint64_t Call,
+                         base::Expected<HostChanges> Changes, Now T) {
   I->C.T = T;
-  I->Hosts.onHosts(Call, std::move(Hosts));
+  I->Hosts.onChanges(Call, std::move(Changes));
   I->proceed(T);
 }
 
--- a/packages/control/lib/WorkerLink.cpp
+++ b/packages/control/lib/WorkerLink.cpp
@@ -63,10 +63,24 @@
   Body["lease_until_ms"] = ClockMs + C.S.WorkerLease.count();
   Body["after"] = Acked;
   Body["wait_ms"] = Wait.count();
-  Body["full"] = Full;
+  if (Full)
+    Body["full"] = true;
+  askUsage(Body, Full);
   return Body;
 }
 
+/// A worker keeps the period it was told, so it is named again only when it has
+/// changed by more than a quarter.
+void WorkerLink::askUsage(json::object &Body, bool Full) {
+  base::Millis Wanted = L.usagePeriod();
+  base::Millis Change =
+      Wanted > UsageAsked ? Wanted - UsageAsked : UsageAsked - Wanted;
+  if (!Full && Change * 4 <= UsageAsked)
+    return;
+  UsageAsked = Wanted;
+  Body["usage_ms"] = Wanted.count();
+}
+
 void WorkerLink::greet(const Self &Me) {
   GreetOut = true;
   json::object Body = header();
--- a/packages/control/lib/WorkerLink.h
+++ b/packages/control/lib/WorkerLink.h
@@ -56,6 +56,8 @@
   /// Whether the log has recorded what \p E brought.
   virtual bool settled(const WorkerEvent &E) const = 0;
   virtual std::uint64_t nextChange() = 0;
+  /// The least time between two usage reports of a task.
+  virtual base::Millis usagePeriod() const = 0;
 };
 
 /// The exchange with one worker under one epoch: learns its clock, lists its
@@ -90,6 +92,7 @@
   void deliver(const Self &Me);
   json::object header() const;
   json::object syncBody(base::Millis Wait, bool Full);
+  void askUsage(json::object &Body, bool Full);
   bool heard(const base::Expected<json::value> &R);
   void onGreeted(const base::Expected<json::value> &R);
   void onSync(const base::Expected<json::value> &R, bool Full,
@@ -127,6 +130,7 @@
   base::MonoTime ListAt{};
   base::MonoTime FailingSince{};
   base::Millis PollGap{};
+  base::Millis UsageAsked{}; ///< As the worker knows it; 0: it may not.
   unsigned Failures = 0;
   std::uint64_t Round = 0; ///< Rises when calls in progress become stale.
 };
--- a/packages/control/tests/FakeWorker.cpp
+++ b/packages/control/tests/FakeWorker.cpp
@@ -119,7 +119,8 @@
     List.push_back(E.Body);
   Reply["cursor"] = LastSeq;
   Reply["events"] = std::move(List);
-  if (Body.at("full").as_bool()) {
+  if (const json::value *Full = Body.if_contains("full");
+      Full && Full->as_bool()) {
     json::array All;
     for (const auto &[Of, T] : Tasks)
       All.push_back({{"job", std::get<0>(Of)},
--- /dev/null
+++ b/packages/control/tests/HostListTest.cpp
@@ -0,0 +1,49 @@
+#include "HostList.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace heathersaddle;
+using namespace heathersaddle::control;
+
+namespace {
+
+struct Fixture {
+  Core C{NodeSettings{}};
+  HostList List{C};
+
+  void hear(HostChanges Changes) {
+    C.T.Mono += C.S.HostListPeriod;
+    C.Out.clear();
+    List.tick(true);
+    BOOST_REQUIRE(C.Out.size() == 1U);
+    List.onChanges(std::get<HostsAction>(C.Out[0]).Call, std::move(Changes));
+  }
+  static HostEntry host(std::string Name, bool Leaving = false) {
+    HostEntry H;
+    H.Name = std::move(Name);
+    H.Leaving = Leaving;
+    return H;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(TheHostList, Fixture)
+
+// Guards against a short reply that is taken for the whole pool.
+BOOST_AUTO_TEST_CASE(KeepsHostsThatAChangeDoesNotName) {
+  hear({false, {host("early")}, {}});
+  BOOST_TEST(!List.known());
+  hear({true, {host("a"), host("b"), host("c")}, {}});
+  hear({false, {host("b", true)}, {"c"}});
+  BOOST_TEST(List.hosts().size() == 2U);
+  BOOST_TEST(!List.host("a")->Leaving);
+  BOOST_TEST(List.host("b")->Leaving);
+  BOOST_TEST(!List.host("c"));
+  auto Generation = List.generation();
+  hear({false, {}, {}});
+  BOOST_TEST(List.generation() == Generation);
+  hear({true, {host("a")}, {}});
+  BOOST_TEST(List.hosts().size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/daemon/lib/Adapters.cpp
+++ b/packages/daemon/lib/Adapters.cpp
@@ -5,6 +5,7 @@
 #include "heathersaddle/base/Log.h"
 #include <algorithm>
 #include <boost/json/serialize.hpp>
+#include <cctype>
 
 namespace heathersaddle::daemon {
 
@@ -49,6 +50,7 @@
   net::ClientRequest R;
   R.Method = "POST";
   R.Target = "/v1/streams/" + A.Stream + "/append";
+  R.ContentType.clear();
   R.Body = boost::json::serialize(
       boost::json::object{{"records", std::move(Records)}});
   R.TimeLimit = A.TimeLimit;
@@ -108,6 +110,7 @@
   net::ClientRequest R;
   R.Method = "POST";
   R.Target = A.Path;
+  R.ContentType.clear();
   R.Body = boost::json::serialize(A.Body);
   R.TimeLimit = A.TimeLimit;
   net::HttpClient &Client = isLongPoll(A) ? Syncs : Commands;
@@ -124,6 +127,7 @@
   R.Method = "POST";
   R.Target = A.Path;
   R.Headers["x-heathersaddle-peer"] = PeerKey;
+  R.ContentType.clear();
   R.Body = boost::json::serialize(A.Body);
   R.TimeLimit = A.TimeLimit;
   Peers.send(A.Address, std::move(R),
@@ -136,15 +140,34 @@
 void Adapters::run(const control::HostsAction &A) {
   net::ClientRequest R;
   R.Target = "/v1/hosts";
+  if (std::string Since = hostsVersion(); !Since.empty())
+    R.Target += "?since=" + Since;
   R.TimeLimit = A.TimeLimit;
   Hosts.send(HostsAddress, std::move(R),
              [this, Call = A.Call](const auto &Got) {
-               ToNode([Call, List = decodeHosts(Got)](Node &N, Now T) {
-                 N.onHosts(Call, List, T);
-               });
+               auto Reply = decodeHosts(Got);
+               if (Reply)
+                 setHostsVersion(Reply->Version);
+               ToNode([Call, Changes = Reply.map([](HostsReply &R) {
+                 return std::move(R.Changes);
+               })](Node &N, Now T) { N.onHostChanges(Call, Changes, T); });
              });
 }
 
+std::string Adapters::hostsVersion() {
+  std::lock_guard Lock(Mutex);
+  return HostsVersion;
+}
+
+// The version becomes a part of the next request's target.
+void Adapters::setHostsVersion(std::string Version) {
+  bool Plain = std::all_of(Version.begin(), Version.end(), [](unsigned char C) {
+    return std::isalnum(C) || C == '-' || C == '_' || C == '.';
+  });
+  std::lock_guard Lock(Mutex);
+  HostsVersion = Plain ? std::move(Version) : std::string();
+}
+
 void Adapters::run(const control::LogAction &A) {
   base::logEvent(A.Event, A.Text);
 }
--- a/packages/daemon/lib/Adapters.h
+++ b/packages/daemon/lib/Adapters.h
@@ -50,7 +50,11 @@
   std::string PeerKey;
   net::Executor &Traffic;
   Deliver ToNode;
-  std::mutex Mutex; ///< Guards ReadMax.
+  std::string hostsVersion();
+  void setHostsVersion(std::string Version);
+
+  std::mutex Mutex; ///< Guards ReadMax and HostsVersion.
+  std::string HostsVersion;
   std::map<std::string, std::uint32_t> ReadMax;
   net::HttpClient Log;
   net::HttpClient Hosts;
--- a/packages/daemon/lib/Decode.cpp
+++ b/packages/daemon/lib/Decode.cpp
@@ -88,8 +88,19 @@
   return H;
 }
 
-base::Expected<std::vector<control::HostEntry>>
-decodeHosts(const HttpResult &R) {
+static void readGone(JsonReader &Reader, control::HostChanges &Into) {
+  const auto *Names = Reader.array("gone", false, MaxHosts);
+  Into.Whole = !Names;
+  if (!Names)
+    return;
+  for (const auto &Name : *Names) {
+    if (!Name.is_string())
+      return Reader.fail("gone", "must hold names");
+    Into.Gone.emplace_back(Name.get_string());
+  }
+}
+
+base::Expected<HostsReply> decodeHosts(const HttpResult &R) {
   static constexpr std::string_view Step = "read_hosts";
   if (!R)
     return tl::unexpected(R.error());
@@ -99,17 +110,19 @@
   if (!Value)
     return tl::unexpected(Value.error());
   JsonReader Outer(*Value, Step);
+  HostsReply Reply;
+  Reply.Version = Outer.string("version", "", 128);
+  readGone(Outer, Reply.Changes);
   const auto *Items = Outer.array("hosts", true, MaxHosts);
   if (Outer.error())
     return tl::unexpected(*Outer.error());
-  std::vector<control::HostEntry> Hosts;
   for (const auto &Item : *Items) {
     JsonReader Reader(Item, Step, "hosts.");
-    Hosts.push_back(readHost(Reader));
+    Reply.Changes.Hosts.push_back(readHost(Reader));
     if (Reader.error())
       return tl::unexpected(*Reader.error());
   }
-  return Hosts;
+  return Reply;
 }
 
 base::Expected<boost::json::value>
--- a/packages/net/include/heathersaddle/net/Message.h
+++ b/packages/net/include/heathersaddle/net/Message.h
@@ -22,7 +22,7 @@
 
 struct Response {
   unsigned Status = 200;
-  std::string ContentType = "application/json";
+  std::string ContentType = "application/json"; ///< Empty: no such header.
   std::map<std::string, std::string> Headers;
   std::string Body;
 };
@@ -50,6 +50,8 @@
   std::string Body;
   /// For everything: queueing, connecting and the exchange.
   std::chrono::milliseconds TimeLimit{3'000};
+  /// Of the body; empty: no such header, which saves 32 bytes per request.
+  std::string ContentType = "application/json";
 };
 
 struct ClientResponse {
--- a/packages/net/lib/HttpClient.cpp
+++ b/packages/net/lib/HttpClient.cpp
@@ -256,8 +256,8 @@
   L->Message.method_string(R.Method);
   L->Message.target(R.Target);
   L->Message.set(http::field::host, L->Owner.Address);
-  if (!R.Body.empty())
-    L->Message.set(http::field::content_type, "application/json");
+  if (!R.Body.empty() && !R.ContentType.empty())
+    L->Message.set(http::field::content_type, R.ContentType);
   for (const auto &[Name, Value] : R.Headers)
     L->Message.set(Name, Value);
   L->Message.body() = R.Body;
--- a/packages/net/lib/HttpServer.cpp
+++ b/packages/net/lib/HttpServer.cpp
@@ -204,7 +204,7 @@
     Message = {};
     Message.version(11);
     Message.result(R.Status);
-    if (!R.Body.empty() || !R.ContentType.empty())
+    if (!R.ContentType.empty())
       Message.set(http::field::content_type, R.ContentType);
     for (const auto &[Name, Value] : R.Headers)
       Message.set(Name, Value);
--- a/packages/platform/include/heathersaddle/platform/WorkerModel.h
+++ b/packages/platform/include/heathersaddle/platform/WorkerModel.h
@@ -3,6 +3,7 @@
 
 #include "heathersaddle/base/Error.h"
 #include "heathersaddle/base/Time.h"
+#include <algorithm>
 #include <boost/json/value.hpp>
 #include <cstdint>
 #include <deque>
@@ -87,6 +88,9 @@
 /// - An attempt whose lease lapsed counts as stopped.
 /// - A stop with a grace period keeps all progress; one without keeps the
 ///   progress of the last checkpoint.
+/// - Usage reports do not end a waiting sync; they leave with its reply.
+/// - `usage_ms` of a sync sets the least time between two usage reports of a
+///   task, in addition to UsagePeriod.
 /// - A lower epoch gives 409 with `{"error":{...},"epoch":N}`.
 class WorkerModel {
 public:
@@ -159,6 +163,9 @@
   void addEvent(std::string_view Type, const TaskId &Id, const Task &T,
                 std::string Text = {});
   void addUsage(const TaskId &Id, Task &T, base::Millis Now);
+  base::Millis usagePeriod() const {
+    return std::max(Settings.UsagePeriod, UsageAsked);
+  }
   bool leased(base::Millis Now) const { return Now < LeaseUntil; }
 
   // Commands (WorkerCommands.cpp).
@@ -173,6 +180,8 @@
   // Requests (WorkerRequests.cpp).
   std::optional<WorkerReply> admit(const boost::json::value &Body,
                                    std::string_view Step);
+  /// Whether there are events that end a waiting sync.
+  bool hasNews(std::uint64_t After) const;
   boost::json::array eventList(std::uint64_t After) const;
   boost::json::array taskList(base::Millis Now) const;
 
@@ -182,6 +191,7 @@
   std::map<std::string, std::uint64_t, std::less<>> Epochs;
   std::uint64_t CurrentEpoch = 0; ///< Of the request being handled.
   base::Millis LeaseUntil{};
+  base::Millis UsageAsked{}; ///< By the owner.
   std::map<TaskId, Task> Tasks;
   std::set<Attempt> Stopped;
   std::deque<Event> Events;
--- a/packages/platform/lib/HostList.h
+++ b/packages/platform/lib/HostList.h
@@ -4,7 +4,7 @@
 #include "heathersaddle/base/Time.h"
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <deque>
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,7 +14,7 @@
 /// The platform's host list: each change shows after a lag.
 class HostList {
 public:
-  explicit HostList(base::Millis Lag) : Lag(Lag) {}
+  explicit HostList(base::Millis Lag);
 
   /// Adds a host that shows as live at once.
   void add(boost::json::object Host);
@@ -23,9 +23,13 @@
   void setState(std::string_view Name, std::string_view State,
                 base::Millis Now);
   boost::json::array visible(base::Millis Now) const;
+  /// The reply to GET /v1/hosts: the whole list, or what changed after the
+  /// version \p Since when that is one of this list.
+  boost::json::object reply(std::string_view Since, base::Millis Now) const;
 
 private:
   struct Change {
+    std::uint64_t Number = 0;
     base::Millis VisibleAt{};
     std::string State;
   };
@@ -34,7 +38,14 @@
     std::vector<Change> Changes;
   };
 
+  /// The newest visible change of a host; null when there is none.
+  static const Change *last(const Entry &E, base::Millis Now);
+  static boost::json::object describe(const Entry &E, const Change *Last);
+  std::uint64_t newest(base::Millis Now) const;
+
   base::Millis Lag;
+  std::uint64_t LastChange = 0;
+  std::string Boot; ///< Tells versions of an earlier process apart.
   std::vector<Entry> Entries;
 };
 
--- a/packages/platform/lib/LogService.cpp
+++ b/packages/platform/lib/LogService.cpp
@@ -165,6 +165,7 @@
 }
 
 void LogService::answer(net::Respond Reply, net::Response What) {
+  What.ContentType.clear();
   base::Millis Delay = Log.faults().Delay;
   if (Delay.count() == 0)
     return Reply(std::move(What));
--- a/packages/platform/lib/Standin.cpp
+++ b/packages/platform/lib/Standin.cpp
@@ -82,7 +82,7 @@
     if (Path.starts_with(StreamsPath))
       return Log.handle(Path.substr(StreamsPath.size()), R, std::move(Reply));
     if (Path == "/v1/hosts" && R.Method == "GET")
-      return Reply(jsonReply(200, {{"hosts", Hosts.visible(platformNow())}}));
+      return Reply(jsonReply(200, Hosts.reply(since(R), platformNow())));
     if (Path == "/v1/audit" && R.Method == "GET")
       return Reply(jsonReply(200, audit()));
     if (Path == "/v1/faults" && R.Method == "POST")
@@ -90,6 +90,11 @@
     Reply(notFound());
   }
 
+  static std::string since(const net::Request &R) {
+    auto Found = R.Query.find("since");
+    return Found == R.Query.end() ? std::string() : Found->second;
+  }
+
   json::value audit() const {
     json::array Runs;
     for (const auto &W : Workers)
--- a/packages/platform/lib/WorkerCommands.cpp
+++ b/packages/platform/lib/WorkerCommands.cpp
@@ -118,7 +118,7 @@
   T.State = TaskState::Running;
   T.Progress = T.Checkpoint = C.Resume;
   T.ProgressAt = Now;
-  T.NextUsage = Now + Settings.UsagePeriod;
+  T.NextUsage = Now + usagePeriod();
   Audit[T.AuditIndex].Started = Now;
   addEvent("started", C.Id, T);
   return "";
--- a/packages/platform/lib/WorkerModel.cpp
+++ b/packages/platform/lib/WorkerModel.cpp
@@ -120,7 +120,7 @@
       Events, [&](const Event &E) { return E.Type == "usage" && E.Id == Id; });
   T.Progress = progressOf(T, Now);
   T.ProgressAt = Now;
-  T.NextUsage = Now + Settings.UsagePeriod;
+  T.NextUsage = Now + usagePeriod();
   addEvent("usage", Id, T);
 }
 
--- a/packages/platform/lib/WorkerRequests.cpp
+++ b/packages/platform/lib/WorkerRequests.cpp
@@ -11,6 +11,7 @@
 
 static constexpr std::int64_t MaxNumber =
     std::numeric_limits<std::int64_t>::max();
+static constexpr std::int64_t MaxUsageMs = 24 * 3'600'000;
 
 static WorkerReply errorReply(unsigned Status, const base::Error &E) {
   return {Status, json::object{{"error",
@@ -74,10 +75,12 @@
   base::JsonReader R(Body, "sync");
   Millis Until(R.integerOr("lease_until_ms", 0, 0, MaxNumber));
   auto After = std::uint64_t(R.integerOr("after", 0, 0, MaxNumber));
+  Millis Usage(R.integerOr("usage_ms", UsageAsked.count(), 0, MaxUsageMs));
   if (const base::Error *E = R.error())
     return errorReply(400, *E);
   if (auto Refusal = admit(Body, "sync"))
     return *Refusal;
+  UsageAsked = Usage;
   LeaseUntil = std::max(LeaseUntil, Until);
   // A number above the last event comes from before a restart; it must not
   // remove events that its sender has not seen.
@@ -91,8 +94,15 @@
   base::JsonReader R(Body, "sync");
   auto After = std::uint64_t(R.integerOr("after", 0, 0, MaxNumber));
   return !R.booleanOr("full", false) &&
-         R.integerOr("wait_ms", 0, 0, MaxNumber) > 0 &&
-         eventList(After).empty();
+         R.integerOr("wait_ms", 0, 0, MaxNumber) > 0 && !hasNews(After);
+}
+
+bool WorkerModel::hasNews(std::uint64_t After) const {
+  if (After > LastEvent)
+    After = 0;
+  return std::any_of(Events.begin(), Events.end(), [After](const Event &E) {
+    return E.Number > After && E.Type != "usage";
+  });
 }
 
 WorkerReply WorkerModel::collect(const json::value &Body, Millis Now) {
--- a/packages/platform/lib/WorkerService.cpp
+++ b/packages/platform/lib/WorkerService.cpp
@@ -165,8 +165,21 @@
   return R;
 }
 
+/// Leaves out an empty list of events and its cursor: most syncs of a worker
+/// end without news.
+json::value WorkerService::shortened(json::value Body) {
+  json::object *Fields = Body.if_object();
+  const json::value *Events = Fields ? Fields->if_contains("events") : nullptr;
+  if (Events && Events->as_array().empty()) {
+    Fields->erase("events");
+    Fields->erase("cursor");
+  }
+  return Body;
+}
+
 void WorkerService::send(const WorkerReply &R, net::Respond Reply) {
-  net::Response What = jsonReply(R.Status, R.Body);
+  net::Response What = jsonReply(R.Status, shortened(R.Body));
+  What.ContentType.clear();
   if (Late.count() == 0)
     return Reply(std::move(What));
   auto Delay = std::make_shared<boost::asio::steady_timer>(Io, Late);
--- a/packages/platform/lib/WorkerService.h
+++ b/packages/platform/lib/WorkerService.h
@@ -73,6 +73,7 @@
   void handle(net::Request R, net::Respond Reply);
   void serve(const net::Request &R, net::Respond Reply);
   void sync(const boost::json::value &Body, net::Respond Reply);
+  static boost::json::value shortened(boost::json::value Body);
   void send(const WorkerReply &R, net::Respond Reply);
   WorkerReply repeated(WorkerReply R);
   void note(const boost::json::value &Body, const WorkerReply &R);
--- a/packages/platform/tests/ModelTest.cpp
+++ b/packages/platform/tests/ModelTest.cpp
@@ -153,4 +153,35 @@
   BOOST_TEST(sync(1, 3001, 0).Body.at("boot").to_number<int>() == 8);
 }
 
+// Guards against usage reports that wake their owner once per task and period.
+BOOST_AUTO_TEST_CASE(UsageReportsWaitForTheNextReply) {
+  WorkerModel Busy({.Slots = 8, .UsagePeriod = Millis{1000}}, 7,
+                   [](const TaskRequest &) {
+                     return TaskOutcome{Millis{1'000'000}, true, ""};
+                   });
+  json::object Ask{{"cell", "c"},
+                   {"epoch", 1},
+                   {"owner", "d"},
+                   {"after", 0},
+                   {"wait_ms", 60'000},
+                   {"usage_ms", 10'000},
+                   {"lease_until_ms", 90'000}};
+  Busy.sync(Ask, Millis{0});
+  json::object Start{{"op", "start"}, {"job", "j"},     {"attempt", 1},
+                     {"task", 0},     {"tasks", 1},     {"slots", "1"},
+                     {"kind", "any"}, {"input", "text"}};
+  Busy.commands({{"cell", "c"},
+                 {"epoch", 1},
+                 {"owner", "d"},
+                 {"commands", json::array{Start}}},
+                Millis{0});
+  auto Events = [&](int Now) {
+    return Busy.sync(Ask, Millis{Now}).Body.at("events").as_array().size();
+  };
+  Ask["after"] = 1; // The start.
+  BOOST_TEST(Events(9'000) == 0U);
+  BOOST_TEST(Events(11'000) == 1U);
+  BOOST_TEST(Busy.shouldWait(Ask));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/platform/tests/StandinTest.cpp
+++ b/packages/platform/tests/StandinTest.cpp
@@ -172,6 +172,31 @@
   BOOST_TEST(Status == 409U);
 }
 
+// Guards against daemons that read the whole list again and again, and against
+// a change that the short form leaves out.
+BOOST_AUTO_TEST_CASE(HostsSinceAVersionAreThoseThatChanged) {
+  auto Since = [this](const json::value &Seen) {
+    return get("/v1/hosts?since=" + std::string(Seen.at("version").as_string()))
+        .Body;
+  };
+  json::value Whole = get("/v1/hosts").Body;
+  json::value Same = Since(Whole);
+  BOOST_TEST(Same.at("hosts").as_array().empty());
+  BOOST_TEST(Same.at("gone").as_array().empty());
+  faults({{"worker", "dc-1-r1-w1"}, {"host_state", "leaving"}});
+  faults({{"worker", "dc-1-r1-w2"}, {"host_state", "gone"}});
+  json::value Next = Since(Whole);
+  BOOST_REQUIRE(Next.at("hosts").as_array().size() == 1U);
+  BOOST_TEST(Next.at("hosts").at(0).at("name").as_string() == "dc-1-r1-w1");
+  BOOST_TEST(Next.at("hosts").at(0).at("state").as_string() == "leaving");
+  BOOST_REQUIRE(Next.at("gone").as_array().size() == 1U);
+  BOOST_TEST(Next.at("gone").at(0).as_string() == "dc-1-r1-w2");
+  BOOST_TEST(Since(Next).at("hosts").as_array().empty());
+  json::value Unknown = get("/v1/hosts?since=other-1").Body;
+  BOOST_TEST(Unknown.at("hosts").as_array().size() == 1U);
+  BOOST_TEST(!Unknown.as_object().contains("gone"));
+}
+
 // Guards against switches that do not change what a daemon sees.
 BOOST_AUTO_TEST_CASE(WorkerFaultsTakeEffect) {
   auto Boot = sync(0, 1, 0, 0, 0).Body.at("boot").as_int64();
