Apply a longer usage period at once; tell reports from tasks in the bench

Tasks that already ran kept a first report at the old period, so a window after the start still counted one report per task. The period now moves them too. The bench measures a second window after the start and adds peers' traffic to the estimate.

--- a/packages/platform/include/heathersaddle/platform/WorkerModel.h
+++ b/packages/platform/include/heathersaddle/platform/WorkerModel.h
@@ -180,6 +180,7 @@
   // Requests (WorkerRequests.cpp).
   std::optional<WorkerReply> admit(const boost::json::value &Body,
                                    std::string_view Step);
+  void askUsage(base::Millis Period);
   /// Whether there are events that end a waiting sync.
   bool hasNews(std::uint64_t After) const;
   boost::json::array eventList(std::uint64_t After) const;
--- a/packages/platform/lib/WorkerRequests.cpp
+++ b/packages/platform/lib/WorkerRequests.cpp
@@ -80,7 +80,7 @@
     return errorReply(400, *E);
   if (auto Refusal = admit(Body, "sync"))
     return *Refusal;
-  UsageAsked = Usage;
+  askUsage(Usage);
   LeaseUntil = std::max(LeaseUntil, Until);
   // A number above the last event comes from before a restart; it must not
   // remove events that its sender has not seen.
@@ -97,6 +97,15 @@
          R.integerOr("wait_ms", 0, 0, MaxNumber) > 0 && !hasNews(After);
 }
 
+/// Also the reports that are already due move, so that a longer period holds at
+/// once.
+void WorkerModel::askUsage(Millis Period) {
+  const Millis Before = usagePeriod();
+  UsageAsked = Period;
+  for (auto &[Id, T] : Tasks)
+    T.NextUsage += usagePeriod() - Before;
+}
+
 bool WorkerModel::hasNews(std::uint64_t After) const {
   if (After > LastEvent)
     After = 0;
--- a/scripts/bench_control.py
+++ b/scripts/bench_control.py
@@ -28,6 +28,9 @@
 # worker's exchange the same number of times.
 WINDOW_SECONDS = 60
 GANG_TASKS = 64
+# The stand-in reports each task's usage 30 s after its start, so that the
+# window sees one report of each. Later ones are bounded for a whole cell.
+REPORTS_A_SECOND = 5
 CHANGES_TESTED_A_MINUTE = 30
 
 
@@ -66,6 +69,7 @@
         self.sizes = sizes
         self.raised = raised
         self.idle = self.busy = None
+        self.quiet = None  # With tasks, without their reports.
         self.amount = 0
         self.log_bytes_a_job = 0
         self.owners = {}
@@ -158,7 +162,9 @@
         idle = sum(c.rates["log"] for c in self.idle.values())
         moved -= idle * spent / len(before)
         self.log_bytes_a_job = moved / max(1, accepted) / len(before)
-        return self._window()
+        busy = self._window()
+        self.quiet = self._window()
+        return busy
 
 
 def figure(name, value, unit, target=None):
@@ -180,7 +186,11 @@
 def show_case(case):
     if case.failure:
         print(f"failed {case.name}: {case.failure}", flush=True)
-    for state, costs in (("idle", case.idle), (case.raised, case.busy)):
+    for state, costs in (
+        ("idle", case.idle),
+        (case.raised, case.busy),
+        ("quiet", case.quiet),
+    ):
         for daemon, cost in (costs or {}).items():
             owned = case.owners.get(daemon, 0)
             show(f"{case.name}.{daemon}.{state}", cost, owned)
@@ -212,8 +222,15 @@
             "per_worker", only(small.idle), only(large.idle),
             OWNER_WORKERS - 48, ["worker", "hosts"],
         )
+    if large.busy and large.quiet and large.amount:
+        found["task"] = slope(
+            "per_task", only(large.idle), only(large.quiet), large.amount,
+            ["worker", "log"],
+        )
+        rise = only(large.busy).rates["worker"] - only(large.quiet).rates["worker"]
+        found["report"] = rise * WINDOW_SECONDS / large.amount
+        figure("bytes_a_usage_report", found["report"], "B")
     for quantity, case, kinds in (
-        ("task", large, ["worker", "log"]),
         ("account", cases["w240"], ["log"]),
         ("change_a_minute", small, ["log"]),
     ):
@@ -231,9 +248,20 @@
     return found
 
 
+def peers(case):
+    """Mean bytes a second of the owners' traffic with their peers."""
+    owners = [c for name, c in case.idle.items() if case.owners.get(name)]
+    total = sum(c.rates["peer"] + c.rates["peer_server"] for c in owners)
+    mean = total / max(1, len(owners))
+    figure("owner_with_peers", mean, "B/s")
+    return mean
+
+
 def at_target(cases, found):
-    """An owner at the target size, from the slopes. Not itself a run."""
-    if set(found) != {"worker", "task", "account", "change_a_minute", "cell"}:
+    """An owner at the target size, from the slopes. Not itself a run, and
+    without the checkpoints, which come every 30 minutes."""
+    needed = {"worker", "task", "account", "change_a_minute", "cell", "report"}
+    if set(found) != needed or not cases["d6"].idle:
         print("estimate missing: a case was not measured", flush=True)
         return
     base = only(cases["w48"].idle)
@@ -248,6 +276,8 @@
         value += found["change_a_minute"][what] * CHANGES_A_MINUTE
         if what == "bytes":
             value += cases["w720"].log_bytes_a_job * JOBS_A_SECOND
+            value += found["report"] * REPORTS_A_SECOND
+            value += peers(cases["d6"])
         unit = {"bytes": "B/s", "cpu": "%", "memory": "MB"}[what]
         figure(f"estimate.owner_at_target.{what}", value, unit, BUDGET[what])
 
