--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,8 @@
 
 SEEDS ?= 300
 
-.PHONY: all packages build check lint sanitize bench demo faults fuzz mutations
+.PHONY: all packages build check lint sanitize bench bench-control demo faults fuzz \
+  mutations
 
 all: build
 
@@ -41,6 +42,10 @@
 bench: build
 	@$(BUILD)/packages/bench/heathersaddle_bench $(BENCH_ARGS)
 
+# Control traffic, CPU share and memory of daemons on loopback.
+bench-control: build
+	@python3 scripts/bench_control.py --build $(BUILD) --seed $(SEED)
+
 # A deployment on loopback under load and failures; SEED selects the load.
 SEED ?= 1
 demo: build
