Keep a job's failures across owners; count failures of unrepeatable jobs

Change: the state counts failed attempts of a job and the scheduler starts from that count; job_ended may name the workers whose tasks failed, and these count.

--- a/packages/control/lib/CellOutcomes.cpp
+++ b/packages/control/lib/CellOutcomes.cpp
@@ -13,9 +13,11 @@
 
 bool CellOwner::end(const state::Job &J, state::Outcome Result,
                     std::string_view Reason, bool Ran,
-                    std::vector<std::string> Parts) {
+                    std::vector<std::string> Parts,
+                    std::vector<std::string> FailedWorkers) {
   return record(state::JobEnded{by(), J.Spec.Id, J.Attempt, Result,
-                                std::string(Reason), Ran, std::move(Parts)},
+                                std::string(Reason), Ran, std::move(Parts),
+                                std::move(FailedWorkers)},
                 J.Spec.Id);
 }
 
@@ -59,9 +61,13 @@
 void CellOwner::endStarted(const state::Job &J, Track &T) {
   auto Result = state::Outcome::Failed;
   std::string Reason;
+  std::vector<std::string> FailedWorkers;
   for (unsigned I = 0; I < T.Tasks.size(); ++I) {
     const TaskTrack &X = T.Tasks[I];
-    if (X.What == Seen::Failed && Reason.empty())
+    if (X.What != Seen::Failed)
+      continue;
+    FailedWorkers.push_back(J.Tasks[I].Worker);
+    if (Reason.empty())
       Reason = X.Text.empty() ? "a task failed" : X.Text;
   }
   if (Reason.empty())
@@ -73,7 +79,7 @@
       }
   if (Reason.empty())
     Reason = J.StopReason.empty() ? T.Reason : "stopped: " + J.StopReason;
-  T.Concluded = end(J, Result, Reason, true);
+  T.Concluded = end(J, Result, Reason, true, {}, std::move(FailedWorkers));
 }
 
 void CellOwner::endAttempt(const state::Job &J, Track &T, bool Ran) {
--- a/packages/control/lib/CellOwner.h
+++ b/packages/control/lib/CellOwner.h
@@ -128,7 +128,8 @@
   void conclude(const state::Job &J, Track &T);
   void finish(const state::Job &J, Track &T);
   bool end(const state::Job &J, state::Outcome Result, std::string_view Reason,
-           bool Ran, std::vector<std::string> Parts = {});
+           bool Ran, std::vector<std::string> Parts = {},
+           std::vector<std::string> FailedWorkers = {});
   void endAttempt(const state::Job &J, Track &T, bool Ran);
   void endStarted(const state::Job &J, Track &T);
   void cancelPending(const state::Job &J);
--- a/packages/control/lib/CellScheduling.cpp
+++ b/packages/control/lib/CellScheduling.cpp
@@ -38,7 +38,7 @@
   return {J.Spec.Id,         J.Spec.Account,    J.Spec.Kind,
           J.Spec.Shape,      J.Spec.Urgent,     J.Spec.Idempotent,
           J.Spec.AcceptedMs, J.Spec.DeadlineMs, J.Spec.RunTimeMs,
-          J.ProgressMs,      J.Attempt};
+          J.ProgressMs,      J.Attempt,         J.Failures};
 }
 } // namespace
 
@@ -109,9 +109,13 @@
   } else if (std::holds_alternative<state::JobEnded>(What) ||
              std::holds_alternative<state::AnswerRelayed>(What)) {
     if (J->Result == state::Outcome::Finished)
-      Scheduler.jobFinished(Id, C.clock());
-    else
-      Scheduler.jobRemoved(Id);
+      return Scheduler.jobFinished(Id, C.clock());
+    // The failure of a job that is not retried counts against its workers, too.
+    const auto *End = std::get_if<state::JobEnded>(&What);
+    if (End && !End->FailedWorkers.empty())
+      Scheduler.attemptEnded(Id, policy::AttemptEnd::TaskFailed,
+                             End->FailedWorkers, C.clock());
+    Scheduler.jobRemoved(Id);
   }
 }
 
--- a/packages/policy/include/heathersaddle/policy/Scheduler.h
+++ b/packages/policy/include/heathersaddle/policy/Scheduler.h
@@ -32,6 +32,7 @@
   std::int64_t DeclaredRunMs = 0; ///< A hint only.
   std::int64_t ProgressMs = 0;    ///< Kept by its last checkpoint.
   unsigned Attempt = 0;           ///< Attempts made so far.
+  unsigned Failures = 0;          ///< Attempts that ended with a task's error.
 };
 
 /// Why an attempt ended without a result.
--- a/packages/policy/lib/Events.cpp
+++ b/packages/policy/lib/Events.cpp
@@ -104,6 +104,13 @@
   J.ProgressMs = std::max<std::int64_t>(View.ProgressMs, 0);
   J.ProgressAt = Now;
   I->enqueue(J);
+  // The count outlives this scheduler, which starts empty with each owner.
+  if (View.Failures == 0)
+    return;
+  Trouble &T = J.issues();
+  T.Failures = std::max(T.Failures, View.Failures);
+  if (T.Failures >= MaxFailedAttempts)
+    I->end(J, true, "The job failed too often.");
 }
 
 void Scheduler::jobPlaced(std::string_view Id,
--- a/packages/state/include/heathersaddle/state/Record.h
+++ b/packages/state/include/heathersaddle/state/Record.h
@@ -114,6 +114,8 @@
   std::string Reason;
   bool Ran = true;                ///< false: certainly nothing ran.
   std::vector<std::string> Parts; ///< One answer a task, in task order.
+  /// Workers whose tasks failed, of a job that is not retried.
+  std::vector<std::string> FailedWorkers;
 };
 /// A finished attempt's whole answer, from a daemon that got it directly from
 /// an owner that could not reach the log. Any daemon may write it: the attempt
--- a/packages/state/include/heathersaddle/state/State.h
+++ b/packages/state/include/heathersaddle/state/State.h
@@ -41,6 +41,7 @@
   bool Started = false; ///< The present attempt's start is recorded.
   bool EverStarted = false;
   bool CancelWanted = false;
+  unsigned Failures = 0; ///< Attempts that ended with a task's error.
   std::int64_t ProgressMs = 0;
   std::vector<pool::Placement> Tasks; ///< Of the present attempt.
   std::string StopReason;
--- a/packages/state/lib/ApplyJobs.cpp
+++ b/packages/state/lib/ApplyJobs.cpp
@@ -267,6 +267,7 @@
   if (MayHaveRun && !J.Spec.Idempotent)
     return conflict("a non-idempotent job that may have run must end");
   J.EverStarted |= MayHaveRun;
+  J.Failures += B.Why == AttemptEnd::TaskFailed ? 1 : 0;
   if (MayHaveRun)
     J.ProgressMs = std::max(J.ProgressMs, B.ProgressMs);
   J.Started = false;
--- a/packages/state/lib/RecordCodec.cpp
+++ b/packages/state/lib/RecordCodec.cpp
@@ -87,6 +87,8 @@
   O["reason"] = B.Reason;
   O["ran"] = B.Ran;
   O["parts"] = toJson(B.Parts);
+  if (!B.FailedWorkers.empty())
+    O["failed_workers"] = toJson(B.FailedWorkers);
   return O;
 }
 json::value bodyOf(const AnswerRelayed &B) {
@@ -169,6 +171,8 @@
   B.Reason = R.string("reason", MaxReason);
   B.Ran = R.booleanOr("ran", true);
   B.Parts = textsFrom(R, "parts", pool::MaxTasks);
+  if (R.find("failed_workers"))
+    B.FailedWorkers = textsFrom(R, "failed_workers", pool::MaxTasks);
   return B;
 }
 
--- a/packages/state/lib/Snapshot.cpp
+++ b/packages/state/lib/Snapshot.cpp
@@ -25,6 +25,7 @@
           {"started", J.Started},
           {"ever_started", J.EverStarted},
           {"cancel", J.CancelWanted},
+          {"failures", J.Failures},
           {"progress_ms", J.ProgressMs},
           {"tasks", toJson(J.Tasks)},
           {"stop_reason", J.StopReason},
@@ -52,6 +53,7 @@
   J.Started = R.booleanOr("started", false);
   J.EverStarted = R.booleanOr("ever_started", false);
   J.CancelWanted = R.booleanOr("cancel", false);
+  J.Failures = static_cast<unsigned>(R.integer("failures", 0, 1'000'000));
   J.ProgressMs = R.integer("progress_ms", 0, MaxNumber);
   J.Tasks = placementsFrom(R, "tasks");
   J.StopReason = R.string("stop_reason", MaxReason);
