--- a/packages/daemon/lib/Driver.cpp
+++ b/packages/daemon/lib/Driver.cpp
@@ -97,7 +97,7 @@
     Spec.Shape.SlotsPerTask = *Slots;
     if (Asked.DeadlineAfterMs)
       Spec.DeadlineMs = T.Wall + Asked.DeadlineAfterMs;
-    N.submit(std::move(Asked.Request), std::move(Next), T);
+    N.submit(std::move(Asked.Request), Next, T);
   });
 }
 
