--- a/packages/policy/lib/Events.cpp
+++ b/packages/policy/lib/Events.cpp
@@ -172,8 +172,17 @@
   Times.succeeded(J.Kind);
   if (!J.Issues)
     return;
-  for (const std::string &W : J.Issues->Watched)
-    Health.erase(W);
+  for (const std::string &W : J.Issues->Watched) {
+    auto Known = Health.find(W);
+    if (Known == Health.end())
+      continue;
+    // A quarantine ends by a probe only: without its entry nothing would ever
+    // bring the worker back.
+    if (Known->second.UntilMs)
+      Known->second.FailedJobs.clear();
+    else
+      Health.erase(Known);
+  }
 }
 
 void Scheduler::jobFinished(std::string_view Id, base::WallMs Now) {
--- a/packages/policy/tests/SchedulerTest.cpp
+++ b/packages/policy/tests/SchedulerTest.cpp
@@ -378,6 +378,31 @@
   BOOST_TEST(W.Cell.jobsOn("w0").size() > 1U);
 }
 
+// Guards against a quarantine that never ends because a job that was still
+// running on the worker finished meanwhile.
+BOOST_AUTO_TEST_CASE(QuarantineEndsAlsoWhenRunningWorkSucceeds) {
+  World W;
+  W.addWorkers(1, 8, 1);
+  std::string Long;
+  for (unsigned N = 0; N != 3; ++N) {
+    JobView &V = W.submit("a", {1, 1}, true);
+    V.Kind = "kind" + std::to_string(N);
+    W.Sched.jobPending(V, W.Now);
+    if (N == 2)
+      Long = W.submit("b", {1, 1}, true).Id;
+    W.settle();
+    W.endAttempt(V.Id, AttemptEnd::TaskFailed, {"w0"});
+  }
+  W.settle();
+  BOOST_REQUIRE((*W.Cell.status("w0") == WorkerStatus::Quarantined));
+  BOOST_REQUIRE(W.runs(Long));
+  W.finish(Long);
+  W.settle();
+  W.Now += 60'000;
+  W.settle();
+  BOOST_TEST((*W.Cell.status("w0") == WorkerStatus::Up));
+}
+
 // Guards against a job that fails everywhere, and against healthy workers
 // quarantined for it.
 BOOST_AUTO_TEST_CASE(BadJobEndsAsFailedAndWorkersStayUp) {
