Tell an unrecorded answer only when every daemon has lost the log

Change: answers are pushed in two rounds; peers record what they can, and callers are told before the record only when every peer confirms the outage.

--- a/packages/control/lib/Requests.cpp
+++ b/packages/control/lib/Requests.cpp
@@ -258,6 +258,26 @@
   }
 }
 
+namespace {
+
+/// The replies of all peers to one pushed answer.
+struct PushRound {
+  std::size_t Open = 0;
+  bool LogDownForAll = true;
+};
+
+bool saysLogDown(const base::Expected<json::value> &Reply) {
+  const json::object *O = Reply ? Reply->if_object() : nullptr;
+  const json::value *Down = O ? O->if_contains("log_down") : nullptr;
+  return Down && Down->is_bool() && Down->as_bool();
+}
+
+} // namespace
+
+// In two rounds. First every peer gets the answer to record. Only when every
+// peer confirms that the log is down for it, too, are callers told before the
+// record: a peer that is silent may still reach the log, and a later owner
+// there could record another outcome first.
 void Requests::pushAnswer(const state::Job &J,
                           const std::vector<std::string> &Parts) {
   const state::Cell *Cell = C.St.cell(J.Cell);
@@ -268,12 +288,31 @@
                     {"cell", J.Cell},
                     {"epoch", Cell ? Cell->Epoch : 0},
                     {"attempt", J.Attempt},
-                    {"answer", std::move(List)}};
+                    {"answer", std::move(List)},
+                    {"tell", false}};
+  std::map<std::string, std::string> Peers;
   for (const auto &[Name, D] : C.St.daemons())
     if (Name != C.S.Name)
-      C.callPeer(Name, D.Address, "/v1/peer/answers", Body,
-                 [](const base::Expected<json::value> &) {});
+      Peers.emplace(Name, D.Address);
   (void)onPushedAnswer(Body);
+  auto Tell = [this, Peers, Body]() mutable {
+    Body["tell"] = true;
+    for (const auto &[Name, Address] : Peers)
+      C.callPeer(Name, Address, "/v1/peer/answers", Body,
+                 [](const base::Expected<json::value> &) {});
+    (void)onPushedAnswer(Body);
+  };
+  if (Peers.empty())
+    return Tell();
+  auto Round = std::make_shared<PushRound>();
+  Round->Open = Peers.size();
+  for (const auto &[Name, Address] : Peers)
+    C.callPeer(Name, Address, "/v1/peer/answers", Body,
+               [Round, Tell](const base::Expected<json::value> &R) mutable {
+                 Round->LogDownForAll &= saysLogDown(R);
+                 if (--Round->Open == 0 && Round->LogDownForAll)
+                   Tell();
+               });
 }
 
 base::Expected<json::value> Requests::onPushedAnswer(const json::value &Body) {
@@ -291,8 +330,10 @@
       J->Attempt != Attempt)
     return base::makeError(base::ErrorCode::Conflict, "peer answers",
                            "the answer does not match the job's state", Cell);
+  bool Down = LogDown && LogDown();
+  json::object Reply{{"ok", true}, {"log_down", Down}};
   if (!J->live())
-    return json::object{{"ok", true}};
+    return Reply;
   if (Early.size() >= MaxEarly)
     return base::makeError(base::ErrorCode::Unavailable, "peer answers",
                            "too many pushed answers are kept");
@@ -303,13 +344,12 @@
     return base::makeError(base::ErrorCode::InvalidArgument, "peer answers",
                            "the answer is not whole", Cell, "answer");
   relay(*J, A);
-  // With the log at hand the answer is told once it is recorded: telling it
-  // before would contradict a record that comes first.
-  if (LogDown && LogDown()) {
+  // With the log at hand the answer is told once it is recorded.
+  if (Down && R.booleanOr("tell", false)) {
     Early.insert_or_assign(Job, std::move(A));
     onJobChanged(Job);
   }
-  return json::object{{"ok", true}};
+  return Reply;
 }
 
 void Requests::relay(const state::Job &J, const EarlyAnswer &A) {
