Test job quotas and failures counted across owners

Cause: the quota of live jobs and the durable count of failures had no test. Change: two stories in JobsTest.

--- a/packages/state/tests/JobsTest.cpp
+++ b/packages/state/tests/JobsTest.cpp
@@ -43,6 +43,22 @@
   BOOST_TEST(!accept(spec("j2", "b")).Applied);
 }
 
+// Guards against an account that fills the pool's queues, and against a quota
+// that stays used up after its jobs have ended.
+BOOST_AUTO_TEST_CASE(UpToTheQuotaOfThePlan) {
+  Plan Small = plan("gold", 8);
+  Small.MaxJobs = 2;
+  BOOST_REQUIRE(publishPlans({Small}, 1).Applied);
+  accept(spec("j1", "a"));
+  accept(spec("j2", "a"));
+  Verdict V = accept(spec("j3", "a"));
+  BOOST_TEST(!V.Applied);
+  BOOST_TEST((V.Why.Code == base::ErrorCode::ResourceExhausted));
+  BOOST_TEST(accept(spec("j4", "b")).Applied);
+  append(1, JobEnded{owner(), "j1", 0, Outcome::NotRun, "r", false, {}, {}});
+  BOOST_TEST(accept(spec("j3", "a")).Applied);
+}
+
 // Guards against a repeated append that takes effect twice.
 BOOST_AUTO_TEST_CASE(OnceWhenTheAppendIsRepeated) {
   Record R{77, 1, Wall, JobAccepted{spec("j1", "a"), "dc1"}};
@@ -107,6 +123,20 @@
   BOOST_TEST(place("j", 2, true, {{W, 1}}).Applied);
 }
 
+// Guards against a failing job that starts afresh with every new owner.
+BOOST_AUTO_TEST_CASE(WithItsFailuresCountedAcrossOwners) {
+  std::string W = homeWorker("a");
+  accept(spec("j", "a", 1, true));
+  for (unsigned Attempt = 1; Attempt <= 2; ++Attempt) {
+    place("j", Attempt, true, {{W, 1}});
+    append(1,
+           AttemptEnded{owner(), "j", Attempt, AttemptEnd::TaskFailed, 0, {W}});
+  }
+  auto Copy = State::restore(S.serialize());
+  BOOST_REQUIRE(Copy);
+  BOOST_TEST(Copy->job("j")->Failures == 2u);
+}
+
 // Guards against a job that cannot be repeated on slots that can be reclaimed.
 BOOST_AUTO_TEST_CASE(NeverOnBorrowedSlotsWhenNonIdempotent) {
   accept(spec("j", "a"));
