--- a/packages/policy/include/heathersaddle/policy/Scheduler.h
+++ b/packages/policy/include/heathersaddle/policy/Scheduler.h
@@ -107,7 +107,7 @@
 /// \endcode
 ///
 /// Decisions take effect only through the events: a PlaceDecision is repeated
-/// by the next pass unless jobPlaced(), jobRemoved() or deferred() is called.
+/// by the next pass unless jobPlaced() or jobRemoved() is called.
 class Scheduler {
 public:
   explicit Scheduler(const Settings &S);
