Rename the package platform to standin

Cause: the users' platform gets an adapter in a folder of its own, platform/. Two things with one name would be confused in every sentence about either. Ruled out: another name for the adapter's folder; the users have fixed it. Change: package, namespace, include folder, targets and guards; no behaviour. Conclusion: one word, one meaning.

--- a/Makefile
+++ b/Makefile
@@ -36,8 +36,8 @@
 	@cmake -S . -B $(BUILD)-thread -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo \
 	  -DHEATHERSADDLE_SANITIZE=thread >$(BUILD)-thread.log 2>&1 || \
 	  { cat $(BUILD)-thread.log; exit 1; }
-	@cmake --build $(BUILD)-thread -j $(JOBS) --target net_test daemon_test platform_test
-	@ctest --test-dir $(BUILD)-thread --output-on-failure -R '^(net|platform)$$'
+	@cmake --build $(BUILD)-thread -j $(JOBS) --target net_test daemon_test standin_test
+	@ctest --test-dir $(BUILD)-thread --output-on-failure -R '^(net|standin)$$'
 	@echo "passed over (KNOWN-RED.txt): daemon under the thread sanitizer"
 
 bench: build
--- a/packages/fuzz/lib/LogHost.h
+++ b/packages/fuzz/lib/LogHost.h
@@ -3,7 +3,7 @@
 
 #include "Simulation.h"
 #include "heathersaddle/control/Actions.h"
-#include "heathersaddle/platform/LogModel.h"
+#include "heathersaddle/standin/LogModel.h"
 #include <functional>
 #include <list>
 #include <set>
@@ -58,7 +58,7 @@
   Simulation &Sim;
   Random &Rng;
   Observer Seen;
-  platform::LogModel Model;
+  standin::LogModel Model;
   std::list<Waiter> Waiters;
   std::uint64_t NextWaiter = 0;
   std::uint64_t Covered = 0;       ///< By the newest snapshot in the log.
--- a/packages/fuzz/lib/Oracle.cpp
+++ b/packages/fuzz/lib/Oracle.cpp
@@ -7,8 +7,8 @@
 
 namespace heathersaddle::fuzz {
 
-using platform::AuditEntry;
-using platform::RunEnd;
+using standin::AuditEntry;
+using standin::RunEnd;
 using state::Outcome;
 
 void Oracle::onRecord(std::uint64_t Offset, const std::string &Text) {
--- a/packages/fuzz/lib/Oracle.h
+++ b/packages/fuzz/lib/Oracle.h
@@ -35,7 +35,7 @@
 
 private:
   struct Member {
-    const platform::AuditEntry *Entry;
+    const standin::AuditEntry *Entry;
     const WorkerHost *Worker;
     Millis Reserved, Started, Ended; ///< Virtual time.
     bool Open; ///< Not ended yet; Ended is the present time.
--- a/packages/fuzz/lib/WorkerHost.cpp
+++ b/packages/fuzz/lib/WorkerHost.cpp
@@ -17,7 +17,7 @@
          std::to_string(Tasks);
 }
 
-platform::TaskOutcome soundOutcome(const platform::TaskRequest &R) {
+standin::TaskOutcome soundOutcome(const standin::TaskRequest &R) {
   Random Draw(std::hash<std::string>{}(R.Input) + R.Task);
   Millis Time = R.Kind == "slow" ? Millis(Draw.within(3'000, 20'000))
                                  : Millis(Draw.within(100, 1'500));
@@ -29,7 +29,7 @@
     : Sim(Sim), Rng(Rng), Host(std::move(Entry)), Complain(std::move(Complain)),
       Skew(Rng.within(1, 1'000'000)),
       Model({WorkerSlots, Millis{5'000}, RememberStopped}, Rng.next() >> 2,
-            [this](const platform::TaskRequest &R) {
+            [this](const standin::TaskRequest &R) {
               auto Outcome = soundOutcome(R);
               Outcome.Success =
                   Outcome.Success && this->Sim.now() >= FailingUntil;
@@ -56,7 +56,7 @@
   if (Path == "/v1/commands")
     answer(Done, Model.commands(Body, clock()));
   else if (Path == "/v1/sync") {
-    platform::WorkerReply R = Model.sync(Body, clock());
+    standin::WorkerReply R = Model.sync(Body, clock());
     if (R.Status == 200 && Model.shouldWait(Body))
       hold(Body, Done);
     else
@@ -115,7 +115,7 @@
 }
 
 void WorkerHost::answer(const Reply<json::value> &Done,
-                        platform::WorkerReply R) {
+                        standin::WorkerReply R) {
   base::Expected<json::value> Result(std::move(R.Body));
   if (R.Status == 400)
     Complain("invalid request: " + json::serialize(*Result));
--- a/packages/fuzz/lib/WorkerHost.h
+++ b/packages/fuzz/lib/WorkerHost.h
@@ -2,7 +2,7 @@
 #define HEATHERSADDLE_FUZZ_WORKERHOST_H
 
 #include "LogHost.h"
-#include "heathersaddle/platform/WorkerModel.h"
+#include "heathersaddle/standin/WorkerModel.h"
 #include <list>
 
 namespace heathersaddle::fuzz {
@@ -13,7 +13,7 @@
 std::string expectedAnswer(std::string_view Input, unsigned Task,
                            unsigned Tasks);
 /// How a sound worker runs the task; a function of the input alone.
-platform::TaskOutcome soundOutcome(const platform::TaskRequest &R);
+standin::TaskOutcome soundOutcome(const standin::TaskRequest &R);
 
 /// One worker host in virtual time.
 class WorkerHost {
@@ -44,7 +44,7 @@
   bool isOff() const { return Sim.now() < OffUntil; }
   /// The entry in the platform's host list.
   control::HostEntry entry() const;
-  const std::vector<platform::AuditEntry> &audit() const {
+  const std::vector<standin::AuditEntry> &audit() const {
     return Model.audit();
   }
   /// Virtual time of a time in the audit trail.
@@ -71,14 +71,14 @@
   void serveHeld();
   void scheduleChange();
   void answer(const Reply<boost::json::value> &Done,
-              platform::WorkerReply Reply);
+              standin::WorkerReply Reply);
 
   Simulation &Sim;
   Random &Rng;
   control::HostEntry Host;
   Complaint Complain;
   Millis Skew; ///< Of the worker's clock; constant.
-  platform::WorkerModel Model;
+  standin::WorkerModel Model;
   std::list<Held> Waiting;
   std::vector<std::function<void()>> Backlog; ///< Arrived while paused.
   std::vector<Pause> Pauses;
--- a/packages/platform/include/heathersaddle/platform/LogModel.h
+++ b/packages/standin/include/heathersaddle/standin/LogModel.h
@@ -1,5 +1,5 @@
-#ifndef HEATHERSADDLE_PLATFORM_LOGMODEL_H
-#define HEATHERSADDLE_PLATFORM_LOGMODEL_H
+#ifndef HEATHERSADDLE_STANDIN_LOGMODEL_H
+#define HEATHERSADDLE_STANDIN_LOGMODEL_H
 
 #include "heathersaddle/base/Error.h"
 #include "heathersaddle/base/Time.h"
@@ -11,7 +11,7 @@
 #include <string_view>
 #include <vector>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 inline constexpr std::size_t MaxStreams = 16;
 inline constexpr std::size_t MaxBatchRecords = 256;
@@ -76,6 +76,6 @@
   LogFaults Switches;
 };
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
 
 #endif
--- a/packages/platform/include/heathersaddle/platform/Standin.h
+++ b/packages/standin/include/heathersaddle/standin/Standin.h
@@ -1,5 +1,5 @@
-#ifndef HEATHERSADDLE_PLATFORM_STANDIN_H
-#define HEATHERSADDLE_PLATFORM_STANDIN_H
+#ifndef HEATHERSADDLE_STANDIN_STANDIN_H
+#define HEATHERSADDLE_STANDIN_STANDIN_H
 
 #include "heathersaddle/base/Error.h"
 #include "heathersaddle/base/Time.h"
@@ -12,7 +12,7 @@
 class io_context;
 } // namespace boost::asio
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 struct StandinSettings {
   unsigned DataCentres = 3;
@@ -57,6 +57,6 @@
   std::unique_ptr<Impl> I;
 };
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
 
 #endif
--- a/packages/platform/include/heathersaddle/platform/TaskKinds.h
+++ b/packages/standin/include/heathersaddle/standin/TaskKinds.h
@@ -1,9 +1,9 @@
-#ifndef HEATHERSADDLE_PLATFORM_TASKKINDS_H
-#define HEATHERSADDLE_PLATFORM_TASKKINDS_H
+#ifndef HEATHERSADDLE_STANDIN_TASKKINDS_H
+#define HEATHERSADDLE_STANDIN_TASKKINDS_H
 
-#include "heathersaddle/platform/WorkerModel.h"
+#include "heathersaddle/standin/WorkerModel.h"
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 /// The work that stand-in workers do:
 ///
@@ -20,6 +20,6 @@
 /// as 16 hexadecimal digits. A checker can compute it without the worker.
 std::string echoAnswer(const TaskRequest &Request);
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
 
 #endif
--- a/packages/platform/include/heathersaddle/platform/WorkerModel.h
+++ b/packages/standin/include/heathersaddle/standin/WorkerModel.h
@@ -1,5 +1,5 @@
-#ifndef HEATHERSADDLE_PLATFORM_WORKERMODEL_H
-#define HEATHERSADDLE_PLATFORM_WORKERMODEL_H
+#ifndef HEATHERSADDLE_STANDIN_WORKERMODEL_H
+#define HEATHERSADDLE_STANDIN_WORKERMODEL_H
 
 #include "heathersaddle/base/Error.h"
 #include "heathersaddle/base/Time.h"
@@ -16,7 +16,7 @@
 #include <utility>
 #include <vector>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 inline constexpr std::size_t MaxCommands = 256; ///< In one request.
 
@@ -201,6 +201,6 @@
   std::vector<AuditEntry> Audit;
 };
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
 
 #endif
--- a/packages/platform/lib/HostList.cpp
+++ b/packages/standin/lib/HostList.cpp
@@ -5,7 +5,7 @@
 #include <charconv>
 #include <random>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 HostList::HostList(base::Millis Lag)
     : Lag(Lag), Boot(std::to_string(std::random_device{}())) {}
@@ -82,4 +82,4 @@
   return Reply;
 }
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
--- a/packages/platform/lib/HostList.h
+++ b/packages/standin/lib/HostList.h
@@ -1,5 +1,5 @@
-#ifndef HEATHERSADDLE_PLATFORM_HOSTLIST_H
-#define HEATHERSADDLE_PLATFORM_HOSTLIST_H
+#ifndef HEATHERSADDLE_STANDIN_HOSTLIST_H
+#define HEATHERSADDLE_STANDIN_HOSTLIST_H
 
 #include "heathersaddle/base/Time.h"
 #include <boost/json/array.hpp>
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 /// The platform's host list: each change shows after a lag.
 class HostList {
@@ -49,6 +49,6 @@
   std::vector<Entry> Entries;
 };
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
 
 #endif
--- a/packages/platform/lib/LogModel.cpp
+++ b/packages/standin/lib/LogModel.cpp
@@ -1,9 +1,9 @@
 // Approach: each stream is a deque of records and the offset of its first
 // element. Bounds: MaxStreams streams; batches and pages as in the header.
-#include "heathersaddle/platform/LogModel.h"
+#include "heathersaddle/standin/LogModel.h"
 #include <algorithm>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 using base::ErrorCode;
 using base::makeError;
@@ -102,4 +102,4 @@
   }
 }
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
--- a/packages/platform/lib/LogService.cpp
+++ b/packages/standin/lib/LogService.cpp
@@ -9,7 +9,7 @@
 #include <chrono>
 #include <memory>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 namespace json = boost::json;
 using base::ErrorCode;
@@ -189,4 +189,4 @@
   return {{"appends", Appends}, {"records", Records}, {"bytes", Bytes}};
 }
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
--- a/packages/platform/lib/LogService.h
+++ b/packages/standin/lib/LogService.h
@@ -1,14 +1,14 @@
-#ifndef HEATHERSADDLE_PLATFORM_LOGSERVICE_H
-#define HEATHERSADDLE_PLATFORM_LOGSERVICE_H
+#ifndef HEATHERSADDLE_STANDIN_LOGSERVICE_H
+#define HEATHERSADDLE_STANDIN_LOGSERVICE_H
 
 #include "heathersaddle/net/Message.h"
-#include "heathersaddle/platform/LogModel.h"
+#include "heathersaddle/standin/LogModel.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 #include <list>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 /// Serves a LogModel over HTTP: waiting reads, late and lost answers.
 class LogService {
@@ -54,6 +54,6 @@
   std::uint64_t Bytes = 0;
 };
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
 
 #endif
--- a/packages/platform/lib/Replies.h
+++ b/packages/standin/lib/Replies.h
@@ -1,12 +1,12 @@
-#ifndef HEATHERSADDLE_PLATFORM_REPLIES_H
-#define HEATHERSADDLE_PLATFORM_REPLIES_H
+#ifndef HEATHERSADDLE_STANDIN_REPLIES_H
+#define HEATHERSADDLE_STANDIN_REPLIES_H
 
 #include "heathersaddle/base/Error.h"
 #include "heathersaddle/net/Message.h"
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 inline net::Response jsonReply(unsigned Status,
                                const boost::json::value &Body) {
@@ -47,6 +47,6 @@
                      "there is no such path or method", ""});
 }
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
 
 #endif
--- a/packages/platform/lib/Standin.cpp
+++ b/packages/standin/lib/Standin.cpp
@@ -1,7 +1,7 @@
 // Everything runs on the one thread of the io_context, so the models need no
 // locks. A fault request is checked as a whole before any switch is set.
 
-#include "heathersaddle/platform/Standin.h"
+#include "heathersaddle/standin/Standin.h"
 #include "HostList.h"
 #include "LogService.h"
 #include "Replies.h"
@@ -9,7 +9,7 @@
 #include "heathersaddle/base/Json.h"
 #include <map>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 namespace json = boost::json;
 
@@ -213,4 +213,4 @@
 
 std::size_t Standin::workerCount() const { return I->Workers.size(); }
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
--- a/packages/platform/lib/TaskKinds.cpp
+++ b/packages/standin/lib/TaskKinds.cpp
@@ -1,8 +1,8 @@
-#include "heathersaddle/platform/TaskKinds.h"
+#include "heathersaddle/standin/TaskKinds.h"
 #include <algorithm>
 #include <charconv>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 using base::Millis;
 
@@ -71,4 +71,4 @@
   return {Millis(0), false, "the kind '" + Request.Kind + "' is not known"};
 }
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
--- a/packages/platform/lib/WorkerCommands.cpp
+++ b/packages/standin/lib/WorkerCommands.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <charconv>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 namespace json = boost::json;
 using base::Millis;
@@ -151,4 +151,4 @@
   return "";
 }
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
--- a/packages/platform/lib/WorkerCommands.h
+++ b/packages/standin/lib/WorkerCommands.h
@@ -1,10 +1,10 @@
-#ifndef HEATHERSADDLE_PLATFORM_WORKERCOMMANDS_H
-#define HEATHERSADDLE_PLATFORM_WORKERCOMMANDS_H
+#ifndef HEATHERSADDLE_STANDIN_WORKERCOMMANDS_H
+#define HEATHERSADDLE_STANDIN_WORKERCOMMANDS_H
 
 #include "heathersaddle/base/Json.h"
-#include "heathersaddle/platform/WorkerModel.h"
+#include "heathersaddle/standin/WorkerModel.h"
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 /// One element of `commands`.
 struct WorkerModel::Command {
@@ -19,6 +19,6 @@
   static base::Expected<Command> parse(const boost::json::value &Value);
 };
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
 
 #endif
--- a/packages/platform/lib/WorkerModel.cpp
+++ b/packages/standin/lib/WorkerModel.cpp
@@ -3,10 +3,10 @@
 // from stored values; advance() carries them out in the order of time.
 // Bounds: one change at a time; the number of tasks is bounded by the slots
 // and the ended tasks of one boot.
-#include "heathersaddle/platform/WorkerModel.h"
+#include "heathersaddle/standin/WorkerModel.h"
 #include <algorithm>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 using base::Millis;
 
@@ -165,4 +165,4 @@
   advance(Now);
 }
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
--- a/packages/platform/lib/WorkerRequests.cpp
+++ b/packages/standin/lib/WorkerRequests.cpp
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <limits>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 namespace json = boost::json;
 using base::Millis;
@@ -162,4 +162,4 @@
   return List;
 }
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
--- a/packages/platform/lib/WorkerService.cpp
+++ b/packages/standin/lib/WorkerService.cpp
@@ -5,11 +5,11 @@
 #include "WorkerService.h"
 #include "Replies.h"
 #include "heathersaddle/base/Json.h"
-#include "heathersaddle/platform/TaskKinds.h"
+#include "heathersaddle/standin/TaskKinds.h"
 #include <algorithm>
 #include <chrono>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 namespace json = boost::json;
 using base::Millis;
@@ -290,4 +290,4 @@
   }
 }
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
--- a/packages/platform/lib/WorkerService.h
+++ b/packages/standin/lib/WorkerService.h
@@ -1,8 +1,8 @@
-#ifndef HEATHERSADDLE_PLATFORM_WORKERSERVICE_H
-#define HEATHERSADDLE_PLATFORM_WORKERSERVICE_H
+#ifndef HEATHERSADDLE_STANDIN_WORKERSERVICE_H
+#define HEATHERSADDLE_STANDIN_WORKERSERVICE_H
 
 #include "heathersaddle/net/HttpServer.h"
-#include "heathersaddle/platform/WorkerModel.h"
+#include "heathersaddle/standin/WorkerModel.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/array.hpp>
@@ -10,7 +10,7 @@
 #include <memory>
 #include <random>
 
-namespace heathersaddle::platform {
+namespace heathersaddle::standin {
 
 /// What a worker is and where it stands.
 struct WorkerPlace {
@@ -103,6 +103,6 @@
 /// The clock of the audit: milliseconds since the first call.
 base::Millis platformNow();
 
-} // namespace heathersaddle::platform
+} // namespace heathersaddle::standin
 
 #endif
--- a/packages/platform/tests/ModelTest.cpp
+++ b/packages/standin/tests/ModelTest.cpp
@@ -1,11 +1,11 @@
 #define BOOST_TEST_MODULE platform
-#include "heathersaddle/platform/LogModel.h"
-#include "heathersaddle/platform/WorkerModel.h"
+#include "heathersaddle/standin/LogModel.h"
+#include "heathersaddle/standin/WorkerModel.h"
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
 
 using namespace heathersaddle;
-using namespace heathersaddle::platform;
+using namespace heathersaddle::standin;
 namespace json = boost::json;
 using base::Millis;
 
--- a/packages/platform/tests/StandinTest.cpp
+++ b/packages/standin/tests/StandinTest.cpp
@@ -1,6 +1,6 @@
-#include "heathersaddle/platform/Standin.h"
+#include "heathersaddle/standin/Standin.h"
 #include "heathersaddle/net/HttpClient.h"
-#include "heathersaddle/platform/TaskKinds.h"
+#include "heathersaddle/standin/TaskKinds.h"
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
 #include <boost/test/unit_test.hpp>
@@ -8,7 +8,7 @@
 #include <thread>
 
 using namespace heathersaddle;
-using namespace heathersaddle::platform;
+using namespace heathersaddle::standin;
 namespace json = boost::json;
 
 namespace {
--- a/packages/tool/lib/DevPlatform.cpp
+++ b/packages/tool/lib/DevPlatform.cpp
@@ -1,4 +1,4 @@
-#include "heathersaddle/platform/Standin.h"
+#include "heathersaddle/standin/Standin.h"
 #include "heathersaddle/tool/Program.h"
 #include "heathersaddle/tool/Render.h"
 #include <boost/asio/io_context.hpp>
@@ -10,8 +10,8 @@
 
 namespace {
 
-platform::StandinSettings settings(const PlatformArguments &P) {
-  platform::StandinSettings S;
+standin::StandinSettings settings(const PlatformArguments &P) {
+  standin::StandinSettings S;
   S.DataCentres = P.DataCentres;
   S.Racks = P.Racks;
   S.WorkersPerRack = P.Workers;
@@ -27,7 +27,7 @@
 
 int servePlatform(const Invocation &I) {
   boost::asio::io_context Io(1);
-  platform::Standin Server(Io, settings(I.Platform));
+  standin::Standin Server(Io, settings(I.Platform));
   auto Port = Server.start();
   if (!Port) {
     std::cerr << Port.error().toString() << "\n";
