--- /dev/null
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -0,0 +1,113 @@
+#ifndef HEATHERSADDLE_CLUSTER_NODE_H
+#define HEATHERSADDLE_CLUSTER_NODE_H
+
+#include "heathersaddle/base/StructuredLog.h"
+#include "heathersaddle/cluster/Ports.h"
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace heathersaddle::cluster {
+
+struct NodeSettings {
+  std::string Name;
+  std::string Incarnation; ///< Unique per process start.
+  std::uint64_t Seed = 0;  ///< For jitter.
+  /// Most time a worker grants a lease for.
+  base::Millis LeaseMost{6'000};
+  /// Ended jobs stay known this long.
+  base::Millis StatusKept{120'000};
+  /// Most time a worker takes to stop a run.
+  base::Millis StopMost{1'000};
+  /// A gang's members must all be present within this time.
+  base::Millis GangAssembly{3'000};
+};
+
+struct Now {
+  base::MonoTime Mono{}; ///< Also counts time while the host is suspended.
+  base::WallMs Wall = 0; ///< May jump.
+};
+
+/// Why a job was not accepted, in terms a caller can act on.
+struct Refusal {
+  enum Kind {
+    Overloaded,  ///< Certainly not run; try again after RetryAfter.
+    Unavailable, ///< Certainly not run; another daemon may accept it.
+    Unresolved,  ///< The store did not answer; ask again with the same id.
+    Invalid      ///< Can never run.
+  };
+  Kind Why = Unavailable;
+  base::Millis RetryAfter{1'000};
+  std::string Message;
+};
+
+/// What status() tells.
+enum class Lookup { Found, Unknown, Stale };
+struct StatusResult {
+  Lookup Result = Lookup::Stale;
+  workload::JobState State = workload::JobState::Queued;
+};
+
+/// Counters for the metrics page.
+struct NodeStats {
+  std::map<std::string, std::uint64_t, std::less<>> Counts;
+};
+
+/// One daemon's control logic: follows the control topic, answers callers, and
+/// schedules all work while it is the owner.
+///
+/// It has no socket or thread. A driver carries out the actions and calls
+/// tick() at least every 50 ms and after each completion:
+///
+/// \code
+///   Node N(Settings, Clock, Log);
+///   N.start();
+///   for (;;) {
+///     N.tick();
+///     for (Action &A : N.takeActions()) carryOut(std::move(A));
+///   }
+/// \endcode
+class Node {
+public:
+  Node(NodeSettings Settings, std::function<Now()> Clock,
+       base::StructuredLog &Log);
+  ~Node();
+  Node(const Node &) = delete;
+  Node &operator=(const Node &) = delete;
+
+  void start();
+  void tick();
+  std::vector<Action> takeActions();
+
+  /// The configuration in force; null until one has been read.
+  std::shared_ptr<const Configuration> configuration() const;
+  /// Whether callers can be served from recent state.
+  bool ready() const;
+  bool isOwner() const;
+
+  /// Completes with nothing once the job is stored (or was known already).
+  void submit(workload::JobSpec Spec,
+              std::function<void(std::optional<Refusal>)> Done);
+  StatusResult status(std::string_view Job) const;
+  /// Completes with Found once the cancellation is stored, or at once with
+  /// Unknown or Stale.
+  void cancel(std::string_view Job, std::function<void(Lookup)> Done);
+  /// Jobs of the queue for which no task has started; none when stale.
+  std::optional<std::size_t> waiting(std::string_view Queue) const;
+
+  /// Hands ownership over; calls can still be made until the process ends.
+  void beginStop();
+  /// Whether a stop would leave nothing behind.
+  bool stopped() const;
+  const NodeStats &stats() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> I;
+};
+
+} // namespace heathersaddle::cluster
+
+#endif
--- /dev/null
+++ b/packages/cluster/lib/Admission.cpp
@@ -0,0 +1,37 @@
+// Load pattern: more work arrives than the workers can do, for seconds
+// (bursts) or all day.
+//
+// A job waits about as long as the workers need for the work ahead of it. If
+// it would then end too late to be of full use to its caller, it is refused at
+// once, so that the caller can go elsewhere or come back when the backlog has
+// drained that far. What was accepted is kept.
+#include "heathersaddle/cluster/Admission.h"
+#include <algorithm>
+
+namespace heathersaddle::cluster {
+
+/// Share of the workers' room that is really in use when work waits; the rest
+/// is lost to holes between tasks. From the packing of the bench's loads.
+static constexpr double Packing = 0.75;
+/// A job is accepted if it should end within this multiple of its objective;
+/// estimates are up to a half off, and late work still has some value.
+static constexpr double AcceptWithin = 1.6;
+static constexpr base::Millis RetryLeast{1'000};
+static constexpr base::Millis RetryMost{20'000};
+
+std::optional<base::Millis> refuse(const workload::JobSpec &Spec,
+                                   const Load &L) {
+  if (!L.Workers || Spec.Repeats || Spec.isLongRunning())
+    return std::nullopt;
+  auto Wait =
+      static_cast<std::int64_t>(static_cast<double>(L.AheadMs) /
+                                (static_cast<double>(L.Workers) * Packing));
+  auto Allowed = static_cast<std::int64_t>(
+                     AcceptWithin * static_cast<double>(Spec.objectiveMs())) -
+                 Spec.longestChainMs();
+  if (Wait <= Allowed)
+    return std::nullopt;
+  return std::clamp(base::Millis(Wait - Allowed), RetryLeast, RetryMost);
+}
+
+} // namespace heathersaddle::cluster
--- /dev/null
+++ b/packages/cluster/lib/Core.h
@@ -0,0 +1,49 @@
+#ifndef HEATHERSADDLE_CLUSTER_CORE_H
+#define HEATHERSADDLE_CLUSTER_CORE_H
+
+#include "heathersaddle/cluster/Node.h"
+#include <random>
+
+namespace heathersaddle::cluster {
+
+using base::Millis;
+using base::MonoTime;
+
+/// What the parts of a node share.
+struct Core {
+  Core(NodeSettings Settings, std::function<Now()> Clock,
+       base::StructuredLog &Log)
+      : Settings(std::move(Settings)), Clock(std::move(Clock)), Log(Log),
+        Random(this->Settings.Seed) {}
+
+  NodeSettings Settings;
+  std::function<Now()> Clock;
+  base::StructuredLog &Log;
+  std::mt19937_64 Random;
+  std::vector<Action> Actions;
+  workload::Ledger Ledger;
+  std::shared_ptr<const Configuration> Config;
+  NodeStats Stats;
+
+  MonoTime mono() const { return Clock().Mono; }
+  base::WallMs wall() const { return Clock().Wall; }
+  void log(unsigned Event, base::LogFields Fields) {
+    Log.write(Event, wall(), Fields);
+  }
+  void count(std::string_view Name, std::uint64_t By = 1) {
+    auto It = Stats.Counts.find(Name);
+    if (It == Stats.Counts.end())
+      It = Stats.Counts.emplace(std::string(Name), 0).first;
+    It->second += By;
+  }
+  /// A time within [Most / 2, Most].
+  Millis jitter(Millis Most) {
+    return Most / 2 +
+           Millis(static_cast<std::int64_t>(
+               Random() % static_cast<std::uint64_t>(Most.count() / 2 + 1)));
+  }
+};
+
+} // namespace heathersaddle::cluster
+
+#endif
--- /dev/null
+++ b/packages/cluster/lib/Election.cpp
@@ -0,0 +1,133 @@
+// The owner shows that it works by its records; when none has come for a while
+// although the topic can be read, each daemon claims after a random delay. A
+// claim is an append under the next epoch. The store refuses appends of older
+// epochs from then on, and lets only one writer begin an epoch, because its
+// first sequence number is random. When the claim itself has been read back,
+// everything that earlier owners have recorded has been read too.
+#include "NodeImpl.h"
+
+namespace heathersaddle::cluster {
+
+/// An owner that has recorded nothing for this long is replaced: more than two
+/// missed heartbeats; short enough to renew leases of 6 s in time.
+static constexpr Millis OwnerSilence{2'500};
+/// Claims are spread over this time.
+static constexpr Millis ClaimSpread{400};
+static constexpr Millis HandoverSpread{60};
+static constexpr Millis ClaimLimit{1'500};
+static constexpr Millis ClaimRetry{150};
+/// The topic counts as readable when it was read to its end this recently.
+static constexpr Millis ClaimFreshness{1'500};
+/// How long a claim may stay unanswered before the daemon leaves it to others.
+static constexpr unsigned RandomSequenceBits = 40;
+
+void Node::Impl::elect() {
+  MonoTime T = C.mono();
+  if (Own || !Control.following() || Stopping) {
+    ClaimAt = {};
+    OwnerSeenAt = T;
+    if (Stopping || !Control.following())
+      Claiming = false;
+    return;
+  }
+  const workload::Ownership &O = C.Ledger.owner();
+  if (Claiming) {
+    bool Ours =
+        O.Epoch == ClaimEpoch && O.Incarnation == C.Settings.Incarnation;
+    if (Ours && (!ClaimedAt || Control.next() > *ClaimedAt))
+      return becomeOwner();
+    if (O.Epoch >= ClaimEpoch && !Ours) {
+      Claiming = false;
+      OwnerSeenAt = T;
+    } else if (!ClaimInFlight && !ClaimedAt && T >= ClaimRetryAt) {
+      claim();
+    }
+    return;
+  }
+  bool Seen = C.Ledger.ownerRecords() != SeenOwnerRecords;
+  SeenOwnerRecords = C.Ledger.ownerRecords();
+  if (Seen || !Control.fresh(ClaimFreshness)) {
+    // Silence counts only while the topic can be read.
+    OwnerSeenAt = T;
+    if (!(O.Epoch == 0 || O.Released))
+      ClaimAt = {};
+  }
+  bool Vacant = O.Epoch == 0 || O.Released;
+  if (!Vacant && T - OwnerSeenAt < OwnerSilence)
+    return;
+  if (!Control.fresh(ClaimFreshness) || !C.Config)
+    return;
+  if (ClaimAt == MonoTime{}) {
+    Millis Spread = Vacant ? HandoverSpread : ClaimSpread;
+    ClaimAt = T + Millis(static_cast<std::int64_t>(
+                      C.Random() % static_cast<std::uint64_t>(Spread.count())));
+  }
+  if (T < ClaimAt)
+    return;
+  ClaimAt = {};
+  Claiming = true;
+  ClaimedAt.reset();
+  ClaimEpoch = O.Epoch + 1;
+  ClaimSequence = C.Random() >> (64 - RandomSequenceBits);
+  C.log(424, {{"epoch", ClaimEpoch},
+              {"silent_ms", (T - OwnerSeenAt).count()},
+              {"released", O.Released}});
+  claim();
+}
+
+void Node::Impl::claim() {
+  workload::Ownership O;
+  O.Epoch = ClaimEpoch;
+  O.Daemon = C.Settings.Name;
+  O.Incarnation = C.Settings.Incarnation;
+  ClaimInFlight = true;
+  C.Actions.push_back(AppendAction{
+      {workload::Ledger::ownership(O)},
+      WriterFence{ClaimEpoch, ClaimSequence},
+      ClaimLimit,
+      [this, Alive = Alive, Epoch = ClaimEpoch](const AppendResult &R) {
+        if (*Alive && Claiming && Epoch == ClaimEpoch)
+          onClaimed(R);
+      }});
+}
+
+void Node::Impl::onClaimed(const AppendResult &R) {
+  ClaimInFlight = false;
+  switch (R.Verdict) {
+  case AppendVerdict::Appended:
+    ClaimedAt = R.First;
+    return;
+  case AppendVerdict::Superseded:
+  case AppendVerdict::OutOfOrder:
+    // Another daemon was first; its claim is on the way.
+    Claiming = false;
+    OwnerSeenAt = C.mono();
+    return;
+  case AppendVerdict::Refused:
+  case AppendVerdict::Unresolved:
+    ClaimRetryAt = C.mono() + C.jitter(ClaimRetry);
+    return;
+  }
+}
+
+void Node::Impl::becomeOwner() {
+  Claiming = false;
+  C.count("ownership_won");
+  C.log(400, {{"epoch", ClaimEpoch},
+              {"jobs", C.Ledger.jobs().size()},
+              {"next", Control.next()}});
+  Own = std::make_unique<Owner>(C, ClaimEpoch, ClaimSequence);
+  Own->OnDeposed = [this](std::string_view Reason) { DeposedReason = Reason; };
+  Control.setGap({});
+}
+
+void Node::Impl::stepDown(std::string_view Reason) {
+  C.count("ownership_lost");
+  C.log(401, {{"epoch", Own->epoch()}, {"reason", Reason}});
+  Own.reset();
+  Control.setGap(Millis(150));
+  // The owner's state was ahead of its records; read them all again.
+  Control.restart();
+}
+
+} // namespace heathersaddle::cluster
--- /dev/null
+++ b/packages/cluster/lib/NodeImpl.h
@@ -0,0 +1,63 @@
+#ifndef HEATHERSADDLE_CLUSTER_NODEIMPL_H
+#define HEATHERSADDLE_CLUSTER_NODEIMPL_H
+
+#include "Owner.h"
+
+namespace heathersaddle::cluster {
+
+struct Node::Impl {
+  Impl(NodeSettings Settings, std::function<Now()> Clock,
+       base::StructuredLog &Log);
+  ~Impl() { *Alive = false; }
+
+  void tick();
+  void onControl(KeyValue &&Record);
+  void onOperator(OperatorChange &&Change);
+  void watchStore();
+
+  // Election.cpp: who is the owner.
+  void elect();
+  void claim();
+  void onClaimed(const AppendResult &R);
+  void becomeOwner();
+  void stepDown(std::string_view Reason);
+
+  // Requests.cpp: callers' requests.
+  void submit(workload::JobSpec Spec,
+              std::function<void(std::optional<Refusal>)> Done);
+  StatusResult status(std::string_view Job) const;
+  void cancel(std::string_view Job, std::function<void(Lookup)> Done);
+  std::optional<std::size_t> waiting(std::string_view Queue) const;
+
+  Core C;
+  Tail<KeyValue> Control;
+  Tail<OperatorChange> Operator;
+  std::unique_ptr<Owner> Own;
+  bool StoreUp = false;
+  bool Stopping = false;
+  bool Reload = false; ///< The state was changed without the log.
+  std::string DeposedReason;
+  /// Jobs accepted here that the owner's published backlog lacks yet.
+  struct Recent {
+    MonoTime At{};
+    unsigned Priority = 0;
+    std::int64_t WorkMs = 0;
+  };
+  std::vector<Recent> Accepted;
+
+  // Election.
+  std::uint64_t SeenOwnerRecords = 0;
+  MonoTime OwnerSeenAt{};
+  MonoTime ClaimAt{}; ///< 0: no claim planned.
+  bool Claiming = false;
+  bool ClaimInFlight = false;
+  std::uint64_t ClaimEpoch = 0;
+  std::uint64_t ClaimSequence = 0;
+  std::optional<std::uint64_t> ClaimedAt; ///< Offset of our claim.
+  MonoTime ClaimRetryAt{};
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace heathersaddle::cluster
+
+#endif
--- /dev/null
+++ b/packages/cluster/lib/Owner.h
@@ -0,0 +1,157 @@
+#ifndef HEATHERSADDLE_CLUSTER_OWNER_H
+#define HEATHERSADDLE_CLUSTER_OWNER_H
+
+#include "Tail.h"
+#include "Writer.h"
+#include "heathersaddle/dispatch/Planner.h"
+#include <set>
+#include <tuple>
+
+namespace heathersaddle::cluster {
+
+using dispatch::UnitId;
+using workload::Job;
+using workload::JobState;
+using workload::TaskKey;
+using workload::TaskPhase;
+using workload::TaskProgress;
+
+/// How far a run has come on its worker.
+enum class RunStage {
+  Recording, ///< Its placement is not stored yet; nothing was sent.
+  Starting,  ///< The start may or may not have arrived.
+  Present,   ///< The worker has confirmed it.
+  Stopping   ///< To end; holds its room until the worker lists the end.
+};
+
+struct RunState {
+  workload::Resources Room;
+  RunStage Stage = RunStage::Recording;
+  bool CallInFlight = false;
+  bool MayHaveArrived = false;
+  bool StopConfirmed = false;
+  unsigned Tries = 0;
+  MonoTime PlacedAt{};
+  MonoTime RetryAt{};
+  MonoTime ConfirmedAt{}; ///< Start, or later the stop, was confirmed.
+  unsigned Percent = 0;
+  MonoTime ProgressAt{}; ///< When the percentage changed last.
+  MonoTime CheckpointAt{};
+  std::string Checkpoint;
+  std::string Ticket;
+};
+
+struct RunId {
+  TaskName Task;
+  unsigned Run = 0;
+  bool operator==(const RunId &) const = default;
+  bool operator<(const RunId &O) const {
+    return std::tie(Task, Run) < std::tie(O.Task, O.Run);
+  }
+};
+
+/// One life of a worker and all that may hold room on it.
+struct Session {
+  WorkerEntry Entry;
+  bool Listed = true;  ///< In the registry.
+  bool Synced = false; ///< Has answered under this epoch.
+  bool SyncInFlight = false;
+  MonoTime SyncSentAt{};
+  MonoTime NextSyncAt{};
+  MonoTime HeardAt{};
+  std::int64_t ClockMs = -1; ///< The worker's clock at HeardAt.
+  /// Latest time, on our clock, at which a lease granted by us can end.
+  MonoTime LeaseEndsAt{};
+  std::uint64_t SeenTo = 0;  ///< Ends handled.
+  std::uint64_t AckedTo = 0; ///< Ends whose effect is stored.
+  MonoTime AvoidUntil{};
+  /// Jobs that failed here since the last success.
+  std::set<std::string> FailedJobs;
+  unsigned SyncFailures = 0;
+  std::map<RunId, RunState> Runs;
+};
+
+/// Schedules all work while this daemon is the owner.
+class Owner {
+public:
+  Owner(Core &C, std::uint64_t Epoch, std::uint64_t Sequence);
+  ~Owner();
+  Owner(const Owner &) = delete;
+  Owner &operator=(const Owner &) = delete;
+
+  /// Called once, at most, when a later owner exists.
+  std::function<void(std::string_view Reason)> OnDeposed;
+
+  void tick();
+  /// A caller's record about this job was read.
+  void jobChanged(std::string_view Job);
+  void beginStop();
+  bool released() const { return Records.released(); }
+  std::uint64_t epoch() const { return Epoch; }
+
+private:
+  // OwnerWorkers.cpp: the registry and the lists of workers.
+  void onRegistry(RegistryChange &&Change);
+  void inherit(Session &S);
+  void sync(const std::string &Id, Session &S);
+  void onSynced(const std::string &Id, const WorkerReply &R);
+  void hear(Session &S, const WorkerReply &R);
+  void onRunning(Session &S, const RunningTask &T);
+  void onEnded(Session &S, const EndedTask &T);
+  void loseRuns(Session &S, std::string_view Why);
+  void watchWorkers();
+  std::int64_t leaseUntil(const Session &S) const;
+
+  // OwnerRuns.cpp: starts, stops and ends of runs.
+  void sendStart(const std::string &Worker, const RunId &Id);
+  void onStarted(const std::string &Worker, const RunId &Id,
+                 const WorkerReply &R);
+  void sendStop(const std::string &Worker, const RunId &Id);
+  void onStopped(const std::string &Worker, const RunId &Id,
+                 const WorkerReply &R);
+  void driveRuns();
+  void stopRun(Session &S, const RunId &Id);
+  void stopUnit(const UnitId &Unit, std::string_view Why);
+  void stopJob(const std::string &Job, std::string_view Why);
+  /// The run has ended, or certainly never began.
+  void runOver(const RunId &Id, EndReason Why, const std::string &Checkpoint,
+               Session &S);
+  void finishIfDone(Job &J);
+  void endJob(Job &J, JobState State, std::string_view Why);
+  bool isCurrent(const RunId &Id) const;
+
+  // OwnerSchedule.cpp: what is placed where.
+  void schedule();
+  dispatch::Fleet buildFleet(std::int64_t NowMs);
+  std::vector<dispatch::Waiting> buildQueue(std::int64_t NowMs);
+  void guarantee(std::vector<dispatch::Waiting> &Queue);
+  void applyPlan(const dispatch::Plan &Plan, const dispatch::Fleet &Fleet);
+  void publishLoad(workload::Ownership &O) const;
+  void forgetOld();
+  void depose(std::string_view Reason);
+
+  Core &C;
+  std::uint64_t Epoch;
+  Writer Records;
+  Tail<RegistryChange> Registry;
+  std::map<std::string, Session, std::less<>> Sessions;
+  std::set<std::string> ListedNow; ///< While the registry is read anew.
+  dispatch::Planner Planner;
+  std::set<std::string, std::less<>> Live; ///< Jobs that have not ended.
+  std::set<std::string, std::less<>> GuaranteedJobs;
+  /// Workers on which a task of the step failed.
+  std::map<UnitId, std::set<std::string>> FailedOn;
+  /// The latest run of a gang whose failure has been counted.
+  std::map<UnitId, unsigned> CountedRun;
+  bool PlanNeeded = true;
+  bool Stopping = false;
+  bool Deposed = false;
+  MonoTime PlannedAt{};
+  MonoTime ForgotAt{};
+  MonoTime ActiveSince{};
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace heathersaddle::cluster
+
+#endif
--- /dev/null
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -0,0 +1,414 @@
+// A run goes Recording, Starting, Present and, when it is to end early,
+// Stopping. A start without an answer is repeated with the same run number,
+// which the worker carries out at most once; after some time it is replaced by
+// a stop, which also bars a start that arrives later. Room is given back only
+// when the worker lists the end, or shows that the run is not there.
+#include "Owner.h"
+#include <algorithm>
+
+namespace heathersaddle::cluster {
+
+static constexpr Millis StartLimit{1'000};
+static constexpr Millis CallRetry{200};
+/// After this long without an answer a start is given up. A gang's other
+/// members wait only as long as the assembly time of gangs.
+static constexpr Millis StartPatience{1'800};
+/// A worker that refuses starts gets no work for this long.
+static constexpr Millis RefusalAvoid{3'000};
+static constexpr Millis NoRoomAvoid{400};
+/// Failures of this many distinct jobs without a success mark a worker as
+/// failing; it gets no work for a while, and then one task at a time.
+static constexpr std::size_t FailingJobs = 3;
+static constexpr Millis FailingAvoid{6'000};
+
+static std::string_view name(EndReason Why) {
+  switch (Why) {
+  case EndReason::Done:
+    return "done";
+  case EndReason::Failed:
+    return "failed";
+  case EndReason::Stopped:
+    return "stopped";
+  case EndReason::LeaseExpired:
+    return "lost";
+  case EndReason::GangBroken:
+    return "gang_broken";
+  case EndReason::GangAlone:
+    return "gang_alone";
+  }
+  return "unknown";
+}
+
+static UnitId unitOf(const Job &J, const TaskKey &K) {
+  return {J.Spec.Id, K.Occurrence, K.Step,
+          J.Spec.Steps[K.Step].Gang ? 0 : K.Index};
+}
+
+static std::int64_t heldGpus(const Session &S) {
+  std::int64_t Sum = 0;
+  for (const auto &[Id, R] : S.Runs)
+    Sum += R.Room.Gpus;
+  return Sum;
+}
+
+bool Owner::isCurrent(const RunId &Id) const {
+  const Job *J = C.Ledger.find(Id.Task.Job);
+  if (!J || J->ended())
+    return false;
+  const TaskProgress &T = J->task(Id.Task.Key);
+  return T.Phase == TaskPhase::Placed && T.Run == Id.Run;
+}
+
+void Owner::sendStart(const std::string &Worker, const RunId &Id) {
+  auto It = Sessions.find(Worker);
+  if (It == Sessions.end())
+    return;
+  Session &S = It->second;
+  auto Found = S.Runs.find(Id);
+  const Job *J = C.Ledger.find(Id.Task.Job);
+  if (Found == S.Runs.end() || !J || Found->second.CallInFlight)
+    return;
+  RunState &R = Found->second;
+  if (R.Stage == RunStage::Recording)
+    R.Stage = RunStage::Starting;
+  if (R.Stage != RunStage::Starting)
+    return;
+  if (!isCurrent(Id) || J->CancelRequested)
+    return stopRun(S, Id);
+  R.CallInFlight = true;
+  R.MayHaveArrived = true;
+  ++R.Tries;
+  StartAction A;
+  A.Worker = {S.Entry.Id, S.Entry.Address};
+  A.Task = Id.Task;
+  A.Run = Id.Run;
+  A.Payload = J->Spec.Payload;
+  A.LeaseUntilMs = leaseUntil(S);
+  A.Epoch = Epoch;
+  A.Checkpoint = J->task(Id.Task.Key).Checkpoint;
+  A.Ticket = R.Ticket;
+  A.TimeLimit = StartLimit;
+  C.count("starts");
+  S.LeaseEndsAt =
+      std::max(S.LeaseEndsAt, C.mono() + C.Settings.LeaseMost * 41 / 40);
+  A.Done = [this, Alive = Alive, Worker, Id](const WorkerReply &Reply) {
+    if (*Alive)
+      onStarted(Worker, Id, Reply);
+  };
+  C.Actions.push_back(std::move(A));
+}
+
+void Owner::onStarted(const std::string &Worker, const RunId &Id,
+                      const WorkerReply &Reply) {
+  auto It = Sessions.find(Worker);
+  if (It == Sessions.end())
+    return;
+  Session &S = It->second;
+  auto Found = S.Runs.find(Id);
+  if (Found == S.Runs.end())
+    return;
+  RunState &R = Found->second;
+  R.CallInFlight = false;
+  hear(S, Reply);
+  MonoTime T = C.mono();
+  auto NeverRan = [&](Millis Avoid, std::string_view Why) {
+    C.count("starts_refused");
+    C.log(416, {{"worker", Worker},
+                {"job", Id.Task.Job},
+                {"run", Id.Run},
+                {"gpus_needed", R.Room.Gpus},
+                {"gpus_held", heldGpus(S)},
+                {"runs", S.Runs.size()},
+                {"reason", Why}});
+    S.AvoidUntil = std::max(S.AvoidUntil, T + Avoid);
+    // An earlier copy of this start may still arrive; the stop bars it.
+    if (R.Tries > 1)
+      return stopRun(S, Id);
+    runOver(Id, EndReason::Stopped, "", S);
+  };
+  switch (Reply.Verdict) {
+  case WorkerVerdict::Ok:
+    if (R.Stage == RunStage::Starting) {
+      R.Stage = RunStage::Present;
+      R.ConfirmedAt = T;
+      R.ProgressAt = T;
+      S.NextSyncAt = std::min(S.NextSyncAt, T);
+    }
+    return;
+  case WorkerVerdict::Fenced:
+    return depose("a worker knows a later owner");
+  case WorkerVerdict::RunTooOld:
+    // It ran and ended, or was stopped before it came; the list tells.
+    if (R.Stage == RunStage::Starting) {
+      R.Stage = RunStage::Present;
+      R.ConfirmedAt = T;
+      S.NextSyncAt = T;
+    }
+    return;
+  case WorkerVerdict::DeadlinePassed:
+    R.RetryAt = T;
+    return;
+  case WorkerVerdict::NoRoom:
+    return NeverRan(NoRoomAvoid, "no room");
+  case WorkerVerdict::TicketInvalid:
+    return NeverRan(Millis(0), "the ticket is not valid");
+  case WorkerVerdict::Invalid:
+    return NeverRan(RefusalAvoid, "the worker calls the start invalid");
+  case WorkerVerdict::Unhealthy:
+    return NeverRan(RefusalAvoid, "the worker is unhealthy");
+  case WorkerVerdict::OtherIncarnation:
+    S.Synced = false;
+    S.Listed = false;
+    return loseRuns(S, "another worker has its address");
+  case WorkerVerdict::NoAnswer:
+  case WorkerVerdict::NotDelivered:
+    R.RetryAt = T + C.jitter(CallRetry);
+    S.NextSyncAt = std::min(S.NextSyncAt, T);
+    return;
+  }
+}
+
+void Owner::sendStop(const std::string &Worker, const RunId &Id) {
+  auto It = Sessions.find(Worker);
+  if (It == Sessions.end() || It->second.Entry.Address.empty())
+    return;
+  Session &S = It->second;
+  RunState &R = S.Runs[Id];
+  R.CallInFlight = true;
+  StopAction A;
+  A.Worker = {S.Entry.Id, S.Entry.Address};
+  A.Task = Id.Task;
+  A.Run = Id.Run;
+  A.Epoch = Epoch;
+  A.TimeLimit = StartLimit;
+  C.count("stops");
+  A.Done = [this, Alive = Alive, Worker, Id](const WorkerReply &Reply) {
+    if (*Alive)
+      onStopped(Worker, Id, Reply);
+  };
+  C.Actions.push_back(std::move(A));
+}
+
+void Owner::onStopped(const std::string &Worker, const RunId &Id,
+                      const WorkerReply &Reply) {
+  auto It = Sessions.find(Worker);
+  if (It == Sessions.end())
+    return;
+  Session &S = It->second;
+  auto Found = S.Runs.find(Id);
+  if (Found == S.Runs.end())
+    return;
+  RunState &R = Found->second;
+  R.CallInFlight = false;
+  hear(S, Reply);
+  MonoTime T = C.mono();
+  if (Reply.Verdict == WorkerVerdict::Fenced)
+    return depose("a worker knows a later owner");
+  if (Reply.Verdict == WorkerVerdict::OtherIncarnation) {
+    S.Synced = false;
+    S.Listed = false;
+    return loseRuns(S, "another worker has its address");
+  }
+  if (Reply.Verdict == WorkerVerdict::Ok && !R.StopConfirmed) {
+    R.StopConfirmed = true;
+    R.ConfirmedAt = T;
+  }
+  // Until the end is listed the stop is repeated now and then.
+  R.RetryAt = T + (R.StopConfirmed ? Millis(1'000) : C.jitter(CallRetry));
+  S.NextSyncAt = std::min(S.NextSyncAt, T);
+}
+
+void Owner::driveRuns() {
+  MonoTime T = C.mono();
+  struct Due {
+    std::string Worker;
+    RunId Id;
+    bool Stop;
+  };
+  std::vector<Due> Calls;
+  for (auto &[Worker, S] : Sessions) {
+    std::vector<RunId> GiveUp;
+    for (auto &[Id, R] : S.Runs) {
+      if (R.CallInFlight || T < R.RetryAt)
+        continue;
+      if (R.Stage == RunStage::Starting && S.Synced && S.ClockMs >= 0) {
+        if (R.Tries && T - R.PlacedAt > StartPatience)
+          GiveUp.push_back(Id);
+        else
+          Calls.push_back({Worker, Id, false});
+      } else if (R.Stage == RunStage::Stopping) {
+        Calls.push_back({Worker, Id, true});
+      }
+    }
+    for (const RunId &Id : GiveUp) {
+      const Job *J = C.Ledger.find(Id.Task.Job);
+      C.log(417, {{"worker", Worker}, {"job", Id.Task.Job}, {"run", Id.Run}});
+      S.AvoidUntil = std::max(S.AvoidUntil, T + RefusalAvoid);
+      if (J && J->Spec.Steps[Id.Task.Key.Step].Gang)
+        stopUnit(unitOf(*J, Id.Task.Key), "a member did not start");
+      else
+        stopRun(S, Id);
+    }
+  }
+  for (const Due &D : Calls) {
+    auto It = Sessions.find(D.Worker);
+    if (It == Sessions.end() || !It->second.Runs.contains(D.Id))
+      continue;
+    D.Stop ? sendStop(D.Worker, D.Id) : sendStart(D.Worker, D.Id);
+  }
+}
+
+void Owner::stopRun(Session &S, const RunId &Id) {
+  auto It = S.Runs.find(Id);
+  if (It == S.Runs.end() || It->second.Stage == RunStage::Stopping)
+    return;
+  RunState &R = It->second;
+  if (!R.MayHaveArrived)
+    return runOver(Id, EndReason::Stopped, "", S);
+  R.Stage = RunStage::Stopping;
+  R.StopConfirmed = false;
+  R.RetryAt = C.mono();
+}
+
+void Owner::stopUnit(const UnitId &Unit, std::string_view Why) {
+  const Job *J = C.Ledger.find(Unit.Job);
+  if (!J)
+    return;
+  bool Gang = J->Spec.Steps[Unit.Step].Gang;
+  C.count("units_stopped");
+  C.log(418, {{"job", Unit.Job},
+              {"occurrence", Unit.Occurrence},
+              {"step", Unit.Step},
+              {"index", Unit.Index},
+              {"reason", Why}});
+  std::vector<std::pair<std::string, RunId>> Runs;
+  for (const auto &[K, T] : J->Tasks)
+    if (T.Phase == TaskPhase::Placed && K.Occurrence == Unit.Occurrence &&
+        K.Step == Unit.Step && (Gang || K.Index == Unit.Index))
+      Runs.emplace_back(T.Worker, RunId{{Unit.Job, K}, T.Run});
+  for (const auto &[Worker, Id] : Runs)
+    if (auto It = Sessions.find(Worker); It != Sessions.end())
+      stopRun(It->second, Id);
+}
+
+void Owner::stopJob(const std::string &Job, std::string_view Why) {
+  std::vector<std::pair<Session *, RunId>> Runs;
+  for (auto &[Worker, S] : Sessions)
+    for (auto &[Id, R] : S.Runs)
+      if (Id.Task.Job == Job)
+        Runs.emplace_back(&S, Id);
+  if (!Runs.empty())
+    C.log(419, {{"job", Job}, {"runs", Runs.size()}, {"reason", Why}});
+  for (auto &[S, Id] : Runs)
+    stopRun(*S, Id);
+}
+
+void Owner::runOver(const RunId &Id, EndReason Why,
+                    const std::string &Checkpoint, Session &S) {
+  std::string Saved = Checkpoint;
+  if (auto It = S.Runs.find(Id); It != S.Runs.end()) {
+    if (Saved.empty())
+      Saved = It->second.Checkpoint;
+    S.Runs.erase(It);
+  }
+  C.log(431, {{"job", Id.Task.Job},
+              {"occurrence", Id.Task.Key.Occurrence},
+              {"step", Id.Task.Key.Step},
+              {"index", Id.Task.Key.Index},
+              {"run", Id.Run},
+              {"worker", S.Entry.Id},
+              {"how", name(Why)}});
+  PlanNeeded = true;
+  Job *J = C.Ledger.find(Id.Task.Job);
+  if (!J || J->ended() || Id.Task.Key.Step >= J->Spec.Steps.size())
+    return;
+  const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
+  TaskProgress &T = J->Tasks[Id.Task.Key];
+  UnitId Unit = unitOf(*J, Id.Task.Key);
+  if (Why == EndReason::Done && !Step.LongRunning) {
+    // One end stands for a whole gang; a run that was thought lost counts too.
+    std::vector<std::pair<std::string, RunId>> Others;
+    for (unsigned N = 0; N < Step.Count; ++N) {
+      if (!Step.Gang && N != Id.Task.Key.Index)
+        continue;
+      TaskKey K{Id.Task.Key.Occurrence, Id.Task.Key.Step, N};
+      TaskProgress &Member = J->Tasks[K];
+      if (Member.Phase == TaskPhase::Placed && Member.Run != Id.Run)
+        Others.emplace_back(Member.Worker, RunId{{J->Spec.Id, K}, Member.Run});
+      Member.Phase = TaskPhase::Done;
+      Member.Run = std::max(Member.Run, Id.Run);
+    }
+    Records.changed(J->Spec.Id);
+    for (auto &[Worker, Run] : Others)
+      if (auto Other = Sessions.find(Worker); Other != Sessions.end())
+        stopRun(Other->second, Run);
+    C.count("tasks_done");
+    return finishIfDone(*J);
+  }
+  bool Current = T.Phase == TaskPhase::Placed && T.Run == Id.Run;
+  if (!Current && !(Step.Gang && T.Run == Id.Run))
+    return;
+  if (Current)
+    T.Phase = TaskPhase::Waiting;
+  if (!Saved.empty() && T.Phase != TaskPhase::Done) {
+    // All members of a gang carry the same checkpoint.
+    for (unsigned N = 0; N < Step.Count; ++N)
+      if (Step.Gang || N == Id.Task.Key.Index)
+        J->Tasks[{Id.Task.Key.Occurrence, Id.Task.Key.Step, N}].Checkpoint =
+            Saved;
+  }
+  if (Why == EndReason::Failed) {
+    FailedOn[{J->Spec.Id, Id.Task.Key.Occurrence, Id.Task.Key.Step, 0}].insert(
+        S.Entry.Id);
+    if (S.FailedJobs.size() >= FailingJobs) {
+      S.AvoidUntil = C.mono() + FailingAvoid;
+      C.log(420, {{"worker", S.Entry.Id}, {"jobs", S.FailedJobs.size()}});
+    }
+    unsigned &Counted = CountedRun[Unit];
+    if (!Step.Gang || Counted < Id.Run) {
+      Counted = Id.Run;
+      for (unsigned N = 0; N < Step.Count; ++N)
+        if (Step.Gang || N == Id.Task.Key.Index)
+          ++J->Tasks[{Id.Task.Key.Occurrence, Id.Task.Key.Step, N}].Failures;
+    }
+    C.count("tasks_failed");
+    C.log(421, {{"job", J->Spec.Id},
+                {"worker", S.Entry.Id},
+                {"run", Id.Run},
+                {"failures", T.Failures},
+                {"max_attempts", J->Spec.MaxAttempts}});
+  }
+  Records.changed(J->Spec.Id);
+  if (!Step.LongRunning && T.Failures >= J->Spec.MaxAttempts)
+    return endJob(*J, JobState::Failed, "all attempts failed");
+  // A gang without one member cannot go on.
+  if (Step.Gang)
+    stopUnit(Unit, "a member has ended");
+}
+
+void Owner::finishIfDone(Job &J) {
+  if (!J.ended() && J.allDone())
+    endJob(J, JobState::Completed, "all tasks are done");
+}
+
+void Owner::endJob(Job &J, JobState State, std::string_view Why) {
+  J.State = State;
+  J.EndedMs = C.wall();
+  Records.changed(J.Spec.Id);
+  Live.erase(J.Spec.Id);
+  C.count(State == JobState::Completed ? "jobs_completed"
+          : State == JobState::Failed  ? "jobs_failed"
+                                       : "jobs_cancelled");
+  C.log(422, {{"job", J.Spec.Id},
+              {"state", static_cast<unsigned>(State)},
+              {"reason", Why},
+              {"after_ms", J.EndedMs - J.Spec.AcceptedMs}});
+  if (State != JobState::Completed)
+    stopJob(J.Spec.Id, Why);
+  std::erase_if(FailedOn,
+                [&](const auto &E) { return E.first.Job == J.Spec.Id; });
+  std::erase_if(CountedRun,
+                [&](const auto &E) { return E.first.Job == J.Spec.Id; });
+}
+
+} // namespace heathersaddle::cluster
--- /dev/null
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -0,0 +1,292 @@
+// Builds the planner's picture of workers and waiting work, and turns its plan
+// into records; starts are sent once their placement is stored.
+#include "Owner.h"
+#include <algorithm>
+
+namespace heathersaddle::cluster {
+
+/// Least time between two plans: a pass costs about a millisecond.
+static constexpr Millis PlanGap{15};
+/// Time passes for scheduled jobs and estimates even without events.
+static constexpr Millis PlanPeriod{200};
+/// Share of the estimate that a run is expected to need at least.
+static constexpr std::int64_t LeastRemainingMs = 300;
+static constexpr Millis ForgetPeriod{5'000};
+/// Ended jobs are kept this much longer than callers are promised.
+static constexpr Millis StatusMargin{30'000};
+/// Failures of this many distinct jobs without a success raise doubt.
+static constexpr std::size_t DoubtfulJobs = 2;
+
+void Owner::jobChanged(std::string_view Id) {
+  Job *J = C.Ledger.find(Id);
+  if (!J)
+    return;
+  if (J->ended()) {
+    Live.erase(std::string(Id));
+    return;
+  }
+  Live.emplace(Id);
+  PlanNeeded = true;
+  if (J->CancelRequested)
+    endJob(*J, JobState::Cancelled, "the caller has cancelled it");
+  else
+    finishIfDone(*J);
+}
+
+void Owner::beginStop() {
+  Stopping = true;
+  Records.release();
+}
+
+void Owner::tick() {
+  if (Deposed)
+    return;
+  if (!Stopping)
+    Registry.tick();
+  if (!Stopping) {
+    watchWorkers();
+    MonoTime T = C.mono();
+    if (!Deposed && T - PlannedAt >= (PlanNeeded ? PlanGap : PlanPeriod))
+      schedule();
+  }
+  if (!Deposed && !Records.released())
+    Records.tick();
+  if (!Deposed && !Records.released())
+    driveRuns();
+  if (!Deposed && !Stopping)
+    forgetOld();
+}
+
+void Owner::schedule() {
+  PlannedAt = C.mono();
+  PlanNeeded = false;
+  std::int64_t NowMs = C.wall();
+  auto Queue = buildQueue(NowMs);
+  if (Queue.empty())
+    return;
+  guarantee(Queue);
+  auto Fleet = buildFleet(NowMs);
+  auto Plan = Planner.plan(Fleet, Queue, NowMs);
+  applyPlan(Plan, Fleet);
+}
+
+std::vector<dispatch::Waiting> Owner::buildQueue(std::int64_t NowMs) {
+  std::vector<dispatch::Waiting> Queue;
+  for (const std::string &Id : Live) {
+    const Job &J = *C.Ledger.find(Id);
+    std::vector<std::int64_t> Before(J.Spec.Steps.size(), 0);
+    std::int64_t Chain = J.Spec.longestChainMs();
+    for (std::size_t S = 0; S < J.Spec.Steps.size(); ++S)
+      for (unsigned D : J.Spec.Steps[S].DependsOn)
+        Before[S] = std::max(Before[S], Before[D] + J.Spec.Steps[D].EstimateMs);
+    for (unsigned K = 0; K < J.Spec.occurrences(); ++K) {
+      std::int64_t Due = J.Spec.dueMs(K);
+      if (J.Spec.Repeats && NowMs < Due)
+        break;
+      for (unsigned S = 0; S < J.Spec.Steps.size(); ++S) {
+        const workload::Step &Step = J.Spec.Steps[S];
+        dispatch::Waiting W;
+        for (unsigned N = 0; N < Step.Count; ++N)
+          if (J.task({K, S, N}).Phase == TaskPhase::Waiting)
+            W.Tasks.push_back(N);
+        if (W.Tasks.empty() || (Step.Gang && W.Tasks.size() < Step.Count) ||
+            !J.stepReady(K, S))
+          continue;
+        W.Job = &J;
+        W.Occurrence = K;
+        W.Step = S;
+        W.DueMs = std::min(Due, NowMs);
+        W.ObjectiveMs = W.DueMs + J.Spec.objectiveMs();
+        W.RemainingMs = Chain - Before[S];
+        if (auto It = FailedOn.find({Id, K, S, 0}); It != FailedOn.end())
+          W.Avoid = It->second;
+        Queue.push_back(std::move(W));
+      }
+    }
+  }
+  return Queue;
+}
+
+/// An account's urgent jobs, oldest first, are guaranteed as long as together
+/// they need no more GPUs than are reserved for it.
+void Owner::guarantee(std::vector<dispatch::Waiting> &Queue) {
+  GuaranteedJobs.clear();
+  if (!C.Config)
+    return;
+  std::map<std::string_view, std::vector<const Job *>> ByAccount;
+  for (const std::string &Id : Live) {
+    const Job *J = C.Ledger.find(Id);
+    if (J->Spec.Priority == 0)
+      ByAccount[J->Spec.Account].push_back(J);
+  }
+  for (auto &[Name, Jobs] : ByAccount) {
+    const Account *A = C.Config->account(Name);
+    if (!A)
+      continue;
+    std::sort(Jobs.begin(), Jobs.end(), [](const Job *X, const Job *Y) {
+      return std::tie(X->Spec.AcceptedMs, X->Spec.Id) <
+             std::tie(Y->Spec.AcceptedMs, Y->Spec.Id);
+    });
+    std::int64_t Left = A->ReservedGpus;
+    for (const Job *J : Jobs) {
+      std::int64_t Need = 0;
+      for (const auto &Step : J->Spec.Steps)
+        Need += Step.Need.Gpus * Step.Count;
+      if (Need > Left)
+        continue;
+      Left -= Need;
+      GuaranteedJobs.insert(J->Spec.Id);
+    }
+  }
+  for (dispatch::Waiting &W : Queue)
+    W.Guaranteed = GuaranteedJobs.contains(W.Job->Spec.Id);
+}
+
+dispatch::Fleet Owner::buildFleet(std::int64_t NowMs) {
+  dispatch::Fleet F;
+  MonoTime T = C.mono();
+  F.Workers.reserve(Sessions.size());
+  for (auto &[Id, S] : Sessions) {
+    dispatch::Worker W;
+    W.Id = Id;
+    W.Service = S.Entry.Service;
+    W.Rack = S.Entry.Rack;
+    W.Labels = S.Entry.Labels;
+    W.Capacity = S.Entry.Capacity;
+    W.Free = S.Entry.Capacity;
+    W.Usable = S.Listed && S.Synced && S.ClockMs >= 0 && !S.Entry.Draining &&
+               T >= S.AvoidUntil && !S.Entry.Address.empty();
+    W.Doubtful = S.FailedJobs.size() >= DoubtfulJobs || S.Entry.ColdLeftMs > 0;
+    for (auto &[Run, R] : S.Runs) {
+      W.Free -= R.Room;
+      dispatch::Running Out;
+      Out.Room = R.Room;
+      Out.Unit.Job = Run.Task.Job;
+      const Job *J = C.Ledger.find(Run.Task.Job);
+      Out.Stoppable = false;
+      Out.EndEstimateMs = NowMs + LeastRemainingMs;
+      if (J && Run.Task.Key.Step < J->Spec.Steps.size()) {
+        const TaskKey &K = Run.Task.Key;
+        const workload::Step &Step = J->Spec.Steps[K.Step];
+        Out.Unit = {J->Spec.Id, K.Occurrence, K.Step, Step.Gang ? 0 : K.Index};
+        Out.Account = J->Spec.Account;
+        Out.Priority = J->Spec.Priority;
+        Out.Guaranteed = GuaranteedJobs.contains(J->Spec.Id);
+        Out.Stoppable =
+            R.Stage == RunStage::Present && !J->ended() && !Step.LongRunning;
+        auto Ran = (T - R.PlacedAt).count();
+        Out.StartedMs = NowMs - Ran;
+        std::int64_t Left = R.Percent >= 10
+                                ? Ran * (100 - R.Percent) / R.Percent -
+                                      (T - R.ProgressAt).count()
+                                : Step.EstimateMs - Ran;
+        if (R.Stage != RunStage::Stopping)
+          Out.EndEstimateMs = NowMs + std::max(Left, LeastRemainingMs);
+        Out.LostIfStoppedMs = Ran;
+        if (Step.SavesProgress && R.CheckpointAt.count())
+          Out.LostIfStoppedMs = (T - R.CheckpointAt).count();
+        if (Step.MaxPerWorker)
+          ++F.StepTasks[{J->Spec.Id, K.Occurrence, K.Step, 0}][Id];
+      }
+      W.Runs.push_back(std::move(Out));
+    }
+    F.Workers.push_back(std::move(W));
+  }
+  return F;
+}
+
+void Owner::applyPlan(const dispatch::Plan &Plan,
+                      const dispatch::Fleet &Fleet) {
+  for (const dispatch::Placed &P : Plan.Places) {
+    Job &J = *C.Ledger.find(P.What->Job->Spec.Id);
+    const workload::Step &Step = J.Spec.Steps[P.What->Step];
+    std::string Where;
+    unsigned GangRun = 0;
+    if (Step.Gang)
+      for (unsigned N = 0; N < Step.Count; ++N)
+        GangRun = std::max(GangRun,
+                           J.task({P.What->Occurrence, P.What->Step, N}).Run);
+    for (std::size_t N = 0; N < P.Tasks.size(); ++N) {
+      const std::string &Worker = Fleet.Workers[P.Workers[N]].Id;
+      Session &S = Sessions.at(Worker);
+      Where += (Where.empty() ? "" : " ") + Worker;
+      TaskKey K{P.What->Occurrence, P.What->Step, P.Tasks[N]};
+      TaskProgress &T = J.Tasks[K];
+      T.Run = (Step.Gang ? GangRun : T.Run) + 1;
+      T.Phase = TaskPhase::Placed;
+      T.Worker = Worker;
+      T.WorkerBorn = S.Entry.BornMs;
+      RunId Id{{J.Spec.Id, K}, T.Run};
+      RunState R;
+      R.Room = Step.room();
+      R.PlacedAt = C.mono();
+      R.ProgressAt = R.PlacedAt;
+      S.Runs.emplace(Id, std::move(R));
+      Records.then([this, Worker, Id] { sendStart(Worker, Id); });
+    }
+    if (J.State == JobState::Queued)
+      J.State = JobState::Running;
+    Records.changed(J.Spec.Id);
+    C.log(423, {{"job", J.Spec.Id},
+                {"occurrence", P.What->Occurrence},
+                {"step", P.What->Step},
+                {"tasks", P.Tasks.size()},
+                {"workers", Where},
+                {"guaranteed", P.What->Guaranteed},
+                {"waited_ms", C.wall() - P.What->DueMs}});
+  }
+  for (const UnitId &Unit : Plan.Stops)
+    stopUnit(Unit, "urgent work needs its room");
+}
+
+void Owner::publishLoad(workload::Ownership &O) const {
+  std::int64_t Workers = 0;
+  workload::Resources Sum;
+  for (const auto &[Id, S] : Sessions)
+    if (S.Listed && S.Synced && !S.Entry.Draining) {
+      ++Workers;
+      Sum += S.Entry.Capacity;
+    }
+  O.Workers = Workers;
+  O.BacklogMs.assign(3, 0);
+  if (!Workers)
+    return;
+  for (const std::string &Id : Live) {
+    const Job &J = *C.Ledger.find(Id);
+    if (J.Spec.isLongRunning())
+      continue;
+    std::int64_t Work = 0;
+    for (unsigned K = 0; K < J.Spec.occurrences(); ++K) {
+      if (J.Spec.Repeats && J.Spec.dueMs(K) > C.wall() + 5'000)
+        break;
+      for (unsigned S = 0; S < J.Spec.Steps.size(); ++S) {
+        const workload::Step &Step = J.Spec.Steps[S];
+        std::int64_t One = workload::workerMs(Step, Sum, Workers);
+        for (unsigned N = 0; N < Step.Count; ++N) {
+          auto Phase = J.task({K, S, N}).Phase;
+          if (Phase != TaskPhase::Done)
+            Work += Phase == TaskPhase::Placed ? One / 2 : One;
+        }
+      }
+    }
+    O.BacklogMs[std::min<std::size_t>(J.Spec.Priority, 2)] += Work;
+  }
+  O.MeanCapacity = {Sum.CpuMilli / Workers, Sum.MemoryMb / Workers,
+                    Sum.Gpus / Workers};
+}
+
+void Owner::forgetOld() {
+  MonoTime T = C.mono();
+  if (T - ForgotAt < ForgetPeriod)
+    return;
+  ForgotAt = T;
+  std::vector<std::string> Old;
+  for (const auto &[Id, J] : C.Ledger.jobs())
+    if (J.Known && J.ended() &&
+        C.wall() - J.EndedMs > (C.Settings.StatusKept + StatusMargin).count())
+      Old.push_back(Id);
+  for (const std::string &Id : Old)
+    Records.remove(Id);
+}
+
+} // namespace heathersaddle::cluster
--- /dev/null
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -0,0 +1,371 @@
+// Follows the registry and keeps one session for each life of a worker. A sync
+// renews the lease of all that runs there, returns when something ends, and
+// lists everything, so the owner's view is corrected by each answer. A worker
+// that does not answer keeps its runs until the last lease must have expired;
+// only then may they run elsewhere.
+#include "Owner.h"
+
+namespace heathersaddle::cluster {
+
+/// How long a worker waits for an end before it answers a sync; bounds the age
+/// of checkpoints and of the percentages from which stuck work is told.
+static constexpr Millis SyncWait{1'500};
+/// Beyond the wait: two network round trips and a slow daemon.
+static constexpr Millis SyncSlack{1'200};
+static constexpr Millis SyncRetry{250};
+/// Syncs of a worker on which nothing runs are needed only after a start.
+static constexpr Millis IdleSyncPeriod{30'000};
+/// Clocks of workers may be this much slow.
+static constexpr double ClockDrift = 1.021;
+/// Beyond the latest end of a lease: time for the worker to stop its work.
+static constexpr Millis LeaseMargin{300};
+/// Beyond the longest stop, until a run that is not listed counts as gone.
+static constexpr Millis StopMargin{300};
+/// A list of ends has at most this many entries.
+static constexpr std::size_t EndedPage = 500;
+/// A worker that does not answer gets no new work for this long.
+static constexpr Millis SilentAvoid{1'500};
+/// Work whose percentage stands still for this long, plus a tenth of its
+/// estimate, is stuck: short work moves several percent a second.
+static constexpr Millis StuckAfter{3'000};
+static constexpr Millis StuckAvoid{10'000};
+
+Owner::Owner(Core &C, std::uint64_t Epoch, std::uint64_t Sequence)
+    : C(C), Epoch(Epoch), Records(C, Epoch, Sequence), Registry(C, Millis(150)),
+      ActiveSince(C.mono()) {
+  Records.OnDeposed = [this](std::string_view Reason) { depose(Reason); };
+  Records.OnBeat = [this](workload::Ownership &O) { publishLoad(O); };
+  Registry.OnReset = [this] { ListedNow.clear(); };
+  Registry.OnEntry = [this](RegistryChange &&Change) {
+    if (!Registry.following())
+      ListedNow.insert(Change.Worker);
+    onRegistry(std::move(Change));
+  };
+  Registry.OnComplete = [this] {
+    for (auto &[Id, S] : Sessions)
+      if (!ListedNow.contains(Id))
+        S.Listed = false;
+  };
+  for (const auto &[Id, J] : C.Ledger.jobs())
+    if (J.Known)
+      jobChanged(Id);
+  // Workers that hold runs but are no longer listed still have to be waited
+  // for: their leases may be running.
+  for (const auto &[Id, J] : C.Ledger.jobs())
+    for (const auto &[K, T] : J.Tasks)
+      if (T.Phase == TaskPhase::Placed && !Sessions.contains(T.Worker)) {
+        Session &S = Sessions[T.Worker];
+        S.Entry.Id = T.Worker;
+        S.Entry.BornMs = T.WorkerBorn;
+        S.Listed = false;
+        S.LeaseEndsAt = ActiveSince + C.Settings.LeaseMost;
+        inherit(S);
+      }
+}
+
+Owner::~Owner() { *Alive = false; }
+
+void Owner::depose(std::string_view Reason) {
+  if (Deposed)
+    return;
+  Deposed = true;
+  OnDeposed(Reason);
+}
+
+/// Takes over the runs that earlier owners recorded on this worker. Their
+/// starts may not have been sent; sending them again is harmless.
+void Owner::inherit(Session &S) {
+  for (const auto &[Id, J] : C.Ledger.jobs()) {
+    if (!J.Known)
+      continue;
+    for (const auto &[K, T] : J.Tasks) {
+      if (T.Phase != TaskPhase::Placed || T.Worker != S.Entry.Id)
+        continue;
+      RunId Run{{Id, K}, T.Run};
+      if (S.Runs.contains(Run))
+        continue;
+      RunState R;
+      R.Room = J.Spec.Steps[K.Step].room();
+      R.Stage = J.ended() ? RunStage::Stopping : RunStage::Starting;
+      R.MayHaveArrived = true;
+      R.PlacedAt = C.mono();
+      // Wait for the first list before sending the start again.
+      R.RetryAt = C.mono() + SyncRetry;
+      R.ProgressAt = C.mono();
+      S.Runs.emplace(Run, std::move(R));
+    }
+  }
+}
+
+void Owner::onRegistry(RegistryChange &&Change) {
+  auto It = Sessions.find(Change.Worker);
+  if (!Change.Entry) {
+    if (It != Sessions.end() && It->second.Listed) {
+      It->second.Listed = false;
+      C.log(408, {{"worker", Change.Worker}, {"runs", It->second.Runs.size()}});
+      PlanNeeded = true;
+    }
+    return;
+  }
+  WorkerEntry &E = *Change.Entry;
+  if (It == Sessions.end()) {
+    Session &S = Sessions[E.Id];
+    S.Entry = std::move(E);
+    S.LeaseEndsAt = ActiveSince + C.Settings.LeaseMost;
+    inherit(S);
+    PlanNeeded = true;
+    return;
+  }
+  Session &S = It->second;
+  if (S.Entry.BornMs && E.BornMs && S.Entry.BornMs != E.BornMs) {
+    C.log(409, {{"worker", E.Id}, {"runs", S.Runs.size()}});
+    loseRuns(S, "the worker has restarted");
+    S.Synced = false;
+    S.SeenTo = S.AckedTo = 0;
+    S.ClockMs = -1;
+    S.FailedJobs.clear();
+  }
+  if (S.Entry.Draining != E.Draining && E.Draining)
+    C.log(410, {{"worker", E.Id},
+                {"runs", S.Runs.size()},
+                {"leaves_in_ms", E.LeavesInMs}});
+  S.Entry = std::move(E);
+  S.Listed = true;
+  PlanNeeded = true;
+}
+
+std::int64_t Owner::leaseUntil(const Session &S) const {
+  return S.ClockMs + (C.mono() - S.HeardAt).count() +
+         C.Settings.LeaseMost.count();
+}
+
+void Owner::sync(const std::string &Id, Session &S) {
+  S.SyncInFlight = true;
+  S.SyncSentAt = C.mono();
+  SyncAction A;
+  A.Worker = {S.Entry.Id, S.Entry.Address};
+  A.Epoch = Epoch;
+  A.AcknowledgedTo = S.AckedTo;
+  // The clock is known after the first answer only. A silent worker gets no
+  // longer lease: the call could arrive late, and its runs would have to be
+  // waited for again with each attempt.
+  bool First = !S.Synced || S.ClockMs < 0;
+  if (!First && !S.Runs.empty() && !S.SyncFailures) {
+    A.LeaseUntilMs = leaseUntil(S);
+    auto Lease = static_cast<std::int64_t>(
+        static_cast<double>((C.mono() - S.HeardAt).count() +
+                            C.Settings.LeaseMost.count()) *
+        ClockDrift);
+    S.LeaseEndsAt = std::max(S.LeaseEndsAt, S.HeardAt + Millis(Lease));
+  }
+  A.Wait = First || S.Runs.empty() ? Millis(0) : SyncWait;
+  A.TimeLimit = A.Wait + SyncSlack;
+  C.count("worker_syncs");
+  A.Done = [this, Alive = Alive, Id](const WorkerReply &R) {
+    if (*Alive)
+      onSynced(Id, R);
+  };
+  C.Actions.push_back(std::move(A));
+}
+
+void Owner::hear(Session &S, const WorkerReply &R) {
+  if (R.ClockMs < 0)
+    return;
+  // Answers on different connections may overtake each other.
+  MonoTime T = C.mono();
+  if (S.ClockMs < 0 || R.ClockMs >= S.ClockMs) {
+    S.ClockMs = R.ClockMs;
+    S.HeardAt = T;
+  }
+}
+
+void Owner::onSynced(const std::string &Id, const WorkerReply &R) {
+  auto It = Sessions.find(Id);
+  if (It == Sessions.end())
+    return;
+  Session &S = It->second;
+  S.SyncInFlight = false;
+  MonoTime T = C.mono();
+  if (R.Verdict == WorkerVerdict::Fenced)
+    return depose("a worker knows a later owner");
+  if (R.Verdict == WorkerVerdict::OtherIncarnation) {
+    loseRuns(S, "another worker has its address");
+    S.Synced = false;
+    S.Listed = false;
+    return;
+  }
+  if (R.Verdict != WorkerVerdict::Ok) {
+    ++S.SyncFailures;
+    S.NextSyncAt = T + C.jitter(SyncRetry);
+    S.AvoidUntil = std::max(S.AvoidUntil, T + SilentAvoid);
+    if (S.SyncFailures == 2)
+      C.log(407, {{"worker", Id}, {"runs", S.Runs.size()}});
+    return;
+  }
+  if (R.BornMs >= 0 && S.Entry.BornMs && R.BornMs != S.Entry.BornMs) {
+    loseRuns(S, "the worker has restarted");
+    S.SeenTo = S.AckedTo = 0;
+    S.ClockMs = -1;
+    S.FailedJobs.clear();
+    S.Entry.BornMs = R.BornMs;
+  }
+  if (S.SyncFailures >= 2)
+    C.log(411, {{"worker", Id}, {"runs", S.Runs.size()}});
+  S.SyncFailures = 0;
+  hear(S, R);
+  bool First = !S.Synced;
+  S.Synced = true;
+  for (const EndedTask &E : R.Ended)
+    if (E.Number > S.SeenTo) {
+      onEnded(S, E);
+      if (Deposed)
+        return;
+    }
+  std::uint64_t Newest = S.AckedTo;
+  for (const EndedTask &E : R.Ended)
+    Newest = std::max(Newest, E.Number);
+  S.SeenTo = std::max(S.SeenTo, Newest);
+  std::set<RunId> Listed;
+  for (const RunningTask &Task : R.Running) {
+    Listed.insert({Task.Task, Task.Run});
+    onRunning(S, Task);
+  }
+  if (R.Ended.size() < EndedPage) {
+    std::vector<RunId> Vanished;
+    for (auto &[Run, State] : S.Runs) {
+      if (Listed.contains(Run) || State.CallInFlight)
+        continue;
+      // While a run stops it may be in neither list, and holds its room.
+      Millis Settle = State.Stage == RunStage::Stopping
+                          ? C.Settings.StopMost + StopMargin
+                          : Millis(0);
+      bool Confirmed =
+          State.Stage == RunStage::Present ||
+          (State.Stage == RunStage::Stopping && State.StopConfirmed);
+      if (Confirmed && State.ConfirmedAt + Settle < S.SyncSentAt)
+        Vanished.push_back(Run);
+    }
+    for (const RunId &Run : Vanished) {
+      if (S.Runs[Run].Stage == RunStage::Present)
+        C.log(412, {{"worker", Id}, {"job", Run.Task.Job}, {"run", Run.Run}});
+      runOver(Run, EndReason::LeaseExpired, S.Runs[Run].Checkpoint, S);
+    }
+  }
+  if (Newest > S.AckedTo) {
+    // The ends are acknowledged by a sync after their effect is stored.
+    S.NextSyncAt = T + TailRetryMost;
+    Records.then([this, Id, Newest, Born = S.Entry.BornMs] {
+      auto Found = Sessions.find(Id);
+      if (Found == Sessions.end() || Found->second.Entry.BornMs != Born)
+        return;
+      Found->second.AckedTo = std::max(Found->second.AckedTo, Newest);
+      Found->second.NextSyncAt = C.mono();
+    });
+  } else if (S.Runs.empty() && !First) {
+    S.NextSyncAt = T + IdleSyncPeriod;
+  } else {
+    S.NextSyncAt = T;
+  }
+  PlanNeeded = true;
+}
+
+void Owner::onRunning(Session &S, const RunningTask &T) {
+  RunId Id{T.Task, T.Run};
+  auto It = S.Runs.find(Id);
+  if (It == S.Runs.end()) {
+    // Started by an earlier owner, or by an order that was carried out late.
+    RunState R;
+    const Job *J = C.Ledger.find(T.Task.Job);
+    if (J && T.Task.Key.Step < J->Spec.Steps.size())
+      R.Room = J->Spec.Steps[T.Task.Key.Step].room();
+    R.Stage = RunStage::Stopping;
+    R.MayHaveArrived = true;
+    R.PlacedAt = C.mono();
+    C.log(413, {{"worker", S.Entry.Id}, {"job", T.Task.Job}, {"run", T.Run}});
+    S.Runs.emplace(Id, std::move(R));
+    return;
+  }
+  RunState &R = It->second;
+  MonoTime Time = C.mono();
+  if (!T.Checkpoint.empty() && T.Checkpoint != R.Checkpoint) {
+    R.Checkpoint = T.Checkpoint;
+    R.CheckpointAt = Time;
+  }
+  if (T.Percent != R.Percent) {
+    R.Percent = T.Percent;
+    R.ProgressAt = Time;
+  }
+  if (R.Stage == RunStage::Starting) {
+    R.Stage = RunStage::Present;
+    R.ConfirmedAt = Time;
+    R.ProgressAt = Time;
+  }
+}
+
+void Owner::onEnded(Session &S, const EndedTask &T) {
+  RunId Id{T.Task, T.Run};
+  S.SeenTo = std::max(S.SeenTo, T.Number);
+  if (T.Reason == EndReason::Done)
+    S.FailedJobs.clear();
+  else if (T.Reason == EndReason::Failed)
+    S.FailedJobs.insert(T.Task.Job);
+  runOver(Id, T.Reason, T.Checkpoint, S);
+}
+
+/// All runs of this life of the worker have certainly ended.
+void Owner::loseRuns(Session &S, std::string_view Why) {
+  auto Runs = S.Runs;
+  for (const auto &[Id, R] : Runs) {
+    C.log(414, {{"worker", S.Entry.Id},
+                {"job", Id.Task.Job},
+                {"run", Id.Run},
+                {"reason", Why}});
+    runOver(Id, EndReason::LeaseExpired, R.Checkpoint, S);
+  }
+  PlanNeeded = true;
+}
+
+void Owner::watchWorkers() {
+  MonoTime T = C.mono();
+  for (auto It = Sessions.begin(); It != Sessions.end();) {
+    auto &[Id, S] = *It;
+    // The lease as the worker counts it: from the latest clock we know.
+    if (!S.Runs.empty() && S.SyncFailures >= 2 &&
+        T > S.LeaseEndsAt + LeaseMargin) {
+      S.Synced = false;
+      loseRuns(S, "its lease has expired");
+    }
+    if (!S.Listed && S.Entry.Address.empty() && !S.Runs.empty() &&
+        T > S.LeaseEndsAt + LeaseMargin)
+      loseRuns(S, "the worker is gone");
+    if (!S.Listed && S.Runs.empty()) {
+      It = Sessions.erase(It);
+      continue;
+    }
+    for (auto &[Run, R] : S.Runs) {
+      const Job *J = C.Ledger.find(Run.Task.Job);
+      if (R.Stage != RunStage::Present || !J || S.SyncFailures)
+        continue;
+      const workload::Step &Step = J->Spec.Steps[Run.Task.Key.Step];
+      if (Step.LongRunning)
+        continue;
+      if (T - R.ProgressAt > StuckAfter + Millis(Step.EstimateMs / 10)) {
+        C.log(415, {{"worker", Id},
+                    {"job", Run.Task.Job},
+                    {"run", Run.Run},
+                    {"percent", R.Percent}});
+        S.AvoidUntil = T + StuckAvoid;
+        R.ProgressAt = T;
+        stopUnit({Run.Task.Job, Run.Task.Key.Occurrence, Run.Task.Key.Step,
+                  Step.Gang ? 0 : Run.Task.Key.Index},
+                 "stuck");
+        break;
+      }
+    }
+    if (!S.SyncInFlight && !S.Entry.Address.empty() && T >= S.NextSyncAt)
+      sync(Id, S);
+    ++It;
+  }
+}
+
+} // namespace heathersaddle::cluster
--- /dev/null
+++ b/packages/cluster/lib/Requests.cpp
@@ -0,0 +1,145 @@
+// Callers are served by the daemon they reach. A submission is stored before
+// it is acknowledged; the owner reads it from the topic.
+#include "NodeImpl.h"
+#include "heathersaddle/cluster/Admission.h"
+
+namespace heathersaddle::cluster {
+
+/// Shorter than callers wait, so that they can ask another daemon in time.
+static constexpr Millis StoreLimit{1'200};
+/// An unknown job is called so only by a daemon that read the topic this
+/// recently.
+static constexpr Millis KnownWithin{2'500};
+/// The owner publishes the backlog about once a second; work accepted here
+/// since then is added for this long.
+static constexpr Millis BacklogAge{1'500};
+
+void Node::Impl::submit(workload::JobSpec Spec,
+                        std::function<void(std::optional<Refusal>)> Done) {
+  if (C.Ledger.find(Spec.Id)) {
+    C.count("submissions_repeated");
+    return Done(std::nullopt);
+  }
+  if (Stopping || !Control.fresh(KnownWithin)) {
+    C.count("submissions_refused_unavailable");
+    C.log(426, {{"job", Spec.Id},
+                {"queue", Spec.Queue},
+                {"reason", Stopping ? "stopping" : "store_unreachable"},
+                {"next", Control.next()}});
+    return Done(Refusal{Refusal::Unavailable, Millis(1'000),
+                        Stopping ? "this daemon is stopping"
+                                 : "the store cannot be reached"});
+  }
+  const workload::Ownership &O = C.Ledger.owner();
+  Load L;
+  L.Workers = O.Workers;
+  MonoTime T = C.mono();
+  std::erase_if(Accepted,
+                [T](const Recent &R) { return T - R.At > BacklogAge; });
+  for (std::size_t P = 0; P < O.BacklogMs.size() && P <= Spec.Priority; ++P)
+    L.AheadMs += O.BacklogMs[P];
+  for (const Recent &R : Accepted)
+    if (R.Priority <= Spec.Priority)
+      L.AheadMs += R.WorkMs;
+  if (auto After = refuse(Spec, L)) {
+    C.count("submissions_refused_overload");
+    C.log(426, {{"job", Spec.Id},
+                {"queue", Spec.Queue},
+                {"reason", "backlog"},
+                {"ahead_ms", L.AheadMs},
+                {"workers", L.Workers},
+                {"retry_after_ms", After->count()},
+                {"epoch", O.Epoch}});
+    return Done(Refusal{Refusal::Overloaded, *After,
+                        "the work ahead would make this job too late"});
+  }
+  Spec.AcceptedMs = C.wall();
+  std::int64_t Work = 0;
+  workload::Resources Total = O.MeanCapacity;
+  for (const workload::Step &S : Spec.Steps)
+    Work += workload::workerMs(S, Total, 1) * S.Count;
+  auto Record = workload::Ledger::submission(Spec);
+  C.count("store_appends");
+  C.Actions.push_back(AppendAction{
+      {Record},
+      std::nullopt,
+      StoreLimit,
+      [this, Alive = Alive, Record, Work, Done = std::move(Done), Started = T,
+       Id = Spec.Id, Queue = Spec.Queue,
+       Priority = Spec.Priority](const AppendResult &R) {
+        if (!*Alive)
+          return;
+        auto Took = (C.mono() - Started).count();
+        if (R.Verdict == AppendVerdict::Appended) {
+          // Visible here at once; the topic brings it to the others.
+          if (Control.following())
+            (void)C.Ledger.applyCallersRecord(Record);
+          Accepted.push_back({C.mono(), Priority, Work});
+          if (Own)
+            Own->jobChanged(Id);
+          C.count("submissions_accepted");
+          C.log(425, {{"job", Id},
+                      {"queue", Queue},
+                      {"offset", R.First},
+                      {"stored_ms", Took}});
+          return Done(std::nullopt);
+        }
+        bool Refused = R.Verdict == AppendVerdict::Refused;
+        C.count(Refused ? "submissions_refused_unavailable"
+                        : "submissions_unresolved");
+        C.log(426, {{"job", Id},
+                    {"queue", Queue},
+                    {"reason", Refused ? "store_refused" : "store_silent"},
+                    {"stored_ms", Took}});
+        Done(Refusal{Refused ? Refusal::Unavailable : Refusal::Unresolved,
+                     Millis(1'000), "the store did not accept the job"});
+      }});
+}
+
+StatusResult Node::Impl::status(std::string_view Id) const {
+  if (const Job *J = C.Ledger.find(Id))
+    return {Lookup::Found, J->shown()};
+  return {Control.fresh(KnownWithin) ? Lookup::Unknown : Lookup::Stale,
+          JobState::Queued};
+}
+
+void Node::Impl::cancel(std::string_view Id, std::function<void(Lookup)> Done) {
+  const Job *J = C.Ledger.find(Id);
+  if (!J)
+    return Done(Control.fresh(KnownWithin) ? Lookup::Unknown : Lookup::Stale);
+  if (J->ended() || J->CancelRequested)
+    return Done(Lookup::Found);
+  auto Record = workload::Ledger::cancellation(Id, C.wall());
+  C.count("store_appends");
+  C.Actions.push_back(
+      AppendAction{{Record},
+                   std::nullopt,
+                   StoreLimit,
+                   [this, Alive = Alive, Record, Done = std::move(Done),
+                    Id = std::string(Id)](const AppendResult &R) {
+                     if (!*Alive)
+                       return;
+                     bool Stored = R.Verdict == AppendVerdict::Appended;
+                     C.count(Stored ? "cancels_accepted" : "cancels_failed");
+                     C.log(427, {{"job", Id}, {"stored", Stored}});
+                     if (!Stored)
+                       return Done(Lookup::Stale);
+                     if (Control.following())
+                       (void)C.Ledger.applyCallersRecord(Record);
+                     if (Own)
+                       Own->jobChanged(Id);
+                     Done(Lookup::Found);
+                   }});
+}
+
+std::optional<std::size_t> Node::Impl::waiting(std::string_view Queue) const {
+  if (!Control.fresh(KnownWithin))
+    return std::nullopt;
+  std::size_t Count = 0;
+  for (const auto &[Id, J] : C.Ledger.jobs())
+    Count += J.Known && J.Spec.Queue == Queue && J.State == JobState::Queued &&
+             !J.CancelRequested;
+  return Count;
+}
+
+} // namespace heathersaddle::cluster
--- /dev/null
+++ b/packages/cluster/lib/Tail.h
@@ -0,0 +1,129 @@
+#ifndef HEATHERSADDLE_CLUSTER_TAIL_H
+#define HEATHERSADDLE_CLUSTER_TAIL_H
+
+#include "Core.h"
+#include "heathersaddle/base/Error.h"
+
+namespace heathersaddle::cluster {
+
+/// How long the log may hold a read that has nothing to return.
+inline constexpr Millis TailWait{1'000};
+/// Beyond the wait; a read on a dead connection is given up after both. The
+/// store's slowest known answers take about 300 ms.
+inline constexpr Millis TailSlack{1'200};
+/// First and longest pause after a failed call.
+inline constexpr Millis TailRetryFirst{60};
+inline constexpr Millis TailRetryMost{500};
+
+/// Follows one compacted topic: first pages of the newest record of each key,
+/// then all records from the end that the first page named. Records between
+/// pages are read twice, which is harmless as each holds its key's whole value.
+template <class Entry> class Tail {
+public:
+  /// \p Gap is the least time between two reads: fewer calls for more delay.
+  Tail(Core &C, Millis Gap) : C(C), Gap(Gap) {}
+  ~Tail() { *Alive = false; }
+  Tail(const Tail &) = delete;
+  Tail &operator=(const Tail &) = delete;
+
+  std::function<void()> OnReset; ///< The pages start over.
+  std::function<void(Entry &&)> OnEntry;
+  std::function<void()> OnComplete; ///< All pages have been read.
+
+  void setGap(Millis G) { Gap = G; }
+  /// Starts over, e.g. after the state was changed without the log.
+  void restart() {
+    ++Generation;
+    InFlight = false;
+    Following = false;
+    AfterKey.clear();
+    FirstPage = true;
+    NextAt = {};
+  }
+  bool following() const { return Following; }
+  /// Offset of the next record to be read.
+  std::uint64_t next() const { return From; }
+  /// Whether the topic was read to its end within \p Age.
+  bool fresh(Millis Age) const {
+    return Following && C.mono() - LastRead <= Age;
+  }
+  void tick() {
+    if (InFlight || C.mono() < NextAt)
+      return;
+    InFlight = true;
+    Following ? read() : page();
+  }
+
+private:
+  template <class Result>
+  auto guarded(void (Tail::*Handle)(base::Expected<Result>)) {
+    return [this, Alive = Alive, G = Generation,
+            Handle](base::Expected<Result> R) {
+      if (!*Alive || G != Generation)
+        return;
+      InFlight = false;
+      (this->*Handle)(std::move(R));
+    };
+  }
+  void read() {
+    C.Actions.push_back(ReadAction<Entry>{From, TailWait, TailWait + TailSlack,
+                                          guarded(&Tail::onBatch)});
+  }
+  void page() {
+    C.Actions.push_back(NewestAction<Entry>{AfterKey, TailWait + TailSlack,
+                                            guarded(&Tail::onPage)});
+  }
+  void failed() {
+    Retry = Retry.count() ? std::min(Retry * 2, TailRetryMost) : TailRetryFirst;
+    NextAt = C.mono() + C.jitter(Retry);
+  }
+  void onPage(base::Expected<Page<Entry>> P) {
+    if (!P)
+      return failed();
+    Retry = {};
+    if (FirstPage) {
+      FirstPage = false;
+      From = P->End;
+      if (OnReset)
+        OnReset();
+    }
+    for (Entry &E : P->Entries)
+      OnEntry(std::move(E));
+    AfterKey = P->LastKey;
+    if (P->More)
+      return;
+    Following = true;
+    LastRead = C.mono();
+    if (OnComplete)
+      OnComplete();
+  }
+  void onBatch(base::Expected<Batch<Entry>> B) {
+    if (!B)
+      return failed();
+    Retry = {};
+    if (B->Trimmed)
+      return restart();
+    From = B->Next;
+    LastRead = C.mono();
+    NextAt = LastRead + Gap;
+    for (Entry &E : B->Entries)
+      OnEntry(std::move(E));
+  }
+
+  Core &C;
+  Millis Gap;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+  std::uint64_t Generation = 0;
+  bool InFlight = false;
+  bool Following = false;
+  bool FirstPage = true;
+  std::string AfterKey;
+  std::uint64_t From = 0;
+  MonoTime NextAt{};
+  MonoTime LastRead{};
+  Millis Retry{};
+};
+
+} // namespace heathersaddle::cluster
+
+#endif
--- /dev/null
+++ b/packages/cluster/lib/Writer.cpp
@@ -0,0 +1,104 @@
+// An append without an answer is sent again with the same sequence number and
+// the same records until it is answered: the store runs it at most once. All
+// later changes wait for it, so the order of records is the order of decisions.
+#include "Writer.h"
+
+namespace heathersaddle::cluster {
+
+/// A healthy store answers within 10 ms, a slow one within 300 ms.
+static constexpr Millis AppendLimit{1'500};
+static constexpr Millis AppendRetry{100};
+/// The owner shows that it works at least this often.
+static constexpr Millis BeatPeriod{1'000};
+/// Most jobs in one append; a wide job's record has about 10 KB, an append at
+/// most 2 MB.
+static constexpr std::size_t BatchJobs = 100;
+
+void Writer::release() { Releasing = true; }
+
+void Writer::compose() {
+  Records.clear();
+  auto It = Dirty.begin();
+  for (std::size_t N = 0; It != Dirty.end() && N < BatchJobs; ++N) {
+    if (const auto *J = C.Ledger.find(*It))
+      Records.push_back(workload::Ledger::progress(*J));
+    It = Dirty.erase(It);
+  }
+  for (const std::string &Job : Removed)
+    for (KeyValue &R : workload::Ledger::removal(Job))
+      Records.push_back(std::move(R));
+  Removed.clear();
+  // Effects refer to jobs that may be in a later batch only when this one was
+  // cut; then they wait for it.
+  if (Dirty.empty())
+    InFlightEffects = std::exchange(Effects, {});
+  MonoTime T = C.mono();
+  bool Final = Releasing && Dirty.empty();
+  FinalInFlight = Final;
+  if (Records.empty() || T >= BeatAt || Final) {
+    workload::Ownership O;
+    O.Epoch = Epoch;
+    O.Daemon = C.Settings.Name;
+    O.Incarnation = C.Settings.Incarnation;
+    O.Beat = ++Beat;
+    O.Released = Final;
+    if (OnBeat)
+      OnBeat(O);
+    Records.push_back(workload::Ledger::ownership(O));
+    BeatAt = T + BeatPeriod;
+  }
+  ++Sequence;
+  InFlight = true;
+}
+
+void Writer::send() {
+  Sending = true;
+  C.count("store_appends");
+  C.Actions.push_back(
+      AppendAction{Records, WriterFence{Epoch, Sequence}, AppendLimit,
+                   [this, Alive = Alive](const AppendResult &R) {
+                     if (*Alive)
+                       onResult(R);
+                   }});
+}
+
+void Writer::onResult(const AppendResult &R) {
+  Sending = false;
+  switch (R.Verdict) {
+  case AppendVerdict::Appended: {
+    InFlight = false;
+    ReleaseStored = FinalInFlight;
+    auto Run = std::exchange(InFlightEffects, {});
+    auto StillAlive = Alive;
+    for (const auto &Effect : Run) {
+      Effect();
+      if (!*StillAlive)
+        return;
+    }
+    return;
+  }
+  case AppendVerdict::Superseded:
+    return OnDeposed("a later owner has appended");
+  case AppendVerdict::OutOfOrder:
+    return OnDeposed("the sequence of appends is broken");
+  case AppendVerdict::Refused:
+  case AppendVerdict::Unresolved:
+    C.count("store_append_retries");
+    RetryAt = C.mono() + C.jitter(AppendRetry);
+    return;
+  }
+}
+
+void Writer::tick() {
+  if (Sending || ReleaseStored || C.mono() < RetryAt)
+    return;
+  if (!InFlight) {
+    if (Dirty.empty() && Removed.empty() && Effects.empty() && !Releasing &&
+        C.mono() < BeatAt)
+      return;
+    compose();
+  }
+  send();
+}
+
+} // namespace heathersaddle::cluster
--- /dev/null
+++ b/packages/cluster/tests/ClusterStoryTest.cpp
@@ -0,0 +1,308 @@
+#include "World.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace heathersaddle;
+using namespace heathersaddle::cluster;
+using workload::JobState;
+
+namespace {
+
+struct Deployment : World {
+  Deployment() {
+    for (const char *Id : {"w1", "w2", "w3"})
+      addWorker(Id, "r1");
+    for (const char *Name : {"a", "b", "c"})
+      addDaemon(Name);
+    BOOST_REQUIRE(runUntil([this] { return !owner().empty(); }, 3'000));
+    run(200);
+  }
+  Node &any() { return *Daemons.begin()->second; }
+  Node &follower() {
+    for (auto &[Name, N] : Daemons)
+      if (!N->isOwner())
+        return *N;
+    return any();
+  }
+  bool shows(Node &N, const std::string &Id, JobState S) {
+    auto R = N.status(Id);
+    return R.Result == Lookup::Found && R.State == S;
+  }
+  bool allShow(const std::string &Id, JobState S) {
+    return std::all_of(Daemons.begin(), Daemons.end(),
+                       [&](auto &D) { return shows(*D.second, Id, S); });
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(ADeploymentWithThreeDaemons, Deployment)
+
+BOOST_AUTO_TEST_SUITE(OnACalmDay)
+
+// Guards against a job that is lost, run twice or not shown everywhere.
+BOOST_AUTO_TEST_CASE(RunsEveryTaskOnceAndShowsTheEndEverywhere) {
+  BOOST_TEST(!submit(follower(), job("1", 10, 1, 500)));
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 3'000));
+  BOOST_TEST(Starts.size() == 10u);
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == 1u);
+}
+
+// Guards against a second job when the same submission comes again elsewhere.
+BOOST_AUTO_TEST_CASE(TreatsARepeatedSubmissionAsOneJob) {
+  auto J = job("1", 1, 1, 300);
+  BOOST_TEST(!submit(any(), J));
+  run(400);
+  for (auto &[Name, N] : Daemons)
+    BOOST_TEST(!submit(*N, J));
+  run(2'000);
+  BOOST_TEST(Starts.size() == 1u);
+  BOOST_TEST((Starts.begin()->second == 1u));
+}
+
+// Guards against steps that start before those they depend on.
+BOOST_AUTO_TEST_CASE(StartsAStepWhenTheStepsBeforeItAreDone) {
+  auto J = job("1", 1, 1, 400);
+  J.Steps.push_back(J.Steps[0]);
+  J.Steps[1].DependsOn = {0};
+  BOOST_TEST(!submit(any(), J));
+  run(300);
+  BOOST_TEST(Starts.size() == 1u);
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 3'000));
+  BOOST_TEST(Starts.size() == 2u);
+}
+
+// Guards against work that goes on after its cancellation.
+BOOST_AUTO_TEST_CASE(StopsACancelledJob) {
+  BOOST_TEST(!submit(any(), job("1", 4, 1, 60'000)));
+  run(300);
+  Lookup Answer = Lookup::Stale;
+  follower().cancel("1", [&](Lookup L) { Answer = L; });
+  run(1'000);
+  BOOST_TEST((Answer == Lookup::Found));
+  BOOST_TEST(allShow("1", JobState::Cancelled));
+  for (const auto &[Id, W] : Workers)
+    BOOST_TEST(W.Runs.empty());
+}
+
+// Guards against a daemon that goes back to an older configuration.
+BOOST_AUTO_TEST_CASE(NeverGoesBackToAnOlderConfiguration) {
+  configure(5);
+  run(500);
+  configure(3);
+  run(500);
+  for (auto &[Name, N] : Daemons)
+    BOOST_TEST(N->configuration()->Version == 5u);
+}
+
+// Guards against the room of a run being used before its end is listed.
+BOOST_AUTO_TEST_CASE(KeepsTheRoomOfAStoppingRunUntilItsEndIsListed) {
+  for (auto &[Id, W] : Workers)
+    W.StopMs = 150;
+  // Short work ends while the stops are under way, so that the workers' lists
+  // are read meanwhile.
+  BOOST_TEST(!submit(any(), job("1", 4, 1, 60'000)));
+  for (int N = 0; N < 20; ++N) {
+    auto Short = job("short" + std::to_string(N), 1, 1, 480 + 20 * N);
+    Short.Priority = 0;
+    Short.Account = "";
+    BOOST_TEST(!submit(any(), Short));
+  }
+  run(300);
+  auto Urgent = job("2", 4, 1, 500);
+  Urgent.Queue = "q0";
+  Urgent.Priority = 0;
+  Urgent.Steps[0].Gang = true;
+  BOOST_TEST(!submit(any(), Urgent));
+  BOOST_TEST(
+      runUntil([&] { return allShow("2", JobState::Completed); }, 3'000));
+  BOOST_TEST(NoRoom == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenADaemonFails)
+
+// Guards against work that is started again by the next owner.
+BOOST_AUTO_TEST_CASE(TheNextOwnerTakesOverWhatRuns) {
+  BOOST_TEST(!submit(any(), job("1", 6, 1, 6'000)));
+  run(500);
+  kill(owner());
+  BOOST_TEST(runUntil([&] { return !owner().empty(); }, 5'000));
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 9'000));
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == 1u);
+}
+
+// Guards against two owners, and against an owner that waits for nothing.
+BOOST_AUTO_TEST_CASE(AnOwnerWithoutTheStoreIsReplaced) {
+  BOOST_TEST(!submit(any(), job("1", 6, 1, 9'000)));
+  run(500);
+  std::string Old = owner();
+  StoreCut.insert(Old);
+  BOOST_TEST(runUntil(
+      [&] {
+        return std::any_of(Daemons.begin(), Daemons.end(), [&](auto &D) {
+          return D.first != Old && D.second->isOwner();
+        });
+      },
+      6'000));
+  BOOST_TEST(runUntil([&] { return !Daemons[Old]->isOwner(); }, 3'000));
+  StoreCut.clear();
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 12'000));
+  BOOST_TEST(!Overlap);
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == 1u);
+}
+
+// Guards against "no such job" from a daemon that cannot know.
+BOOST_AUTO_TEST_CASE(ADaemonBehindTheStoreDoesNotDenyAJob) {
+  Node &Cut = follower();
+  for (auto &[Name, N] : Daemons)
+    if (N.get() == &Cut)
+      StoreCut.insert(Name);
+  run(4'000);
+  BOOST_TEST((Cut.status("unknown").Result == Lookup::Stale));
+  BOOST_TEST(!Cut.ready());
+  auto R = submit(Cut, job("1", 1, 1, 100));
+  BOOST_REQUIRE(R);
+  BOOST_TEST((R->Why == Refusal::Unavailable));
+}
+
+// Guards against a loss of accepted work when all daemons die at once.
+BOOST_AUTO_TEST_CASE(AllDaemonsDieAndTheStateIsReadAgain) {
+  BOOST_TEST(!submit(any(), job("1", 6, 1, 3'000)));
+  run(500);
+  Daemons.clear();
+  run(2'000);
+  for (const char *Name : {"d", "e"})
+    addDaemon(Name);
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 12'000));
+  BOOST_TEST(!Overlap);
+}
+
+// Guards against a planned stop that costs a takeover's time.
+BOOST_AUTO_TEST_CASE(AStoppingOwnerHandsOverAtOnce) {
+  std::string Old = owner();
+  Daemons[Old]->beginStop();
+  BOOST_TEST(runUntil(
+      [&] {
+        return std::any_of(Daemons.begin(), Daemons.end(), [&](auto &D) {
+          return D.first != Old && D.second->isOwner();
+        });
+      },
+      1'000));
+  BOOST_TEST(Daemons[Old]->stopped());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAnswersGetLost)
+
+// Guards against owners that stop, or record twice, after a lost answer.
+BOOST_AUTO_TEST_CASE(AnAppendWithoutAnAnswerIsRepeatedSafely) {
+  BOOST_TEST(!submit(any(), job("1", 3, 1, 500)));
+  LoseAppends = 2;
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 9'000));
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == 1u);
+}
+
+// Guards against a caller who is told "not run" about a job that was stored.
+BOOST_AUTO_TEST_CASE(ASubmissionWithoutAnAnswerIsUnresolved) {
+  LoseAppends = 1;
+  auto R = submit(follower(), job("1", 1, 1, 100));
+  if (R)
+    BOOST_TEST((R->Why == Refusal::Unresolved));
+}
+
+// Guards against a second run beside one whose start was not answered.
+BOOST_AUTO_TEST_CASE(AStartWithoutAnAnswerIsNotStartedElsewhere) {
+  for (auto &[Id, W] : Workers)
+    W.Mute = true;
+  BOOST_TEST(!submit(any(), job("1", 3, 1, 4'000)));
+  run(1'500);
+  for (auto &[Id, W] : Workers)
+    W.Mute = false;
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 20'000));
+  BOOST_TEST(!Overlap);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenAWorkerFails)
+
+// Guards against work that waits for ever for a worker that has gone: each
+// call to a silent worker used to lengthen the lease that was waited for.
+BOOST_AUTO_TEST_CASE(WorkOfASilentWorkerRunsElsewhereAfterItsLease) {
+  BOOST_TEST(!submit(any(), job("1", 24, 1, 3'000)));
+  run(300);
+  Workers["w2"].Up = false;
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 14'000));
+}
+
+// Guards against a second run beside that of a worker that is only cut off.
+BOOST_AUTO_TEST_CASE(WorkOfAWorkerThatIsCutOffNeverRunsTwiceAtOnce) {
+  BOOST_TEST(!submit(any(), job("1", 24, 1, 9'000)));
+  run(300);
+  Workers["w2"].Cut = true;
+  run(12'000);
+  Workers["w2"].Cut = false;
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 20'000));
+  BOOST_TEST(!Overlap);
+}
+
+// Guards against waiting for the lease of a worker that has started anew.
+BOOST_AUTO_TEST_CASE(WorkOfARestartedWorkerRunsAgainAtOnce) {
+  BOOST_TEST(!submit(any(), job("1", 24, 1, 1'000)));
+  run(300);
+  addWorker("w2", "r1");
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 4'000));
+}
+
+// Guards against new work on a worker that leaves.
+BOOST_AUTO_TEST_CASE(ADrainingWorkerGetsNoNewWork) {
+  for (const char *Id : {"w1", "w2"}) {
+    Workers[Id].Entry.Draining = true;
+    Registry.push_back({Id, Workers[Id].Entry});
+  }
+  run(500);
+  BOOST_TEST(!submit(any(), job("1", 8, 1, 500)));
+  run(300);
+  BOOST_TEST(Workers["w1"].Runs.empty());
+  BOOST_TEST(Workers["w2"].Runs.empty());
+  BOOST_TEST(Workers["w3"].Runs.size() == 8u);
+}
+
+// Guards against attempts that are spent on one worker that fails everything.
+BOOST_AUTO_TEST_CASE(AWorkerThatFailsEverythingCostsNoJob) {
+  Workers["w2"].Fails = true;
+  for (int N = 0; N < 8; ++N)
+    BOOST_TEST(!submit(any(), job(std::to_string(N), 3, 1, 300)));
+  run(15'000);
+  for (int N = 0; N < 8; ++N)
+    BOOST_TEST(allShow(std::to_string(N), JobState::Completed));
+}
+
+// Guards against endless attempts of a job that can never be done.
+BOOST_AUTO_TEST_CASE(AJobThatAlwaysFailsEndsAfterItsAttempts) {
+  for (auto &[Id, W] : Workers)
+    W.Fails = true;
+  BOOST_TEST(!submit(any(), job("1", 1, 1, 300)));
+  BOOST_TEST(runUntil([&] { return allShow("1", JobState::Failed); }, 30'000));
+  BOOST_TEST((Starts.begin()->second == 3u));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/packages/cluster/tests/World.cpp
@@ -0,0 +1,423 @@
+#include "World.h"
+#include <algorithm>
+
+namespace heathersaddle::cluster {
+
+static constexpr std::int64_t NetworkMs = 2;
+static constexpr std::int64_t PollMs = 5;
+static constexpr base::WallMs WallBase = 1'700'000'000'000;
+
+World::World() : Log(std::make_unique<base::StructuredLog>(-1, "test")) {
+  configure(1);
+}
+
+void World::configure(std::uint64_t Version) {
+  auto C = std::make_shared<Configuration>();
+  C->Version = Version;
+  for (unsigned P = 0; P < 3; ++P) {
+    Queue Q;
+    Q.Name = "q" + std::to_string(P);
+    Q.Host = "host";
+    Q.PathPrefix = "/" + Q.Name + "/";
+    Q.Service = "service";
+    Q.Priority = P;
+    C->Queues.push_back(Q);
+  }
+  C->Accounts.push_back({"maison", {"key"}, 16});
+  Operator.push_back({C});
+}
+
+FakeWorker &World::addWorker(const std::string &Id, const std::string &Rack,
+                             std::int64_t Gpus) {
+  FakeWorker &W = Workers[Id];
+  W = {};
+  W.Entry.Id = Id;
+  W.Entry.Address = Id + ":1";
+  W.Entry.Service = "service";
+  W.Entry.Rack = Rack;
+  W.Entry.Labels = {"a", Rack};
+  W.Entry.Capacity = {64'000, 256'000, Gpus};
+  W.Entry.BornMs = Clock;
+  Registry.push_back({Id, W.Entry});
+  return W;
+}
+
+Node &World::addDaemon(const std::string &Name) {
+  NodeSettings S;
+  S.Name = Name;
+  S.Incarnation = Name + std::to_string(Clock);
+  S.Seed = std::hash<std::string>()(S.Incarnation);
+  S.StopMost = base::Millis(200);
+  Daemons[Name] = std::make_unique<Node>(
+      S,
+      [this] {
+        return Now{base::Millis(Clock), WallBase + Clock};
+      },
+      *Log);
+  Daemons[Name]->start();
+  pump(Name);
+  return *Daemons[Name];
+}
+
+workload::JobSpec World::job(const std::string &Id, unsigned Tasks,
+                             std::int64_t Gpus, std::int64_t Work) {
+  workload::JobSpec J;
+  J.Id = Id;
+  J.Queue = "q1";
+  J.Service = "service";
+  J.Account = "maison";
+  J.Payload = "payload";
+  J.Priority = 1;
+  J.MaxAttempts = 3;
+  J.Stretch = 3;
+  J.LatencyObjectiveMs = 60'000;
+  workload::Step S;
+  S.Count = Tasks;
+  S.Need = {1'000, 1'000, Gpus};
+  S.EstimateMs = Work;
+  J.Steps.push_back(S);
+  WorkOf[Id] = Work;
+  return J;
+}
+
+void World::after(std::int64_t Ms, std::function<void()> Do) {
+  Events.push({Clock + Ms, Order++, std::move(Do)});
+}
+
+void World::reply(const std::string &Daemon, std::function<void()> Do) {
+  after(NetworkMs,
+        [this, Daemon, Node = Daemons.at(Daemon).get(), Do = std::move(Do)] {
+          auto It = Daemons.find(Daemon);
+          if (It == Daemons.end() || It->second.get() != Node)
+            return;
+          Do();
+          pump(Daemon);
+        });
+}
+
+void World::pump(const std::string &Daemon) {
+  Node &N = *Daemons.at(Daemon);
+  N.tick();
+  for (auto Actions = N.takeActions(); !Actions.empty();
+       Actions = N.takeActions())
+    for (Action &A : Actions)
+      carryOut(Daemon, std::move(A));
+}
+
+AppendResult World::append(const AppendAction &A) {
+  if (A.Fence) {
+    if (A.Fence->Epoch < Control.Epoch)
+      return {AppendVerdict::Superseded, 0};
+    if (A.Fence->Epoch == Control.Epoch) {
+      if (A.Fence->Sequence == Control.Sequence)
+        return Control.Last;
+      if (A.Fence->Sequence != Control.Sequence + 1)
+        return {AppendVerdict::OutOfOrder, 0};
+    }
+    Control.Epoch = A.Fence->Epoch;
+    Control.Sequence = A.Fence->Sequence;
+  }
+  AppendResult R{AppendVerdict::Appended, Control.Records.size()};
+  Control.Records.insert(Control.Records.end(), A.Records.begin(),
+                         A.Records.end());
+  if (A.Fence)
+    Control.Last = R;
+  return R;
+}
+
+void World::poll(const std::string &Daemon, const ReadAction<KeyValue> &A,
+                 std::int64_t Until) {
+  if (!Daemons.contains(Daemon) || StoreCut.contains(Daemon))
+    return;
+  if (A.From < Control.First || A.From < Control.Records.size() ||
+      Clock >= Until) {
+    Batch<KeyValue> B;
+    B.Trimmed = A.From < Control.First;
+    B.Next = Control.Records.size();
+    if (!B.Trimmed)
+      B.Entries.assign(Control.Records.begin() +
+                           static_cast<std::ptrdiff_t>(A.From),
+                       Control.Records.end());
+    return reply(Daemon, [Done = A.Done, B] { Done(B); });
+  }
+  after(PollMs, [this, Daemon, A, Until] { poll(Daemon, A, Until); });
+}
+
+template <class Entry>
+void World::pollList(const std::string &Daemon, const ReadAction<Entry> &A,
+                     const std::vector<Entry> &From, std::int64_t Until) {
+  if (!Daemons.contains(Daemon) || StoreCut.contains(Daemon))
+    return;
+  if (A.From < From.size() || Clock >= Until) {
+    Batch<Entry> B;
+    B.Next = From.size();
+    B.Entries.assign(From.begin() + static_cast<std::ptrdiff_t>(A.From),
+                     From.end());
+    return reply(Daemon, [Done = A.Done, B] { Done(B); });
+  }
+  after(PollMs,
+        [this, Daemon, A, &From, Until] { pollList(Daemon, A, From, Until); });
+}
+
+/// Calls without an answer fail after their time limit.
+template <class Done, class Result>
+static std::function<void()> failure(Done D, Result R) {
+  return [D = std::move(D), R = std::move(R)] { D(R); };
+}
+
+static base::Error timeout() {
+  return {base::ErrorCode::Timeout, "call", "", "no answer", ""};
+}
+
+void World::end(FakeWorker &W, std::size_t Index, EndReason Why) {
+  auto Run = W.Runs[Index];
+  W.Runs.erase(W.Runs.begin() + static_cast<std::ptrdiff_t>(Index));
+  W.Ended.push_back({W.NextEnd++, Run.Task, Run.Number, Why, ""});
+  W.Barred[Run.Task] = std::max(W.Barred[Run.Task], Run.Number);
+}
+
+void World::step(FakeWorker &W) {
+  if (!W.Up) {
+    W.Runs.clear();
+    return;
+  }
+  for (std::size_t N = W.Runs.size(); N-- > 0;) {
+    auto &R = W.Runs[N];
+    if (Clock > W.LeaseUntilMs)
+      end(W, N, EndReason::LeaseExpired);
+    else if (R.StopAtMs >= 0 && Clock >= R.StopAtMs)
+      end(W, N, EndReason::Stopped);
+    else if (W.Fails)
+      end(W, N, EndReason::Failed);
+    else if (Clock >= R.StartedMs + R.WorkMs)
+      end(W, N, EndReason::Done);
+  }
+}
+
+WorkerReply World::start(FakeWorker &W, const StartAction &A) {
+  WorkerReply R;
+  R.ClockMs = Clock;
+  R.BornMs = W.Entry.BornMs;
+  if (A.Epoch < W.Epoch) {
+    R.Verdict = WorkerVerdict::Fenced;
+    return R;
+  }
+  W.Epoch = A.Epoch;
+  if (A.LeaseUntilMs < Clock) {
+    R.Verdict = WorkerVerdict::DeadlinePassed;
+    return R;
+  }
+  W.LeaseUntilMs = std::max(W.LeaseUntilMs, A.LeaseUntilMs);
+  std::int64_t Used = 0;
+  for (const auto &Run : W.Runs) {
+    // All jobs of these tests take the same GPUs per task.
+    ++Used;
+    if (Run.Task == A.Task && Run.Number == A.Run) {
+      R.Verdict = WorkerVerdict::Ok;
+      return R;
+    }
+  }
+  if (W.Barred.contains(A.Task) && W.Barred[A.Task] >= A.Run) {
+    R.Verdict = WorkerVerdict::RunTooOld;
+    return R;
+  }
+  if (Used >= W.Entry.Capacity.Gpus) {
+    ++NoRoom;
+    R.Verdict = WorkerVerdict::NoRoom;
+    return R;
+  }
+  for (const auto &[Id, Other] : Workers)
+    for (const auto &Run : Other.Runs)
+      Overlap |= Run.Task == A.Task;
+  ++Starts[A.Task];
+  W.Runs.push_back({A.Task, A.Run, Clock, -1, WorkOf[A.Task.Job]});
+  R.Verdict = WorkerVerdict::Ok;
+  return R;
+}
+
+void World::sync(const std::string &Daemon, const SyncAction &A,
+                 std::int64_t Until) {
+  if (!Daemons.contains(Daemon))
+    return;
+  FakeWorker &W = Workers[A.Worker.Id];
+  if (!W.Up || W.Cut)
+    return;
+  WorkerReply R;
+  R.ClockMs = Clock;
+  R.BornMs = W.Entry.BornMs;
+  if (A.Epoch < W.Epoch) {
+    R.Verdict = WorkerVerdict::Fenced;
+  } else {
+    R.Verdict = WorkerVerdict::Ok;
+    W.Epoch = A.Epoch;
+    if (A.LeaseUntilMs >= 0)
+      W.LeaseUntilMs = std::max(W.LeaseUntilMs, A.LeaseUntilMs);
+    std::erase_if(W.Ended, [&A](const EndedTask &E) {
+      return E.Number <= A.AcknowledgedTo;
+    });
+    if (W.Ended.empty() && Clock < Until) {
+      SyncAction Later = A;
+      Later.LeaseUntilMs = -1;
+      return after(
+          PollMs, [this, Daemon, Later, Until] { sync(Daemon, Later, Until); });
+    }
+    for (const auto &Run : W.Runs)
+      if (Run.StopAtMs < 0)
+        R.Running.push_back(
+            {Run.Task, Run.Number, "",
+             static_cast<unsigned>(100 * (Clock - Run.StartedMs) /
+                                   std::max<std::int64_t>(1, Run.WorkMs))});
+    R.Ended = W.Ended;
+  }
+  if (!W.Mute)
+    reply(Daemon, [Done = A.Done, R] { Done(R); });
+}
+
+void World::carryOut(const std::string &Daemon, Action A) {
+  // Each call is answered once: by the world, or by its time limit.
+  std::visit(
+      [&](auto &One) {
+        auto Answered = std::make_shared<bool>(false);
+        using T = std::decay_t<decltype(One)>;
+        auto Done = One.Done;
+        One.Done = [Answered, Done](auto Result) {
+          if (!std::exchange(*Answered, true))
+            Done(std::move(Result));
+        };
+        std::function<void()> Late;
+        if constexpr (std::is_same_v<T, AppendAction>)
+          Late = failure(One.Done, AppendResult{});
+        else if constexpr (requires { One.Worker; })
+          Late = failure(One.Done, WorkerReply{});
+        else
+          Late = [D = One.Done] { D(tl::unexpected(timeout())); };
+        after(One.TimeLimit.count(),
+              [this, Daemon, Node = Daemons.at(Daemon).get(), Late] {
+                auto It = Daemons.find(Daemon);
+                if (It == Daemons.end() || It->second.get() != Node)
+                  return;
+                Late();
+                pump(Daemon);
+              });
+        auto Copy = One;
+        after(NetworkMs, [this, Daemon, Copy] {
+          if (!Daemons.contains(Daemon))
+            return;
+          if constexpr (std::is_same_v<T, AppendAction>) {
+            if (StoreCut.contains(Daemon))
+              return;
+            auto R = append(Copy);
+            if (LoseAppends) {
+              --LoseAppends;
+              return;
+            }
+            reply(Daemon, [Copy, R] { Copy.Done(R); });
+          } else if constexpr (std::is_same_v<T, ReadAction<KeyValue>>) {
+            poll(Daemon, Copy, Clock + Copy.Wait.count());
+          } else if constexpr (std::is_same_v<T, ReadAction<RegistryChange>>) {
+            pollList(Daemon, Copy, Registry, Clock + Copy.Wait.count());
+          } else if constexpr (std::is_same_v<T, ReadAction<OperatorChange>>) {
+            pollList(Daemon, Copy, Operator, Clock + Copy.Wait.count());
+          } else if constexpr (std::is_same_v<T, NewestAction<KeyValue>>) {
+            if (StoreCut.contains(Daemon))
+              return;
+            std::map<std::string, std::string> Newest;
+            for (const KeyValue &R : Control.Records)
+              Newest[R.Key] = R.Value;
+            Page<KeyValue> P;
+            for (auto &[K, V] : Newest)
+              if (!V.empty())
+                P.Entries.push_back({K, V});
+            P.End = Control.Records.size();
+            reply(Daemon, [Copy, P] { Copy.Done(P); });
+          } else if constexpr (std::is_same_v<T,
+                                              NewestAction<RegistryChange>>) {
+            std::map<std::string, RegistryChange> Newest;
+            for (const auto &R : Registry)
+              Newest[R.Worker] = R;
+            Page<RegistryChange> P;
+            for (auto &[K, V] : Newest)
+              if (V.Entry)
+                P.Entries.push_back(V);
+            P.End = Registry.size();
+            reply(Daemon, [Copy, P] { Copy.Done(P); });
+          } else if constexpr (std::is_same_v<T,
+                                              NewestAction<OperatorChange>>) {
+            Page<OperatorChange> P;
+            P.Entries.push_back(Operator.back());
+            P.End = Operator.size();
+            reply(Daemon, [Copy, P] { Copy.Done(P); });
+          } else if constexpr (std::is_same_v<T, SyncAction>) {
+            sync(Daemon, Copy, Clock + Copy.Wait.count());
+          } else if constexpr (requires { Copy.Worker; }) {
+            FakeWorker &W = Workers[Copy.Worker.Id];
+            if (!W.Up || W.Cut)
+              return;
+            WorkerReply R;
+            if constexpr (std::is_same_v<T, StartAction>) {
+              R = start(W, Copy);
+            } else {
+              R.ClockMs = Clock;
+              R.BornMs = W.Entry.BornMs;
+              R.Verdict = Copy.Epoch < W.Epoch ? WorkerVerdict::Fenced
+                                               : WorkerVerdict::Ok;
+              W.Barred[Copy.Task] = std::max(W.Barred[Copy.Task], Copy.Run);
+              for (auto &Run : W.Runs)
+                if (Run.Task == Copy.Task && Run.Number == Copy.Run &&
+                    Run.StopAtMs < 0)
+                  Run.StopAtMs = Clock + W.StopMs;
+            }
+            if (!W.Mute)
+              reply(Daemon, [Copy, R] { Copy.Done(R); });
+          }
+        });
+      },
+      A);
+}
+
+void World::run(std::int64_t Ms) {
+  std::int64_t Until = Clock + Ms;
+  while (Clock < Until) {
+    ++Clock;
+    while (!Events.empty() && Events.top().At <= Clock) {
+      auto Do = Events.top().Do;
+      Events.pop();
+      Do();
+    }
+    for (auto &[Id, W] : Workers)
+      step(W);
+    if (Clock % 20 == 0) {
+      std::vector<std::string> Names;
+      for (const auto &[Name, N] : Daemons)
+        Names.push_back(Name);
+      for (const std::string &Name : Names)
+        pump(Name);
+    }
+  }
+}
+
+bool World::runUntil(const std::function<bool()> &Done, std::int64_t MostMs) {
+  for (std::int64_t N = 0; N < MostMs; N += 5) {
+    if (Done())
+      return true;
+    run(5);
+  }
+  return Done();
+}
+
+std::optional<Refusal> World::submit(Node &N, workload::JobSpec Spec) {
+  std::optional<std::optional<Refusal>> Result;
+  N.submit(std::move(Spec),
+           [&Result](const std::optional<Refusal> &R) { Result = R; });
+  runUntil([&] { return Result.has_value(); }, 5'000);
+  return Result ? *Result : Refusal{Refusal::Unresolved};
+}
+
+std::string World::owner() const {
+  for (const auto &[Name, N] : Daemons)
+    if (N->isOwner())
+      return Name;
+  return "";
+}
+
+} // namespace heathersaddle::cluster
--- /dev/null
+++ b/packages/cluster/tests/World.h
@@ -0,0 +1,110 @@
+#ifndef HEATHERSADDLE_CLUSTER_TESTS_WORLD_H
+#define HEATHERSADDLE_CLUSTER_TESTS_WORLD_H
+
+#include "heathersaddle/cluster/Node.h"
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+
+namespace heathersaddle::cluster {
+
+/// A worker in virtual time: runs, leases, stops and the list of ends.
+struct FakeWorker {
+  struct Run {
+    TaskName Task;
+    unsigned Number = 0;
+    std::int64_t StartedMs = 0;
+    std::int64_t StopAtMs = -1; ///< When a stop takes effect.
+    std::int64_t WorkMs = 0;
+  };
+  WorkerEntry Entry;
+  bool Up = true;
+  bool Cut = false;   ///< Calls get lost; it works on.
+  bool Mute = false;  ///< Calls are carried out, their answers lost.
+  bool Fails = false; ///< Every run fails at once.
+  std::int64_t StopMs = 0;
+  std::int64_t LeaseUntilMs = 0;
+  std::uint64_t Epoch = 0;
+  std::uint64_t Acknowledged = 0;
+  std::vector<Run> Runs;
+  std::vector<EndedTask> Ended;
+  std::map<TaskName, unsigned> Barred; ///< Runs up to this never start.
+  std::uint64_t NextEnd = 1;
+};
+
+/// A compacted topic.
+struct FakeTopic {
+  std::vector<KeyValue> Records;
+  std::uint64_t First = 0; ///< Oldest offset that a read can begin at.
+  std::uint64_t Epoch = 0;
+  std::uint64_t Sequence = 0;
+  AppendResult Last;
+};
+
+/// A store, a registry, workers and daemons in virtual time. Calls take 2 ms
+/// each way.
+class World {
+public:
+  World();
+  FakeWorker &addWorker(const std::string &Id, const std::string &Rack,
+                        std::int64_t Gpus = 8);
+  Node &addDaemon(const std::string &Name);
+  void kill(const std::string &Daemon) { Daemons.erase(Daemon); }
+  void configure(std::uint64_t Version);
+
+  void run(std::int64_t Ms);
+  bool runUntil(const std::function<bool()> &Done, std::int64_t MostMs);
+  /// Submits a job of one step and runs until it is answered.
+  std::optional<Refusal> submit(Node &N, workload::JobSpec Spec);
+  workload::JobSpec job(const std::string &Id, unsigned Tasks,
+                        std::int64_t Gpus, std::int64_t WorkMs);
+  std::string owner() const;
+  /// Starts that took effect, by task.
+  std::map<TaskName, unsigned> Starts;
+  unsigned NoRoom = 0;  ///< Starts that a worker refused for want of room.
+  bool Overlap = false; ///< A task ran twice at the same time.
+
+  std::map<std::string, std::unique_ptr<Node>> Daemons;
+  std::map<std::string, FakeWorker> Workers;
+  FakeTopic Control;
+  std::vector<RegistryChange> Registry;
+  std::vector<OperatorChange> Operator;
+  std::set<std::string> StoreCut; ///< Daemons whose store calls get lost.
+  unsigned LoseAppends = 0;       ///< Answers of appends to lose.
+  std::int64_t Clock = 10'000;
+
+private:
+  struct Event {
+    std::int64_t At;
+    std::uint64_t Order;
+    std::function<void()> Do;
+    bool operator<(const Event &E) const {
+      return std::tie(E.At, E.Order) < std::tie(At, Order);
+    }
+  };
+  void after(std::int64_t Ms, std::function<void()> Do);
+  /// Runs \p Do for a daemon unless it was killed, then lets it react.
+  void reply(const std::string &Daemon, std::function<void()> Do);
+  void pump(const std::string &Daemon);
+  void carryOut(const std::string &Daemon, Action A);
+  void step(FakeWorker &W);
+  void end(FakeWorker &W, std::size_t Index, EndReason Why);
+  WorkerReply start(FakeWorker &W, const StartAction &A);
+  AppendResult append(const AppendAction &A);
+  void poll(const std::string &Daemon, const ReadAction<KeyValue> &A,
+            std::int64_t Until);
+  template <class Entry>
+  void pollList(const std::string &Daemon, const ReadAction<Entry> &A,
+                const std::vector<Entry> &From, std::int64_t Until);
+  void sync(const std::string &Daemon, const SyncAction &A, std::int64_t Until);
+
+  std::priority_queue<Event> Events;
+  std::uint64_t Order = 0;
+  std::map<std::string, std::int64_t> WorkOf;
+  std::unique_ptr<base::StructuredLog> Log;
+};
+
+} // namespace heathersaddle::cluster
+
+#endif
--- /dev/null
+++ b/packages/dispatch/include/heathersaddle/dispatch/Fleet.h
@@ -0,0 +1,67 @@
+#ifndef HEATHERSADDLE_DISPATCH_FLEET_H
+#define HEATHERSADDLE_DISPATCH_FLEET_H
+
+#include "heathersaddle/workload/Job.h"
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace heathersaddle::dispatch {
+
+using workload::Resources;
+
+/// One group of tasks that is placed or stopped as a whole: a gang, or a
+/// single task.
+struct UnitId {
+  std::string Job;
+  unsigned Occurrence = 0;
+  unsigned Step = 0;
+  unsigned Index = 0; ///< 0 for a gang.
+  bool operator==(const UnitId &) const = default;
+  bool operator<(const UnitId &O) const {
+    return std::tie(Job, Occurrence, Step, Index) <
+           std::tie(O.Job, O.Occurrence, O.Step, O.Index);
+  }
+};
+
+/// What holds room on a worker.
+struct Running {
+  UnitId Unit;
+  std::string Account;
+  Resources Room;
+  unsigned Priority = 0;
+  bool Guaranteed = false; ///< Within the reserved share of its account.
+  bool Stoppable = true;   ///< Not being stopped, and stopping is allowed.
+  std::int64_t StartedMs = 0;
+  std::int64_t EndEstimateMs = 0;
+  /// Work since the last checkpoint, which a stop would lose.
+  std::int64_t LostIfStoppedMs = 0;
+};
+
+struct Worker {
+  std::string Id;
+  std::string Service;
+  std::string Rack;
+  std::vector<std::string> Labels;
+  Resources Capacity;
+  Resources Free;        ///< Capacity less all that holds room, also stopping.
+  bool Usable = false;   ///< May be given new work.
+  bool Doubtful = false; ///< Recently failed or slow; used last.
+  std::vector<Running> Runs;
+
+  bool hasLabel(std::string_view Label) const;
+};
+
+/// The workers as the owner sees them, in a fixed order.
+struct Fleet {
+  std::vector<Worker> Workers;
+  /// Tasks of a (job, occurrence, step) on each worker, for steps with a limit
+  /// per worker.
+  std::map<UnitId, std::map<std::string, unsigned>> StepTasks;
+};
+
+} // namespace heathersaddle::dispatch
+
+#endif
--- /dev/null
+++ b/packages/dispatch/lib/Order.cpp
@@ -0,0 +1,44 @@
+// Load pattern: more work waits than fits, of three priorities and many sizes.
+//
+// Urgent work (priority 0) comes first: guaranteed shares, then by age. All
+// other work is ordered by the time at which it must end, in three bands:
+// what can still earn full credit, what can still earn late credit, and the
+// rest. Work that is too late for full credit thus never delays work that is
+// not, and within a band no size or account is preferred.
+#include "heathersaddle/dispatch/Planner.h"
+#include <algorithm>
+#include <tuple>
+
+namespace heathersaddle::dispatch {
+
+/// Late credit is paid up to this multiple of the objective; from the credit
+/// rules of the deployments.
+static constexpr std::int64_t LateMultiple = 3;
+
+static int band(const Waiting &W, std::int64_t NowMs) {
+  std::int64_t End = NowMs + W.RemainingMs;
+  if (End <= W.ObjectiveMs)
+    return 0;
+  std::int64_t Allowed = W.ObjectiveMs - W.DueMs;
+  return End <= W.DueMs + LateMultiple * Allowed ? 1 : 2;
+}
+
+void sortByGain(std::span<Waiting> Queue, std::int64_t NowMs) {
+  auto Key = [NowMs](const Waiting &W) {
+    bool Urgent = W.Job->Spec.Priority == 0;
+    int Band = Urgent && W.Guaranteed ? 0 : band(W, NowMs);
+    // Late work is ordered by when it stops earning anything.
+    std::int64_t Deadline =
+        Band == 0 ? W.ObjectiveMs
+                  : W.DueMs + LateMultiple * (W.ObjectiveMs - W.DueMs);
+    return std::make_tuple(!Urgent, !(Urgent && W.Guaranteed), Band,
+                           Urgent ? W.DueMs : Deadline, W.Job->Spec.Priority,
+                           std::string_view(W.Job->Spec.Id), W.Occurrence,
+                           W.Step);
+  };
+  std::sort(
+      Queue.begin(), Queue.end(),
+      [&](const Waiting &A, const Waiting &B) { return Key(A) < Key(B); });
+}
+
+} // namespace heathersaddle::dispatch
--- /dev/null
+++ b/packages/dispatch/lib/Planner.cpp
@@ -0,0 +1,241 @@
+// One pass over the waiting work in the order of Order.cpp. Each unit is placed
+// if it fits beside the holds and reservations of units before it. Urgent
+// units that do not fit have cheaper work stopped and their workers held
+// (Victims.cpp); the first few other gangs that do not fit get a reservation
+// (Reserve.cpp).
+#include "heathersaddle/dispatch/Planner.h"
+#include "Packing.h"
+#include "Reserve.h"
+#include "Victims.h"
+#include <algorithm>
+
+namespace heathersaddle::dispatch {
+
+/// Stopped work frees its room within the longest stop time of a worker plus
+/// two exchanges; a hold that lasts longer has failed.
+static constexpr std::int64_t HoldMostMs = 3'000;
+/// Gangs that get a reservation in one pass; more would idle the pool.
+static constexpr unsigned MaxReservations = 2;
+/// Work with data on a rack waits this multiple of its own length for it, as
+/// it takes three times as long elsewhere.
+static constexpr double DataRackPatience = 1.5;
+
+namespace {
+
+class Pass {
+public:
+  Pass(Fleet &F, std::map<UnitId, Hold> &Holds, std::int64_t NowMs)
+      : F(F), Holds(Holds), NowMs(NowMs), Free(F.Workers.size()),
+        ReservedFrom(F.Workers.size(), 0) {
+    for (std::size_t N = 0; N < F.Workers.size(); ++N)
+      Free[N] = F.Workers[N].Free;
+  }
+
+  void consider(Waiting &W) {
+    bool Urgent = W.Job->Spec.Priority == 0;
+    if (W.step().Gang)
+      placeGang(W, Urgent);
+    else
+      placeTasks(W, Urgent);
+  }
+  /// Takes the room of a hold away from everybody else.
+  void keepRoom(const Hold &H, const Resources &Need) {
+    for (std::size_t N : H.Workers)
+      Free[N] -= Need;
+  }
+  void freeRoom(const Hold &H, const Resources &Need) {
+    for (std::size_t N : H.Workers)
+      Free[N] += Need;
+  }
+
+  Plan Result;
+
+private:
+  static UnitId unit(const Waiting &W) {
+    return {W.Job->Spec.Id, W.Occurrence, W.Step,
+            W.step().Gang || W.Tasks.empty() ? 0 : W.Tasks.front()};
+  }
+  void place(const Waiting &W, std::vector<unsigned> Tasks,
+             std::vector<std::size_t> Where) {
+    if (W.step().MaxPerWorker)
+      for (std::size_t N : Where)
+        ++F.StepTasks[{W.Job->Spec.Id, W.Occurrence, W.Step, 0}]
+                     [F.Workers[N].Id];
+    Result.Places.push_back({&W, std::move(Tasks), std::move(Where)});
+  }
+  /// Free room without the reservations that \p W would outlast.
+  Room roomFor(const Waiting &W, bool Urgent) const {
+    Room R = Free;
+    if (Urgent)
+      return R;
+    for (std::size_t N = 0; N < R.size(); ++N)
+      if (ReservedFrom[N] && NowMs + W.step().EstimateMs > ReservedFrom[N])
+        R[N] = {-1, -1, -1};
+    return R;
+  }
+  void take(const std::vector<std::size_t> &Where, const Resources &Need) {
+    for (std::size_t N : Where)
+      Free[N] -= Need;
+  }
+
+  void placeGang(Waiting &W, bool Urgent) {
+    Resources Need = W.step().room();
+    auto Held = Holds.find(unit(W));
+    if (Held != Holds.end()) {
+      freeRoom(Held->second, Need);
+      if (holdIsFree(Held->second, Need)) {
+        auto Where = Held->second.Workers;
+        Holds.erase(Held);
+        take(Where, Need);
+        return place(W, W.Tasks, std::move(Where));
+      }
+    }
+    bool MaySpread = !W.step().SameRack || !fitsOneEmptyRack(F, W);
+    Room Visible = roomFor(W, Urgent);
+    auto Where = packGang(F, Visible, W, MaySpread);
+    if (!Where.empty()) {
+      if (Held != Holds.end())
+        Holds.erase(Held);
+      take(Where, Need);
+      return place(W, W.Tasks, std::move(Where));
+    }
+    if (Held != Holds.end()) {
+      keepRoom(Held->second, Need);
+      return;
+    }
+    if (Urgent)
+      return evictFor(W, MaySpread);
+    if (Reservations < MaxReservations) {
+      if (auto R = reserve(F, Free, W, MaySpread, NowMs)) {
+        ++Reservations;
+        for (std::size_t N : R->Workers)
+          ReservedFrom[N] = ReservedFrom[N]
+                                ? std::min(ReservedFrom[N], R->FromMs)
+                                : R->FromMs;
+      }
+    }
+  }
+
+  bool holdIsFree(const Hold &H, const Resources &Need) const {
+    std::map<std::size_t, Resources> Sum;
+    for (std::size_t N : H.Workers)
+      Sum[N] += Need;
+    return std::all_of(Sum.begin(), Sum.end(), [this](const auto &S) {
+      return S.second.fitsIn(Free[S.first]);
+    });
+  }
+
+  void evictFor(const Waiting &W, bool MaySpread) {
+    auto Racks = byRack(F, W);
+    std::optional<Eviction> Best;
+    if (W.step().SameRack && !MaySpread)
+      for (const auto &[Rack, Members] : Racks) {
+        auto E = findEviction(F, Free, Members, W);
+        if (E && (!Best || E->Cost < Best->Cost))
+          Best = std::move(E);
+      }
+    // A guaranteed gang starts in time even if it has to spread.
+    if (!Best && (MaySpread || W.Guaranteed)) {
+      std::vector<std::size_t> All;
+      for (const auto &[Rack, Members] : Racks)
+        All.insert(All.end(), Members.begin(), Members.end());
+      Best = findEviction(F, Free, All, W);
+    }
+    if (!Best)
+      return;
+    if (!W.step().Gang && Best->Units.empty())
+      return;
+    Result.Stops.insert(Best->Units.begin(), Best->Units.end());
+    if (!W.step().Gang)
+      return;
+    Hold H{unit(W), Best->Workers, {}, NowMs + HoldMostMs};
+    for (std::size_t N : H.Workers)
+      H.WorkerIds.push_back(F.Workers[N].Id);
+    keepRoom(H, W.step().room());
+    Holds[H.For] = std::move(H);
+    for (Worker &On : F.Workers)
+      for (Running &R : On.Runs)
+        if (Best->Units.contains(R.Unit))
+          R.Stoppable = false;
+  }
+
+  void placeTasks(Waiting &W, bool Urgent) {
+    const workload::Step &S = W.step();
+    auto Racks = byRack(F, W);
+    Room Visible = roomFor(W, Urgent);
+    std::vector<std::size_t> Where;
+    std::vector<std::size_t> All;
+    for (const auto &[Rack, Members] : Racks)
+      All.insert(All.end(), Members.begin(), Members.end());
+    if (!S.DataRack.empty()) {
+      auto It = Racks.find(S.DataRack);
+      if (It != Racks.end())
+        Where = pack(F, Visible, It->second, W, W.Tasks.size());
+      bool Waits = It != Racks.end() &&
+                   static_cast<double>(NowMs - W.DueMs) <
+                       DataRackPatience * static_cast<double>(S.EstimateMs);
+      if (Where.size() < W.Tasks.size() && !Waits) {
+        auto More = pack(F, Visible, All, W, W.Tasks.size() - Where.size());
+        Where.insert(Where.end(), More.begin(), More.end());
+      }
+    } else {
+      Where = pack(F, Visible, All, W, W.Tasks.size());
+    }
+    take(Where, S.room());
+    std::vector<unsigned> Tasks(W.Tasks.begin(),
+                                W.Tasks.begin() +
+                                    static_cast<std::ptrdiff_t>(Where.size()));
+    if (!Where.empty())
+      place(W, std::move(Tasks), Where);
+    if (Urgent && Where.size() < W.Tasks.size()) {
+      W.Tasks.erase(W.Tasks.begin(),
+                    W.Tasks.begin() +
+                        static_cast<std::ptrdiff_t>(Where.size()));
+      evictFor(W, true);
+    }
+  }
+
+  Fleet &F;
+  std::map<UnitId, Hold> &Holds;
+  std::int64_t NowMs;
+  Room Free;
+  std::vector<std::int64_t> ReservedFrom; ///< 0: not reserved.
+  unsigned Reservations = 0;
+};
+
+} // namespace
+
+Plan Planner::plan(Fleet &F, std::span<Waiting> Queue, std::int64_t NowMs) {
+  // First, because pointers into the queue are kept below.
+  sortByGain(Queue, NowMs);
+  std::map<std::string_view, std::size_t> Index;
+  for (std::size_t N = 0; N < F.Workers.size(); ++N)
+    Index[F.Workers[N].Id] = N;
+  std::map<UnitId, const Waiting *> Gangs;
+  for (const Waiting &W : Queue)
+    if (W.step().Gang)
+      Gangs[{W.Job->Spec.Id, W.Occurrence, W.Step, 0}] = &W;
+  // Holds of gangs that have gone, or on workers that have, are dropped.
+  auto Stands = [&](Hold &H) {
+    auto Gang = Gangs.find(H.For);
+    if (Gang == Gangs.end() || H.UntilMs <= NowMs)
+      return false;
+    for (std::size_t T = 0; T < H.Workers.size(); ++T) {
+      auto It = Index.find(H.WorkerIds[T]);
+      if (It == Index.end() || !F.Workers[It->second].Usable)
+        return false;
+      H.Workers[T] = It->second;
+    }
+    return true;
+  };
+  for (auto It = Holds.begin(); It != Holds.end();)
+    It = Stands(It->second) ? std::next(It) : Holds.erase(It);
+  Pass P(F, Holds, NowMs);
+  for (const auto &[Unit, H] : Holds)
+    P.keepRoom(H, Gangs[Unit]->step().room());
+  for (Waiting &W : Queue)
+    P.consider(W);
+  return std::move(P.Result);
+}
+
+} // namespace heathersaddle::dispatch
--- /dev/null
+++ b/packages/workload/lib/Ledger.cpp
@@ -0,0 +1,327 @@
+// Keys: "owner", "j/ID" (submission), "x/ID" (cancellation), "p/ID"
+// (progress). Values are JSON with short field names, because every daemon
+// reads every record; rows of tasks are arrays, and tasks that were never
+// placed are left out.
+#include "heathersaddle/workload/Ledger.h"
+#include "heathersaddle/base/Json.h"
+
+namespace heathersaddle::workload {
+
+namespace json = boost::json;
+using base::Expected;
+using base::JsonReader;
+
+static constexpr std::size_t MaxText = 64UL * 1024; ///< Bytes of one string.
+static constexpr std::size_t MaxSteps = 256;
+static constexpr std::int64_t MaxCount = 1'000'000;
+static constexpr std::int64_t MaxMs = std::int64_t{1} << 52;
+static constexpr std::string_view OwnerKey = "owner";
+
+enum StepFlag : unsigned {
+  SavesProgress = 1,
+  Gang = 2,
+  SameRack = 4,
+  Speculative = 8,
+  LongRunning = 16,
+  Scavenger = 32
+};
+
+static json::value encodeStep(const Step &S) {
+  unsigned Flags =
+      (S.SavesProgress ? SavesProgress : 0U) | (S.Gang ? Gang : 0U) |
+      (S.SameRack ? SameRack : 0U) | (S.Speculative ? Speculative : 0U) |
+      (S.LongRunning ? LongRunning : 0U) | (S.Scavenger ? Scavenger : 0U);
+  json::object O{{"n", S.Count},         {"c", S.Need.CpuMilli},
+                 {"m", S.Need.MemoryMb}, {"g", S.Need.Gpus},
+                 {"e", S.EstimateMs},    {"f", Flags}};
+  if (!S.DependsOn.empty())
+    O["d"] = json::value_from(S.DependsOn);
+  if (!S.RequiredLabel.empty())
+    O["l"] = S.RequiredLabel;
+  if (!S.DataRack.empty())
+    O["r"] = S.DataRack;
+  if (S.MaxPerWorker)
+    O["w"] = S.MaxPerWorker;
+  if (!S.Image.empty())
+    O["i"] = S.Image;
+  if (S.LatencyTargetMs)
+    O["t"] = S.LatencyTargetMs;
+  if (S.MayBeAway)
+    O["a"] = S.MayBeAway;
+  return O;
+}
+
+static Expected<Step> decodeStep(const json::value &V, std::size_t Number) {
+  JsonReader R(V, "read_record", "steps.");
+  Step S;
+  S.Count = static_cast<unsigned>(R.integer("n", 1, MaxCount));
+  S.Need.CpuMilli = R.integerOr("c", 0, 0, MaxMs);
+  S.Need.MemoryMb = R.integerOr("m", 0, 0, MaxMs);
+  S.Need.Gpus = R.integerOr("g", 0, 0, MaxMs);
+  S.EstimateMs = R.integerOr("e", 0, 0, MaxMs);
+  auto Flags = static_cast<unsigned>(R.integerOr("f", 0, 0, 63));
+  S.SavesProgress = Flags & SavesProgress;
+  S.Gang = Flags & Gang;
+  S.SameRack = Flags & SameRack;
+  S.Speculative = Flags & Speculative;
+  S.LongRunning = Flags & LongRunning;
+  S.Scavenger = Flags & Scavenger;
+  if (const auto *Before = R.array("d", false, MaxSteps))
+    for (const auto &B : *Before) {
+      auto At = B.is_int64() ? B.as_int64() : -1;
+      if (At < 0 || At >= static_cast<std::int64_t>(Number))
+        R.fail("d", "names no earlier step");
+      else
+        S.DependsOn.push_back(static_cast<unsigned>(At));
+    }
+  S.RequiredLabel = R.string("l", "", MaxText);
+  S.DataRack = R.string("r", "", MaxText);
+  S.MaxPerWorker = static_cast<unsigned>(R.integerOr("w", 0, 0, MaxCount));
+  S.Image = R.string("i", "", MaxText);
+  S.LatencyTargetMs = R.integerOr("t", 0, 0, MaxMs);
+  S.MayBeAway = static_cast<unsigned>(R.integerOr("a", 0, 0, MaxCount));
+  if (const auto *E = R.error())
+    return tl::unexpected(*E);
+  return S;
+}
+
+static Expected<JobSpec> decodeSpec(std::string_view Id,
+                                    std::string_view Text) {
+  auto V = base::parseJson(Text, "read_record");
+  if (!V)
+    return tl::unexpected(V.error());
+  JsonReader R(*V, "read_record");
+  JobSpec S;
+  S.Id = Id;
+  S.Queue = R.string("q", MaxText);
+  S.Service = R.string("s", MaxText);
+  S.Account = R.string("a", "", MaxText);
+  S.Payload = R.string("p", "", MaxText);
+  S.Priority = static_cast<unsigned>(R.integerOr("y", 0, 0, MaxCount));
+  S.MaxAttempts = static_cast<unsigned>(R.integerOr("x", 1, 1, MaxCount));
+  S.Stretch = static_cast<double>(R.integerOr("h", 1000, 0, MaxMs)) / 1000;
+  S.LatencyObjectiveMs = R.integerOr("o", 0, 0, MaxMs);
+  S.Repeats = static_cast<unsigned>(R.integerOr("n", 0, 0, MaxCount));
+  S.IntervalMs = R.integerOr("i", 0, 0, MaxMs);
+  S.StartAtMs = R.integerOr("b", 0, 0, MaxMs);
+  S.AcceptedMs = R.integerOr("t", 0, 0, MaxMs);
+  S.NeedsAdvice = R.booleanOr("v", false);
+  if (const auto *Steps = R.array("steps", true, MaxSteps))
+    for (const auto &Item : *Steps) {
+      auto One = decodeStep(Item, S.Steps.size());
+      if (!One)
+        return tl::unexpected(One.error());
+      S.Steps.push_back(std::move(*One));
+    }
+  if (const auto *E = R.error())
+    return tl::unexpected(*E);
+  return S;
+}
+
+KeyValue Ledger::submission(const JobSpec &S) {
+  json::array Steps;
+  for (const Step &One : S.Steps)
+    Steps.push_back(encodeStep(One));
+  json::object O{{"q", S.Queue},
+                 {"s", S.Service},
+                 {"a", S.Account},
+                 {"p", S.Payload},
+                 {"y", S.Priority},
+                 {"x", S.MaxAttempts},
+                 {"h", static_cast<std::int64_t>(S.Stretch * 1000)},
+                 {"o", S.LatencyObjectiveMs},
+                 {"t", S.AcceptedMs},
+                 {"steps", std::move(Steps)}};
+  if (S.Repeats) {
+    O["n"] = S.Repeats;
+    O["i"] = S.IntervalMs;
+    O["b"] = S.StartAtMs;
+  }
+  if (S.NeedsAdvice)
+    O["v"] = true;
+  return {"j/" + S.Id, json::serialize(O)};
+}
+
+KeyValue Ledger::cancellation(std::string_view Id, base::WallMs When) {
+  return {"x/" + std::string(Id), std::to_string(When)};
+}
+
+KeyValue Ledger::progress(const Job &J) {
+  json::array Rows;
+  for (const auto &[K, T] : J.Tasks) {
+    json::array Row{K.Occurrence, K.Step, K.Index,
+                    static_cast<unsigned>(T.Phase), T.Run};
+    if (T.Phase != TaskPhase::Done) {
+      Row.emplace_back(T.Failures);
+      Row.emplace_back(T.Checkpoint);
+      if (T.Phase == TaskPhase::Placed) {
+        Row.emplace_back(T.Worker);
+        Row.emplace_back(T.WorkerBorn);
+      }
+    }
+    Rows.push_back(std::move(Row));
+  }
+  json::object O{{"s", static_cast<unsigned>(J.State)}};
+  if (J.ended())
+    O["e"] = J.EndedMs;
+  else
+    O["t"] = std::move(Rows);
+  return {"p/" + J.Spec.Id, json::serialize(O)};
+}
+
+static Expected<void> decodeProgress(std::string_view Text, Job &J) {
+  auto V = base::parseJson(Text, "read_record");
+  if (!V)
+    return tl::unexpected(V.error());
+  JsonReader R(*V, "read_record");
+  auto State = static_cast<JobState>(R.integer("s", 0, 4));
+  auto Ended = R.integerOr("e", 0, 0, MaxMs);
+  std::map<TaskKey, TaskProgress> Tasks;
+  auto Number = [&R](const json::array &Row, std::size_t At) -> std::int64_t {
+    if (At < Row.size() && Row[At].is_int64() && Row[At].as_int64() >= 0)
+      return Row[At].as_int64();
+    R.fail("t", "a row lacks a number");
+    return 0;
+  };
+  auto Text0 = [&R](const json::array &Row, std::size_t At) -> std::string {
+    if (At < Row.size() && Row[At].is_string())
+      return std::string(Row[At].as_string());
+    R.fail("t", "a row lacks a string");
+    return {};
+  };
+  if (const auto *Rows = R.array("t", false, MaxCount))
+    for (const auto &Item : *Rows) {
+      if (!Item.is_array()) {
+        R.fail("t", "a row is not an array");
+        break;
+      }
+      const auto &Row = Item.as_array();
+      TaskKey K{static_cast<unsigned>(Number(Row, 0)),
+                static_cast<unsigned>(Number(Row, 1)),
+                static_cast<unsigned>(Number(Row, 2))};
+      TaskProgress T;
+      auto Phase = Number(Row, 3);
+      if (Phase > 2)
+        R.fail("t", "unknown phase");
+      T.Phase = static_cast<TaskPhase>(Phase);
+      T.Run = static_cast<unsigned>(Number(Row, 4));
+      if (T.Phase != TaskPhase::Done) {
+        T.Failures = static_cast<unsigned>(Number(Row, 5));
+        T.Checkpoint = Text0(Row, 6);
+        if (T.Phase == TaskPhase::Placed) {
+          T.Worker = Text0(Row, 7);
+          T.WorkerBorn = Number(Row, 8);
+        }
+      }
+      Tasks.emplace(K, std::move(T));
+    }
+  if (const auto *E = R.error())
+    return tl::unexpected(*E);
+  J.State = State;
+  J.EndedMs = Ended;
+  J.Tasks = std::move(Tasks);
+  return {};
+}
+
+KeyValue Ledger::ownership(const Ownership &O) {
+  json::object V{{"e", O.Epoch},
+                 {"d", O.Daemon},
+                 {"i", O.Incarnation},
+                 {"r", O.Released},
+                 {"b", O.Beat},
+                 {"w", O.Workers},
+                 {"c", O.MeanCapacity.CpuMilli},
+                 {"m", O.MeanCapacity.MemoryMb},
+                 {"g", O.MeanCapacity.Gpus},
+                 {"l", json::value_from(O.BacklogMs)}};
+  return {std::string(OwnerKey), json::serialize(V)};
+}
+
+std::vector<KeyValue> Ledger::removal(std::string_view Id) {
+  std::string Name(Id);
+  return {{"j/" + Name, ""}, {"x/" + Name, ""}, {"p/" + Name, ""}};
+}
+
+Expected<void> Ledger::applyOwner(std::string_view Value) {
+  auto V = base::parseJson(Value, "read_record");
+  if (!V)
+    return tl::unexpected(V.error());
+  JsonReader R(*V, "read_record");
+  Ownership O;
+  O.Epoch = static_cast<std::uint64_t>(R.integer("e", 0, MaxMs));
+  O.Daemon = R.string("d", MaxText);
+  O.Incarnation = R.string("i", MaxText);
+  O.Released = R.booleanOr("r", false);
+  O.Beat = static_cast<std::uint64_t>(R.integerOr("b", 0, 0, MaxMs));
+  O.Workers = R.integerOr("w", 0, 0, MaxMs);
+  O.MeanCapacity.CpuMilli = R.integerOr("c", 0, 0, MaxMs);
+  O.MeanCapacity.MemoryMb = R.integerOr("m", 0, 0, MaxMs);
+  O.MeanCapacity.Gpus = R.integerOr("g", 0, 0, MaxMs);
+  if (const auto *Backlog = R.array("l", false, 16))
+    for (const auto &B : *Backlog)
+      O.BacklogMs.push_back(B.is_int64() ? B.as_int64() : 0);
+  if (const auto *E = R.error())
+    return tl::unexpected(*E);
+  if (O.Epoch >= Owner.Epoch)
+    Owner = std::move(O);
+  return {};
+}
+
+Expected<void> Ledger::applyCallersRecord(const KeyValue &Record) {
+  if (Record.Key.starts_with("p/"))
+    return {};
+  return apply(Record);
+}
+
+Expected<void> Ledger::apply(const KeyValue &Record) {
+  if (Record.Key == OwnerKey) {
+    ++OwnerRecords;
+    return applyOwner(Record.Value);
+  }
+  if (Record.Key.size() < 3 || Record.Key[1] != '/')
+    return base::makeError(base::ErrorCode::Internal, "read_record",
+                           "unknown key", {}, Record.Key);
+  std::string Id = Record.Key.substr(2);
+  char Kind = Record.Key[0];
+  if (Record.Value.empty()) {
+    Jobs.erase(Id);
+    return {};
+  }
+  if (Kind == 'j') {
+    auto Spec = decodeSpec(Id, Record.Value);
+    if (!Spec)
+      return tl::unexpected(Spec.error());
+    Job &J = Jobs[Id];
+    // A repeat by another daemon must not move the time of acceptance.
+    if (!J.Known)
+      J.Spec = std::move(*Spec);
+    J.Known = true;
+    return {};
+  }
+  Job &J = Jobs[Id];
+  if (J.Spec.Id.empty())
+    J.Spec.Id = Id;
+  if (Kind == 'x') {
+    J.CancelRequested = true;
+    return {};
+  }
+  ++OwnerRecords;
+  return decodeProgress(Record.Value, J);
+}
+
+const Job *Ledger::find(std::string_view Id) const {
+  auto It = Jobs.find(Id);
+  return It == Jobs.end() || !It->second.Known ? nullptr : &It->second;
+}
+
+Job *Ledger::find(std::string_view Id) {
+  auto It = Jobs.find(Id);
+  return It == Jobs.end() || !It->second.Known ? nullptr : &It->second;
+}
+
+void Ledger::clear() {
+  Jobs.clear();
+  Owner = {};
+}
+
+} // namespace heathersaddle::workload
--- /dev/null
+++ b/packages/workload/tests/LedgerTest.cpp
@@ -0,0 +1,140 @@
+#include "heathersaddle/workload/Ledger.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace heathersaddle::workload;
+
+namespace {
+
+JobSpec spec() {
+  JobSpec J;
+  J.Id = "5c0e7a21d94b36f8";
+  J.Queue = "q";
+  J.Service = "s";
+  J.Account = "maison";
+  J.Payload = "a\"b";
+  J.Priority = 2;
+  J.MaxAttempts = 4;
+  J.Stretch = 1.5;
+  J.LatencyObjectiveMs = 250;
+  J.Repeats = 3;
+  J.IntervalMs = 4'500;
+  J.StartAtMs = 1'700'000'000'000;
+  J.AcceptedMs = 1'700'000'000'001;
+  J.NeedsAdvice = true;
+  Step S;
+  S.Count = 2;
+  S.Need = {7'500, 31'000, 8};
+  S.EstimateMs = 2'500;
+  S.Gang = S.SameRack = S.SavesProgress = true;
+  J.Steps.push_back(S);
+  S.DependsOn = {0};
+  S.Gang = S.SameRack = false;
+  S.Speculative = S.LongRunning = S.Scavenger = true;
+  S.RequiredLabel = "a";
+  S.DataRack = "r1-1";
+  S.MaxPerWorker = 2;
+  S.Image = "i";
+  S.LatencyTargetMs = 20;
+  S.MayBeAway = 1;
+  J.Steps.push_back(S);
+  return J;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TheLedgerOfJobs)
+
+BOOST_AUTO_TEST_SUITE(ReadBackFromItsRecords)
+
+// Guards against a field that the next owner would not know.
+BOOST_AUTO_TEST_CASE(ASubmissionKeepsEveryField) {
+  Ledger L;
+  JobSpec J = spec();
+  BOOST_REQUIRE(L.apply(Ledger::submission(J)).has_value());
+  const Job *Read = L.find(J.Id);
+  BOOST_REQUIRE(Read);
+  BOOST_TEST(Ledger::submission(Read->Spec).Value ==
+             Ledger::submission(J).Value);
+  BOOST_TEST(Read->Spec.Steps[1].Scavenger);
+  BOOST_TEST(Read->Spec.Steps[1].room().CpuMilli == 0);
+  BOOST_TEST(Read->Spec.Stretch == 1.5);
+}
+
+// Guards against progress that changes when another daemon reads it.
+BOOST_AUTO_TEST_CASE(ProgressKeepsEveryTask) {
+  Ledger L;
+  Job J;
+  J.Spec = spec();
+  J.Known = true;
+  J.State = JobState::Running;
+  J.Tasks[{0, 0, 1}] = {TaskPhase::Placed, 3, "w1", 17, 1, "saved"};
+  J.Tasks[{1, 1, 0}] = {TaskPhase::Waiting, 2, "", 0, 2, ""};
+  J.Tasks[{2, 1, 1}] = {TaskPhase::Done, 1, "", 0, 0, ""};
+  BOOST_REQUIRE(L.apply(Ledger::submission(J.Spec)).has_value());
+  BOOST_REQUIRE(L.apply(Ledger::progress(J)).has_value());
+  const Job *Read = L.find(J.Spec.Id);
+  BOOST_REQUIRE(Read);
+  BOOST_TEST((Read->Tasks == J.Tasks));
+  BOOST_TEST((Read->State == JobState::Running));
+}
+
+// Guards against a repeat that moves the time of acceptance or wipes progress.
+BOOST_AUTO_TEST_CASE(ARepeatedSubmissionChangesNothing) {
+  Ledger L;
+  JobSpec J = spec();
+  (void)L.apply(Ledger::submission(J));
+  J.AcceptedMs += 5'000;
+  (void)L.apply(Ledger::submission(J));
+  BOOST_TEST(L.find(J.Id)->Spec.AcceptedMs == spec().AcceptedMs);
+}
+
+// Guards against records that come in another order from a page.
+BOOST_AUTO_TEST_CASE(ACancellationMayBeReadBeforeTheSubmission) {
+  Ledger L;
+  (void)L.apply(Ledger::cancellation(spec().Id, 1));
+  BOOST_TEST(!L.find(spec().Id));
+  (void)L.apply(Ledger::submission(spec()));
+  BOOST_REQUIRE(L.find(spec().Id));
+  BOOST_TEST((L.find(spec().Id)->shown() == JobState::Cancelled));
+}
+
+// Guards against an older owner's record that is read again.
+BOOST_AUTO_TEST_CASE(OwnershipNeverGoesBackToAnEarlierEpoch) {
+  Ledger L;
+  Ownership New;
+  New.Epoch = 5;
+  New.Daemon = "b";
+  Ownership Old;
+  Old.Epoch = 4;
+  Old.Daemon = "a";
+  (void)L.apply(Ledger::ownership(New));
+  (void)L.apply(Ledger::ownership(Old));
+  BOOST_TEST(L.owner().Daemon == "b");
+}
+
+// Guards against a crash on a record of another version.
+BOOST_AUTO_TEST_CASE(ABrokenRecordIsAnErrorAndChangesNothing) {
+  Ledger L;
+  (void)L.apply(Ledger::submission(spec()));
+  for (const char *Bad : {"{", "[]", "{\"s\":9}", "{\"s\":1,\"t\":[[1]]}"})
+    BOOST_TEST(!L.apply({"p/" + spec().Id, Bad}).has_value());
+  BOOST_TEST(!L.apply({"unknown", "x"}).has_value());
+  BOOST_TEST((L.find(spec().Id)->State == JobState::Queued));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(TheObjectiveOfAJob)
+
+// Guards against chains that are summed instead of followed.
+BOOST_AUTO_TEST_CASE(FollowsTheLongestChain) {
+  JobSpec J = spec();
+  BOOST_TEST(J.longestChainMs() == 5'000);
+  J.Steps[1].DependsOn.clear();
+  BOOST_TEST(J.longestChainMs() == 2'500);
+  BOOST_TEST(J.objectiveMs() == 2'500 * 3 / 2 + 250);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
