Run on the users' platform through an adapter

Ruled out: names of the wire outside platform/ (they are decoded once there); the settings template and wire.toml (the names need one decoder either way).

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 300
 
 .PHONY: all packages build check lint sanitize bench bench-control demo faults fuzz \
-  mutations
+  mutations deploy-build
 
 all: build
 
@@ -66,3 +66,9 @@
 	  >$(BUILD)-switches.log 2>&1 || { cat $(BUILD)-switches.log; exit 1; }
 	@cmake --build $(BUILD)-switches -j $(JOBS) --target heathersaddle_fuzz
 	@scripts/mutations.sh $(BUILD)-switches
+
+# Builds the daemon by the platform's own command.
+deploy-build: packages
+	@sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)" >target.log 2>&1 || \
+	  { cat target.log; exit 1; }
+	@test -x target/platform/heathersaddle-node
