Bound the owner's time for planning and for looking at runs

Cause: on the grown sites the owner may have 0.12 core. A pass grouped 350 workers by rack for each waiting step and valued all runs for each eviction; every completion looked at all runs. Leases lapsed while the owner was busy. Ruled out: more owners (the work is small once it is not repeated). Change: racks and the cost of units are computed once a pass, at most six evictions a pass, runs are looked at every 0.2 s, planning takes at most a quarter of the time.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -100,6 +100,7 @@
   void onEnded(Session &S, const EndedTask &T);
   void loseRuns(Session &S, std::string_view Why);
   void watchWorkers();
+  void findStuck(const std::string &Id, Session &S);
   std::int64_t leaseUntil(const Session &S) const;
 
   // OwnerRuns.cpp: starts, stops and ends of runs.
@@ -149,7 +150,11 @@
   bool PlanNeeded = true;
   bool Stopping = false;
   bool Deposed = false;
+  bool DriveNeeded = false; ///< A run is to be started or stopped now.
+  MonoTime DrivenAt{};
+  MonoTime LookedAt{};
   MonoTime PlannedAt{};
+  Millis PlanTook{};
   MonoTime ForgotAt{};
   MonoTime ActiveSince{};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -10,6 +10,8 @@
 
 static constexpr Millis StartLimit{1'000};
 static constexpr Millis CallRetry{200};
+/// Repeats of calls are looked for this often.
+static constexpr Millis DrivePeriod{50};
 /// After this long without an answer a start is given up. A gang's other
 /// members wait only as long as the assembly time of gangs.
 static constexpr Millis StartPatience{1'800};
@@ -147,6 +149,7 @@
     return;
   case WorkerVerdict::DeadlinePassed:
     R.RetryAt = T;
+    DriveNeeded = true;
     return;
   case WorkerVerdict::NoRoom:
     return NeverRan(NoRoomAvoid, "no room");
@@ -220,6 +223,10 @@
 
 void Owner::driveRuns() {
   MonoTime T = C.mono();
+  if (!DriveNeeded && T - DrivenAt < DrivePeriod)
+    return;
+  DriveNeeded = false;
+  DrivenAt = T;
   struct Due {
     std::string Worker;
     RunId Id;
@@ -268,6 +275,7 @@
   R.Stage = RunStage::Stopping;
   R.StopConfirmed = false;
   R.RetryAt = C.mono();
+  DriveNeeded = true;
 }
 
 void Owner::stopUnit(const UnitId &Unit, std::string_view Why) {
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -6,8 +6,11 @@
 
 namespace heathersaddle::cluster {
 
-/// Least time between two plans: a pass costs about a millisecond.
+/// Least time between two plans.
 static constexpr Millis PlanGap{15};
+/// Planning takes at most one part in this many of the time, so that leases
+/// are renewed and ends are read on a small host, too.
+static constexpr int PlanShare = 4;
 /// Time passes for scheduled jobs and estimates even without events.
 static constexpr Millis PlanPeriod{200};
 /// Share of the estimate that a run is expected to need at least.
@@ -50,7 +53,9 @@
   if (!Stopping) {
     watchWorkers();
     MonoTime T = C.mono();
-    if (!Deposed && T - PlannedAt >= (PlanNeeded ? PlanGap : PlanPeriod))
+    if (!Deposed &&
+        T - PlannedAt >=
+            std::max(PlanTook * PlanShare, PlanNeeded ? PlanGap : PlanPeriod))
       schedule();
   }
   if (!Deposed && !Records.released())
@@ -66,12 +71,15 @@
   PlanNeeded = false;
   std::int64_t NowMs = C.wall();
   auto Queue = buildQueue(NowMs);
+  PlanTook = {};
   if (Queue.empty())
     return;
   guarantee(Queue);
   auto Fleet = buildFleet(NowMs);
   auto Plan = Planner.plan(Fleet, Queue, NowMs, urgentDemand());
   applyPlan(Plan, Fleet);
+  PlanTook = C.mono() - PlannedAt;
+  PlannedAt = C.mono();
 }
 
 std::vector<dispatch::Waiting> Owner::buildQueue(std::int64_t NowMs) {
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -29,6 +29,8 @@
 /// estimate, is stuck: short work moves several percent a second.
 static constexpr Millis StuckAfter{3'000};
 static constexpr Millis StuckAvoid{10'000};
+/// Runs are looked at this often; a pass over all of them is not free.
+static constexpr Millis LookPeriod{200};
 
 Owner::Owner(Core &C, std::uint64_t Epoch, std::uint64_t Sequence)
     : C(C), Epoch(Epoch), Records(C, Epoch, Sequence), Registry(C, Millis(150)),
@@ -266,7 +268,8 @@
   } else {
     S.NextSyncAt = T;
   }
-  PlanNeeded = true;
+  if (First)
+    PlanNeeded = true;
 }
 
 void Owner::onRunning(Session &S, const RunningTask &T) {
@@ -325,8 +328,36 @@
   PlanNeeded = true;
 }
 
+/// Stops work whose percentage stands still.
+void Owner::findStuck(const std::string &Id, Session &S) {
+  MonoTime T = C.mono();
+  for (auto &[Run, R] : S.Runs) {
+    const Job *J = C.Ledger.find(Run.Task.Job);
+    if (R.Stage != RunStage::Present || !J || S.SyncFailures)
+      continue;
+    const workload::Step &Step = J->Spec.Steps[Run.Task.Key.Step];
+    if (Step.LongRunning)
+      continue;
+    if (T - R.ProgressAt > StuckAfter + Millis(Step.EstimateMs / 10)) {
+      C.log(415, {{"worker", Id},
+                  {"job", Run.Task.Job},
+                  {"run", Run.Run},
+                  {"percent", R.Percent}});
+      S.AvoidUntil = T + StuckAvoid;
+      R.ProgressAt = T;
+      stopUnit({Run.Task.Job, Run.Task.Key.Occurrence, Run.Task.Key.Step,
+                Step.Gang ? 0 : Run.Task.Key.Index},
+               "stuck");
+      break;
+    }
+  }
+}
+
 void Owner::watchWorkers() {
   MonoTime T = C.mono();
+  bool LookAtRuns = T - LookedAt >= LookPeriod;
+  if (LookAtRuns)
+    LookedAt = T;
   for (auto It = Sessions.begin(); It != Sessions.end();) {
     auto &[Id, S] = *It;
     // The lease as the worker counts it: from the latest clock we know.
@@ -342,26 +373,8 @@
       It = Sessions.erase(It);
       continue;
     }
-    for (auto &[Run, R] : S.Runs) {
-      const Job *J = C.Ledger.find(Run.Task.Job);
-      if (R.Stage != RunStage::Present || !J || S.SyncFailures)
-        continue;
-      const workload::Step &Step = J->Spec.Steps[Run.Task.Key.Step];
-      if (Step.LongRunning)
-        continue;
-      if (T - R.ProgressAt > StuckAfter + Millis(Step.EstimateMs / 10)) {
-        C.log(415, {{"worker", Id},
-                    {"job", Run.Task.Job},
-                    {"run", Run.Run},
-                    {"percent", R.Percent}});
-        S.AvoidUntil = T + StuckAvoid;
-        R.ProgressAt = T;
-        stopUnit({Run.Task.Job, Run.Task.Key.Occurrence, Run.Task.Key.Step,
-                  Step.Gang ? 0 : Run.Task.Key.Index},
-                 "stuck");
-        break;
-      }
-    }
+    if (LookAtRuns)
+      findStuck(Id, S);
     if (!S.SyncInFlight && !S.Entry.Address.empty() && T >= S.NextSyncAt)
       sync(Id, S);
     ++It;
--- a/packages/dispatch/lib/Packing.cpp
+++ b/packages/dispatch/lib/Packing.cpp
@@ -3,6 +3,7 @@
 // that need all GPUs of one.
 #include "Packing.h"
 #include <algorithm>
+#include <limits>
 #include <tuple>
 
 namespace heathersaddle::dispatch {
@@ -60,64 +61,102 @@
   return Where;
 }
 
-std::map<std::string, std::vector<std::size_t>> byRack(const Fleet &F,
-                                                       const Waiting &W) {
-  std::map<std::string, std::vector<std::size_t>> Racks;
-  for (std::size_t N = 0; N < F.Workers.size(); ++N)
-    if (allowed(F.Workers[N], W.Job->Spec, W.step()))
-      Racks[F.Workers[N].Rack].push_back(N);
-  return Racks;
+Racks::Kind &Racks::kind(const Waiting &W) {
+  auto [It, New] =
+      Kinds.try_emplace({W.Job->Spec.Service, W.step().RequiredLabel}, Kind());
+  if (!New)
+    return It->second;
+  std::map<std::string_view, std::size_t> Index;
+  for (std::size_t N = 0; N < F.Workers.size(); ++N) {
+    const Worker &On = F.Workers[N];
+    if (!allowed(On, W.Job->Spec, W.step()))
+      continue;
+    auto [At, First] = Index.try_emplace(On.Rack, It->second.ByRack.size());
+    if (First)
+      It->second.ByRack.push_back({On.Rack, {}});
+    It->second.ByRack[At->second].Members.push_back(N);
+    It->second.All.push_back(N);
+  }
+  std::sort(It->second.ByRack.begin(), It->second.ByRack.end(),
+            [](const Rack &A, const Rack &B) { return A.Name < B.Name; });
+  return It->second;
+}
+
+const std::vector<Rack> &Racks::of(const Waiting &W) { return kind(W).ByRack; }
+const std::vector<std::size_t> &Racks::all(const Waiting &W) {
+  return kind(W).All;
 }
 
 static std::vector<std::size_t> tryPack(const Fleet &F, Room &Free,
                                         std::span<const std::size_t> On,
                                         const Waiting &W) {
-  Room Trial = Free;
-  auto Where = pack(F, Trial, On, W, W.Tasks.size());
-  if (Where.size() < W.Tasks.size())
-    return {};
-  Free = std::move(Trial);
-  return Where;
+  auto Where = pack(F, Free, On, W, W.Tasks.size());
+  if (Where.size() == W.Tasks.size())
+    return Where;
+  Resources Need = W.step().room();
+  for (std::size_t N : Where)
+    Free[N] += Need;
+  return {};
 }
 
-std::vector<std::size_t> packGang(const Fleet &F, Room &Free, const Waiting &W,
-                                  bool MaySpread) {
-  auto Racks = byRack(F, W);
+std::vector<std::size_t> packGang(const Fleet &F, Racks &R, Room &Free,
+                                  const Waiting &W, bool MaySpread) {
+  const auto &ByRack = R.of(W);
   const workload::Step &S = W.step();
   if (!S.DataRack.empty())
-    if (auto It = Racks.find(S.DataRack); It != Racks.end())
-      if (auto Where = tryPack(F, Free, It->second, W); !Where.empty())
-        return Where;
+    for (const Rack &One : ByRack)
+      if (One.Name == S.DataRack)
+        if (auto Where = tryPack(F, Free, One.Members, W); !Where.empty())
+          return Where;
   if (S.SameRack) {
     // The rack with the least free room that holds the gang.
-    std::vector<std::pair<std::int64_t, std::string>> Order;
-    for (const auto &[Rack, Members] : Racks) {
+    std::int64_t Wanted =
+        S.Need.Gpus * static_cast<std::int64_t>(W.Tasks.size());
+    std::vector<std::pair<std::int64_t, const Rack *>> Order;
+    for (const Rack &One : ByRack) {
       std::int64_t Gpus = 0;
-      for (std::size_t N : Members)
+      for (std::size_t N : One.Members)
         Gpus += std::max<std::int64_t>(0, Free[N].Gpus);
-      Order.emplace_back(Gpus, Rack);
+      if (Gpus >= Wanted)
+        Order.emplace_back(Gpus, &One);
     }
-    std::sort(Order.begin(), Order.end());
-    for (const auto &[Gpus, Rack] : Order)
-      if (auto Where = tryPack(F, Free, Racks[Rack], W); !Where.empty())
+    std::sort(Order.begin(), Order.end(), [](const auto &A, const auto &B) {
+      return std::tie(A.first, A.second->Name) <
+             std::tie(B.first, B.second->Name);
+    });
+    for (const auto &[Gpus, One] : Order)
+      if (auto Where = tryPack(F, Free, One->Members, W); !Where.empty())
         return Where;
     if (!MaySpread)
       return {};
   }
-  std::vector<std::size_t> All;
-  for (const auto &[Rack, Members] : Racks)
-    All.insert(All.end(), Members.begin(), Members.end());
-  return tryPack(F, Free, All, W);
+  return tryPack(F, Free, R.all(W), W);
 }
 
-bool fitsOneEmptyRack(const Fleet &F, const Waiting &W) {
-  Room Empty(F.Workers.size());
-  for (std::size_t N = 0; N < F.Workers.size(); ++N)
-    Empty[N] = F.Workers[N].Capacity;
-  for (const auto &[Rack, Members] : byRack(F, W)) {
-    Room Trial = Empty;
-    if (pack(F, Trial, Members, W, W.Tasks.size()).size() == W.Tasks.size())
-      return true;
+bool fitsOneEmptyRack(const Fleet &F, Racks &R, const Waiting &W) {
+  // Workers differ little, so the number of tasks that each could hold is
+  // counted instead of packing them.
+  Resources Need = W.step().room();
+  auto Holds = [&](const Resources &Room) {
+    std::int64_t Most = std::numeric_limits<std::int64_t>::max();
+    if (Need.CpuMilli)
+      Most = std::min(Most, Room.CpuMilli / Need.CpuMilli);
+    if (Need.MemoryMb)
+      Most = std::min(Most, Room.MemoryMb / Need.MemoryMb);
+    if (Need.Gpus)
+      Most = std::min(Most, Room.Gpus / Need.Gpus);
+    if (W.step().MaxPerWorker)
+      Most = std::min<std::int64_t>(Most, W.step().MaxPerWorker);
+    return Most;
+  };
+  auto Wanted = static_cast<std::int64_t>(W.Tasks.size());
+  for (const Rack &One : R.of(W)) {
+    std::int64_t Left = Wanted;
+    for (std::size_t N : One.Members) {
+      Left -= std::min(Left, Holds(F.Workers[N].Capacity));
+      if (!Left)
+        return true;
+    }
   }
   return false;
 }
--- a/packages/dispatch/lib/Packing.h
+++ b/packages/dispatch/lib/Packing.h
@@ -18,17 +18,38 @@
                               std::span<const std::size_t> Candidates,
                               const Waiting &W, std::size_t Count);
 
-/// Allowed workers by rack.
-std::map<std::string, std::vector<std::size_t>> byRack(const Fleet &F,
-                                                       const Waiting &W);
+/// The workers of one rack that may run a step.
+struct Rack {
+  std::string Name;
+  std::vector<std::size_t> Members;
+};
+
+/// Workers by rack for each kind of step, computed once a pass.
+class Racks {
+public:
+  explicit Racks(const Fleet &F) : F(F) {}
+  const std::vector<Rack> &of(const Waiting &W);
+  /// All members of all racks of the kind.
+  const std::vector<std::size_t> &all(const Waiting &W);
+
+private:
+  struct Kind {
+    std::vector<Rack> ByRack;
+    std::vector<std::size_t> All;
+  };
+  Kind &kind(const Waiting &W);
+  const Fleet &F;
+  /// By service and required label.
+  std::map<std::pair<std::string, std::string>, Kind> Kinds;
+};
 
 /// Places a whole gang, within one rack where that matters and a rack could
 /// hold it; empty when it does not fit.
-std::vector<std::size_t> packGang(const Fleet &F, Room &Free, const Waiting &W,
-                                  bool MaySpread);
+std::vector<std::size_t> packGang(const Fleet &F, Racks &R, Room &Free,
+                                  const Waiting &W, bool MaySpread);
 
 /// Whether some rack could hold the gang if it were empty.
-bool fitsOneEmptyRack(const Fleet &F, const Waiting &W);
+bool fitsOneEmptyRack(const Fleet &F, Racks &R, const Waiting &W);
 
 } // namespace heathersaddle::dispatch
 
--- a/packages/dispatch/lib/Planner.cpp
+++ b/packages/dispatch/lib/Planner.cpp
@@ -17,6 +17,8 @@
 static constexpr std::int64_t HoldMostMs = 3'000;
 /// Gangs that get a reservation in one pass; more would idle the pool.
 static constexpr unsigned MaxReservations = 2;
+/// Urgent gangs that room is made for in one pass; the next pass goes on.
+static constexpr unsigned MaxEvictions = 6;
 /// Work with data on a rack waits this multiple of its own length for it, as
 /// it takes three times as long elsewhere.
 static constexpr double DataRackPatience = 1.5;
@@ -27,7 +29,7 @@
 public:
   Pass(Fleet &F, std::map<UnitId, Hold> &Holds, std::int64_t NowMs,
        std::vector<bool> Lanes)
-      : F(F), Holds(Holds), NowMs(NowMs), Lanes(std::move(Lanes)),
+      : F(F), Holds(Holds), NowMs(NowMs), Lanes(std::move(Lanes)), R(F),
         Free(F.Workers.size()), ReservedFrom(F.Workers.size(), 0) {
     for (std::size_t N = 0; N < F.Workers.size(); ++N)
       Free[N] = F.Workers[N].Free;
@@ -67,14 +69,14 @@
   }
   /// Free room without the reservations that \p W would outlast.
   Room roomFor(const Waiting &W, bool Urgent) const {
-    Room R = Free;
+    Room Left = Free;
     if (Urgent)
-      return R;
-    for (std::size_t N = 0; N < R.size(); ++N)
+      return Left;
+    for (std::size_t N = 0; N < Left.size(); ++N)
       if ((Lanes[N] && !mayUseLane(W)) ||
           (ReservedFrom[N] && NowMs + W.step().EstimateMs > ReservedFrom[N]))
-        R[N] = {-1, -1, -1};
-    return R;
+        Left[N] = {-1, -1, -1};
+    return Left;
   }
   void take(const std::vector<std::size_t> &Where, const Resources &Need) {
     for (std::size_t N : Where)
@@ -93,9 +95,9 @@
         return place(W, W.Tasks, std::move(Where));
       }
     }
-    bool MaySpread = !W.step().SameRack || !fitsOneEmptyRack(F, W);
+    bool MaySpread = !W.step().SameRack || !fitsOneEmptyRack(F, R, W);
     Room Visible = roomFor(W, Urgent);
-    auto Where = packGang(F, Visible, W, MaySpread);
+    auto Where = packGang(F, R, Visible, W, MaySpread);
     if (!Where.empty()) {
       if (Held != Holds.end())
         Holds.erase(Held);
@@ -113,12 +115,12 @@
       for (std::size_t N = 0; N < Allowed.size(); ++N)
         if (Lanes[N] && !mayUseLane(W))
           Allowed[N] = {-(1 << 30), -(1 << 30), -(1 << 30)};
-      if (auto R = reserve(F, Allowed, W, MaySpread, NowMs)) {
+      if (auto Later = reserve(F, R, Allowed, W, MaySpread, NowMs)) {
         ++Reservations;
-        for (std::size_t N : R->Workers)
+        for (std::size_t N : Later->Workers)
           ReservedFrom[N] = ReservedFrom[N]
-                                ? std::min(ReservedFrom[N], R->FromMs)
-                                : R->FromMs;
+                                ? std::min(ReservedFrom[N], Later->FromMs)
+                                : Later->FromMs;
       }
     }
   }
@@ -133,21 +135,21 @@
   }
 
   void evictFor(const Waiting &W, bool MaySpread) {
-    auto Racks = byRack(F, W);
+    if (Evictions >= MaxEvictions)
+      return;
+    ++Evictions;
+    if (UnitCost.empty())
+      UnitCost = unitCosts(F);
     std::optional<Eviction> Best;
     if (W.step().SameRack && !MaySpread)
-      for (const auto &[Rack, Members] : Racks) {
-        auto E = findEviction(F, Free, Members, W);
+      for (const Rack &One : R.of(W)) {
+        auto E = findEviction(F, UnitCost, Free, One.Members, W);
         if (E && (!Best || E->Cost < Best->Cost))
           Best = std::move(E);
       }
     // A guaranteed gang starts in time even if it has to spread.
-    if (!Best && (MaySpread || W.Guaranteed)) {
-      std::vector<std::size_t> All;
-      for (const auto &[Rack, Members] : Racks)
-        All.insert(All.end(), Members.begin(), Members.end());
-      Best = findEviction(F, Free, All, W);
-    }
+    if (!Best && (MaySpread || W.Guaranteed))
+      Best = findEviction(F, UnitCost, Free, R.all(W), W);
     if (!Best)
       return;
     if (!W.step().Gang && Best->Units.empty())
@@ -161,32 +163,32 @@
     keepRoom(H, W.step().room());
     Holds[H.For] = std::move(H);
     for (Worker &On : F.Workers)
-      for (Running &R : On.Runs)
-        if (Best->Units.contains(R.Unit))
-          R.Stoppable = false;
+      for (Running &Run : On.Runs)
+        if (Best->Units.contains(Run.Unit))
+          Run.Stoppable = false;
   }
 
   void placeTasks(Waiting &W, bool Urgent) {
     const workload::Step &S = W.step();
-    auto Racks = byRack(F, W);
     Room Visible = roomFor(W, Urgent);
     std::vector<std::size_t> Where;
-    std::vector<std::size_t> All;
-    for (const auto &[Rack, Members] : Racks)
-      All.insert(All.end(), Members.begin(), Members.end());
     if (!S.DataRack.empty()) {
-      auto It = Racks.find(S.DataRack);
-      if (It != Racks.end())
-        Where = pack(F, Visible, It->second, W, W.Tasks.size());
-      bool Waits = It != Racks.end() &&
-                   static_cast<double>(NowMs - W.DueMs) <
-                       DataRackPatience * static_cast<double>(S.EstimateMs);
+      const Rack *Data = nullptr;
+      for (const Rack &One : R.of(W))
+        if (One.Name == S.DataRack)
+          Data = &One;
+      if (Data)
+        Where = pack(F, Visible, Data->Members, W, W.Tasks.size());
+      bool Waits =
+          Data && static_cast<double>(NowMs - W.DueMs) <
+                      DataRackPatience * static_cast<double>(S.EstimateMs);
       if (Where.size() < W.Tasks.size() && !Waits) {
-        auto More = pack(F, Visible, All, W, W.Tasks.size() - Where.size());
+        auto More =
+            pack(F, Visible, R.all(W), W, W.Tasks.size() - Where.size());
         Where.insert(Where.end(), More.begin(), More.end());
       }
     } else {
-      Where = pack(F, Visible, All, W, W.Tasks.size());
+      Where = pack(F, Visible, R.all(W), W, W.Tasks.size());
     }
     take(Where, S.room());
     std::vector<unsigned> Tasks(W.Tasks.begin(),
@@ -206,9 +208,12 @@
   std::map<UnitId, Hold> &Holds;
   std::int64_t NowMs;
   std::vector<bool> Lanes; ///< Workers kept for urgent work.
+  Racks R;
   Room Free;
   std::vector<std::int64_t> ReservedFrom; ///< 0: not reserved.
   unsigned Reservations = 0;
+  unsigned Evictions = 0;
+  std::map<UnitId, double> UnitCost; ///< Filled by the first eviction.
 };
 
 } // namespace
--- a/packages/dispatch/lib/Reserve.cpp
+++ b/packages/dispatch/lib/Reserve.cpp
@@ -14,17 +14,17 @@
 /// Furthest look ahead; most work of the deployments ends within it.
 static constexpr std::int64_t LookaheadMostMs = 20'000;
 
-std::optional<Reservation> reserve(const Fleet &F, const Room &Free,
+std::optional<Reservation> reserve(const Fleet &F, Racks &R, const Room &Free,
                                    const Waiting &W, bool MaySpread,
                                    std::int64_t NowMs) {
   for (std::int64_t Ahead = LookaheadStepMs; Ahead <= LookaheadMostMs;
        Ahead += Ahead < 5'000 ? LookaheadStepMs : 4 * LookaheadStepMs) {
     Room Then = Free;
     for (std::size_t N = 0; N < F.Workers.size(); ++N)
-      for (const Running &R : F.Workers[N].Runs)
-        if (R.EndEstimateMs <= NowMs + Ahead)
-          Then[N] += R.Room;
-    auto Where = packGang(F, Then, W, MaySpread);
+      for (const Running &Run : F.Workers[N].Runs)
+        if (Run.EndEstimateMs <= NowMs + Ahead)
+          Then[N] += Run.Room;
+    auto Where = packGang(F, R, Then, W, MaySpread);
     if (!Where.empty())
       return Reservation{std::move(Where), NowMs + Ahead};
   }
--- a/packages/dispatch/lib/Reserve.h
+++ b/packages/dispatch/lib/Reserve.h
@@ -12,7 +12,7 @@
 };
 
 /// The earliest time, by the estimates of what runs, at which \p W fits.
-std::optional<Reservation> reserve(const Fleet &F, const Room &Free,
+std::optional<Reservation> reserve(const Fleet &F, Racks &R, const Room &Free,
                                    const Waiting &W, bool MaySpread,
                                    std::int64_t NowMs);
 
--- a/packages/dispatch/lib/Victims.cpp
+++ b/packages/dispatch/lib/Victims.cpp
@@ -32,16 +32,22 @@
          (Cores * static_cast<double>(R.LostIfStoppedMs) / 1000 + RestartCost);
 }
 
-std::optional<Eviction> findEviction(const Fleet &F, const Room &Free,
+std::map<UnitId, double> unitCosts(const Fleet &F) {
+  std::map<UnitId, double> UnitCost;
+  for (const Worker &On : F.Workers)
+    for (const Running &R : On.Runs)
+      UnitCost[R.Unit] += cost(R);
+  return UnitCost;
+}
+
+std::optional<Eviction> findEviction(const Fleet &F,
+                                     const std::map<UnitId, double> &UnitCost,
+                                     const Room &Free,
                                      std::span<const std::size_t> Candidates,
                                      const Waiting &W) {
   Room Left = Free;
   Resources Need = W.step().room();
   Eviction E;
-  std::map<UnitId, double> UnitCost;
-  for (const Worker &On : F.Workers)
-    for (const Running &R : On.Runs)
-      UnitCost[R.Unit] += cost(R);
   std::map<std::size_t, unsigned> Here;
   auto Stop = [&](const UnitId &Unit) {
     E.Units.insert(Unit);
@@ -66,7 +72,7 @@
           Order.push_back(&R);
       std::sort(Order.begin(), Order.end(),
                 [&](const Running *A, const Running *B) {
-                  return UnitCost[A->Unit] < UnitCost[B->Unit];
+                  return UnitCost.at(A->Unit) < UnitCost.at(B->Unit);
                 });
       Resources Room = Left[C];
       std::vector<UnitId> Units;
@@ -78,7 +84,7 @@
         Room += R->Room;
         if (std::find(Units.begin(), Units.end(), R->Unit) == Units.end()) {
           Units.push_back(R->Unit);
-          Cost += UnitCost[R->Unit];
+          Cost += UnitCost.at(R->Unit);
         }
       }
       if (!Need.fitsIn(Room))
--- a/packages/dispatch/lib/Victims.h
+++ b/packages/dispatch/lib/Victims.h
@@ -12,9 +12,14 @@
   double Cost = 0;                  ///< Lost work, in core-seconds.
 };
 
+/// What stopping each unit would lose.
+std::map<UnitId, double> unitCosts(const Fleet &F);
+
 /// Finds an eviction for the tasks of \p W on \p Candidates; none when what
 /// may be stopped there is not enough.
-std::optional<Eviction> findEviction(const Fleet &F, const Room &Free,
+std::optional<Eviction> findEviction(const Fleet &F,
+                                     const std::map<UnitId, double> &UnitCost,
+                                     const Room &Free,
                                      std::span<const std::size_t> Candidates,
                                      const Waiting &W);
 
