Call the state recent only when the topic was read to its end

Cause: a daemon that had read its pages of newest records called itself up to date, although what was recorded meanwhile was still missing. Change: reads carry the topic's end; the state counts as recent from the first read that reaches it; behind the end a read does not wait. Test: ADaemonThatReadsItsPagesSlowlyDoesNotDenyAJob fails before.

--- a/packages/cluster/include/heathersaddle/cluster/Ports.h
+++ b/packages/cluster/include/heathersaddle/cluster/Ports.h
@@ -79,6 +79,7 @@
 template <class Entry> struct Batch {
   std::vector<Entry> Entries;
   std::uint64_t Next = 0; ///< Offset after the last record.
+  std::uint64_t End = 0;  ///< Where the topic ended when it was read.
   bool Trimmed = false;   ///< The offset asked for has been deleted.
 };
 
--- a/packages/cluster/lib/Tail.h
+++ b/packages/cluster/lib/Tail.h
@@ -36,6 +36,7 @@
     ++Generation;
     InFlight = false;
     Following = false;
+    CaughtUp = false;
     AfterKey.clear();
     FirstPage = true;
     NextAt = {};
@@ -45,7 +46,7 @@
   std::uint64_t next() const { return From; }
   /// Whether the topic was read to its end within \p Age.
   bool fresh(Millis Age) const {
-    return Following && C.mono() - LastRead <= Age;
+    return CaughtUp && C.mono() - LastRead <= Age;
   }
   void tick() {
     if (InFlight || C.mono() < NextAt)
@@ -66,7 +67,9 @@
     };
   }
   void read() {
-    C.Actions.push_back(ReadAction<Entry>{From, TailWait, TailWait + TailSlack,
+    // Behind the end there is nothing to wait for.
+    Millis Wait = CaughtUp ? TailWait : Millis(0);
+    C.Actions.push_back(ReadAction<Entry>{From, Wait, Wait + TailSlack,
                                           guarded(&Tail::onBatch)});
   }
   void page() {
@@ -92,8 +95,9 @@
     AfterKey = P->LastKey;
     if (P->More)
       return;
+    // What came while the pages were read is still missing, so the state is
+    // recent only after the next read.
     Following = true;
-    LastRead = C.mono();
     if (OnComplete)
       OnComplete();
   }
@@ -104,8 +108,12 @@
     if (B->Trimmed)
       return restart();
     From = B->Next;
-    LastRead = C.mono();
-    NextAt = LastRead + Gap;
+    bool AtEnd = B->Next >= B->End;
+    if (AtEnd) {
+      CaughtUp = true;
+      LastRead = C.mono();
+    }
+    NextAt = AtEnd ? C.mono() + Gap : MonoTime{};
     for (Entry &E : B->Entries)
       OnEntry(std::move(E));
   }
@@ -116,6 +124,7 @@
   std::uint64_t Generation = 0;
   bool InFlight = false;
   bool Following = false;
+  bool CaughtUp = false; ///< Read to the end since the pages.
   bool FirstPage = true;
   std::string AfterKey;
   std::uint64_t From = 0;
--- a/packages/cluster/tests/ClusterStoryTest.cpp
+++ b/packages/cluster/tests/ClusterStoryTest.cpp
@@ -173,6 +173,20 @@
   BOOST_TEST((R->Why == Refusal::Unavailable));
 }
 
+// Guards against "no such job" from a daemon that has just read its pages but
+// not what came meanwhile.
+BOOST_AUTO_TEST_CASE(ADaemonThatReadsItsPagesSlowlyDoesNotDenyAJob) {
+  PageMs = 900;
+  Node &New = addDaemon("d");
+  run(100);
+  BOOST_TEST(!submit(any(), job("1", 1, 1, 100)));
+  for (int N = 0; N < 400; ++N) {
+    run(5);
+    BOOST_REQUIRE((New.status("1").Result != Lookup::Unknown));
+  }
+  BOOST_TEST((New.status("1").Result == Lookup::Found));
+}
+
 // Guards against a loss of accepted work when all daemons die at once.
 BOOST_AUTO_TEST_CASE(AllDaemonsDieAndTheStateIsReadAgain) {
   BOOST_TEST(!submit(any(), job("1", 6, 1, 3'000)));
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -133,7 +133,7 @@
       Clock >= Until) {
     Batch<KeyValue> B;
     B.Trimmed = A.From < Control.First;
-    B.Next = Control.Records.size();
+    B.Next = B.End = Control.Records.size();
     if (!B.Trimmed)
       B.Entries.assign(Control.Records.begin() +
                            static_cast<std::ptrdiff_t>(A.From),
@@ -150,7 +150,7 @@
     return;
   if (A.From < From.size() || Clock >= Until) {
     Batch<Entry> B;
-    B.Next = From.size();
+    B.Next = B.End = From.size();
     B.Entries.assign(From.begin() + static_cast<std::ptrdiff_t>(A.From),
                      From.end());
     return reply(Daemon, [Done = A.Done, B] { Done(B); });
@@ -329,7 +329,10 @@
               if (!V.empty())
                 P.Entries.push_back({K, V});
             P.End = Control.Records.size();
-            reply(Daemon, [Copy, P] { Copy.Done(P); });
+            after(PageMs, [this, Daemon, Copy, P] {
+              if (Daemons.contains(Daemon))
+                reply(Daemon, [Copy, P] { Copy.Done(P); });
+            });
           } else if constexpr (std::is_same_v<T,
                                               NewestAction<RegistryChange>>) {
             std::map<std::string, RegistryChange> Newest;
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -71,7 +71,8 @@
   std::vector<RegistryChange> Registry;
   std::vector<OperatorChange> Operator;
   std::set<std::string> StoreCut; ///< Daemons whose store calls get lost.
-  unsigned LoseAppends = 0;       ///< Answers of appends to lose.
+  std::int64_t PageMs = 0;  ///< How long a page of the control topic takes.
+  unsigned LoseAppends = 0; ///< Answers of appends to lose.
   std::int64_t Clock = 10'000;
 
 private:
