Let larger hosts own, and an owner without workers give up

Cause: on the grown sites any of 42 hosts became the owner, most with 0.12 core and 10 Mbit/s; an owner that reached the store but not the workers stayed. Ruled out: several owners (the work fits half a core). Change: the owner records its processor share; a host with twice of it takes over after 2 s, smaller ones claim 0.5 s later; an owner that most workers do not answer for 1.5 s hands over and does not claim for 6 s. Tests: AnOwnerWithoutWorkersGivesUp and AMuchLargerHostTakesOver.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -67,6 +67,7 @@
     {429, "request_answered", Debug},
     {430, "settings_reloaded", Info},
     {431, "run_ended", Info},
+    {432, "workers_unreachable", Warning},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -14,7 +14,9 @@
 struct NodeSettings {
   std::string Name;
   std::string Incarnation; ///< Unique per process start.
-  std::uint64_t Seed = 0;  ///< For jitter.
+  /// This daemon's share of a core, in thousandths; larger ones own.
+  std::int64_t CpuMilli = 250;
+  std::uint64_t Seed = 0; ///< For jitter.
   /// Most time a worker grants a lease for.
   base::Millis LeaseMost{6'000};
   /// Ended jobs stay known this long.
--- a/packages/cluster/lib/Election.cpp
+++ b/packages/cluster/lib/Election.cpp
@@ -14,6 +14,17 @@
 /// Claims are spread over this time.
 static constexpr Millis ClaimSpread{300};
 static constexpr Millis HandoverSpread{60};
+/// A daemon with this multiple of the owner's processor takes over ...
+static constexpr std::int64_t LargerBy = 2;
+/// ... when that one has been the owner for this long.
+static constexpr Millis SettleTime{2'000};
+/// Daemons with less than the last owner's processor, or at first less than
+/// half a core, claim this much later.
+static constexpr Millis SmallerDelay{500};
+static constexpr std::int64_t LargeCpuMilli = 500;
+/// A daemon that gave up because it could not reach the workers does not claim
+/// again for this long.
+static constexpr Millis UnreachablePause{6'000};
 static constexpr Millis ClaimLimit{1'500};
 static constexpr Millis ClaimRetry{150};
 /// After a claim that came too late: time to read the one that was first.
@@ -52,20 +63,37 @@
   if (Seen || !Control.fresh(ClaimFreshness)) {
     // Silence counts only while the topic can be read.
     OwnerSeenAt = T;
-    ClaimAt = {};
   }
   // The owner was an earlier life of this daemon: it has certainly ended.
   bool Ours =
       O.Daemon == C.Settings.Name && O.Incarnation != C.Settings.Incarnation;
   bool Vacant = O.Epoch == 0 || O.Released || Ours;
-  if (!Vacant && T - OwnerSeenAt < OwnerSilence)
+  // A host that is much larger takes over from a small one, whose records end
+  // when it does.
+  if (O.Epoch != OwnerEpoch) {
+    OwnerEpoch = O.Epoch;
+    EpochSeenAt = T;
+  }
+  bool Larger = O.CpuMilli > 0 &&
+                C.Settings.CpuMilli >= LargerBy * O.CpuMilli &&
+                T - EpochSeenAt > SettleTime;
+  if (!Vacant && !Larger && T - OwnerSeenAt < OwnerSilence) {
+    ClaimAt = {};
     return;
-  if (!Control.fresh(ClaimFreshness) || !C.Config || T < ClaimRetryAt)
+  }
+  if (!Control.fresh(ClaimFreshness) || !C.Config || T < ClaimRetryAt) {
+    ClaimAt = {};
     return;
+  }
   if (ClaimAt == MonoTime{}) {
     Millis Spread = Vacant ? HandoverSpread : ClaimSpread;
-    ClaimAt = T + Millis(static_cast<std::int64_t>(
-                      C.Random() % static_cast<std::uint64_t>(Spread.count())));
+    // Smaller hosts than the last owner, and at first all small ones, let the
+    // larger ones go first.
+    std::int64_t Usual = O.CpuMilli ? O.CpuMilli : LargeCpuMilli;
+    Millis Courtesy = C.Settings.CpuMilli < Usual ? SmallerDelay : Millis(0);
+    ClaimAt = T + Courtesy +
+              Millis(static_cast<std::int64_t>(
+                  C.Random() % static_cast<std::uint64_t>(Spread.count())));
   }
   if (T < ClaimAt)
     return;
@@ -85,6 +113,7 @@
   O.Epoch = ClaimEpoch;
   O.Daemon = C.Settings.Name;
   O.Incarnation = C.Settings.Incarnation;
+  O.CpuMilli = C.Settings.CpuMilli;
   ClaimInFlight = true;
   C.Actions.push_back(AppendAction{
       {workload::Ledger::ownership(O)},
@@ -127,6 +156,11 @@
   Control.setGap({});
 }
 
+void Node::Impl::giveUp() {
+  ClaimRetryAt = C.mono() + UnreachablePause;
+  stepDown("most workers cannot be reached");
+}
+
 void Node::Impl::stepDown(std::string_view Reason) {
   C.count("ownership_lost");
   C.log(401, {{"epoch", Own->epoch()}, {"reason", Reason}});
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -72,7 +72,9 @@
   elect();
   if (Own && DeposedReason.empty())
     Own->tick();
-  if (!DeposedReason.empty())
+  if (Own && Own->released() && !Stopping)
+    giveUp();
+  if (Own && !DeposedReason.empty())
     stepDown(std::exchange(DeposedReason, {}));
 }
 
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -21,6 +21,8 @@
   void onClaimed(const AppendResult &R);
   void becomeOwner();
   void stepDown(std::string_view Reason);
+  /// After the owner has released because it reaches too few workers.
+  void giveUp();
 
   // Requests.cpp: callers' requests.
   void submit(workload::JobSpec Spec,
@@ -48,7 +50,9 @@
   // Election.
   std::uint64_t SeenOwnerRecords = 0;
   MonoTime OwnerSeenAt{};
-  MonoTime ClaimAt{}; ///< 0: no claim planned.
+  MonoTime ClaimAt{};           ///< 0: no claim planned.
+  std::uint64_t OwnerEpoch = 0; ///< As last seen, and since when.
+  MonoTime EpochSeenAt{};
   bool Claiming = false;
   bool ClaimInFlight = false;
   std::uint64_t ClaimEpoch = 0;
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -130,6 +130,8 @@
   void applyPlan(const dispatch::Plan &Plan, const dispatch::Fleet &Fleet);
   void publishLoad(workload::Ownership &O) const;
   void forgetOld();
+  /// Gives up when most workers are silent: another daemon may reach them.
+  void checkReach();
   void depose(std::string_view Reason);
 
   Core &C;
@@ -153,6 +155,7 @@
   bool DriveNeeded = false; ///< A run is to be started or stopped now.
   MonoTime DrivenAt{};
   MonoTime LookedAt{};
+  MonoTime ReachedAt{}; ///< When most workers answered last.
   MonoTime PlannedAt{};
   Millis PlanTook{};
   MonoTime ForgotAt{};
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -21,6 +21,10 @@
 static constexpr Millis ForgetPeriod{5'000};
 /// Ended jobs are kept this much longer than callers are promised.
 static constexpr Millis StatusMargin{30'000};
+/// An owner that most workers do not answer for this long gives up.
+static constexpr Millis ReachPatience{1'500};
+/// Syncs without an answer after which a worker counts as silent.
+static constexpr unsigned SilentSyncs = 2;
 /// Failures of this many distinct jobs without a success raise doubt.
 static constexpr std::size_t DoubtfulJobs = 2;
 
@@ -62,8 +66,10 @@
     Records.tick();
   if (!Deposed && !Records.released())
     driveRuns();
-  if (!Deposed && !Stopping)
+  if (!Deposed && !Stopping) {
     forgetOld();
+    checkReach();
+  }
 }
 
 void Owner::schedule() {
@@ -308,6 +314,22 @@
                     Sum.Gpus / Workers};
 }
 
+void Owner::checkReach() {
+  std::size_t Listed = 0;
+  std::size_t Silent = 0;
+  for (const auto &[Id, S] : Sessions) {
+    Listed += S.Listed;
+    Silent += S.Listed && S.SyncFailures >= SilentSyncs;
+  }
+  MonoTime T = C.mono();
+  if (!ReachedAt.count() || Silent * 2 <= Listed)
+    ReachedAt = T;
+  if (T - ReachedAt < ReachPatience)
+    return;
+  C.log(432, {{"workers", Listed}, {"silent", Silent}});
+  beginStop();
+}
+
 void Owner::forgetOld() {
   MonoTime T = C.mono();
   if (T - ForgotAt < ForgetPeriod)
--- a/packages/cluster/lib/Writer.cpp
+++ b/packages/cluster/lib/Writer.cpp
@@ -41,6 +41,7 @@
     O.Daemon = C.Settings.Name;
     O.Incarnation = C.Settings.Incarnation;
     O.Beat = ++Beat;
+    O.CpuMilli = C.Settings.CpuMilli;
     O.Released = Final;
     if (OnBeat)
       OnBeat(O);
--- a/packages/cluster/tests/ClusterStoryTest.cpp
+++ b/packages/cluster/tests/ClusterStoryTest.cpp
@@ -210,6 +210,32 @@
   BOOST_TEST(runUntil([&] { return owner() == Old; }, 400));
 }
 
+// Guards against an owner that reaches the store but none of the workers.
+BOOST_AUTO_TEST_CASE(AnOwnerWithoutWorkersGivesUp) {
+  BOOST_TEST(!submit(any(), job("1", 24, 1, 9'000)));
+  run(500);
+  std::string Old = owner();
+  WorkersCut.insert(Old);
+  BOOST_TEST(
+      runUntil([&] { return !owner().empty() && owner() != Old; }, 8'000));
+  run(8'000);
+  BOOST_TEST(owner() != Old);
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 20'000));
+  BOOST_TEST(!Overlap);
+}
+
+// Guards against a small host that owns for ever beside a large one.
+BOOST_AUTO_TEST_CASE(AMuchLargerHostTakesOver) {
+  BOOST_TEST(!submit(any(), job("1", 6, 1, 6'000)));
+  addDaemon("z", 500);
+  BOOST_TEST(runUntil([&] { return owner() == "z"; }, 6'000));
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 9'000));
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == 1u);
+}
+
 // Guards against a planned stop that costs a takeover's time.
 BOOST_AUTO_TEST_CASE(AStoppingOwnerHandsOverAtOnce) {
   std::string Old = owner();
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -42,11 +42,12 @@
   return W;
 }
 
-Node &World::addDaemon(const std::string &Name) {
+Node &World::addDaemon(const std::string &Name, std::int64_t CpuMilli) {
   NodeSettings S;
   S.Name = Name;
   S.Incarnation = Name + std::to_string(Clock);
   S.Seed = std::hash<std::string>()(S.Incarnation);
+  S.CpuMilli = CpuMilli;
   S.StopMost = base::Millis(200);
   Daemons[Name] = std::make_unique<Node>(
       S,
@@ -240,7 +241,7 @@
   if (!Daemons.contains(Daemon))
     return;
   FakeWorker &W = Workers[A.Worker.Id];
-  if (!W.Up || W.Cut)
+  if (!W.Up || W.Cut || WorkersCut.contains(Daemon))
     return;
   WorkerReply R;
   R.ClockMs = Clock;
@@ -354,7 +355,7 @@
             sync(Daemon, Copy, Clock + Copy.Wait.count());
           } else if constexpr (requires { Copy.Worker; }) {
             FakeWorker &W = Workers[Copy.Worker.Id];
-            if (!W.Up || W.Cut)
+            if (!W.Up || W.Cut || WorkersCut.contains(Daemon))
               return;
             WorkerReply R;
             if constexpr (std::is_same_v<T, StartAction>) {
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -49,7 +49,7 @@
   World();
   FakeWorker &addWorker(const std::string &Id, const std::string &Rack,
                         std::int64_t Gpus = 8);
-  Node &addDaemon(const std::string &Name);
+  Node &addDaemon(const std::string &Name, std::int64_t CpuMilli = 250);
   void kill(const std::string &Daemon) { Daemons.erase(Daemon); }
   void configure(std::uint64_t Version);
 
@@ -70,7 +70,8 @@
   FakeTopic Control;
   std::vector<RegistryChange> Registry;
   std::vector<OperatorChange> Operator;
-  std::set<std::string> StoreCut; ///< Daemons whose store calls get lost.
+  std::set<std::string> WorkersCut; ///< Daemons that reach no worker.
+  std::set<std::string> StoreCut;   ///< Daemons whose store calls get lost.
   std::int64_t PageMs = 0;  ///< How long a page of the control topic takes.
   unsigned LoseAppends = 0; ///< Answers of appends to lose.
   std::int64_t Clock = 10'000;
--- a/packages/workload/include/heathersaddle/workload/Ledger.h
+++ b/packages/workload/include/heathersaddle/workload/Ledger.h
@@ -14,11 +14,12 @@
 struct Ownership {
   std::uint64_t Epoch = 0;
   std::string Daemon;
-  std::string Incarnation;  ///< Of the daemon's process.
-  bool Released = false;    ///< The owner has stopped; take over at once.
-  std::uint64_t Beat = 0;   ///< Grows with each heartbeat.
-  std::int64_t Workers = 0; ///< In use.
-  Resources MeanCapacity;   ///< Of a worker in use.
+  std::string Incarnation;   ///< Of the daemon's process.
+  bool Released = false;     ///< The owner has stopped; take over at once.
+  std::uint64_t Beat = 0;    ///< Grows with each heartbeat.
+  std::int64_t CpuMilli = 0; ///< The owner's share of a core, in thousandths.
+  std::int64_t Workers = 0;  ///< In use.
+  Resources MeanCapacity;    ///< Of a worker in use.
   /// Accepted work that has not ended, in milliseconds of a whole worker, for
   /// priority 0, 1, and 2 and beyond.
   std::vector<std::int64_t> BacklogMs;
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -230,6 +230,7 @@
                  {"r", O.Released},
                  {"b", O.Beat},
                  {"w", O.Workers},
+                 {"u", O.CpuMilli},
                  {"c", O.MeanCapacity.CpuMilli},
                  {"m", O.MeanCapacity.MemoryMb},
                  {"g", O.MeanCapacity.Gpus},
@@ -253,6 +254,7 @@
   O.Incarnation = R.string("i", MaxText);
   O.Released = R.booleanOr("r", false);
   O.Beat = static_cast<std::uint64_t>(R.integerOr("b", 0, 0, MaxMs));
+  O.CpuMilli = R.integerOr("u", 0, 0, MaxMs);
   O.Workers = R.integerOr("w", 0, 0, MaxMs);
   O.MeanCapacity.CpuMilli = R.integerOr("c", 0, 0, MaxMs);
   O.MeanCapacity.MemoryMb = R.integerOr("m", 0, 0, MaxMs);
