Do not repeat appends while the store is slow

Change: when the last append took 150 ms or more, an answer is waited for 1.5 s by the owner and 1.4 s for a submission, without a repeat.

--- a/packages/cluster/lib/Core.h
+++ b/packages/cluster/lib/Core.h
@@ -25,6 +25,13 @@
   std::shared_ptr<const Configuration> Config;
   NodeStats Stats;
 
+  /// How long the latest append that succeeded took.
+  Millis AppendTook{};
+  /// A store that takes this long for an append is busy with a queue of them;
+  /// a repeat would only lengthen it. Healthy ones take about 10 ms.
+  static constexpr Millis SlowAppend{150};
+  bool storeIsSlow() const { return AppendTook >= SlowAppend; }
+
   MonoTime mono() const { return Clock().Mono; }
   base::WallMs wall() const { return Clock().Wall; }
   void log(unsigned Event, base::LogFields Fields) {
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -35,6 +35,8 @@
     MonoTime Started{};
     KeyValue Record;
     std::function<void(std::optional<Refusal>)> Done;
+    MonoTime SentAt{};       ///< The latest try.
+    bool Unanswered = false; ///< An earlier try may still take effect.
   };
   void store(Submission S, unsigned TriesLeft);
   void stored(const Submission &S, std::uint64_t Offset);
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -10,6 +10,8 @@
 /// half of the time that callers wait, so that they can ask another daemon.
 static constexpr Millis StoreLimit{700};
 static constexpr unsigned StoreTries = 2;
+/// While the store is slow there is one try of the same length as both.
+static constexpr Millis SlowStoreLimit{1'400};
 /// An unknown job is called so only by a daemon that read the topic this
 /// recently.
 static constexpr Millis KnownWithin{2'500};
@@ -63,27 +65,29 @@
     Work += workload::workerMs(S, Total, 1) * S.Count;
   store({Spec.Id, Spec.Queue, Spec.Priority, Work, T,
          workload::Ledger::submission(Spec), std::move(Done)},
-        StoreTries);
+        C.storeIsSlow() ? 1 : StoreTries);
 }
 
 void Node::Impl::store(Submission S, unsigned TriesLeft) {
   C.count("store_appends");
+  S.SentAt = C.mono();
   auto Record = S.Record;
   C.Actions.push_back(AppendAction{
       {Record},
       std::nullopt,
-      StoreLimit,
+      C.storeIsSlow() ? SlowStoreLimit : StoreLimit,
       [this, Alive = Alive, S = std::move(S),
        TriesLeft](const AppendResult &R) mutable {
         if (!*Alive)
           return;
         if (R.Verdict == AppendVerdict::Appended)
           return stored(S, R.First);
-        if (R.Verdict != AppendVerdict::Refused && TriesLeft > 1)
+        if (R.Verdict != AppendVerdict::Refused && TriesLeft > 1) {
+          S.Unanswered = true;
           return store(std::move(S), TriesLeft - 1);
+        }
         // A refusal settles nothing when an earlier try had no answer.
-        bool Refused =
-            R.Verdict == AppendVerdict::Refused && TriesLeft == StoreTries;
+        bool Refused = R.Verdict == AppendVerdict::Refused && !S.Unanswered;
         C.count(Refused ? "submissions_refused_unavailable"
                         : "submissions_unresolved");
         C.log(426, {{"job", S.Job},
@@ -96,6 +100,7 @@
 }
 
 void Node::Impl::stored(const Submission &S, std::uint64_t Offset) {
+  C.AppendTook = C.mono() - S.SentAt;
   // Visible here at once; the topic brings it to the others.
   if (Control.following())
     (void)C.Ledger.applyCallersRecord(S.Record);
--- a/packages/cluster/lib/Writer.cpp
+++ b/packages/cluster/lib/Writer.cpp
@@ -8,6 +8,8 @@
 /// A healthy store answers within 10 ms, a slow one within 300 ms. After two
 /// lost answers the owner must not look silent.
 static constexpr Millis AppendLimit{600};
+/// While the store is slow an answer is waited for this long.
+static constexpr Millis SlowAppendLimit{1'500};
 static constexpr Millis AppendRetry{100};
 /// The owner shows that it works at least this often.
 static constexpr Millis BeatPeriod{500};
@@ -55,9 +57,11 @@
 
 void Writer::send() {
   Sending = true;
+  SentAt = C.mono();
   C.count("store_appends");
   C.Actions.push_back(
-      AppendAction{Records, WriterFence{Epoch, Sequence}, AppendLimit,
+      AppendAction{Records, WriterFence{Epoch, Sequence},
+                   C.storeIsSlow() ? SlowAppendLimit : AppendLimit,
                    [this, Alive = Alive](const AppendResult &R) {
                      if (*Alive)
                        onResult(R);
@@ -68,6 +72,7 @@
   Sending = false;
   switch (R.Verdict) {
   case AppendVerdict::Appended: {
+    C.AppendTook = C.mono() - SentAt;
     InFlight = false;
     ReleaseStored = FinalInFlight;
     auto Run = std::exchange(InFlightEffects, {});
--- a/packages/cluster/lib/Writer.h
+++ b/packages/cluster/lib/Writer.h
@@ -51,6 +51,7 @@
   bool Releasing = false;
   bool FinalInFlight = false; ///< The append in flight gives up ownership.
   bool ReleaseStored = false;
+  MonoTime SentAt{};
   MonoTime RetryAt{};
   MonoTime BeatAt{};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
