Ask the advisor where a step may run

Cause: the contracts in force include queues whose policy lets only some workers run a step; a start without a ticket is refused, so such jobs never ran. Ruled out: asking about all workers (each one named costs the advisor time). Change: about thirty workers with the most free room are asked about for each step, more when those allowed are not enough; tickets expire; placements keep to them (OwnerAdvice.cpp). Before: AsksTheAdvisorWhereItMayRun fails, no task starts. After: it passes, no ticket refused.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -68,6 +68,8 @@
     {430, "settings_reloaded", Info},
     {431, "run_ended", Info},
     {432, "workers_unreachable", Warning},
+    {433, "advice_failed", Warning},
+    {434, "advice_given", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -71,6 +71,15 @@
   std::map<RunId, RunState> Runs;
 };
 
+/// Which workers an advisor lets run a step, with their tickets.
+struct Advice {
+  std::map<std::string, std::string> Tickets;
+  std::set<std::string> Asked;
+  bool InFlight = false;
+  MonoTime ValidUntil{};
+  MonoTime NextAskAt{};
+};
+
 /// Schedules all work while this daemon is the owner.
 class Owner {
 public:
@@ -121,6 +130,14 @@
   void endJob(Job &J, JobState State, std::string_view Why);
   bool isCurrent(const RunId &Id) const;
 
+  // OwnerAdvice.cpp: queues for which an advisor names the workers.
+  /// The tickets for a step; null until there are enough to place a task.
+  const std::map<std::string, std::string> *
+  ticketsFor(const Job &J, unsigned Occurrence, unsigned Step);
+  void ask(const UnitId &Step, const Job &J, Advice &A);
+  void onAdvice(const UnitId &Step, std::int64_t ValidMs,
+                const base::Expected<std::map<std::string, std::string>> &R);
+
   // OwnerSchedule.cpp: what is placed where.
   void schedule();
   dispatch::Fleet buildFleet(std::int64_t NowMs);
@@ -149,6 +166,8 @@
   std::map<UnitId, unsigned> CountedRun;
   double UrgentDemand = 0; ///< GPUs; decays slowly.
   MonoTime DemandAt{};
+  std::map<UnitId, Advice> Advices; ///< By step.
+  unsigned AdviceCalls = 0;         ///< In flight.
   bool PlanNeeded = true;
   bool Stopping = false;
   bool Deposed = false;
--- /dev/null
+++ b/packages/cluster/lib/OwnerAdvice.cpp
@@ -0,0 +1,121 @@
+// The advisor is slow and takes one call at a time, so the workers with the
+// most free room are asked about first, about thirty a call, and more only
+// when those that it allows are not enough. Tickets are good for some time and
+// for one life of a worker; an answer that has expired is asked for again.
+#include "Owner.h"
+#include <algorithm>
+
+namespace heathersaddle::cluster {
+
+/// Workers named in one call; the deployments count on one call for thirty.
+static constexpr std::size_t WorkersPerCall = 30;
+/// Calls in flight; the advisor turns callers away beyond 32 that wait.
+static constexpr unsigned MaxAdviceCalls = 8;
+static constexpr Millis AdviceLimit{6'000};
+static constexpr Millis AdviceRetry{500};
+/// Tickets are used up to this long before they expire, so that a start still
+/// arrives in time.
+static constexpr Millis TicketMargin{500};
+/// When the configuration names no validity.
+static constexpr std::int64_t DefaultValidMs = 3'000;
+
+const std::map<std::string, std::string> *
+Owner::ticketsFor(const Job &J, unsigned Occurrence, unsigned Step) {
+  UnitId Id{J.Spec.Id, Occurrence, Step, 0};
+  Advice &A = Advices[Id];
+  MonoTime T = C.mono();
+  if (A.ValidUntil.count() && T > A.ValidUntil) {
+    A.Tickets.clear();
+    A.Asked.clear();
+    A.ValidUntil = {};
+  }
+  const workload::Step &S = J.Spec.Steps[Step];
+  std::size_t Enough = S.Gang ? S.Count : 1;
+  if (A.Tickets.size() < Enough && !A.InFlight && T >= A.NextAskAt &&
+      AdviceCalls < MaxAdviceCalls)
+    ask(Id, J, A);
+  return A.Tickets.empty() ? nullptr : &A.Tickets;
+}
+
+void Owner::ask(const UnitId &Step, const Job &J, Advice &A) {
+  const workload::Step &S = J.Spec.Steps[Step.Step];
+  std::vector<std::pair<std::int64_t, std::string>> Candidates;
+  for (const auto &[Id, Worker] : Sessions) {
+    const auto &Labels = Worker.Entry.Labels;
+    if (!Worker.Listed || !Worker.Synced || Worker.Entry.Draining ||
+        Worker.Entry.Service != J.Spec.Service || A.Asked.contains(Id) ||
+        !S.room().fitsIn(Worker.Entry.Capacity) ||
+        (!S.RequiredLabel.empty() &&
+         std::find(Labels.begin(), Labels.end(), S.RequiredLabel) ==
+             Labels.end()))
+      continue;
+    std::int64_t Held = 0;
+    for (const auto &[Run, R] : Worker.Runs)
+      Held += R.Room.Gpus + 1;
+    Candidates.emplace_back(Held, Id);
+  }
+  if (Candidates.empty()) {
+    // All were asked about; the rule for a step does not change, but workers
+    // do.
+    A.Asked.clear();
+    A.NextAskAt = C.mono() + AdviceRetry;
+    return;
+  }
+  std::sort(Candidates.begin(), Candidates.end());
+  if (Candidates.size() > WorkersPerCall)
+    Candidates.resize(WorkersPerCall);
+  const Queue *Q = nullptr;
+  if (C.Config)
+    for (const Queue &One : C.Config->Queues)
+      if (One.Name == J.Spec.Queue)
+        Q = &One;
+  std::int64_t ValidMs =
+      Q && Q->AdviceValidMs > 0 ? Q->AdviceValidMs : DefaultValidMs;
+  AdviceAction Action;
+  Action.Step = {Step.Job, {Step.Occurrence, Step.Step, 0}};
+  for (auto &[Held, Id] : Candidates) {
+    A.Asked.insert(Id);
+    Action.Workers.push_back(std::move(Id));
+  }
+  Action.TimeLimit = AdviceLimit;
+  A.InFlight = true;
+  ++AdviceCalls;
+  C.count("advice_calls");
+  Action.Done =
+      [this, Alive = Alive, Step,
+       ValidMs](const base::Expected<std::map<std::string, std::string>> &R) {
+        if (*Alive)
+          onAdvice(Step, ValidMs, R);
+      };
+  C.Actions.push_back(std::move(Action));
+}
+
+void Owner::onAdvice(
+    const UnitId &Step, std::int64_t ValidMs,
+    const base::Expected<std::map<std::string, std::string>> &R) {
+  --AdviceCalls;
+  PlanNeeded = true;
+  auto It = Advices.find(Step);
+  if (It == Advices.end())
+    return;
+  Advice &A = It->second;
+  A.InFlight = false;
+  if (!R) {
+    A.Asked.clear();
+    A.NextAskAt = C.mono() + C.jitter(AdviceRetry);
+    C.log(433, {{"job", Step.Job},
+                {"step", Step.Step},
+                {"reason", R.error().toString()}});
+    return;
+  }
+  A.Tickets.insert(R->begin(), R->end());
+  MonoTime Until =
+      C.mono() + std::max(Millis(ValidMs) - TicketMargin, Millis(ValidMs / 2));
+  A.ValidUntil = A.ValidUntil.count() ? std::min(A.ValidUntil, Until) : Until;
+  C.log(434, {{"job", Step.Job},
+              {"step", Step.Step},
+              {"allowed", A.Tickets.size()},
+              {"asked", A.Asked.size()}});
+}
+
+} // namespace heathersaddle::cluster
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -154,6 +154,7 @@
   case WorkerVerdict::NoRoom:
     return NeverRan(NoRoomAvoid, "no room");
   case WorkerVerdict::TicketInvalid:
+    Advices.erase({Id.Task.Job, Id.Task.Key.Occurrence, Id.Task.Key.Step, 0});
     return NeverRan(Millis(0), "the ticket is not valid");
   case WorkerVerdict::Invalid:
     return NeverRan(RefusalAvoid, "the worker calls the start invalid");
@@ -415,6 +416,8 @@
     stopJob(J.Spec.Id, Why);
   std::erase_if(FailedOn,
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
+  std::erase_if(Advices,
+                [&](const auto &E) { return E.first.Job == J.Spec.Id; });
   std::erase_if(CountedRun,
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
 }
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -110,6 +110,11 @@
         if (W.Tasks.empty() || (Step.Gang && W.Tasks.size() < Step.Count) ||
             !J.stepReady(K, S))
           continue;
+        if (J.Spec.NeedsAdvice) {
+          W.Only = ticketsFor(J, K, S);
+          if (!W.Only)
+            continue;
+        }
         W.Job = &J;
         W.Occurrence = K;
         W.Step = S;
@@ -260,6 +265,8 @@
       R.Room = Step.room();
       R.PlacedAt = C.mono();
       R.ProgressAt = R.PlacedAt;
+      if (P.What->Only)
+        R.Ticket = P.What->Only->at(Worker);
       S.Runs.emplace(Id, std::move(R));
       Records.then([this, Worker, Id] { sendStart(Worker, Id); });
     }
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -90,6 +90,7 @@
       R.Room = J.Spec.Steps[K.Step].room();
       R.Stage = J.ended() ? RunStage::Stopping : RunStage::Starting;
       R.MayHaveArrived = true;
+      R.Tries = 1;
       R.PlacedAt = C.mono();
       // Wait for the first list before sending the start again.
       R.RetryAt = C.mono() + SyncRetry;
--- a/packages/cluster/tests/ClusterStoryTest.cpp
+++ b/packages/cluster/tests/ClusterStoryTest.cpp
@@ -87,6 +87,21 @@
     BOOST_TEST(W.Runs.empty());
 }
 
+// Guards against work on a worker that the queue's policy does not allow.
+BOOST_AUTO_TEST_CASE(AsksTheAdvisorWhereItMayRun) {
+  Advised = {"w2"};
+  WithTicket = {"1"};
+  auto J = job("1", 12, 1, 300);
+  J.NeedsAdvice = true;
+  BOOST_TEST(!submit(any(), J));
+  run(150);
+  BOOST_TEST(Workers["w2"].Runs.size() == 8u);
+  BOOST_TEST(Workers["w1"].Runs.empty());
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 9'000));
+  BOOST_TEST(TicketsRefused == 0u);
+}
+
 // Guards against a daemon that goes back to an older configuration.
 BOOST_AUTO_TEST_CASE(NeverGoesBackToAnOlderConfiguration) {
   configure(5);
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -209,6 +209,11 @@
     return R;
   }
   W.LeaseUntilMs = std::max(W.LeaseUntilMs, A.LeaseUntilMs);
+  if (WithTicket.contains(A.Task.Job) && A.Ticket != "ticket-" + A.Worker.Id) {
+    ++TicketsRefused;
+    R.Verdict = WorkerVerdict::TicketInvalid;
+    return R;
+  }
   std::int64_t Used = 0;
   for (const auto &Run : W.Runs) {
     // All jobs of these tests take the same GPUs per task.
@@ -351,6 +356,12 @@
             P.Entries.push_back(Operator.back());
             P.End = Operator.size();
             reply(Daemon, [Copy, P] { Copy.Done(P); });
+          } else if constexpr (std::is_same_v<T, AdviceAction>) {
+            std::map<std::string, std::string> Tickets;
+            for (const std::string &Worker : Copy.Workers)
+              if (Advised.contains(Worker))
+                Tickets[Worker] = "ticket-" + Worker;
+            reply(Daemon, [Copy, Tickets] { Copy.Done(Tickets); });
           } else if constexpr (std::is_same_v<T, SyncAction>) {
             sync(Daemon, Copy, Clock + Copy.Wait.count());
           } else if constexpr (requires { Copy.Worker; }) {
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -70,6 +70,9 @@
   FakeTopic Control;
   std::vector<RegistryChange> Registry;
   std::vector<OperatorChange> Operator;
+  std::set<std::string> Advised;    ///< Workers that the advisor allows.
+  std::set<std::string> WithTicket; ///< Jobs whose starts need a ticket.
+  unsigned TicketsRefused = 0;
   std::set<std::string> WorkersCut; ///< Daemons that reach no worker.
   std::set<std::string> StoreCut;   ///< Daemons whose store calls get lost.
   std::int64_t PageMs = 0;  ///< How long a page of the control topic takes.
--- a/packages/dispatch/include/heathersaddle/dispatch/Planner.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Planner.h
@@ -22,6 +22,9 @@
   /// Workers that a task of the step failed on; avoided while others fit.
   std::set<std::string> Avoid;
 
+  /// The only workers that may run it; null: any.
+  const std::map<std::string, std::string> *Only = nullptr;
+
   const workload::Step &step() const { return Job->Spec.Steps[Step]; }
 };
 
--- a/packages/dispatch/lib/Packing.cpp
+++ b/packages/dispatch/lib/Packing.cpp
@@ -62,14 +62,19 @@
 }
 
 Racks::Kind &Racks::kind(const Waiting &W) {
-  auto [It, New] =
-      Kinds.try_emplace({W.Job->Spec.Service, W.step().RequiredLabel}, Kind());
+  UnitId Limited;
+  if (W.Only)
+    Limited = {W.Job->Spec.Id, W.Occurrence, W.Step, 0};
+  auto [It, New] = Kinds.try_emplace(
+      std::make_tuple(W.Job->Spec.Service, W.step().RequiredLabel, Limited),
+      Kind());
   if (!New)
     return It->second;
   std::map<std::string_view, std::size_t> Index;
   for (std::size_t N = 0; N < F.Workers.size(); ++N) {
     const Worker &On = F.Workers[N];
-    if (!allowed(On, W.Job->Spec, W.step()))
+    if (!allowed(On, W.Job->Spec, W.step()) ||
+        (W.Only && !W.Only->contains(On.Id)))
       continue;
     auto [At, First] = Index.try_emplace(On.Rack, It->second.ByRack.size());
     if (First)
--- a/packages/dispatch/lib/Packing.h
+++ b/packages/dispatch/lib/Packing.h
@@ -39,8 +39,9 @@
   };
   Kind &kind(const Waiting &W);
   const Fleet &F;
-  /// By service and required label.
-  std::map<std::pair<std::string, std::string>, Kind> Kinds;
+  /// By service, required label and, for work that only some workers may run,
+  /// its step.
+  std::map<std::tuple<std::string, std::string, UnitId>, Kind> Kinds;
 };
 
 /// Places a whole gang, within one rack where that matters and a rack could
