--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -113,6 +113,9 @@
   std::int64_t leaseUntil(const Session &S) const;
 
   // OwnerRuns.cpp: starts, stops and ends of runs.
+  /// Takes note of the answer to a start or stop; null when the run is over.
+  RunState *answered(const std::string &Worker, const RunId &Id,
+                     const WorkerReply &Reply);
   void sendStart(const std::string &Worker, const RunId &Id);
   void onStarted(const std::string &Worker, const RunId &Id,
                  const WorkerReply &R);
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -100,18 +100,26 @@
   C.Actions.push_back(std::move(A));
 }
 
-void Owner::onStarted(const std::string &Worker, const RunId &Id,
-                      const WorkerReply &Reply) {
+RunState *Owner::answered(const std::string &Worker, const RunId &Id,
+                          const WorkerReply &Reply) {
   auto It = Sessions.find(Worker);
   if (It == Sessions.end())
+    return nullptr;
+  auto Found = It->second.Runs.find(Id);
+  if (Found == It->second.Runs.end())
+    return nullptr;
+  Found->second.CallInFlight = false;
+  hear(It->second, Reply);
+  return &Found->second;
+}
+
+void Owner::onStarted(const std::string &Worker, const RunId &Id,
+                      const WorkerReply &Reply) {
+  RunState *Answered = answered(Worker, Id, Reply);
+  if (!Answered)
     return;
-  Session &S = It->second;
-  auto Found = S.Runs.find(Id);
-  if (Found == S.Runs.end())
-    return;
-  RunState &R = Found->second;
-  R.CallInFlight = false;
-  hear(S, Reply);
+  Session &S = Sessions.find(Worker)->second;
+  RunState &R = *Answered;
   MonoTime T = C.mono();
   auto NeverRan = [&](Millis Avoid, std::string_view Why) {
     C.count("starts_refused");
@@ -195,16 +203,11 @@
 
 void Owner::onStopped(const std::string &Worker, const RunId &Id,
                       const WorkerReply &Reply) {
-  auto It = Sessions.find(Worker);
-  if (It == Sessions.end())
+  RunState *Answered = answered(Worker, Id, Reply);
+  if (!Answered)
     return;
-  Session &S = It->second;
-  auto Found = S.Runs.find(Id);
-  if (Found == S.Runs.end())
-    return;
-  RunState &R = Found->second;
-  R.CallInFlight = false;
-  hear(S, Reply);
+  Session &S = Sessions.find(Worker)->second;
+  RunState &R = *Answered;
   MonoTime T = C.mono();
   if (Reply.Verdict == WorkerVerdict::Fenced)
     return depose("a worker knows a later owner");
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -13,7 +13,7 @@
 static constexpr int PlanShare = 4;
 /// Time passes for scheduled jobs and estimates even without events.
 static constexpr Millis PlanPeriod{200};
-/// Share of the estimate that a run is expected to need at least.
+/// Estimates may be exceeded; a run is expected to need at least this long.
 static constexpr std::int64_t LeastRemainingMs = 300;
 /// The need of urgent work is remembered for about this long: several of its
 /// run times.
--- /dev/null
+++ b/packages/cluster/tests/AdmissionTest.cpp
@@ -0,0 +1,54 @@
+#include "heathersaddle/cluster/Admission.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace heathersaddle;
+using namespace heathersaddle::cluster;
+
+namespace {
+
+workload::JobSpec job(std::int64_t EstimateMs, double Stretch) {
+  workload::JobSpec J;
+  J.Stretch = Stretch;
+  workload::Step S;
+  S.EstimateMs = EstimateMs;
+  J.Steps.push_back(S);
+  return J;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(AdmissionUnderABurst)
+
+// Guards against refusals while there is room.
+BOOST_AUTO_TEST_CASE(AcceptsWhatCanStillBeOnTime) {
+  BOOST_TEST(!refuse(job(8'000, 3), {48, 0}));
+  BOOST_TEST(!refuse(job(8'000, 3), {48, 48 * 10'000}));
+}
+
+// Guards against work that waits until it is of no use to anybody.
+BOOST_AUTO_TEST_CASE(RefusesWhatWouldEndTooLate) {
+  auto After = refuse(job(8'000, 3), {48, 48 * 60'000});
+  BOOST_REQUIRE(After);
+  BOOST_TEST(After->count() > 1'000);
+}
+
+// Guards against callers who are told to come back all at once, too soon.
+BOOST_AUTO_TEST_CASE(ALongerBacklogMeansALongerWait) {
+  auto Short = refuse(job(2'500, 1.5), {48, 48 * 8'000});
+  auto Long = refuse(job(2'500, 1.5), {48, 48 * 14'000});
+  BOOST_REQUIRE(Short);
+  BOOST_REQUIRE(Long);
+  BOOST_TEST(Long->count() > Short->count());
+}
+
+// Guards against the refusal of work that is due later or never ends.
+BOOST_AUTO_TEST_CASE(ScheduledAndLastingWorkIsNotMeasuredByTheBacklog) {
+  auto Scheduled = job(8'000, 3);
+  Scheduled.Repeats = 4;
+  BOOST_TEST(!refuse(Scheduled, {48, 48 * 600'000}));
+  auto Lasting = job(8'000, 3);
+  Lasting.Steps[0].LongRunning = true;
+  BOOST_TEST(!refuse(Lasting, {48, 48 * 600'000}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
