Grant leases in one place

Cause: reading the change once more: the time up to which a lease can last was worked out twice, by a start without the drift of a clock that was not heard for long, by a sync with it. The gap of followers' reads stood there twice. Ruled out: a second run beside a first by the shorter figure: the test TheLeaseOfASlowClockIsWaitedForToItsEnd passes before, too, because a sync always follows a start and corrects it. The test stays as a guard. Change: Owner::grantLease() for both; FollowerGap stands in Tail.h.

--- a/packages/cluster/lib/Election.cpp
+++ b/packages/cluster/lib/Election.cpp
@@ -165,7 +165,7 @@
   C.count("ownership_lost");
   C.log(401, {{"epoch", Own->epoch()}, {"reason", Reason}});
   Own.reset();
-  Control.setGap(Millis(150));
+  Control.setGap(FollowerGap);
   // The owner's state was ahead of its records; read them all again.
   Control.restart();
 }
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -6,9 +6,6 @@
 
 namespace heathersaddle::cluster {
 
-/// Callers see changes after at most this much extra delay; each read of a
-/// daemon that is not the owner is a priced call.
-static constexpr Millis FollowerGap{150};
 static constexpr Millis OperatorGap{100};
 /// State older than this is not served as "unknown job", and the daemon asks
 /// to be left out of the balancer's rotation.
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -110,7 +110,7 @@
   void loseRuns(Session &S, std::string_view Why);
   void watchWorkers();
   void findStuck(const std::string &Id, Session &S);
-  std::int64_t leaseUntil(const Session &S) const;
+  std::int64_t grantLease(Session &S);
 
   // OwnerRuns.cpp: starts, stops and ends of runs.
   /// Takes note of the answer to a start or stop; null when the run is over.
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -85,14 +85,12 @@
   A.Task = Id.Task;
   A.Run = Id.Run;
   A.Payload = J->Spec.Payload;
-  A.LeaseUntilMs = leaseUntil(S);
+  A.LeaseUntilMs = grantLease(S);
   A.Epoch = Epoch;
   A.Checkpoint = J->task(Id.Task.Key).Checkpoint;
   A.Ticket = R.Ticket;
   A.TimeLimit = StartLimit;
   C.count("starts");
-  S.LeaseEndsAt =
-      std::max(S.LeaseEndsAt, C.mono() + C.Settings.LeaseMost * 41 / 40);
   A.Done = [this, Alive = Alive, Worker, Id](const WorkerReply &Reply) {
     if (*Alive)
       onStarted(Worker, Id, Reply);
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -33,7 +33,7 @@
 static constexpr Millis LookPeriod{200};
 
 Owner::Owner(Core &C, std::uint64_t Epoch, std::uint64_t Sequence)
-    : C(C), Epoch(Epoch), Records(C, Epoch, Sequence), Registry(C, Millis(150)),
+    : C(C), Epoch(Epoch), Records(C, Epoch, Sequence), Registry(C, FollowerGap),
       ActiveSince(C.mono()) {
   Records.OnDeposed = [this](std::string_view Reason) { depose(Reason); };
   Records.OnBeat = [this](workload::Ownership &O) { publishLoad(O); };
@@ -137,9 +137,15 @@
   PlanNeeded = true;
 }
 
-std::int64_t Owner::leaseUntil(const Session &S) const {
-  return S.ClockMs + (C.mono() - S.HeardAt).count() +
-         C.Settings.LeaseMost.count();
+/// The end of a full lease from now on, by the worker's clock; remembers when
+/// that can be at the latest by ours.
+std::int64_t Owner::grantLease(Session &S) {
+  auto SinceHeard = (C.mono() - S.HeardAt).count();
+  auto Lease = SinceHeard + C.Settings.LeaseMost.count();
+  auto Latest =
+      static_cast<std::int64_t>(static_cast<double>(Lease) * ClockDrift);
+  S.LeaseEndsAt = std::max(S.LeaseEndsAt, S.HeardAt + Millis(Latest));
+  return S.ClockMs + Lease;
 }
 
 void Owner::sync(const std::string &Id, Session &S) {
@@ -154,12 +160,7 @@
   // waited for again with each attempt.
   bool First = !S.Synced || S.ClockMs < 0;
   if (!First && !S.Runs.empty() && !S.SyncFailures) {
-    A.LeaseUntilMs = leaseUntil(S);
-    auto Lease = static_cast<std::int64_t>(
-        static_cast<double>((C.mono() - S.HeardAt).count() +
-                            C.Settings.LeaseMost.count()) *
-        ClockDrift);
-    S.LeaseEndsAt = std::max(S.LeaseEndsAt, S.HeardAt + Millis(Lease));
+    A.LeaseUntilMs = grantLease(S);
   }
   A.Wait = First || S.Runs.empty() ? Millis(0) : SyncWait;
   A.TimeLimit = A.Wait + SyncSlack;
--- a/packages/cluster/lib/Tail.h
+++ b/packages/cluster/lib/Tail.h
@@ -6,6 +6,9 @@
 
 namespace heathersaddle::cluster {
 
+/// Least time between two reads by those who need not act at once; each read is
+/// a priced call.
+inline constexpr Millis FollowerGap{150};
 /// How long the log may hold a read that has nothing to return.
 inline constexpr Millis TailWait{1'000};
 /// Beyond the wait; a read on a dead connection is given up after both. The
--- a/packages/cluster/tests/ClusterStoryTest.cpp
+++ b/packages/cluster/tests/ClusterStoryTest.cpp
@@ -345,6 +345,31 @@
   BOOST_TEST(!Overlap);
 }
 
+// Guards against a second run while the first still has its lease: the clock of
+// a worker that was idle for long is known less well.
+BOOST_AUTO_TEST_CASE(TheLeaseOfASlowClockIsWaitedForToItsEnd) {
+  kill("b");
+  kill("c");
+  for (const char *Id : {"w1", "w2"}) {
+    Workers[Id].Entry.Draining = true;
+    Registry.push_back({Id, Workers[Id].Entry});
+  }
+  Workers["w3"].SlowClock = true;
+  BOOST_REQUIRE(runUntil([this] { return !owner().empty(); }, 3'000));
+  addWorker("w4", "r1").SlowClock = true;
+  Workers["w4"].CutAfterStart = true;
+  Workers["w3"].Entry.Draining = true;
+  Registry.push_back({"w3", Workers["w3"].Entry});
+  run(28'000);
+  BOOST_TEST(!submit(any(), job("1", 1, 1, 60'000)));
+  run(1'000);
+  BOOST_REQUIRE(Workers["w4"].Runs.size() == 1u);
+  Workers["w1"].Entry.Draining = false;
+  Registry.push_back({"w1", Workers["w1"].Entry});
+  BOOST_TEST(runUntil([this] { return !Workers["w1"].Runs.empty(); }, 12'000));
+  BOOST_TEST(!Overlap);
+}
+
 // Guards against waiting for the lease of a worker that has started anew.
 BOOST_AUTO_TEST_CASE(WorkOfARestartedWorkerRunsAgainAtOnce) {
   BOOST_TEST(!submit(any(), job("1", 24, 1, 1'000)));
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -184,7 +184,7 @@
   }
   for (std::size_t N = W.Runs.size(); N-- > 0;) {
     auto &R = W.Runs[N];
-    if (Clock > W.LeaseUntilMs)
+    if (W.clock(Clock) > W.LeaseUntilMs)
       end(W, N, EndReason::LeaseExpired);
     else if (R.StopAtMs >= 0 && Clock >= R.StopAtMs)
       end(W, N, EndReason::Stopped);
@@ -197,14 +197,14 @@
 
 WorkerReply World::start(FakeWorker &W, const StartAction &A) {
   WorkerReply R;
-  R.ClockMs = Clock;
+  R.ClockMs = W.clock(Clock);
   R.BornMs = W.Entry.BornMs;
   if (A.Epoch < W.Epoch) {
     R.Verdict = WorkerVerdict::Fenced;
     return R;
   }
   W.Epoch = A.Epoch;
-  if (A.LeaseUntilMs < Clock) {
+  if (A.LeaseUntilMs < W.clock(Clock)) {
     R.Verdict = WorkerVerdict::DeadlinePassed;
     return R;
   }
@@ -235,6 +235,7 @@
   for (const auto &[Id, Other] : Workers)
     for (const auto &Run : Other.Runs)
       Overlap |= Run.Task == A.Task;
+  W.Cut = W.Cut || W.CutAfterStart;
   ++Starts[A.Task];
   W.Runs.push_back({A.Task, A.Run, Clock, -1, WorkOf[A.Task.Job]});
   R.Verdict = WorkerVerdict::Ok;
@@ -249,7 +250,7 @@
   if (!W.Up || W.Cut || WorkersCut.contains(Daemon))
     return;
   WorkerReply R;
-  R.ClockMs = Clock;
+  R.ClockMs = W.clock(Clock);
   R.BornMs = W.Entry.BornMs;
   if (A.Epoch < W.Epoch) {
     R.Verdict = WorkerVerdict::Fenced;
@@ -372,7 +373,7 @@
             if constexpr (std::is_same_v<T, StartAction>) {
               R = start(W, Copy);
             } else {
-              R.ClockMs = Clock;
+              R.ClockMs = W.clock(Clock);
               R.BornMs = W.Entry.BornMs;
               R.Verdict = Copy.Epoch < W.Epoch ? WorkerVerdict::Fenced
                                                : WorkerVerdict::Ok;
@@ -382,7 +383,7 @@
                     Run.StopAtMs < 0)
                   Run.StopAtMs = Clock + W.StopMs;
             }
-            if (!W.Mute)
+            if (!W.Mute && !W.Cut)
               reply(Daemon, [Copy, R] { Copy.Done(R); });
           }
         });
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -20,9 +20,14 @@
   };
   WorkerEntry Entry;
   bool Up = true;
-  bool Cut = false;   ///< Calls get lost; it works on.
-  bool Mute = false;  ///< Calls are carried out, their answers lost.
-  bool Fails = false; ///< Every run fails at once.
+  bool Cut = false;           ///< Calls get lost; it works on.
+  bool Mute = false;          ///< Calls are carried out, their answers lost.
+  bool Fails = false;         ///< Every run fails at once.
+  bool CutAfterStart = false; ///< The next start is its last call.
+  bool SlowClock = false;     ///< Its clock is 2% slow.
+  std::int64_t clock(std::int64_t Time) const {
+    return SlowClock ? Time * 98 / 100 : Time;
+  }
   std::int64_t StopMs = 0;
   std::int64_t LeaseUntilMs = 0;
   std::uint64_t Epoch = 0;
