Show ends once they are stored; count a gang's failure once

Reading for the same kind found: an owner whose history is deleted cleared its ledger and started all work anew; an answer or a lagging entry of a worker's earlier life made the owner give up what runs in its present one; an idle worker that restarted was not used for up to 30 s; an append was bounded by jobs only, not by the store's bytes, and a job's record not at all. Change: Job::endStored(); callers and cancellations go by it. The counted run is part of the task's record. An owner steps down when its tail starts over. Entries and answers of an earlier life are dropped. Neighbouring tasks that are done share a row. The assembly time of gangs now bounds the patience with starts, which was a constant. Conclusion: what the owner knows alone is not shown to anybody.

--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -25,6 +25,9 @@
   base::Millis StopMost{1'000};
   /// A gang's members must all be present within this time.
   base::Millis GangAssembly{3'000};
+  /// Most bytes of one record, and of all records of one append.
+  std::size_t RecordBytes = 262'144;
+  std::size_t AppendBytes = 2'097'152;
 };
 
 struct Now {
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -15,7 +15,13 @@
                  base::StructuredLog &Log)
     : C(std::move(Settings), std::move(Clock), Log), Control(C, FollowerGap),
       Operator(C, OperatorGap) {
-  Control.OnReset = [this] { C.Ledger.clear(); };
+  Control.OnReset = [this] {
+    // An owner's state is ahead of the pages; it gives up before they count.
+    if (Own)
+      DeposedReason = "the history that it follows has been deleted";
+    else
+      C.Ledger.clear();
+  };
   Control.OnEntry = [this](KeyValue &&R) { onControl(std::move(R)); };
   Operator.OnEntry = [this](OperatorChange &&Change) {
     onOperator(std::move(Change));
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -9,6 +9,10 @@
 
 namespace heathersaddle::cluster {
 
+/// Most bytes of a task in a job's record: its numbers, a checkpoint and the
+/// name of a worker, with room to spare.
+inline constexpr std::size_t RowBytes = 128;
+
 using dispatch::UnitId;
 using workload::Job;
 using workload::JobState;
@@ -107,6 +111,7 @@
   void hear(Session &S, const WorkerReply &R);
   void onRunning(Session &S, const RunningTask &T);
   void onEnded(Session &S, const EndedTask &T);
+  void restarted(Session &S);
   void loseRuns(Session &S, std::string_view Why);
   void watchWorkers();
   void findStuck(const std::string &Id, Session &S);
@@ -165,8 +170,6 @@
   std::set<std::string, std::less<>> GuaranteedJobs;
   /// Workers on which a task of the step failed.
   std::map<UnitId, std::set<std::string>> FailedOn;
-  /// The latest run of a gang whose failure has been counted.
-  std::map<UnitId, unsigned> CountedRun;
   double UrgentDemand = 0; ///< GPUs; decays slowly.
   MonoTime DemandAt{};
   std::map<UnitId, Advice> Advices; ///< By step.
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -12,9 +12,11 @@
 static constexpr Millis CallRetry{200};
 /// Repeats of calls are looked for this often.
 static constexpr Millis DrivePeriod{50};
-/// After this long without an answer a start is given up. A gang's other
-/// members wait only as long as the assembly time of gangs.
+/// After this long without an answer a start is given up, ...
 static constexpr Millis StartPatience{1'800};
+/// ... and within this share of the assembly time of gangs, so that the stops
+/// arrive before the other members have waited in vain.
+static constexpr double AssemblyShare = 0.6;
 /// A worker that refuses starts gets no work for this long.
 static constexpr Millis RefusalAvoid{3'000};
 static constexpr Millis NoRoomAvoid{400};
@@ -229,6 +231,9 @@
     return;
   DriveNeeded = false;
   DrivenAt = T;
+  auto Assembly = Millis(static_cast<std::int64_t>(
+      AssemblyShare * static_cast<double>(C.Settings.GangAssembly.count())));
+  Millis Patience = std::min(StartPatience, Assembly);
   struct Due {
     std::string Worker;
     RunId Id;
@@ -241,7 +246,7 @@
       if (R.CallInFlight || T < R.RetryAt)
         continue;
       if (R.Stage == RunStage::Starting && S.Synced && S.ClockMs >= 0) {
-        if (R.Tries && T - R.PlacedAt > StartPatience)
+        if (R.Tries && T - R.PlacedAt > Patience)
           GiveUp.push_back(Id);
         else
           Calls.push_back({Worker, Id, false});
@@ -374,13 +379,16 @@
       S.AvoidUntil = C.mono() + FailingAvoid;
       C.log(420, {{"worker", S.Entry.Id}, {"jobs", S.FailedJobs.size()}});
     }
-    unsigned &Counted = CountedRun[Unit];
-    if (!Step.Gang || Counted < Id.Run) {
-      Counted = Id.Run;
+    // Several members of a gang may fail, and a later owner hears again of ends
+    // that are not acknowledged yet.
+    if (T.FailedRun < Id.Run)
       for (unsigned N = 0; N < Step.Count; ++N)
-        if (Step.Gang || N == Id.Task.Key.Index)
-          ++J->Tasks[{Id.Task.Key.Occurrence, Id.Task.Key.Step, N}].Failures;
-    }
+        if (Step.Gang || N == Id.Task.Key.Index) {
+          TaskProgress &Member =
+              J->Tasks[{Id.Task.Key.Occurrence, Id.Task.Key.Step, N}];
+          ++Member.Failures;
+          Member.FailedRun = Id.Run;
+        }
     C.count("tasks_failed");
     C.log(421, {{"job", J->Spec.Id},
                 {"worker", S.Entry.Id},
@@ -404,7 +412,12 @@
 void Owner::endJob(Job &J, JobState State, std::string_view Why) {
   J.State = State;
   J.EndedMs = C.wall();
+  J.EndUnstored = true;
   Records.changed(J.Spec.Id);
+  Records.then([this, Id = J.Spec.Id] {
+    if (Job *Ended = C.Ledger.find(Id))
+      Ended->EndUnstored = false;
+  });
   Live.erase(J.Spec.Id);
   C.count(State == JobState::Completed ? "jobs_completed"
           : State == JobState::Failed  ? "jobs_failed"
@@ -419,8 +432,6 @@
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
   std::erase_if(Advices,
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
-  std::erase_if(CountedRun,
-                [&](const auto &E) { return E.first.Job == J.Spec.Id; });
 }
 
 } // namespace heathersaddle::cluster
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -28,6 +28,20 @@
 /// Failures of this many distinct jobs without a success raise doubt.
 static constexpr std::size_t DoubtfulJobs = 2;
 
+/// How many tasks of \p J without a row in its record can still get one.
+static std::size_t rowsLeft(const Job &J, std::size_t RecordBytes) {
+  std::size_t Most = RecordBytes / RowBytes;
+  std::size_t Tasks = 0;
+  for (const workload::Step &S : J.Spec.Steps)
+    Tasks += S.Count;
+  if (Tasks * J.Spec.occurrences() <= Most)
+    return Most;
+  std::size_t Rows = 0;
+  for (const auto &[K, T] : J.Tasks)
+    Rows += T.Phase != TaskPhase::Done;
+  return Most - std::min(Most, Rows);
+}
+
 void Owner::jobChanged(std::string_view Id) {
   Job *J = C.Ledger.find(Id);
   if (!J)
@@ -94,6 +108,7 @@
     const Job &J = *C.Ledger.find(Id);
     std::vector<std::int64_t> Before(J.Spec.Steps.size(), 0);
     std::int64_t Chain = J.Spec.longestChainMs();
+    std::size_t Rows = rowsLeft(J, C.Settings.RecordBytes);
     for (std::size_t S = 0; S < J.Spec.Steps.size(); ++S)
       for (unsigned D : J.Spec.Steps[S].DependsOn)
         Before[S] = std::max(Before[S], Before[D] + J.Spec.Steps[D].EstimateMs);
@@ -104,9 +119,15 @@
       for (unsigned S = 0; S < J.Spec.Steps.size(); ++S) {
         const workload::Step &Step = J.Spec.Steps[S];
         dispatch::Waiting W;
-        for (unsigned N = 0; N < Step.Count; ++N)
-          if (J.task({K, S, N}).Phase == TaskPhase::Waiting)
-            W.Tasks.push_back(N);
+        std::size_t RowsAfter = Rows;
+        for (unsigned N = 0; N < Step.Count; ++N) {
+          auto It = J.Tasks.find({K, S, N});
+          bool New = It == J.Tasks.end();
+          if (New ? !RowsAfter : It->second.Phase != TaskPhase::Waiting)
+            continue;
+          RowsAfter -= New;
+          W.Tasks.push_back(N);
+        }
         if (W.Tasks.empty() || (Step.Gang && W.Tasks.size() < Step.Count) ||
             !J.stepReady(K, S))
           continue;
@@ -115,6 +136,7 @@
           if (!W.Only)
             continue;
         }
+        Rows = RowsAfter;
         W.Job = &J;
         W.Occurrence = K;
         W.Step = S;
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -120,13 +120,13 @@
     return;
   }
   Session &S = It->second;
-  if (S.Entry.BornMs && E.BornMs && S.Entry.BornMs != E.BornMs) {
+  // The registry may lag behind what the worker itself has said.
+  if (E.BornMs && E.BornMs < S.Entry.BornMs)
+    return;
+  if (S.Entry.BornMs && E.BornMs > S.Entry.BornMs) {
     C.log(409, {{"worker", E.Id}, {"runs", S.Runs.size()}});
-    loseRuns(S, "the worker has restarted");
+    restarted(S);
     S.Synced = false;
-    S.SeenTo = S.AckedTo = 0;
-    S.ClockMs = -1;
-    S.FailedJobs.clear();
   }
   if (S.Entry.Draining != E.Draining && E.Draining)
     C.log(410, {{"worker", E.Id},
@@ -206,11 +206,13 @@
       C.log(407, {{"worker", Id}, {"runs", S.Runs.size()}});
     return;
   }
-  if (R.BornMs >= 0 && S.Entry.BornMs && R.BornMs != S.Entry.BornMs) {
-    loseRuns(S, "the worker has restarted");
-    S.SeenTo = S.AckedTo = 0;
-    S.ClockMs = -1;
-    S.FailedJobs.clear();
+  if (R.BornMs >= 0 && R.BornMs < S.Entry.BornMs) {
+    // Sent before the worker restarted, received after its new entry.
+    S.NextSyncAt = T;
+    return;
+  }
+  if (S.Entry.BornMs && R.BornMs > S.Entry.BornMs) {
+    restarted(S);
     S.Entry.BornMs = R.BornMs;
   }
   if (S.SyncFailures >= 2)
@@ -317,6 +319,16 @@
   runOver(Id, T.Reason, T.Checkpoint, S);
 }
 
+/// Its next life knows nothing of before, and its counts start anew.
+void Owner::restarted(Session &S) {
+  loseRuns(S, "the worker has restarted");
+  S.SeenTo = S.AckedTo = 0;
+  S.ClockMs = -1;
+  S.FailedJobs.clear();
+  // It gets no work before its clock is known.
+  S.NextSyncAt = C.mono();
+}
+
 /// All runs of this life of the worker have certainly ended.
 void Owner::loseRuns(Session &S, std::string_view Why) {
   auto Runs = S.Runs;
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -35,6 +35,16 @@
     return Done(Refusal{Refusal::Unavailable, Millis(1'000),
                         "the store cannot be reached"});
   }
+  for (const workload::Step &S : Spec.Steps)
+    if (S.Gang && S.Count * RowBytes > C.Settings.RecordBytes) {
+      C.count("submissions_refused_invalid");
+      C.log(426, {{"job", Spec.Id},
+                  {"queue", Spec.Queue},
+                  {"reason", "gang_too_wide"},
+                  {"tasks", S.Count}});
+      return Done(Refusal{Refusal::Invalid, Millis(0),
+                          "the gang has more tasks than can be recorded"});
+    }
   const workload::Ownership &O = C.Ledger.owner();
   Load L;
   L.Workers = O.Workers;
@@ -126,7 +136,7 @@
   const Job *J = C.Ledger.find(Id);
   if (!J)
     return Done(Control.fresh(KnownWithin) ? Lookup::Unknown : Lookup::Stale);
-  if (J->ended() || J->CancelRequested)
+  if (J->endStored() || J->CancelRequested)
     return Done(Lookup::Found);
   auto Record = workload::Ledger::cancellation(Id, C.wall());
   C.count("store_appends");
--- a/packages/cluster/lib/Writer.cpp
+++ b/packages/cluster/lib/Writer.cpp
@@ -13,24 +13,43 @@
 static constexpr Millis AppendRetry{100};
 /// The owner shows that it works at least this often.
 static constexpr Millis BeatPeriod{500};
-/// Most jobs in one append; a wide job's record has about 10 KB, an append at
-/// most 2 MB.
+/// Most jobs in one append, so that a large batch does not hold up the beat.
 static constexpr std::size_t BatchJobs = 100;
+/// With removals, which are a few bytes each.
+static constexpr std::size_t BatchRecords = 500;
+/// The store adds a length and the length of the key to each record.
+static constexpr std::size_t FramingBytes = 5;
+/// Kept free in each append for the owner's own record and for removals.
+static constexpr std::size_t BeatBytes = 32'768;
 
 void Writer::release() { Releasing = true; }
 
 void Writer::compose() {
   Records.clear();
+  std::size_t Left = C.Settings.AppendBytes - BeatBytes;
+  auto Fits = [&](const KeyValue &R) {
+    std::size_t Bytes = R.Key.size() + R.Value.size() + FramingBytes;
+    if (Bytes > Left)
+      return false;
+    Left -= Bytes;
+    return true;
+  };
   auto It = Dirty.begin();
-  for (std::size_t N = 0; It != Dirty.end() && N < BatchJobs; ++N) {
-    if (const auto *J = C.Ledger.find(*It))
-      Records.push_back(workload::Ledger::progress(*J));
-    It = Dirty.erase(It);
+  for (; It != Dirty.end() && Records.size() < BatchJobs;
+       It = Dirty.erase(It)) {
+    const auto *J = C.Ledger.find(*It);
+    if (!J)
+      continue;
+    KeyValue R = workload::Ledger::progress(*J);
+    if (!Fits(R))
+      break;
+    Records.push_back(std::move(R));
   }
-  for (const std::string &Job : Removed)
-    for (KeyValue &R : workload::Ledger::removal(Job))
+  for (auto Gone = Removed.begin();
+       Gone != Removed.end() && Records.size() < BatchRecords;
+       Gone = Removed.erase(Gone))
+    for (KeyValue &R : workload::Ledger::removal(*Gone))
       Records.push_back(std::move(R));
-  Removed.clear();
   // Effects refer to jobs that may be in a later batch only when this one was
   // cut; then they wait for it.
   if (Dirty.empty())
--- a/packages/cluster/tests/ClusterStoryTest.cpp
+++ b/packages/cluster/tests/ClusterStoryTest.cpp
@@ -35,6 +35,57 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(AStoreWithSmallRecords)
+
+struct SmallRecords : World {
+  SmallRecords() {
+    RecordBytes = 2'048; // 16 tasks.
+    AppendBytes = 36'000;
+    for (int N = 0; N < 120; ++N)
+      addWorker("w" + std::to_string(N), "r1");
+    addDaemon("a");
+    BOOST_REQUIRE(runUntil([this] { return !owner().empty(); }, 3'000));
+    run(200);
+  }
+  static std::string longName(int N) {
+    return std::to_string(N) + std::string(240, 'x');
+  }
+  bool completed(const std::string &Id) {
+    return Daemons["a"]->status(Id).State == JobState::Completed;
+  }
+};
+
+// Guards against an owner that is stuck because the store refuses a record of
+// a wide job.
+BOOST_FIXTURE_TEST_CASE(TakeAWideJobBitByBit, SmallRecords) {
+  BOOST_TEST(!submit(*Daemons["a"], job("1", 200, 1, 300)));
+  BOOST_TEST(runUntil([&] { return completed("1"); }, 12'000));
+  BOOST_TEST(LargestRecord <= RecordBytes);
+  BOOST_TEST(Starts.size() == 200u);
+}
+
+// Guards against a job that is accepted and can never be recorded.
+BOOST_FIXTURE_TEST_CASE(RefuseAGangThatCannotBeRecorded, SmallRecords) {
+  auto J = job("1", 60, 1, 300);
+  J.Steps[0].Gang = true;
+  auto R = submit(*Daemons["a"], J);
+  BOOST_REQUIRE(R);
+  BOOST_TEST((R->Why == Refusal::Invalid));
+}
+
+// Guards against an owner that is stuck because the store refuses a batch.
+BOOST_FIXTURE_TEST_CASE(TakeAWaveInSeveralAppends, SmallRecords) {
+  for (int N = 0; N < 60; ++N)
+    Daemons["a"]->submit(job(longName(N), 16, 1, 300),
+                         [](const std::optional<Refusal> &) {});
+  run(4'000);
+  for (int N = 0; N < 60; ++N)
+    BOOST_TEST(completed(longName(N)));
+  BOOST_TEST(LargestAppend <= AppendBytes);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(ADeploymentWithThreeDaemons, Deployment)
 
 BOOST_AUTO_TEST_SUITE(OnACalmDay)
@@ -202,6 +253,26 @@
   BOOST_TEST((New.status("1").Result == Lookup::Found));
 }
 
+// Guards against an owner that begins again from nothing when the history that
+// it follows has been deleted.
+BOOST_AUTO_TEST_CASE(AnOwnerWhoseHistoryIsDeletedStartsNothingAnew) {
+  BOOST_TEST(!submit(any(), job("1", 6, 1, 6'000)));
+  run(500);
+  std::string Old = owner();
+  for (const auto &[Name, N] : Daemons)
+    if (Name != Old)
+      StoreCut.insert(Name);
+  Control.First = Control.Records.size() + 5;
+  for (int N = 0; N < 6; ++N)
+    Control.Records.push_back({"x/none", "1"});
+  run(300);
+  StoreCut.clear();
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 14'000));
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == 1u);
+}
+
 // Guards against a loss of accepted work when all daemons die at once.
 BOOST_AUTO_TEST_CASE(AllDaemonsDieAndTheStateIsReadAgain) {
   BOOST_TEST(!submit(any(), job("1", 6, 1, 3'000)));
@@ -277,6 +348,39 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenTheOwnerCannotStoreWhatItKnows)
+
+// Guards against a result that callers are told and the next owner does not
+// know: the job would run again.
+BOOST_AUTO_TEST_CASE(AnEndIsShownOnceItIsStored) {
+  BOOST_TEST(!submit(any(), job("1", 2, 1, 600)));
+  run(300);
+  std::string Old = owner();
+  StoreCut.insert(Old);
+  run(700);
+  BOOST_REQUIRE(Workers["w1"].Runs.empty());
+  BOOST_TEST((Daemons[Old]->status("1").State == JobState::Running));
+  StoreCut.clear();
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 9'000));
+}
+
+// Guards against a cancellation that is acknowledged because the job has ended,
+// although nobody else knows of that end.
+BOOST_AUTO_TEST_CASE(ACancellationIsAcknowledgedOnceItIsStored) {
+  BOOST_TEST(!submit(any(), job("1", 2, 1, 600)));
+  run(300);
+  std::string Old = owner();
+  StoreCut.insert(Old);
+  run(700);
+  Lookup Answer = Lookup::Unknown;
+  Daemons[Old]->cancel("1", [&](Lookup L) { Answer = L; });
+  run(1'000);
+  BOOST_TEST((Answer == Lookup::Stale));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenAnswersGetLost)
 
 // Guards against owners that stop, or record twice, after a lost answer.
@@ -403,6 +507,67 @@
     BOOST_TEST(allShow(std::to_string(N), JobState::Completed));
 }
 
+// Guards against one failure of a gang that is counted by each owner that hears
+// of it.
+BOOST_AUTO_TEST_CASE(AFailureOfAGangIsCountedOnceByAllOwners) {
+  auto J = job("1", 2, 1, 2'000);
+  J.MaxAttempts = 2;
+  J.Steps[0].Gang = true;
+  for (const char *Id : {"w2", "w3"})
+    Registry.push_back({Id, std::nullopt});
+  run(100);
+  Workers["w1"].FailAtMs = Clock + 400;
+  BOOST_TEST(!submit(any(), J));
+  run(100);
+  // Keeps the gang waiting after its failure.
+  Workers["w1"].Entry.Draining = true;
+  Registry.push_back({"w1", Workers["w1"].Entry});
+  // The failure is recorded, but its acknowledgement gets lost.
+  auto Recorded = [this] {
+    return std::any_of(Control.Records.begin(), Control.Records.end(),
+                       [](const KeyValue &R) {
+                         workload::Ledger L;
+                         (void)L.apply({"j/1", "{\"q\":\"q\",\"s\":\"s\","
+                                               "\"steps\":[]}"});
+                         return R.Key == "p/1" && L.apply(R) &&
+                                L.find("1")->task({0, 0, 0}).Failures == 1;
+                       });
+  };
+  for (int N = 0; N < 2'000 && !Recorded(); ++N)
+    run(1);
+  BOOST_REQUIRE(Recorded());
+  Workers["w1"].Cut = true;
+  kill(owner());
+  run(50);
+  Workers["w1"].Cut = false;
+  BOOST_REQUIRE(runUntil([&] { return !owner().empty(); }, 4'000));
+  run(500);
+  Workers["w1"].Entry.Draining = false;
+  Registry.push_back({"w1", Workers["w1"].Entry});
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 12'000));
+}
+
+// Guards against an answer of a worker's earlier life, or an entry of it that
+// is read late, which would give up what runs in its present life.
+BOOST_AUTO_TEST_CASE(AnEarlierLifeOfAWorkerSaysNothingAboutTheNext) {
+  for (const char *Id : {"w2", "w3"})
+    Registry.push_back({Id, std::nullopt});
+  run(100);
+  run(100);
+  auto Before = Workers["w1"].Entry;
+  addWorker("w1", "r1");
+  run(100);
+  BOOST_TEST(!submit(any(), job("1", 2, 1, 3'000)));
+  run(300);
+  Registry.push_back({"w1", Before});
+  run(500);
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 9'000));
+  BOOST_TEST((Starts.begin()->second == 1u));
+  BOOST_TEST(!Overlap);
+}
+
 // Guards against endless attempts of a job that can never be done.
 BOOST_AUTO_TEST_CASE(AJobThatAlwaysFailsEndsAfterItsAttempts) {
   for (auto &[Id, W] : Workers)
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -49,6 +49,8 @@
   S.Seed = std::hash<std::string>()(S.Incarnation);
   S.CpuMilli = CpuMilli;
   S.StopMost = base::Millis(200);
+  S.RecordBytes = RecordBytes;
+  S.AppendBytes = AppendBytes;
   Daemons[Name] = std::make_unique<Node>(
       S,
       [this] {
@@ -118,6 +120,13 @@
     Control.Epoch = A.Fence->Epoch;
     Control.Sequence = A.Fence->Sequence;
   }
+  std::size_t Bytes = 0;
+  for (const KeyValue &One : A.Records) {
+    std::size_t Size = One.Key.size() + One.Value.size() + 1;
+    LargestRecord = std::max(LargestRecord, Size);
+    Bytes += Size + 4;
+  }
+  LargestAppend = std::max(LargestAppend, Bytes);
   AppendResult R{AppendVerdict::Appended, Control.Records.size()};
   Control.Records.insert(Control.Records.end(), A.Records.begin(),
                          A.Records.end());
@@ -188,7 +197,7 @@
       end(W, N, EndReason::LeaseExpired);
     else if (R.StopAtMs >= 0 && Clock >= R.StopAtMs)
       end(W, N, EndReason::Stopped);
-    else if (W.Fails)
+    else if (W.Fails || W.FailAtMs == Clock)
       end(W, N, EndReason::Failed);
     else if (Clock >= R.StartedMs + R.WorkMs)
       end(W, N, EndReason::Done);
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -23,6 +23,7 @@
   bool Cut = false;           ///< Calls get lost; it works on.
   bool Mute = false;          ///< Calls are carried out, their answers lost.
   bool Fails = false;         ///< Every run fails at once.
+  std::int64_t FailAtMs = -1; ///< All that runs then fails.
   bool CutAfterStart = false; ///< The next start is its last call.
   bool SlowClock = false;     ///< Its clock is 2% slow.
   std::int64_t clock(std::int64_t Time) const {
@@ -82,6 +83,11 @@
   std::set<std::string> StoreCut;   ///< Daemons whose store calls get lost.
   std::int64_t PageMs = 0;  ///< How long a page of the control topic takes.
   unsigned LoseAppends = 0; ///< Answers of appends to lose.
+  /// The store's bounds, for daemons added later, and the largest seen.
+  std::size_t RecordBytes = 262'144;
+  std::size_t AppendBytes = 2'097'152;
+  std::size_t LargestRecord = 0;
+  std::size_t LargestAppend = 0;
   std::int64_t Clock = 10'000;
 
 private:
--- a/packages/workload/include/heathersaddle/workload/Job.h
+++ b/packages/workload/include/heathersaddle/workload/Job.h
@@ -122,6 +122,7 @@
   std::string Worker;          ///< Where the latest run was placed.
   std::int64_t WorkerBorn = 0; ///< Start of that worker's process.
   unsigned Failures = 0;
+  unsigned FailedRun = 0; ///< The latest run that was counted as a failure.
   std::string Checkpoint;
   bool operator==(const TaskProgress &) const = default;
 };
@@ -131,8 +132,10 @@
 /// A job with its progress.
 struct Job {
   JobSpec Spec;
-  JobState State = JobState::Queued; ///< As recorded.
-  bool Known = false;                ///< Its submission has been read.
+  JobState State = JobState::Queued;
+  /// Only the owner has decided on this end so far; it may still be lost.
+  bool EndUnstored = false;
+  bool Known = false; ///< Its submission has been read.
   bool CancelRequested = false;
   base::WallMs EndedMs = 0;
   std::map<TaskKey, TaskProgress> Tasks;
@@ -141,9 +144,15 @@
     return State == JobState::Completed || State == JobState::Failed ||
            State == JobState::Cancelled;
   }
-  /// What callers are told.
+  /// Whether it has ended and every later owner will know that.
+  bool endStored() const { return ended() && !EndUnstored; }
+  /// What callers are told: only what is stored.
   JobState shown() const {
-    return CancelRequested && !ended() ? JobState::Cancelled : State;
+    if (endStored())
+      return State;
+    if (CancelRequested)
+      return JobState::Cancelled;
+    return ended() ? JobState::Running : State;
   }
   const TaskProgress &task(const TaskKey &K) const;
   bool stepDone(unsigned Occurrence, unsigned Step) const;
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -1,7 +1,7 @@
 // Keys: "owner", "j/ID" (submission), "x/ID" (cancellation), "p/ID"
 // (progress). Values are JSON with short field names, because every daemon
-// reads every record; rows of tasks are arrays, and tasks that were never
-// placed are left out.
+// reads every record; rows of tasks are arrays, tasks that were never placed
+// are left out, and neighbours that are done share a row.
 #include "heathersaddle/workload/Ledger.h"
 #include "heathersaddle/base/Json.h"
 
@@ -148,18 +148,33 @@
 
 KeyValue Ledger::progress(const Job &J) {
   json::array Rows;
-  for (const auto &[K, T] : J.Tasks) {
+  for (auto It = J.Tasks.begin(); It != J.Tasks.end();) {
+    const auto &[K, T] = *It;
+    if (T.Phase == TaskPhase::Done) {
+      unsigned Last = K.Index;
+      for (++It; It != J.Tasks.end() && It->second.Phase == TaskPhase::Done &&
+                 It->second.Run == T.Run &&
+                 It->first == TaskKey{K.Occurrence, K.Step, Last + 1};
+           ++It)
+        ++Last;
+      json::array Row{K.Occurrence, K.Step, K.Index,
+                      static_cast<unsigned>(T.Phase), T.Run};
+      if (Last != K.Index)
+        Row.emplace_back(Last);
+      Rows.push_back(std::move(Row));
+      continue;
+    }
     json::array Row{K.Occurrence, K.Step, K.Index,
                     static_cast<unsigned>(T.Phase), T.Run};
-    if (T.Phase != TaskPhase::Done) {
-      Row.emplace_back(T.Failures);
-      Row.emplace_back(T.Checkpoint);
-      if (T.Phase == TaskPhase::Placed) {
-        Row.emplace_back(T.Worker);
-        Row.emplace_back(T.WorkerBorn);
-      }
+    Row.emplace_back(T.Failures);
+    Row.emplace_back(T.FailedRun);
+    Row.emplace_back(T.Checkpoint);
+    if (T.Phase == TaskPhase::Placed) {
+      Row.emplace_back(T.Worker);
+      Row.emplace_back(T.WorkerBorn);
     }
     Rows.push_back(std::move(Row));
+    ++It;
   }
   json::object O{{"s", static_cast<unsigned>(J.State)}};
   if (J.ended())
@@ -205,19 +220,28 @@
         R.fail("t", "unknown phase");
       T.Phase = static_cast<TaskPhase>(Phase);
       T.Run = static_cast<unsigned>(Number(Row, 4));
-      if (T.Phase != TaskPhase::Done) {
-        T.Failures = static_cast<unsigned>(Number(Row, 5));
-        T.Checkpoint = Text0(Row, 6);
-        if (T.Phase == TaskPhase::Placed) {
-          T.Worker = Text0(Row, 7);
-          T.WorkerBorn = Number(Row, 8);
-        }
+      if (T.Phase == TaskPhase::Done) {
+        auto Last = Row.size() > 5 ? Number(Row, 5) : K.Index;
+        if (Last - K.Index >= MaxCount)
+          R.fail("t", "a row has too many tasks");
+        else
+          for (; K.Index <= Last; ++K.Index)
+            Tasks.emplace(K, T);
+        continue;
+      }
+      T.Failures = static_cast<unsigned>(Number(Row, 5));
+      T.FailedRun = static_cast<unsigned>(Number(Row, 6));
+      T.Checkpoint = Text0(Row, 7);
+      if (T.Phase == TaskPhase::Placed) {
+        T.Worker = Text0(Row, 8);
+        T.WorkerBorn = Number(Row, 9);
       }
       Tasks.emplace(K, std::move(T));
     }
   if (const auto *E = R.error())
     return tl::unexpected(*E);
   J.State = State;
+  J.EndUnstored = false;
   J.EndedMs = Ended;
   J.Tasks = std::move(Tasks);
   return {};
--- a/packages/workload/tests/LedgerTest.cpp
+++ b/packages/workload/tests/LedgerTest.cpp
@@ -67,9 +67,9 @@
   J.Spec = spec();
   J.Known = true;
   J.State = JobState::Running;
-  J.Tasks[{0, 0, 1}] = {TaskPhase::Placed, 3, "w1", 17, 1, "saved"};
-  J.Tasks[{1, 1, 0}] = {TaskPhase::Waiting, 2, "", 0, 2, ""};
-  J.Tasks[{2, 1, 1}] = {TaskPhase::Done, 1, "", 0, 0, ""};
+  J.Tasks[{0, 0, 1}] = {TaskPhase::Placed, 3, "w1", 17, 1, 2, "saved"};
+  J.Tasks[{1, 1, 0}] = {TaskPhase::Waiting, 2, "", 0, 2, 2, ""};
+  J.Tasks[{2, 1, 1}] = {TaskPhase::Done, 1, "", 0, 0, 0, ""};
   BOOST_REQUIRE(L.apply(Ledger::submission(J.Spec)).has_value());
   BOOST_REQUIRE(L.apply(Ledger::progress(J)).has_value());
   const Job *Read = L.find(J.Spec.Id);
@@ -78,6 +78,24 @@
   BOOST_TEST((Read->State == JobState::Running));
 }
 
+// Guards against records of wide jobs that grow with every task that is done.
+BOOST_AUTO_TEST_CASE(NeighboursThatAreDoneShareARow) {
+  Ledger L;
+  Job J;
+  J.Spec = spec();
+  J.Spec.Steps[1].Count = 5'000;
+  J.Known = true;
+  for (unsigned N = 0; N < 5'000; ++N)
+    J.Tasks[{0, 1, N}] = {
+        TaskPhase::Done, N < 3'000 ? 1U : 2U, "", 0, 0, 0, ""};
+  J.Tasks[{0, 1, 7}] = {TaskPhase::Placed, 3, "w1", 17, 1, 2, "saved"};
+  J.Tasks[{1, 0, 0}] = {TaskPhase::Done, 2, "", 0, 0, 0, ""};
+  BOOST_TEST(Ledger::progress(J).Value.size() < 150u);
+  (void)L.apply(Ledger::submission(J.Spec));
+  BOOST_REQUIRE(L.apply(Ledger::progress(J)).has_value());
+  BOOST_TEST((L.find(J.Spec.Id)->Tasks == J.Tasks));
+}
+
 // Guards against a repeat that moves the time of acceptance or wipes progress.
 BOOST_AUTO_TEST_CASE(ARepeatedSubmissionChangesNothing) {
   Ledger L;
