Move work off leaving workers; notice the end of an outage sooner

The time a run still needs was worked out from the time since its placement, which overstated it between two lists and was meaningless for runs that resume or were inherited. Ruled out: refusing at once while calls to the store fail: callers retry four times within about two seconds, so quick refusals use up their tries. Change: Owner::evacuate() stops what cannot end in time; work that saves its progress stays until the stop just fits, work that lasts moves at once. A read after a failed one asks for an answer at once and is given up after 0.8 s. timeLeft() uses the pace between lists. A run that is over is not inherited.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -70,6 +70,7 @@
     {432, "workers_unreachable", Warning},
     {433, "advice_failed", Warning},
     {434, "advice_given", Info},
+    {435, "work_evacuated", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -40,6 +40,10 @@
   MonoTime ConfirmedAt{}; ///< Start, or later the stop, was confirmed.
   unsigned Percent = 0;
   MonoTime ProgressAt{}; ///< When the percentage changed last.
+  /// The percentage that was read first, and when: a run that resumes, or was
+  /// inherited, does not begin at zero.
+  std::optional<unsigned> FirstPercent;
+  MonoTime FirstPercentAt{};
   MonoTime CheckpointAt{};
   std::string Checkpoint;
   std::string Ticket;
@@ -68,6 +72,8 @@
   MonoTime LeaseEndsAt{};
   std::uint64_t SeenTo = 0;  ///< Ends handled.
   std::uint64_t AckedTo = 0; ///< Ends whose effect is stored.
+  /// Of a draining worker: the earliest time at which it may be gone.
+  MonoTime LeavesAt{};
   MonoTime AvoidUntil{};
   /// Jobs that failed here since the last success.
   std::set<std::string> FailedJobs;
@@ -115,6 +121,7 @@
   void loseRuns(Session &S, std::string_view Why);
   void watchWorkers();
   void findStuck(const std::string &Id, Session &S);
+  void evacuate(const std::string &Id, Session &S);
   std::int64_t grantLease(Session &S);
 
   // OwnerRuns.cpp: starts, stops and ends of runs.
@@ -131,6 +138,8 @@
   void stopRun(Session &S, const RunId &Id);
   void stopUnit(const UnitId &Unit, std::string_view Why);
   void stopJob(const std::string &Job, std::string_view Why);
+  /// How much longer a run is expected to take.
+  Millis timeLeft(const workload::Step &Step, const RunState &R) const;
   /// The run has ended, or certainly never began.
   void runOver(const RunId &Id, EndReason Why, const std::string &Checkpoint,
                Session &S);
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -335,10 +335,16 @@
               {"how", name(Why)}});
   PlanNeeded = true;
   Job *J = C.Ledger.find(Id.Task.Job);
-  if (!J || J->ended() || Id.Task.Key.Step >= J->Spec.Steps.size())
+  if (!J || Id.Task.Key.Step >= J->Spec.Steps.size())
     return;
   const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
   TaskProgress &T = J->Tasks[Id.Task.Key];
+  if (J->ended()) {
+    // A worker that is listed again must not be asked for this run.
+    if (T.Phase == TaskPhase::Placed && T.Run == Id.Run)
+      T.Phase = TaskPhase::Waiting;
+    return;
+  }
   UnitId Unit = unitOf(*J, Id.Task.Key);
   if (Why == EndReason::Done && !Step.LongRunning) {
     // One end stands for a whole gang; a run that was thought lost counts too.
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -13,6 +13,8 @@
 static constexpr int PlanShare = 4;
 /// Time passes for scheduled jobs and estimates even without events.
 static constexpr Millis PlanPeriod{200};
+/// Once it has advanced this much, a run's pace says more than its estimate.
+static constexpr unsigned TellingPercent = 10;
 /// Estimates may be exceeded; a run is expected to need at least this long.
 static constexpr std::int64_t LeastRemainingMs = 300;
 /// The need of urgent work is remembered for about this long: several of its
@@ -208,6 +210,18 @@
   return static_cast<std::int64_t>(UrgentDemand);
 }
 
+Millis Owner::timeLeft(const workload::Step &Step, const RunState &R) const {
+  MonoTime T = C.mono();
+  if (!R.FirstPercent)
+    return Millis(Step.EstimateMs) - (T - R.PlacedAt);
+  unsigned Left = 100 - std::min(100U, R.Percent);
+  unsigned Seen = R.Percent - std::min(R.Percent, *R.FirstPercent);
+  Millis Needed = Seen < TellingPercent
+                      ? Millis(Step.EstimateMs) * Left / 100
+                      : (R.ProgressAt - R.FirstPercentAt) * Left / Seen;
+  return Needed - (T - R.ProgressAt);
+}
+
 dispatch::Fleet Owner::buildFleet(std::int64_t NowMs) {
   dispatch::Fleet F;
   MonoTime T = C.mono();
@@ -242,12 +256,9 @@
             R.Stage == RunStage::Present && !J->ended() && !Step.LongRunning;
         auto Ran = (T - R.PlacedAt).count();
         Out.StartedMs = NowMs - Ran;
-        std::int64_t Left = R.Percent >= 10
-                                ? Ran * (100 - R.Percent) / R.Percent -
-                                      (T - R.ProgressAt).count()
-                                : Step.EstimateMs - Ran;
         if (R.Stage != RunStage::Stopping)
-          Out.EndEstimateMs = NowMs + std::max(Left, LeastRemainingMs);
+          Out.EndEstimateMs =
+              NowMs + std::max(timeLeft(Step, R).count(), LeastRemainingMs);
         Out.LostIfStoppedMs = Ran;
         if (Step.SavesProgress && R.CheckpointAt.count())
           Out.LostIfStoppedMs = (T - R.CheckpointAt).count();
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -21,6 +21,8 @@
 static constexpr Millis LeaseMargin{300};
 /// Beyond the longest stop, until a run that is not listed counts as gone.
 static constexpr Millis StopMargin{300};
+/// Most time that a sync waits for the record of the ends it acknowledges.
+static constexpr Millis AckPatience{500};
 /// A list of ends has at most this many entries.
 static constexpr std::size_t EndedPage = 500;
 /// A worker that does not answer gets no new work for this long.
@@ -29,6 +31,8 @@
 /// estimate, is stuck: short work moves several percent a second.
 static constexpr Millis StuckAfter{3'000};
 static constexpr Millis StuckAvoid{10'000};
+/// The registry's entries may be this old when they are read.
+static constexpr Millis RegistryLag{800};
 /// Runs are looked at this often; a pass over all of them is not free.
 static constexpr Millis LookPeriod{200};
 
@@ -132,6 +136,8 @@
     C.log(410, {{"worker", E.Id},
                 {"runs", S.Runs.size()},
                 {"leaves_in_ms", E.LeavesInMs}});
+  if (E.Draining && E.LeavesInMs >= 0)
+    S.LeavesAt = C.mono() + Millis(E.LeavesInMs) - RegistryLag;
   S.Entry = std::move(E);
   S.Listed = true;
   PlanNeeded = true;
@@ -259,7 +265,7 @@
   }
   if (Newest > S.AckedTo) {
     // The ends are acknowledged by a sync after their effect is stored.
-    S.NextSyncAt = T + TailRetryMost;
+    S.NextSyncAt = T + AckPatience;
     Records.then([this, Id, Newest, Born = S.Entry.BornMs] {
       auto Found = Sessions.find(Id);
       if (Found == Sessions.end() || Found->second.Entry.BornMs != Born)
@@ -298,6 +304,12 @@
     R.Checkpoint = T.Checkpoint;
     R.CheckpointAt = Time;
   }
+  if (!R.FirstPercent) {
+    R.FirstPercent = T.Percent;
+    R.FirstPercentAt = Time;
+    R.ProgressAt = Time;
+    R.Percent = T.Percent;
+  }
   if (T.Percent != R.Percent) {
     R.Percent = T.Percent;
     R.ProgressAt = Time;
@@ -367,6 +379,37 @@
   }
 }
 
+/// Load pattern: workers are taken away at short notice while they are full.
+///
+/// Work that cannot end before its worker may be gone is stopped and runs again
+/// elsewhere; otherwise its end would never be listed, and its lease would have
+/// to be waited for. Work that saves its progress goes on until the stop just
+/// fits, as the stop saves all of it.
+void Owner::evacuate(const std::string &Id, Session &S) {
+  MonoTime T = C.mono();
+  MonoTime LastStop = S.LeavesAt - C.Settings.StopMost;
+  std::vector<UnitId> Units;
+  for (const auto &[Run, R] : S.Runs) {
+    const Job *J = C.Ledger.find(Run.Task.Job);
+    if (R.Stage != RunStage::Present || !J)
+      continue;
+    const workload::Step &Step = J->Spec.Steps[Run.Task.Key.Step];
+    if (!Step.LongRunning && T + timeLeft(Step, R) <= S.LeavesAt)
+      continue;
+    if (Step.SavesProgress && !Step.LongRunning && T + LookPeriod < LastStop)
+      continue;
+    Units.push_back({Run.Task.Job, Run.Task.Key.Occurrence, Run.Task.Key.Step,
+                     Step.Gang ? 0 : Run.Task.Key.Index});
+  }
+  for (const UnitId &Unit : Units) {
+    C.log(435, {{"worker", Id},
+                {"job", Unit.Job},
+                {"step", Unit.Step},
+                {"leaves_in_ms", (S.LeavesAt - T).count()}});
+    stopUnit(Unit, "its worker leaves");
+  }
+}
+
 void Owner::watchWorkers() {
   MonoTime T = C.mono();
   bool LookAtRuns = T - LookedAt >= LookPeriod;
@@ -389,6 +432,8 @@
     }
     if (LookAtRuns)
       findStuck(Id, S);
+    if (LookAtRuns && S.Entry.Draining && S.LeavesAt.count())
+      evacuate(Id, S);
     if (!S.SyncInFlight && !S.Entry.Address.empty() && T >= S.NextSyncAt)
       sync(Id, S);
     ++It;
--- a/packages/cluster/lib/Tail.h
+++ b/packages/cluster/lib/Tail.h
@@ -14,9 +14,12 @@
 /// Beyond the wait; a read on a dead connection is given up after both. The
 /// store's slowest known answers take about 300 ms.
 inline constexpr Millis TailSlack{1'200};
+/// A call after a failed one asks for an answer at once and is given up early,
+/// so that the end of an outage is noticed soon.
+inline constexpr Millis ProbeLimit{800};
 /// First and longest pause after a failed call.
 inline constexpr Millis TailRetryFirst{60};
-inline constexpr Millis TailRetryMost{500};
+inline constexpr Millis TailRetryMost{250};
 
 /// Follows one compacted topic: first pages of the newest record of each key,
 /// then all records from the end that the first page named. Records between
@@ -71,9 +74,11 @@
   }
   void read() {
     // Behind the end there is nothing to wait for.
-    Millis Wait = CaughtUp ? TailWait : Millis(0);
-    C.Actions.push_back(ReadAction<Entry>{From, Wait, Wait + TailSlack,
-                                          guarded(&Tail::onBatch)});
+    bool Probing = Retry.count() > 0;
+    Millis Wait = CaughtUp && !Probing ? TailWait : Millis(0);
+    C.Actions.push_back(
+        ReadAction<Entry>{From, Wait, Probing ? ProbeLimit : Wait + TailSlack,
+                          guarded(&Tail::onBatch)});
   }
   void page() {
     C.Actions.push_back(NewestAction<Entry>{AfterKey, TailWait + TailSlack,
--- a/packages/cluster/tests/ClusterStoryTest.cpp
+++ b/packages/cluster/tests/ClusterStoryTest.cpp
@@ -381,6 +381,24 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenTheStoreComesBack)
+
+// Guards against callers that are refused for seconds after an outage, because
+// a call of the time before it is still waited for.
+BOOST_AUTO_TEST_CASE(ADaemonServesCallersWithinASecond) {
+  for (int OutageMs : {2'600, 3'100, 3'600, 4'100}) {
+    for (auto &[Name, N] : Daemons)
+      StoreCut.insert(Name);
+    run(OutageMs);
+    StoreCut.clear();
+    run(1'100);
+    for (auto &[Name, N] : Daemons)
+      BOOST_TEST(N->ready(), Name << " after " << OutageMs);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenAnswersGetLost)
 
 // Guards against owners that stop, or record twice, after a lost answer.
@@ -497,6 +515,50 @@
   BOOST_TEST(Workers["w3"].Runs.size() == 8u);
 }
 
+// Guards against work that dies with its worker, whose lease is then waited for,
+// and against work that is stopped although it would have ended in time.
+BOOST_AUTO_TEST_CASE(WorkThatCannotEndOnALeavingWorkerMovesAtOnce) {
+  for (const char *Id : {"w2", "w3"})
+    Registry.push_back({Id, std::nullopt});
+  run(100);
+  BOOST_TEST(!submit(any(), job("long", 2, 1, 5'000)));
+  BOOST_TEST(!submit(any(), job("short", 2, 1, 1'800)));
+  run(800);
+  addWorker("w4", "r1");
+  Workers["w1"].Entry.Draining = true;
+  Workers["w1"].Entry.LeavesInMs = 3'000;
+  Registry.push_back({"w1", Workers["w1"].Entry});
+  run(2'500);
+  BOOST_TEST(Workers["w4"].Runs.size() == 2u);
+  BOOST_TEST(allShow("short", JobState::Completed));
+  Workers["w1"].Up = false;
+  Registry.push_back({"w1", std::nullopt});
+  BOOST_TEST(
+      runUntil([&] { return allShow("long", JobState::Completed); }, 5'000));
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == (Task.Job == "long" ? 2u : 1u));
+}
+
+// Guards against progress that is thrown away by a stop that comes too early.
+BOOST_AUTO_TEST_CASE(WorkThatSavesItsProgressStaysAsLongAsTheWorker) {
+  for (const char *Id : {"w2", "w3"})
+    Registry.push_back({Id, std::nullopt});
+  run(100);
+  auto J = job("1", 2, 1, 9'000);
+  J.Steps[0].SavesProgress = true;
+  BOOST_TEST(!submit(any(), J));
+  run(800);
+  addWorker("w4", "r1");
+  Workers["w1"].Entry.Draining = true;
+  Workers["w1"].Entry.LeavesInMs = 4'000;
+  Registry.push_back({"w1", Workers["w1"].Entry});
+  run(2'000);
+  BOOST_TEST(Workers["w1"].Runs.size() == 2u);
+  run(1'500);
+  BOOST_TEST(Workers["w1"].Runs.empty());
+  BOOST_TEST(Workers["w4"].Runs.size() == 2u);
+}
+
 // Guards against attempts that are spent on one worker that fails everything.
 BOOST_AUTO_TEST_CASE(AWorkerThatFailsEverythingCostsNoJob) {
   Workers["w2"].Fails = true;
