Read a slow log in smaller parts

Cause: KNOWN-RED, the hang of daemon_test under the thread sanitizer. Three at once on one core reproduced it: ReadsALogOfLargeRecords never became ready. A read that ran into its time limit was followed by one of twice as many records; that one was too large, was halved, and ran into the limit again. The test asked for readiness without a pause, which took the one core from the daemon; the main thread in ~Link was that loop. Ruled out: HttpClient callbacks that send again on a closed client (the stacks show the stand-in serializing a read, and the test asking). Change: a read that takes too long is followed by one of a 32nd of its records. The tests' loops pause 10 ms and end after 90 s.

--- a/packages/daemon/lib/Adapters.cpp
+++ b/packages/daemon/lib/Adapters.cpp
@@ -61,6 +61,10 @@
   });
 }
 
+/// Each read that takes too long costs its whole time limit, so few of them
+/// must lead from the usual 1,000 records to one.
+static constexpr std::uint32_t SlowReadDivisor = 32;
+
 std::uint32_t Adapters::readMax(const control::ReadAction &A) {
   std::lock_guard Lock(Mutex);
   auto Found = ReadMax.find(A.Stream);
@@ -76,7 +80,8 @@
 
 // A record has up to 64 KiB of input and a snapshot's chunk up to 192 KiB, so
 // a full read could take 100 MB. A read that is too large is repeated with half
-// as many records; every later read may have twice as many again.
+// as many records, and one that took too long is followed by a much smaller
+// one; every later read may have twice as many again.
 void Adapters::read(const control::ReadAction &A) {
   std::uint32_t Max = readMax(A);
   net::ClientRequest R;
@@ -87,7 +92,10 @@
   R.TimeLimit = A.TimeLimit;
   Log.send(LogAddress, std::move(R), [this, A, Max](const HttpResult &Got) {
     bool TooLarge = !Got && Got.error().Code == base::ErrorCode::TooLarge;
-    setReadMax(A.Stream, TooLarge ? Max / 2 : Max * 2);
+    bool TooLong = !Got && Got.error().Code == base::ErrorCode::Timeout;
+    setReadMax(A.Stream, TooLarge  ? Max / 2
+                         : TooLong ? Max / SlowReadDivisor
+                                   : Max * 2);
     if (TooLarge && Max > 1)
       return read(A);
     ToNode([Call = A.Call, Result = decodeRead(Got)](Node &N, Now T) {
--- a/packages/daemon/tests/DaemonTest.cpp
+++ b/packages/daemon/tests/DaemonTest.cpp
@@ -3,7 +3,9 @@
 #include "heathersaddle/base/Hash.h"
 #include "heathersaddle/net/HttpClient.h"
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <future>
+#include <thread>
 
 using namespace heathersaddle;
 using namespace heathersaddle::daemon;
@@ -27,11 +29,20 @@
     S.Node.ReadWait = base::Millis(1'000);
     D.emplace(S);
     Address = "127.0.0.1:" + std::to_string(D->start().value());
-    while (get("/readyz", "").Status != 200)
-      ;
-    while (get("/v1/pool", "operator").Body.find("\"owner\":\"" + Name) ==
-           std::string::npos)
-      ;
+    await([this] { return get("/readyz", "").Status == 200; });
+    await([this, &Name] {
+      return get("/v1/pool", "operator").Body.find("\"owner\":\"" + Name) !=
+             std::string::npos;
+    });
+  }
+  /// Asks until \p Done is true, with pauses: requests without any would take
+  /// the processor from the daemon on a busy host.
+  static void await(const std::function<bool()> &Done) {
+    auto Until = std::chrono::steady_clock::now() + std::chrono::seconds(90);
+    while (!Done()) {
+      BOOST_REQUIRE(std::chrono::steady_clock::now() < Until);
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
   }
   net::ClientResponse send(net::ClientRequest R, const std::string &Token) {
     if (!Token.empty())
@@ -153,15 +164,17 @@
   std::string Id = S.submit("before");
   Log.setDown(true);
   net::ClientResponse R;
-  do
+  Running::await([&] {
     R = S.post("/v1/jobs", "maison-a-token", Job, "during");
-  while (R.Status == 202);
+    return R.Status != 202;
+  });
   BOOST_TEST(R.Status == 503u, R.Body);
   BOOST_TEST(R.Headers.contains("retry-after"));
   BOOST_TEST(S.get("/v1/jobs/" + Id, "maison-a-token").Status == 200u);
   Log.setDown(false);
-  while (S.post("/v1/jobs", "maison-a-token", Job, "during").Status != 202)
-    ;
+  Running::await([&] {
+    return S.post("/v1/jobs", "maison-a-token", Job, "during").Status == 202;
+  });
 }
 
 // Guards against a start that fails for ever because one read of the log would
@@ -174,6 +187,17 @@
   BOOST_TEST(S.get("/readyz", "").Status == 200u);
 }
 
+// Guards against a start that fails for ever because one read of the log takes
+// longer than its time limit.
+BOOST_AUTO_TEST_CASE(ReadsASlowLogInSmallerParts) {
+  LogStandIn Log;
+  for (int N = 0; N < 8; ++N)
+    Log.put("control", "x");
+  Log.setReadTime(std::chrono::milliseconds(900));
+  Running S(Log);
+  BOOST_TEST(S.get("/readyz", "").Status == 200u);
+}
+
 // Guards against a planned stop that interrupts requests, never ends or leaves
 // its traces behind.
 BOOST_AUTO_TEST_CASE(StopsGracefully) {
@@ -190,10 +214,11 @@
     return Client.send(S.Address, R);
   });
   // The daemon counts this request and the waiting one.
-  while (
-      S.get("/metrics", "").Body.find("heathersaddle_requests_in_progress 2") ==
-      std::string::npos)
-    ;
+  Running::await([&S] {
+    return S.get("/metrics", "")
+               .Body.find("heathersaddle_requests_in_progress 2") !=
+           std::string::npos;
+  });
   S.D->requestStop();
   BOOST_TEST(S.D->wait() == 0);
   auto Answer = Waiting.get();
--- a/packages/daemon/tests/LogStandIn.h
+++ b/packages/daemon/tests/LogStandIn.h
@@ -51,6 +51,12 @@
     Down = Now;
   }
 
+  /// Makes each record that is read take this long.
+  void setReadTime(std::chrono::milliseconds OneRecord) {
+    std::lock_guard Lock(Mutex);
+    ReadTime = OneRecord;
+  }
+
   std::string Address;
 
 private:
@@ -125,10 +131,14 @@
     auto &All = Streams[Stream];
     for (std::size_t N = From; N < All.size() && Records.size() < Max; ++N)
       Records.emplace_back(All[N]);
-    Reply({.Body = boost::json::serialize(
-               boost::json::object{{"oldest", 0},
-                                   {"next", All.size()},
-                                   {"records", std::move(Records)}})});
+    auto Took = ReadTime * Records.size();
+    net::Response Answer{.Body = boost::json::serialize(boost::json::object{
+                             {"oldest", 0},
+                             {"next", All.size()},
+                             {"records", std::move(Records)}})};
+    if (Took.count() == 0)
+      return Reply(std::move(Answer));
+    Threads.after(Took, [Reply, Answer] { Reply(Answer); });
   }
 
   void endPoll(std::uint64_t Id) {
@@ -142,6 +152,7 @@
   std::map<std::uint64_t, Poll> Polls;
   std::uint64_t NextPoll = 0;
   bool Down = false;
+  std::chrono::milliseconds ReadTime{0};
   net::Executor Threads{1};
   net::HttpServer Server;
 };
