Add a fault soak; never deny a job from old state; latency histograms

Ruled out: storing a cancellation for every unknown id: such records would have to be collected, and a later submission would be cancelled. Change: a cancellation of an unknown job waits for a read of the topic that was sent after it; an unknown state is told only from a read that was sent recently (covers()).

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 300
 
 .PHONY: all packages build check lint sanitize bench bench-control demo faults fuzz \
-  mutations deploy-build
+  mutations soak deploy-build
 
 all: build
 
@@ -67,6 +67,12 @@
 	@cmake --build $(BUILD)-switches -j $(JOBS) --target heathersaddle_fuzz
 	@scripts/mutations.sh $(BUILD)-switches
 
+# Real daemons beside stand-ins of the platform, with random faults: seeds that
+# failed once, then SEEDS fresh ones (from FIRST, if given).
+soak: build
+	@python3 scripts/soak.py --binary $(BUILD)/platform/heathersaddle-node \
+	  --seeds $(SEEDS) $(if $(FIRST),--first $(FIRST))
+
 # Builds the daemon by the platform's own command.
 deploy-build: packages
 	@sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)" >target.log 2>&1 || \
--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -3,6 +3,8 @@
 
 #include "heathersaddle/base/StructuredLog.h"
 #include "heathersaddle/cluster/Ports.h"
+#include <algorithm>
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -55,9 +57,38 @@
   workload::JobState State = workload::JobState::Queued;
 };
 
-/// Counters for the metrics page.
+/// How often a duration fell below each bound.
+struct Latency {
+  /// Milliseconds, from an answer of a healthy store to the longest jobs.
+  static constexpr std::array<std::int64_t, 13> Bounds{
+      5,     10,    25,    50,     100,    250,   500,
+      1'000, 2'500, 5'000, 10'000, 30'000, 60'000};
+  /// Not cumulative; the last one counts what is above all bounds.
+  std::array<std::uint64_t, Bounds.size() + 1> Counts{};
+  std::uint64_t Count = 0;
+  std::int64_t SumMs = 0;
+
+  void add(base::Millis Took) {
+    auto It = std::lower_bound(Bounds.begin(), Bounds.end(), Took.count());
+    ++Counts[static_cast<std::size_t>(It - Bounds.begin())];
+    ++Count;
+    SumMs += Took.count();
+  }
+};
+
+/// What is measured for one name; the class is the priority of a job.
+struct LatencyKey {
+  std::string Name;
+  std::string Class; ///< Empty: not about jobs.
+  bool operator<(const LatencyKey &O) const {
+    return std::tie(Name, Class) < std::tie(O.Name, O.Class);
+  }
+};
+
+/// Counters and latencies for the metrics page.
 struct NodeStats {
   std::map<std::string, std::uint64_t, std::less<>> Counts;
+  std::map<LatencyKey, Latency> Latencies;
 };
 
 /// One daemon's control logic: follows the control topic, answers callers, and
--- a/packages/cluster/lib/Core.h
+++ b/packages/cluster/lib/Core.h
@@ -43,6 +43,15 @@
       It = Stats.Counts.emplace(std::string(Name), 0).first;
     It->second += By;
   }
+  void took(std::string_view Name, Millis Time) {
+    Stats.Latencies[{std::string(Name), ""}].add(Time);
+  }
+  /// Priorities from 2 on share a class, so that their number stays bounded.
+  void took(std::string_view Name, unsigned Priority, Millis Time) {
+    static constexpr std::array<const char *, 3> Classes{"0", "1", "2+"};
+    Stats.Latencies[{std::string(Name), Classes[std::min(Priority, 2U)]}].add(
+        Time);
+  }
   /// A time within [Most / 2, Most].
   Millis jitter(Millis Most) {
     return Most / 2 +
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -72,6 +72,7 @@
   Control.tick();
   Operator.tick();
   watchStore();
+  resolveCancels();
   elect();
   if (Own && DeposedReason.empty())
     Own->tick();
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -42,6 +42,8 @@
   void stored(const Submission &S, std::uint64_t Offset);
   StatusResult status(std::string_view Job) const;
   void cancel(std::string_view Job, std::function<void(Lookup)> Done);
+  /// Carries on with cancellations of jobs that were not known yet.
+  void resolveCancels();
   std::optional<std::size_t> waiting(std::string_view Queue) const;
 
   Core C;
@@ -59,6 +61,12 @@
     std::int64_t WorkMs = 0;
   };
   std::vector<Recent> Accepted;
+  struct UnknownCancel {
+    std::string Job;
+    MonoTime Since{};
+    std::function<void(Lookup)> Done;
+  };
+  std::vector<UnknownCancel> UnknownCancels;
 
   // Election.
   std::uint64_t SeenOwnerRecords = 0;
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -36,6 +36,7 @@
   bool StopConfirmed = false;
   unsigned Tries = 0;
   MonoTime PlacedAt{};
+  MonoTime SentAt{}; ///< The latest start.
   MonoTime RetryAt{};
   MonoTime ConfirmedAt{}; ///< Start, or later the stop, was confirmed.
   unsigned Percent = 0;
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -81,6 +81,7 @@
     return stopRun(S, Id);
   R.CallInFlight = true;
   R.MayHaveArrived = true;
+  R.SentAt = C.mono();
   ++R.Tries;
   StartAction A;
   A.Worker = {S.Entry.Id, S.Entry.Address};
@@ -121,6 +122,7 @@
   Session &S = Sessions.find(Worker)->second;
   RunState &R = *Answered;
   MonoTime T = C.mono();
+  C.took("start_answered", T - R.SentAt);
   auto NeverRan = [&](Millis Avoid, std::string_view Why) {
     C.count("starts_refused");
     C.log(416, {{"worker", Worker},
@@ -432,6 +434,9 @@
               {"state", static_cast<unsigned>(State)},
               {"reason", Why},
               {"after_ms", J.EndedMs - J.Spec.AcceptedMs}});
+  if (!J.Spec.Repeats && !J.Spec.isLongRunning())
+    C.took(State == JobState::Completed ? "job_completed" : "job_not_completed",
+           J.Spec.Priority, Millis(J.EndedMs - J.Spec.AcceptedMs));
   if (State != JobState::Completed)
     stopJob(J.Spec.Id, Why);
   std::erase_if(FailedOn,
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -101,6 +101,7 @@
   auto Plan = Planner.plan(Fleet, Queue, NowMs, urgentDemand());
   applyPlan(Plan, Fleet);
   PlanTook = C.mono() - PlannedAt;
+  C.took("plan", PlanTook);
   PlannedAt = C.mono();
 }
 
@@ -303,8 +304,11 @@
       S.Runs.emplace(Id, std::move(R));
       Records.then([this, Worker, Id] { sendStart(Worker, Id); });
     }
-    if (J.State == JobState::Queued)
+    if (J.State == JobState::Queued) {
       J.State = JobState::Running;
+      C.took("job_first_placed", J.Spec.Priority,
+             Millis(C.wall() - P.What->DueMs));
+    }
     Records.changed(J.Spec.Id);
     C.log(423, {{"job", J.Spec.Id},
                 {"occurrence", P.What->Occurrence},
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -15,6 +15,9 @@
 /// An unknown job is called so only by a daemon that read the topic this
 /// recently.
 static constexpr Millis KnownWithin{2'500};
+/// Most time to find out whether a job exists: a read that was under way and
+/// one more, at the store's usual speed.
+static constexpr Millis UnknownPatience{2'000};
 /// The owner publishes the backlog about once a second; work accepted here
 /// since then is added for this long.
 static constexpr Millis BacklogAge{1'500};
@@ -111,6 +114,7 @@
 
 void Node::Impl::stored(const Submission &S, std::uint64_t Offset) {
   C.AppendTook = C.mono() - S.SentAt;
+  C.took("submission_stored", S.Priority, C.mono() - S.Started);
   // Visible here at once; the topic brings it to the others.
   if (Control.following())
     (void)C.Ledger.applyCallersRecord(S.Record);
@@ -128,14 +132,20 @@
 StatusResult Node::Impl::status(std::string_view Id) const {
   if (const Job *J = C.Ledger.find(Id))
     return {Lookup::Found, J->shown()};
-  return {Control.fresh(KnownWithin) ? Lookup::Unknown : Lookup::Stale,
-          JobState::Queued};
+  // Counted from when the read was sent: a process that was suspended finds old
+  // answers when it goes on.
+  bool Recent = Control.covers(C.mono() - KnownWithin);
+  return {Recent ? Lookup::Unknown : Lookup::Stale, JobState::Queued};
 }
 
 void Node::Impl::cancel(std::string_view Id, std::function<void(Lookup)> Done) {
   const Job *J = C.Ledger.find(Id);
-  if (!J)
-    return Done(Control.fresh(KnownWithin) ? Lookup::Unknown : Lookup::Stale);
+  if (!J) {
+    // Another daemon may have accepted it just now. Whoever is told that it is
+    // unknown relies on its not running, so the topic has to be read first.
+    UnknownCancels.push_back({std::string(Id), C.mono(), std::move(Done)});
+    return;
+  }
   if (J->endStored() || J->CancelRequested)
     return Done(Lookup::Found);
   auto Record = workload::Ledger::cancellation(Id, C.wall());
@@ -161,6 +171,23 @@
                    }});
 }
 
+void Node::Impl::resolveCancels() {
+  if (UnknownCancels.empty())
+    return;
+  MonoTime T = C.mono();
+  auto All = std::exchange(UnknownCancels, {});
+  for (UnknownCancel &U : All) {
+    if (C.Ledger.find(U.Job))
+      cancel(U.Job, std::move(U.Done));
+    else if (Control.covers(U.Since))
+      U.Done(Lookup::Unknown);
+    else if (T - U.Since > UnknownPatience)
+      U.Done(Lookup::Stale);
+    else
+      UnknownCancels.push_back(std::move(U));
+  }
+}
+
 std::optional<std::size_t> Node::Impl::waiting(std::string_view Queue) const {
   if (!Control.fresh(KnownWithin))
     return std::nullopt;
--- a/packages/cluster/lib/Tail.h
+++ b/packages/cluster/lib/Tail.h
@@ -50,6 +50,8 @@
   bool following() const { return Following; }
   /// Offset of the next record to be read.
   std::uint64_t next() const { return From; }
+  /// Whether everything appended before \p Time has been read.
+  bool covers(MonoTime Time) const { return CaughtUp && EndReadFrom > Time; }
   /// Whether the topic was read to its end within \p Age.
   bool fresh(Millis Age) const {
     return CaughtUp && C.mono() - LastRead <= Age;
@@ -74,6 +76,7 @@
   }
   void read() {
     // Behind the end there is nothing to wait for.
+    SentAt = C.mono();
     bool Probing = Retry.count() > 0;
     Millis Wait = CaughtUp && !Probing ? TailWait : Millis(0);
     C.Actions.push_back(
@@ -120,6 +123,7 @@
     if (AtEnd) {
       CaughtUp = true;
       LastRead = C.mono();
+      EndReadFrom = SentAt;
     }
     NextAt = AtEnd ? C.mono() + Gap : MonoTime{};
     for (Entry &E : B->Entries)
@@ -137,7 +141,9 @@
   std::string AfterKey;
   std::uint64_t From = 0;
   MonoTime NextAt{};
+  MonoTime SentAt{};
   MonoTime LastRead{};
+  MonoTime EndReadFrom{}; ///< When the latest read up to the end was sent.
   Millis Retry{};
 };
 
--- a/packages/cluster/tests/ClusterStoryTest.cpp
+++ b/packages/cluster/tests/ClusterStoryTest.cpp
@@ -138,6 +138,26 @@
     BOOST_TEST(W.Runs.empty());
 }
 
+// Guards against "no such job" for a job that another daemon has just accepted:
+// it would run on although its caller believes it gone.
+BOOST_AUTO_TEST_CASE(ACancellationFindsAJobThatWasAcceptedElsewhere) {
+  std::optional<Lookup> Answer;
+  std::optional<Lookup> OfNone;
+  bool Accepted = false;
+  Node &Other = follower();
+  Node &Owner = *Daemons[owner()];
+  Owner.submit(job("1", 2, 1, 60'000), [&](const std::optional<Refusal> &R) {
+    Accepted = !R;
+    Other.cancel("1", [&](Lookup L) { Answer = L; });
+    Other.cancel("none", [&](Lookup L) { OfNone = L; });
+  });
+  run(2'500);
+  BOOST_TEST(Accepted);
+  BOOST_TEST((Answer == Lookup::Found));
+  BOOST_TEST((OfNone == Lookup::Unknown));
+  BOOST_TEST(allShow("1", JobState::Cancelled));
+}
+
 // Guards against work on a worker that the queue's policy does not allow.
 BOOST_AUTO_TEST_CASE(AsksTheAdvisorWhereItMayRun) {
   Advised = {"w2"};
@@ -239,6 +259,29 @@
   BOOST_TEST((R->Why == Refusal::Unavailable));
 }
 
+// Guards against "no such job" from a daemon that was suspended: the answers it
+// finds when it goes on are as old as its sleep.
+BOOST_AUTO_TEST_CASE(ADaemonThatWasSuspendedDoesNotDenyAJob) {
+  Node &Slept = follower();
+  std::string Name;
+  for (auto &[One, N] : Daemons)
+    if (N.get() == &Slept)
+      Name = One;
+  // At some of these moments a read is under way.
+  for (int Try = 0; Try < 6; ++Try) {
+    std::string Id = std::to_string(Try);
+    run(70);
+    Suspended.insert(Name);
+    run(1'500);
+    BOOST_TEST(!submit(*Daemons[owner()], job(Id, 1, 1, 100)));
+    run(4'000);
+    resume(Name);
+    BOOST_TEST((Slept.status(Id).Result != Lookup::Unknown));
+    run(300);
+    BOOST_TEST((Slept.status(Id).Result == Lookup::Found));
+  }
+}
+
 // Guards against "no such job" from a daemon that has just read its pages but
 // not what came meanwhile.
 BOOST_AUTO_TEST_CASE(ADaemonThatReadsItsPagesSlowlyDoesNotDenyAJob) {
@@ -515,8 +558,8 @@
   BOOST_TEST(Workers["w3"].Runs.size() == 8u);
 }
 
-// Guards against work that dies with its worker, whose lease is then waited for,
-// and against work that is stopped although it would have ended in time.
+// Guards against work that dies with its worker, whose lease is then waited
+// for, and against work that is stopped although it would have ended in time.
 BOOST_AUTO_TEST_CASE(WorkThatCannotEndOnALeavingWorkerMovesAtOnce) {
   for (const char *Id : {"w2", "w3"})
     Registry.push_back({Id, std::nullopt});
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -93,11 +93,20 @@
           auto It = Daemons.find(Daemon);
           if (It == Daemons.end() || It->second.get() != Node)
             return;
+          if (Suspended.contains(Daemon))
+            return Kept[Daemon].push_back(Do);
           Do();
           pump(Daemon);
         });
 }
 
+void World::resume(const std::string &Daemon) {
+  Suspended.erase(Daemon);
+  for (const auto &Do : std::exchange(Kept[Daemon], {}))
+    Do();
+  pump(Daemon);
+}
+
 void World::pump(const std::string &Daemon) {
   Node &N = *Daemons.at(Daemon);
   N.tick();
@@ -312,6 +321,8 @@
                 auto It = Daemons.find(Daemon);
                 if (It == Daemons.end() || It->second.get() != Node)
                   return;
+                if (Suspended.contains(Daemon))
+                  return Kept[Daemon].push_back(Late);
                 Late();
                 pump(Daemon);
               });
@@ -416,7 +427,8 @@
       for (const auto &[Name, N] : Daemons)
         Names.push_back(Name);
       for (const std::string &Name : Names)
-        pump(Name);
+        if (!Suspended.contains(Name))
+          pump(Name);
     }
   }
 }
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -57,6 +57,8 @@
                         std::int64_t Gpus = 8);
   Node &addDaemon(const std::string &Name, std::int64_t CpuMilli = 250);
   void kill(const std::string &Daemon) { Daemons.erase(Daemon); }
+  /// Lets a suspended daemon find the answers that came meanwhile.
+  void resume(const std::string &Daemon);
   void configure(std::uint64_t Version);
 
   void run(std::int64_t Ms);
@@ -80,6 +82,7 @@
   std::set<std::string> WithTicket; ///< Jobs whose starts need a ticket.
   unsigned TicketsRefused = 0;
   std::set<std::string> WorkersCut; ///< Daemons that reach no worker.
+  std::set<std::string> Suspended;  ///< Daemons that stand still.
   std::set<std::string> StoreCut;   ///< Daemons whose store calls get lost.
   std::int64_t PageMs = 0;  ///< How long a page of the control topic takes.
   unsigned LoseAppends = 0; ///< Answers of appends to lose.
@@ -116,6 +119,7 @@
   void sync(const std::string &Daemon, const SyncAction &A, std::int64_t Until);
 
   std::priority_queue<Event> Events;
+  std::map<std::string, std::vector<std::function<void()>>> Kept;
   std::uint64_t Order = 0;
   std::map<std::string, std::int64_t> WorkOf;
   std::unique_ptr<base::StructuredLog> Log;
