Tell the lives of a worker apart without their order in time

Cause: found by reading: the lives of a worker were ordered by their start times, which are of its wall clock. After a step back of that clock a restarted worker would never have been used again, its answers were asked for without a pause, and what ran in its former life would have been waited for without end. A job's record was bounded by a usual row, so that long checkpoints could have passed the store's bound. Ruled out: comparing for inequality as before: an answer or a lagging entry of a former life would again count as a restart. Change: the start times of former lives are kept in the session; what tells of one of them is ignored, any other is the next life. rowsLeft() adds up the real checkpoints and names. Before: ALaterLifeMayHaveBegunAtAnEarlierTime failed on the former code.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -9,9 +9,11 @@
 
 namespace heathersaddle::cluster {
 
-/// Most bytes of a task in a job's record: its numbers, a checkpoint and the
-/// name of a worker, with room to spare.
+/// Usual bytes, at most, of a task in a job's record: its numbers, a checkpoint
+/// and the name of a worker, with room to spare.
 inline constexpr std::size_t RowBytes = 128;
+/// The part of it without the checkpoint and the name.
+inline constexpr std::size_t RowNumbersBytes = 64;
 
 using dispatch::UnitId;
 using workload::Job;
@@ -78,6 +80,9 @@
   MonoTime AvoidUntil{};
   /// Jobs that failed here since the last success.
   std::set<std::string> FailedJobs;
+  /// When earlier lives of the worker began; by its wall clock, which may jump,
+  /// so a later life need not have a later time.
+  std::set<std::int64_t> PastLives;
   unsigned SyncFailures = 0;
   std::map<RunId, RunState> Runs;
 };
@@ -120,7 +125,9 @@
   bool endsSession(Session &S, WorkerVerdict V);
   void onRunning(Session &S, const RunningTask &T);
   void onEnded(Session &S, const EndedTask &T);
-  void restarted(Session &S);
+  /// Whether \p BornMs tells of another life than the one that is known.
+  bool isNextLife(const Session &S, std::int64_t BornMs) const;
+  void restarted(Session &S, std::int64_t BornMs);
   void loseRuns(Session &S, std::string_view Why);
   void watchWorkers();
   void findStuck(const std::string &Id, Session &S);
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -32,16 +32,12 @@
 
 /// How many tasks of \p J without a row in its record can still get one.
 static std::size_t rowsLeft(const Job &J, std::size_t RecordBytes) {
-  std::size_t Most = RecordBytes / RowBytes;
-  std::size_t Tasks = 0;
-  for (const workload::Step &S : J.Spec.Steps)
-    Tasks += S.Count;
-  if (Tasks * J.Spec.occurrences() <= Most)
-    return Most;
-  std::size_t Rows = 0;
+  std::size_t Used = 0;
   for (const auto &[K, T] : J.Tasks)
-    Rows += T.Phase != TaskPhase::Done;
-  return Most - std::min(Most, Rows);
+    if (T.Phase != TaskPhase::Done)
+      Used += std::max(RowBytes,
+                       RowNumbersBytes + T.Checkpoint.size() + T.Worker.size());
+  return (RecordBytes - std::min(RecordBytes, Used)) / RowBytes;
 }
 
 void Owner::jobChanged(std::string_view Id) {
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -125,11 +125,11 @@
   }
   Session &S = It->second;
   // The registry may lag behind what the worker itself has said.
-  if (E.BornMs && E.BornMs < S.Entry.BornMs)
+  if (S.PastLives.contains(E.BornMs))
     return;
-  if (S.Entry.BornMs && E.BornMs > S.Entry.BornMs) {
+  if (isNextLife(S, E.BornMs)) {
     C.log(409, {{"worker", E.Id}, {"runs", S.Runs.size()}});
-    restarted(S);
+    restarted(S, E.BornMs);
     S.Synced = false;
   }
   if (S.Entry.Draining != E.Draining && E.Draining)
@@ -219,15 +219,13 @@
       C.log(407, {{"worker", Id}, {"runs", S.Runs.size()}});
     return;
   }
-  if (R.BornMs >= 0 && R.BornMs < S.Entry.BornMs) {
+  if (S.PastLives.contains(R.BornMs)) {
     // Sent before the worker restarted, received after its new entry.
-    S.NextSyncAt = T;
+    S.NextSyncAt = T + C.jitter(SyncRetry);
     return;
   }
-  if (S.Entry.BornMs && R.BornMs > S.Entry.BornMs) {
-    restarted(S);
-    S.Entry.BornMs = R.BornMs;
-  }
+  if (isNextLife(S, R.BornMs))
+    restarted(S, R.BornMs);
   if (S.SyncFailures >= 2)
     C.log(411, {{"worker", Id}, {"runs", S.Runs.size()}});
   S.SyncFailures = 0;
@@ -338,9 +336,15 @@
   runOver(Id, T.Reason, T.Checkpoint, S);
 }
 
+bool Owner::isNextLife(const Session &S, std::int64_t BornMs) const {
+  return BornMs > 0 && S.Entry.BornMs && BornMs != S.Entry.BornMs;
+}
+
 /// Its next life knows nothing of before, and its counts start anew.
-void Owner::restarted(Session &S) {
+void Owner::restarted(Session &S, std::int64_t BornMs) {
   loseRuns(S, "the worker has restarted");
+  S.PastLives.insert(S.Entry.BornMs);
+  S.Entry.BornMs = BornMs;
   S.SeenTo = S.AckedTo = 0;
   S.ClockMs = -1;
   S.FailedJobs.clear();
--- a/packages/cluster/tests/ClusterStoryTest.cpp
+++ b/packages/cluster/tests/ClusterStoryTest.cpp
@@ -687,6 +687,21 @@
   BOOST_TEST(!Overlap);
 }
 
+// Guards against a worker that is never used again, because its wall clock was
+// set back before it restarted.
+BOOST_AUTO_TEST_CASE(ALaterLifeMayHaveBegunAtAnEarlierTime) {
+  for (const char *Id : {"w2", "w3"})
+    Registry.push_back({Id, std::nullopt});
+  run(100);
+  BOOST_TEST(!submit(any(), job("1", 2, 1, 2'000)));
+  run(300);
+  std::int64_t Before = Workers["w1"].Entry.BornMs;
+  addWorker("w1", "r1").Entry.BornMs = Before - 1'000;
+  Registry.push_back({"w1", Workers["w1"].Entry});
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 4'000));
+}
+
 // Guards against endless attempts of a job that can never be done.
 BOOST_AUTO_TEST_CASE(AJobThatAlwaysFailsEndsAfterItsAttempts) {
   for (auto &[Id, W] : Workers)
