Ask for less after a failed read

Ruled out: answering from recent reads only (covers()): the daemon had no state to answer from. Change: after a failed read a daemon asks for 128 KB at a time until it has read to the end; a record larger than that is asked for with twice as much each time. The loop of StopsGracefully has no pauses again, but ends after 90 s. Conclusion: every limit on time needs a limit on data with it.

--- a/packages/cluster/include/heathersaddle/cluster/Ports.h
+++ b/packages/cluster/include/heathersaddle/cluster/Ports.h
@@ -94,6 +94,7 @@
 /// Follows a topic. Wait is how long the log may hold the call.
 template <class Entry> struct ReadAction {
   std::uint64_t From = 0;
+  std::uint32_t MostKb = 0; ///< Most data in the answer.
   base::Millis Wait{};
   base::Millis TimeLimit{};
   std::function<void(base::Expected<Batch<Entry>>)> Done;
--- a/packages/cluster/lib/Tail.h
+++ b/packages/cluster/lib/Tail.h
@@ -17,6 +17,10 @@
 /// A call after a failed one asks for an answer at once and is given up early,
 /// so that the end of an outage is noticed soon.
 inline constexpr Millis ProbeLimit{800};
+/// Data asked for in one read: usually, and after a failed one, which must fit
+/// through a link of 2 Mbit/s within the limit of a probe.
+inline constexpr std::uint32_t ReadKb{1'024};
+inline constexpr std::uint32_t ProbeKb{128};
 /// First and longest pause after a failed call.
 inline constexpr Millis TailRetryFirst{60};
 inline constexpr Millis TailRetryMost{250};
@@ -79,15 +83,16 @@
     SentAt = C.mono();
     bool Probing = Retry.count() > 0;
     Millis Wait = CaughtUp && !Probing ? TailWait : Millis(0);
-    C.Actions.push_back(
-        ReadAction<Entry>{From, Wait, Probing ? ProbeLimit : Wait + TailSlack,
-                          guarded(&Tail::onBatch)});
+    C.Actions.push_back(ReadAction<Entry>{
+        From, MostKb, Wait, Probing ? ProbeLimit : Wait + TailSlack,
+        guarded(&Tail::onBatch)});
   }
   void page() {
     C.Actions.push_back(NewestAction<Entry>{AfterKey, TailWait + TailSlack,
                                             guarded(&Tail::onPage)});
   }
   void failed() {
+    MostKb = ProbeKb;
     Retry = Retry.count() ? std::min(Retry * 2, TailRetryMost) : TailRetryFirst;
     NextAt = C.mono() + C.jitter(Retry);
   }
@@ -118,8 +123,13 @@
     Retry = {};
     if (B->Trimmed)
       return restart();
-    From = B->Next;
     bool AtEnd = B->Next >= B->End;
+    // A single record may be larger than what was asked for.
+    if (AtEnd)
+      MostKb = ReadKb;
+    else if (B->Next == From)
+      MostKb = std::min(MostKb * 2, ReadKb);
+    From = B->Next;
     if (AtEnd) {
       CaughtUp = true;
       LastRead = C.mono();
@@ -140,6 +150,7 @@
   bool FirstPage = true;
   std::string AfterKey;
   std::uint64_t From = 0;
+  std::uint32_t MostKb = ReadKb;
   MonoTime NextAt{};
   MonoTime SentAt{};
   MonoTime LastRead{};
--- a/packages/cluster/tests/ClusterStoryTest.cpp
+++ b/packages/cluster/tests/ClusterStoryTest.cpp
@@ -454,6 +454,23 @@
   }
 }
 
+// Guards against a daemon that never catches up after an outage, because what
+// it has missed does not fit through its link within the limit of one read.
+BOOST_AUTO_TEST_CASE(ADaemonBehindANarrowLinkCatchesUp) {
+  std::string Name;
+  for (auto &[One, N] : Daemons)
+    if (!N->isOwner())
+      Name = One;
+  StoreCut.insert(Name);
+  for (int N = 0; N < 40; ++N)
+    Control.Records.push_back(
+        {"x/other" + std::to_string(N), std::string(50'000, '1')});
+  run(4'000);
+  LinkBytesPerMs = 250; // 2 Mbit/s.
+  StoreCut.clear();
+  BOOST_TEST(runUntil([&] { return Daemons[Name]->ready(); }, 20'000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenAnswersGetLost)
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -153,11 +153,21 @@
     Batch<KeyValue> B;
     B.Trimmed = A.From < Control.First;
     B.Next = B.End = Control.Records.size();
-    if (!B.Trimmed)
-      B.Entries.assign(Control.Records.begin() +
-                           static_cast<std::ptrdiff_t>(A.From),
-                       Control.Records.end());
-    return reply(Daemon, [Done = A.Done, B] { Done(B); });
+    std::size_t Bytes = 0;
+    if (!B.Trimmed) {
+      B.Next = A.From;
+      while (B.Next < B.End && Bytes < A.MostKb * 1'024UL) {
+        const KeyValue &One = Control.Records[B.Next++];
+        Bytes += One.Key.size() + One.Value.size();
+        B.Entries.push_back(One);
+      }
+    }
+    auto Transfer =
+        LinkBytesPerMs ? static_cast<std::int64_t>(Bytes / LinkBytesPerMs) : 0;
+    return after(Transfer, [this, Daemon, Done = A.Done, B] {
+      if (Daemons.contains(Daemon))
+        reply(Daemon, [Done, B] { Done(B); });
+    });
   }
   after(PollMs, [this, Daemon, A, Until] { poll(Daemon, A, Until); });
 }
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -84,8 +84,9 @@
   std::set<std::string> WorkersCut; ///< Daemons that reach no worker.
   std::set<std::string> Suspended;  ///< Daemons that stand still.
   std::set<std::string> StoreCut;   ///< Daemons whose store calls get lost.
-  std::int64_t PageMs = 0;  ///< How long a page of the control topic takes.
-  unsigned LoseAppends = 0; ///< Answers of appends to lose.
+  std::int64_t PageMs = 0; ///< How long a page of the control topic takes.
+  std::size_t LinkBytesPerMs = 0; ///< Of reads of the control topic; 0: any.
+  unsigned LoseAppends = 0;       ///< Answers of appends to lose.
   /// The store's bounds, for daemons added later, and the largest seen.
   std::size_t RecordBytes = 262'144;
   std::size_t AppendBytes = 2'097'152;
--- a/packages/daemon/tests/DaemonTest.cpp
+++ b/packages/daemon/tests/DaemonTest.cpp
@@ -37,11 +37,13 @@
   }
   /// Asks until \p Done is true, with pauses: requests without any would take
   /// the processor from the daemon on a busy host.
-  static void await(const std::function<bool()> &Done) {
+  static void
+  await(const std::function<bool()> &Done,
+        std::chrono::milliseconds Pause = std::chrono::milliseconds(10)) {
     auto Until = std::chrono::steady_clock::now() + std::chrono::seconds(90);
     while (!Done()) {
       BOOST_REQUIRE(std::chrono::steady_clock::now() < Until);
-      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+      std::this_thread::sleep_for(Pause);
     }
   }
   net::ClientResponse send(net::ClientRequest R, const std::string &Token) {
@@ -213,12 +215,14 @@
     net::BlockingClient Client;
     return Client.send(S.Address, R);
   });
-  // The daemon counts this request and the waiting one.
-  Running::await([&S] {
-    return S.get("/metrics", "")
-               .Body.find("heathersaddle_requests_in_progress 2") !=
-           std::string::npos;
-  });
+  // The daemon counts this request and the waiting one, which may end soon.
+  Running::await(
+      [&S] {
+        return S.get("/metrics", "")
+                   .Body.find("heathersaddle_requests_in_progress 2") !=
+               std::string::npos;
+      },
+      std::chrono::milliseconds(0));
   S.D->requestStop();
   BOOST_TEST(S.D->wait() == 0);
   auto Answer = Waiting.get();
