Take the answers to starts and stops in one place

Cause: sendStart and sendStop each wrapped their callback, and onStarted and onStopped each looked the session and the run up again and asked whether the answer ends the session (duplicates: OwnerRuns.cpp 117-124 and 205-212). Ruled out: one handler with a flag for both calls: what they do with an answer has nothing in common. Change: answerTo() does the common part and passes the session and the run on.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -135,15 +135,18 @@
   std::int64_t grantLease(Session &S);
 
   // OwnerRuns.cpp: starts, stops and ends of runs.
-  /// Takes note of the answer to a start or stop; null when the run is over.
-  RunState *answered(const std::string &Worker, const RunId &Id,
-                     const WorkerReply &Reply);
+  using AnswerHandler = void (Owner::*)(Session &, RunState &, const RunId &,
+                                        const WorkerReply &);
+  /// What takes the answer to a call about a run: passes it on to \p Handle
+  /// while the owner, the worker's session and the run exist.
+  std::function<void(WorkerReply)>
+  answerTo(const std::string &Worker, const RunId &Id, AnswerHandler Handle);
   void sendStart(const std::string &Worker, const RunId &Id);
-  void onStarted(const std::string &Worker, const RunId &Id,
-                 const WorkerReply &R);
+  void onStarted(Session &S, RunState &R, const RunId &Id,
+                 const WorkerReply &Reply);
   void sendStop(const std::string &Worker, const RunId &Id);
-  void onStopped(const std::string &Worker, const RunId &Id,
-                 const WorkerReply &R);
+  void onStopped(Session &S, RunState &R, const RunId &Id,
+                 const WorkerReply &Reply);
   void driveRuns();
   void stopRun(Session &S, const RunId &Id);
   void stopUnit(const UnitId &Unit, std::string_view Why);
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -94,38 +94,37 @@
   A.Ticket = R.Ticket;
   A.TimeLimit = StartLimit;
   C.count("starts");
-  A.Done = [this, Alive = Alive, Worker, Id](const WorkerReply &Reply) {
-    if (*Alive)
-      onStarted(Worker, Id, Reply);
-  };
+  A.Done = answerTo(Worker, Id, &Owner::onStarted);
   C.Actions.push_back(std::move(A));
 }
 
-RunState *Owner::answered(const std::string &Worker, const RunId &Id,
-                          const WorkerReply &Reply) {
-  auto It = Sessions.find(Worker);
-  if (It == Sessions.end())
-    return nullptr;
-  auto Found = It->second.Runs.find(Id);
-  if (Found == It->second.Runs.end())
-    return nullptr;
-  Found->second.CallInFlight = false;
-  hear(It->second, Reply);
-  return &Found->second;
+std::function<void(WorkerReply)> Owner::answerTo(const std::string &Worker,
+                                                 const RunId &Id,
+                                                 AnswerHandler Handle) {
+  return [this, Alive = Alive, Worker, Id, Handle](const WorkerReply &Reply) {
+    if (!*Alive)
+      return;
+    auto It = Sessions.find(Worker);
+    if (It == Sessions.end())
+      return;
+    Session &S = It->second;
+    auto Found = S.Runs.find(Id);
+    if (Found == S.Runs.end())
+      return;
+    Found->second.CallInFlight = false;
+    hear(S, Reply);
+    if (!endsSession(S, Reply.Verdict))
+      (this->*Handle)(S, Found->second, Id, Reply);
+  };
 }
 
-void Owner::onStarted(const std::string &Worker, const RunId &Id,
+void Owner::onStarted(Session &S, RunState &R, const RunId &Id,
                       const WorkerReply &Reply) {
-  RunState *Answered = answered(Worker, Id, Reply);
-  if (!Answered)
-    return;
-  Session &S = Sessions.find(Worker)->second;
-  RunState &R = *Answered;
   MonoTime T = C.mono();
   C.took("start_answered", T - R.SentAt);
   auto NeverRan = [&](Millis Avoid, std::string_view Why) {
     C.count("starts_refused");
-    C.log(416, {{"worker", Worker},
+    C.log(416, {{"worker", S.Entry.Id},
                 {"job", Id.Task.Job},
                 {"run", Id.Run},
                 {"gpus_needed", R.Room.Gpus},
@@ -138,8 +137,6 @@
       return stopRun(S, Id);
     runOver(Id, EndReason::Stopped, "", S);
   };
-  if (endsSession(S, Reply.Verdict))
-    return;
   switch (Reply.Verdict) {
   case WorkerVerdict::Ok:
     if (R.Stage == RunStage::Starting) {
@@ -172,7 +169,7 @@
     return NeverRan(RefusalAvoid, "the worker is unhealthy");
   case WorkerVerdict::Fenced:
   case WorkerVerdict::OtherIncarnation:
-    return; // Handled above.
+    return; // They end the session.
   case WorkerVerdict::NoAnswer:
   case WorkerVerdict::NotDelivered:
     R.RetryAt = T + C.jitter(CallRetry);
@@ -195,23 +192,13 @@
   A.Epoch = Epoch;
   A.TimeLimit = StartLimit;
   C.count("stops");
-  A.Done = [this, Alive = Alive, Worker, Id](const WorkerReply &Reply) {
-    if (*Alive)
-      onStopped(Worker, Id, Reply);
-  };
+  A.Done = answerTo(Worker, Id, &Owner::onStopped);
   C.Actions.push_back(std::move(A));
 }
 
-void Owner::onStopped(const std::string &Worker, const RunId &Id,
+void Owner::onStopped(Session &S, RunState &R, const RunId &,
                       const WorkerReply &Reply) {
-  RunState *Answered = answered(Worker, Id, Reply);
-  if (!Answered)
-    return;
-  Session &S = Sessions.find(Worker)->second;
-  RunState &R = *Answered;
   MonoTime T = C.mono();
-  if (endsSession(S, Reply.Verdict))
-    return;
   if (Reply.Verdict == WorkerVerdict::Ok && !R.StopConfirmed) {
     R.StopConfirmed = true;
     R.ConfirmedAt = T;
