Give up a checkpoint rather than a record

The owner then appended its beat only and nothing else, for all jobs, without end; no test could see that. Ruled out: refusing such jobs (the length is known only when a run ends); splitting a record (every reader would need all parts of it at once). Change: a checkpoint that would make the job's record larger than the store takes is dropped with a log line (436) and a count; the tasks go on from the one before. Before: DropCheckpointsThatCannotBeRecorded: the job never completed. After: it completes in 12 starts, no record above the bound.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -71,6 +71,7 @@
     {433, "advice_failed", Warning},
     {434, "advice_given", Info},
     {435, "work_evacuated", Info},
+    {436, "checkpoint_dropped", Warning},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -22,6 +22,9 @@
 using workload::TaskPhase;
 using workload::TaskProgress;
 
+/// At least the bytes of the record of \p J's progress.
+std::size_t recordBytes(const Job &J);
+
 /// How far a run has come on its worker.
 enum class RunStage {
   Recording, ///< Its placement is not stored yet; nothing was sent.
@@ -156,6 +159,7 @@
   /// The run has ended, or certainly never began.
   void runOver(const RunId &Id, EndReason Why, const std::string &Checkpoint,
                Session &S);
+  void keepCheckpoint(Job &J, const TaskKey &Task, const std::string &Saved);
   void finishIfDone(Job &J);
   void endJob(Job &J, JobState State, std::string_view Why);
   bool isCurrent(const RunId &Id) const;
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -354,13 +354,8 @@
     return;
   if (Current)
     T.Phase = TaskPhase::Waiting;
-  if (!Saved.empty() && T.Phase != TaskPhase::Done) {
-    // All members of a gang carry the same checkpoint.
-    for (unsigned N = 0; N < Step.Count; ++N)
-      if (Step.Gang || N == Id.Task.Key.Index)
-        J->Tasks[{Id.Task.Key.Occurrence, Id.Task.Key.Step, N}].Checkpoint =
-            Saved;
-  }
+  if (!Saved.empty() && T.Phase != TaskPhase::Done)
+    keepCheckpoint(*J, Id.Task.Key, Saved);
   if (Why == EndReason::Failed) {
     FailedOn[{J->Spec.Id, Id.Task.Key.Occurrence, Id.Task.Key.Step, 0}].insert(
         S.Entry.Id);
@@ -393,6 +388,27 @@
     stopUnit(Unit, "a member has ended");
 }
 
+/// Progress is given up rather than a record that the store would refuse: the
+/// tasks go on from the checkpoint before, or from the start.
+void Owner::keepCheckpoint(Job &J, const TaskKey &Task,
+                           const std::string &Saved) {
+  const workload::Step &Step = J.Spec.Steps[Task.Step];
+  std::size_t Added = Saved.size() * (Step.Gang ? Step.Count : 1);
+  if (recordBytes(J) + Added > C.Settings.RecordBytes) {
+    C.count("checkpoints_dropped");
+    C.log(436, {{"job", J.Spec.Id},
+                {"step", Task.Step},
+                {"index", Task.Index},
+                {"bytes", Added},
+                {"record_bytes", recordBytes(J)}});
+    return;
+  }
+  // All members of a gang carry the same checkpoint.
+  for (unsigned N = 0; N < Step.Count; ++N)
+    if (Step.Gang || N == Task.Index)
+      J.Tasks[{Task.Occurrence, Task.Step, N}].Checkpoint = Saved;
+}
+
 void Owner::finishIfDone(Job &J) {
   if (!J.ended() && J.allDone())
     endJob(J, JobState::Completed, "all tasks are done");
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -30,14 +30,18 @@
 /// Failures of this many distinct jobs without a success raise doubt.
 static constexpr std::size_t DoubtfulJobs = 2;
 
-/// How many tasks of \p J without a row in its record can still get one.
-static std::size_t rowsLeft(const Job &J, std::size_t RecordBytes) {
+std::size_t recordBytes(const Job &J) {
   std::size_t Used = 0;
   for (const auto &[K, T] : J.Tasks)
     if (T.Phase != TaskPhase::Done)
       Used += std::max(RowBytes,
                        RowNumbersBytes + T.Checkpoint.size() + T.Worker.size());
-  return (RecordBytes - std::min(RecordBytes, Used)) / RowBytes;
+  return Used;
+}
+
+/// How many tasks of \p J without a row in its record can still get one.
+static std::size_t rowsLeft(const Job &J, std::size_t RecordBytes) {
+  return (RecordBytes - std::min(RecordBytes, recordBytes(J))) / RowBytes;
 }
 
 void Owner::jobChanged(std::string_view Id) {
--- a/packages/cluster/tests/StoreFailureTest.cpp
+++ b/packages/cluster/tests/StoreFailureTest.cpp
@@ -32,6 +32,21 @@
   BOOST_TEST(Starts.size() == 200u);
 }
 
+// Guards against an owner that is stuck because long checkpoints make a record
+// too large: progress may be lost, the job must not be.
+BOOST_FIXTURE_TEST_CASE(DropCheckpointsThatCannotBeRecorded, SmallRecords) {
+  for (auto &[Id, W] : Workers) {
+    W.Checkpoint = std::string(700, 'c');
+    W.FailAtMs = Clock + 200;
+  }
+  auto J = job("1", 12, 1, 400);
+  J.Steps[0].SavesProgress = true;
+  BOOST_TEST(!submit(*Daemons["a"], J));
+  BOOST_TEST(runUntil([&] { return completed("1"); }, 6'000));
+  BOOST_TEST(LargestRecord <= RecordBytes);
+  BOOST_TEST(Starts.size() == 12u);
+}
+
 // Guards against a job that is accepted and can never be recorded.
 BOOST_FIXTURE_TEST_CASE(RefuseAGangThatCannotBeRecorded, SmallRecords) {
   auto J = job("1", 60, 1, 300);
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -201,7 +201,7 @@
 void World::end(FakeWorker &W, std::size_t Index, EndReason Why) {
   auto Run = W.Runs[Index];
   W.Runs.erase(W.Runs.begin() + static_cast<std::ptrdiff_t>(Index));
-  W.Ended.push_back({W.NextEnd++, Run.Task, Run.Number, Why, ""});
+  W.Ended.push_back({W.NextEnd++, Run.Task, Run.Number, Why, W.Checkpoint});
   W.Barred[Run.Task] = std::max(W.Barred[Run.Task], Run.Number);
 }
 
@@ -299,7 +299,7 @@
     for (const auto &Run : W.Runs)
       if (Run.StopAtMs < 0)
         R.Running.push_back(
-            {Run.Task, Run.Number, "",
+            {Run.Task, Run.Number, W.Checkpoint,
              static_cast<unsigned>(100 * (Clock - Run.StartedMs) /
                                    std::max<std::int64_t>(1, Run.WorkMs))});
     R.Ended = W.Ended;
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -33,6 +33,7 @@
   std::int64_t LeaseUntilMs = 0;
   std::uint64_t Epoch = 0;
   std::uint64_t Acknowledged = 0;
+  std::string Checkpoint; ///< Of all that runs here, also when it ends.
   std::vector<Run> Runs;
   std::vector<EndedTask> Ended;
   std::map<TaskName, unsigned> Barred; ///< Runs up to this never start.
