Grant leases in the soak's worker in one place

Cause: starts and syncs each worked out the lease, and the final states of a job stood in three places. Change: extend_lease(), LEASE_MOST_MS, FINAL_STATES; no check has changed.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -23,7 +23,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from soak.platform import Job, Store, Worker, World
+from soak.platform import FINAL_STATES, Job, Store, Worker, World
 from soak.wire import Client, Proxy
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -306,7 +306,7 @@
                     job.cancelled = time.monotonic()
                     break
                 await asyncio.sleep(0.3)
-        while job.state not in ("completed", "failed", "cancelled"):
+        while job.state not in FINAL_STATES:
             await asyncio.sleep(self.rng.uniform(0.2, 0.9))
             answer = await self.ask("GET", job)
             if answer and answer[0] == 200:
@@ -352,15 +352,14 @@
         for job in self.world.jobs.values():
             if job.refused and job.started:
                 self.world.broken("REFUSED", f"{job.name} was refused and ran")
-            if job.accepted and job.state not in ("completed", "failed",
-                                                  "cancelled"):
+            if job.accepted and job.state not in FINAL_STATES:
                 self.world.broken("LOST", f"{job.name} is {job.state} "
                                   f"{SETTLE_S} s after the last fault")
         beat.cancel()
         jobs = self.world.jobs.values()
         accepted = sum(1 for j in jobs if j.accepted)
         ended = {s: sum(1 for j in jobs if j.state == s)
-                 for s in ("completed", "failed", "cancelled")}
+                 for s in FINAL_STATES}
         return accepted, ended
 
 
--- a/scripts/soak/platform.py
+++ b/scripts/soak/platform.py
@@ -13,6 +13,10 @@
 from .wire import Server
 
 
+LEASE_MOST_MS = 6000  # As hold_max_ms in the settings of soak.py.
+FINAL_STATES = ("completed", "failed", "cancelled")
+
+
 class Topic:
     def __init__(self):
         self.records = []
@@ -148,6 +152,9 @@
     def clock(self):
         return int((time.monotonic() - self.began) * 1000 * self.clock_rate)
 
+    def extend_lease(self, until):
+        self.lease = max(self.lease, min(until, self.clock() + LEASE_MOST_MS))
+
     def entry(self, address):
         self.seq += 1
         return {"service": "render", "addr": address, "zone": "dc1",
@@ -218,8 +225,7 @@
             return 200, {}
         if call["deadline_ms"] < self.clock():
             return 409, {"reason": "late"}
-        self.lease = max(self.lease,
-                         min(call["deadline_ms"], self.clock() + 6000))
+        self.extend_lease(call["deadline_ms"])
         if run and run.number == number:
             return 200, {}
         if number <= self.barred.get(task, 0) or run:
@@ -238,8 +244,7 @@
             return 409, {"reason": "fence"}
         self.epoch = call["fencing_token"]
         if "deadline_ms" in call:
-            self.lease = max(self.lease,
-                             min(call["deadline_ms"], self.clock() + 6000))
+            self.extend_lease(call["deadline_ms"])
         for end in self.ends:
             if end[0] <= call["acked_upto"]:
                 self.world.on_ack(end)
