--- a/packages/cluster/lib/Core.h
+++ b/packages/cluster/lib/Core.h
@@ -43,22 +43,22 @@
       It = Stats.Counts.emplace(std::string(Name), 0).first;
     It->second += By;
   }
-  void took(std::string_view Name, Millis Time) {
+  void recordLatency(std::string_view Name, Millis Time) {
     Stats.Latencies[{std::string(Name), ""}].add(Time);
   }
   /// Priorities from 2 on share a class, so that their number stays bounded.
-  void took(std::string_view Name, unsigned Priority, Millis Time) {
+  void recordLatency(std::string_view Name, unsigned Priority, Millis Time) {
     static constexpr std::array<const char *, 3> Classes{"0", "1", "2+"};
     Stats.Latencies[{std::string(Name), Classes[std::min(Priority, 2U)]}].add(
         Time);
   }
   /// A time within [0, Most].
-  Millis upTo(Millis Most) {
+  Millis randomUpTo(Millis Most) {
     return Millis(static_cast<std::int64_t>(
         Random() % static_cast<std::uint64_t>(Most.count() + 1)));
   }
   /// A time within [Most / 2, Most].
-  Millis jitter(Millis Most) { return Most / 2 + upTo(Most / 2); }
+  Millis jitter(Millis Most) { return Most / 2 + randomUpTo(Most / 2); }
 };
 
 } // namespace heathersaddle::cluster
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -123,7 +123,7 @@
   void inherit(Session &S);
   void sync(const std::string &Id, Session &S);
   void onSynced(const std::string &Id, const WorkerReply &R);
-  void hear(Session &S, const WorkerReply &R);
+  void noteClock(Session &S, const WorkerReply &R);
   /// Whether the answer ends this owner's time or the worker's session.
   bool endsSession(Session &S, WorkerVerdict V);
   void onRunning(Session &S, const RunningTask &T);
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -112,7 +112,7 @@
     if (Found == S.Runs.end())
       return;
     Found->second.CallInFlight = false;
-    hear(S, Reply);
+    noteClock(S, Reply);
     if (!endsSession(S, Reply.Verdict))
       (this->*Handle)(S, Found->second, Id, Reply);
   };
@@ -121,7 +121,7 @@
 void Owner::onStarted(Session &S, RunState &R, const RunId &Id,
                       const WorkerReply &Reply) {
   MonoTime T = C.mono();
-  C.took("start_answered", T - R.SentAt);
+  C.recordLatency("start_answered", T - R.SentAt);
   auto NeverRan = [&](Millis Avoid, std::string_view Why) {
     C.count("starts_refused");
     C.log(416, {{"worker", S.Entry.Id},
@@ -432,8 +432,9 @@
               {"reason", Why},
               {"after_ms", J.EndedMs - J.Spec.AcceptedMs}});
   if (!J.Spec.Repeats && !J.Spec.isLongRunning())
-    C.took(State == JobState::Completed ? "job_completed" : "job_not_completed",
-           J.Spec.Priority, Millis(J.EndedMs - J.Spec.AcceptedMs));
+    C.recordLatency(State == JobState::Completed ? "job_completed"
+                                                 : "job_not_completed",
+                    J.Spec.Priority, Millis(J.EndedMs - J.Spec.AcceptedMs));
   if (State != JobState::Completed)
     stopJob(J.Spec.Id, Why);
   std::erase_if(FailedOn,
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -101,7 +101,7 @@
   auto Plan = Planner.plan(Fleet, Queue, NowMs, urgentDemand());
   applyPlan(Plan, Fleet);
   PlanTook = C.mono() - PlannedAt;
-  C.took("plan", PlanTook);
+  C.recordLatency("plan", PlanTook);
   PlannedAt = C.mono();
 }
 
@@ -305,8 +305,8 @@
     }
     if (J.State == JobState::Queued) {
       J.State = JobState::Running;
-      C.took("job_first_placed", J.Spec.Priority,
-             Millis(C.wall() - P.What->DueMs));
+      C.recordLatency("job_first_placed", J.Spec.Priority,
+                      Millis(C.wall() - P.What->DueMs));
     }
     Records.changed(J.Spec.Id);
     C.log(423, {{"job", J.Spec.Id},
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -178,7 +178,7 @@
   C.Actions.push_back(std::move(A));
 }
 
-void Owner::hear(Session &S, const WorkerReply &R) {
+void Owner::noteClock(Session &S, const WorkerReply &R) {
   if (R.ClockMs < 0)
     return;
   // Answers on different connections may overtake each other.
@@ -229,7 +229,7 @@
   if (S.SyncFailures >= 2)
     C.log(411, {{"worker", Id}, {"runs", S.Runs.size()}});
   S.SyncFailures = 0;
-  hear(S, R);
+  noteClock(S, R);
   bool First = !S.Synced;
   S.Synced = true;
   for (const EndedTask &E : R.Ended)
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -64,7 +64,7 @@
       L.AheadMs += R.WorkMs;
   if (auto After = refuse(Spec, L)) {
     // Callers who were refused together do not return together.
-    *After += C.upTo(*After / ReturnSpread);
+    *After += C.randomUpTo(*After / ReturnSpread);
     C.count("submissions_refused_overload");
     C.log(426, {{"job", Spec.Id},
                 {"queue", Spec.Queue},
@@ -119,7 +119,7 @@
 
 void Node::Impl::stored(const Submission &S, std::uint64_t Offset) {
   C.AppendTook = C.mono() - S.SentAt;
-  C.took("submission_stored", S.Priority, C.mono() - S.Started);
+  C.recordLatency("submission_stored", S.Priority, C.mono() - S.Started);
   // Visible here at once; the topic brings it to the others.
   if (Control.following())
     (void)C.Ledger.applyCallersRecord(S.Record);
--- a/packages/cluster/lib/Writer.cpp
+++ b/packages/cluster/lib/Writer.cpp
@@ -92,7 +92,7 @@
   switch (R.Verdict) {
   case AppendVerdict::Appended: {
     C.AppendTook = C.mono() - SentAt;
-    C.took("owner_append", C.AppendTook);
+    C.recordLatency("owner_append", C.AppendTook);
     InFlight = false;
     ReleaseStored = FinalInFlight;
     auto Run = std::exchange(InFlightEffects, {});
