Tell the lives of a worker apart when starts and ends get lost

Logs show two causes: a run that the next life of a worker had confirmed before its restart was known was taken for lost with the former life, and starts without an answer reached the next life, which knows nothing of the stop that barred them. A third was found by reading: every sync repeated the number up to which ends are acknowledged, so the ends of a next life were acknowledged before anybody had read them.

Orders still reach the next life of a worker.

Change: a run is lost with a former life only if that life was heard of after the run was confirmed; starts without an answer are remembered for 15 s and barred again after a restart; a clock that went back tells of a restart; acknowledgements are not repeated once heard.

ASyncThatGotLostDelaysAnEndLittle, AStartThatWasGivenUpStaysBarredAfterARestart and AStartThatNeverArrivedGivesItsRoomBackSoon were not seen failing on the code before; syncs are as long as before.

Left: a late start that arrives before the owner has heard of the restart.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -41,7 +41,7 @@
   bool StopConfirmed = false;
   unsigned Tries = 0;
   MonoTime PlacedAt{};
-  MonoTime SentAt{}; ///< The latest start.
+  MonoTime SentAt{}; ///< The latest start, or later the latest stop.
   MonoTime RetryAt{};
   MonoTime ConfirmedAt{}; ///< Start, or later the stop, was confirmed.
   unsigned Percent = 0;
@@ -78,6 +78,10 @@
   MonoTime LeaseEndsAt{};
   std::uint64_t SeenTo = 0;  ///< Ends handled.
   std::uint64_t AckedTo = 0; ///< Ends whose effect is stored.
+  /// Ends that this life of the worker has heard acknowledged, and up to which
+  /// the latest sync acknowledges.
+  std::uint64_t AckHeardTo = 0;
+  std::uint64_t AckSentTo = 0;
   /// Of a draining worker: the earliest time at which it may be gone.
   MonoTime LeavesAt{};
   MonoTime AvoidUntil{};
@@ -86,6 +90,12 @@
   /// When earlier lives of the worker began; by its wall clock, which may jump,
   /// so a later life need not have a later time.
   std::set<std::int64_t> PastLives;
+  MonoTime LifeKnownAt{}; ///< When the present life was first heard of.
+  /// The present life had not ended yet when this time came.
+  MonoTime LifeProvedAt{};
+  /// When starts that had no answer were sent last. A stop bars them only for
+  /// the life that heard it.
+  std::map<RunId, MonoTime> Unanswered;
   unsigned SyncFailures = 0;
   std::map<RunId, RunState> Runs;
 };
@@ -124,6 +134,12 @@
   void sync(const std::string &Id, Session &S);
   void onSynced(const std::string &Id, const WorkerReply &R);
   void noteClock(Session &S, const WorkerReply &R);
+  /// Whether an answer to a call sent at \p SentAt comes from another life, by
+  /// its clock.
+  bool clockRestarted(const Session &S, const WorkerReply &R,
+                      MonoTime SentAt) const;
+  /// How long the worker may hold the next sync.
+  Millis syncWait(const Session &S) const;
   /// Whether the answer ends this owner's time or the worker's session.
   bool endsSession(Session &S, WorkerVerdict V);
   void onRunning(Session &S, const RunningTask &T);
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -8,7 +8,11 @@
 
 namespace heathersaddle::cluster {
 
-static constexpr Millis StartLimit{1'000};
+/// Healthy workers answer within 10 ms. The first try of a start is repeated
+/// soon, as the repeat is harmless and urgent work has about a second to spare;
+/// later ones wait longer, so that a slow link or daemon is not flooded.
+static constexpr Millis FirstStartLimit{250};
+static constexpr Millis CallLimit{1'000};
 static constexpr Millis CallRetry{200};
 /// Repeats of calls are looked for this often.
 static constexpr Millis DrivePeriod{50};
@@ -92,7 +96,8 @@
   A.Epoch = Epoch;
   A.Checkpoint = J->task(Id.Task.Key).Checkpoint;
   A.Ticket = R.Ticket;
-  A.TimeLimit = StartLimit;
+  A.TimeLimit =
+      std::min(CallLimit, FirstStartLimit * (1 << std::min(R.Tries - 1, 2U)));
   C.count("starts");
   A.Done = answerTo(Worker, Id, &Owner::onStarted);
   C.Actions.push_back(std::move(A));
@@ -111,10 +116,20 @@
     auto Found = S.Runs.find(Id);
     if (Found == S.Runs.end())
       return;
-    Found->second.CallInFlight = false;
+    RunState &R = Found->second;
+    R.CallInFlight = false;
+    if (Reply.Verdict == WorkerVerdict::NoAnswer)
+      S.Unanswered[Id] = R.SentAt;
+    if (clockRestarted(S, Reply, R.SentAt)) {
+      // The lists of the next sync tell what runs in the new life.
+      S.Synced = false;
+      S.NextSyncAt = C.mono();
+      R.RetryAt = C.mono() + CallRetry;
+      return;
+    }
     noteClock(S, Reply);
     if (!endsSession(S, Reply.Verdict))
-      (this->*Handle)(S, Found->second, Id, Reply);
+      (this->*Handle)(S, R, Id, Reply);
   };
 }
 
@@ -172,7 +187,8 @@
     return; // They end the session.
   case WorkerVerdict::NoAnswer:
   case WorkerVerdict::NotDelivered:
-    R.RetryAt = T + C.jitter(CallRetry);
+    R.RetryAt = R.Tries > 1 ? T + C.jitter(CallRetry) : T;
+    DriveNeeded = true;
     S.NextSyncAt = std::min(S.NextSyncAt, T);
     return;
   }
@@ -185,12 +201,13 @@
   Session &S = It->second;
   RunState &R = S.Runs[Id];
   R.CallInFlight = true;
+  R.SentAt = C.mono();
   StopAction A;
   A.Worker = {S.Entry.Id, S.Entry.Address};
   A.Task = Id.Task;
   A.Run = Id.Run;
   A.Epoch = Epoch;
-  A.TimeLimit = StartLimit;
+  A.TimeLimit = CallLimit;
   C.count("stops");
   A.Done = answerTo(Worker, Id, &Owner::onStopped);
   C.Actions.push_back(std::move(A));
@@ -199,7 +216,9 @@
 void Owner::onStopped(Session &S, RunState &R, const RunId &,
                       const WorkerReply &Reply) {
   MonoTime T = C.mono();
-  if (Reply.Verdict == WorkerVerdict::Ok && !R.StopConfirmed) {
+  // An answer of the worker's former life says nothing about the present one.
+  if (Reply.Verdict == WorkerVerdict::Ok && !R.StopConfirmed &&
+      R.SentAt >= S.LifeKnownAt) {
     R.StopConfirmed = true;
     R.ConfirmedAt = T;
   }
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -10,6 +10,8 @@
 /// How long a worker waits for an end before it answers a sync; bounds the age
 /// of checkpoints and of the percentages from which stuck work is told.
 static constexpr Millis SyncWait{1'500};
+/// Starts without an answer are known to be carried out up to 12 s later.
+static constexpr Millis LateStarts{15'000};
 /// Beyond the wait: two network round trips and a slow daemon.
 static constexpr Millis SyncSlack{1'200};
 static constexpr Millis SyncRetry{250};
@@ -160,15 +162,17 @@
   SyncAction A;
   A.Worker = {S.Entry.Id, S.Entry.Address};
   A.Epoch = Epoch;
-  A.AcknowledgedTo = S.AckedTo;
   // The clock is known after the first answer only. A silent worker gets no
   // longer lease: the call could arrive late, and its runs would have to be
   // waited for again with each attempt.
   bool First = !S.Synced || S.ClockMs < 0;
-  if (!First && !S.Runs.empty() && !S.SyncFailures) {
+  if (!First && !S.Runs.empty() && !S.SyncFailures)
     A.LeaseUntilMs = grantLease(S);
-  }
-  A.Wait = First || S.Runs.empty() ? Millis(0) : SyncWait;
+  // Numbers of ends start anew with each life: what this life has heard is not
+  // repeated, as it would acknowledge ends of a next life that nobody has read.
+  S.AckSentTo = !First && S.AckedTo > S.AckHeardTo ? S.AckedTo : 0;
+  A.AcknowledgedTo = S.AckSentTo;
+  A.Wait = First ? Millis(0) : syncWait(S);
   A.TimeLimit = A.Wait + SyncSlack;
   C.count("worker_syncs");
   A.Done = [this, Alive = Alive, Id](const WorkerReply &R) {
@@ -178,6 +182,25 @@
   C.Actions.push_back(std::move(A));
 }
 
+Millis Owner::syncWait(const Session &S) const {
+  if (S.Runs.empty())
+    return Millis(0);
+  // The stop of a run that never came produces no end, so the lists have to be
+  // asked for when it must be over.
+  Millis Wait = SyncWait;
+  for (const auto &[Id, R] : S.Runs)
+    if (R.Stage == RunStage::Stopping && R.StopConfirmed)
+      Wait = std::min(Wait,
+                      std::max(Millis(0), R.ConfirmedAt + C.Settings.StopMost +
+                                              StopMargin - C.mono()));
+  return Wait;
+}
+
+bool Owner::clockRestarted(const Session &S, const WorkerReply &R,
+                           MonoTime SentAt) const {
+  return R.ClockMs >= 0 && R.ClockMs < S.ClockMs && SentAt >= S.HeardAt;
+}
+
 void Owner::noteClock(Session &S, const WorkerReply &R) {
   if (R.ClockMs < 0)
     return;
@@ -229,6 +252,8 @@
   if (S.SyncFailures >= 2)
     C.log(411, {{"worker", Id}, {"runs", S.Runs.size()}});
   S.SyncFailures = 0;
+  S.LifeProvedAt = std::max(S.LifeProvedAt, S.SyncSentAt);
+  S.AckHeardTo = std::max(S.AckHeardTo, std::exchange(S.AckSentTo, 0));
   noteClock(S, R);
   bool First = !S.Synced;
   S.Synced = true;
@@ -342,10 +367,34 @@
 
 /// Its next life knows nothing of before, and its counts start anew.
 void Owner::restarted(Session &S, std::int64_t BornMs) {
+  // What the next life may have started, or may still start, has to be barred
+  // there before the task runs elsewhere: starts without an answer, and those
+  // confirmed since the former life was heard of last.
+  std::map<RunId, RunState> MayArrive;
+  for (auto It = S.Runs.begin(); It != S.Runs.end();) {
+    auto Run = It++;
+    const RunState &R = Run->second;
+    if (R.Stage == RunStage::Stopping ||
+        (R.Stage == RunStage::Starting && R.MayHaveArrived) ||
+        (R.Stage == RunStage::Present && R.ConfirmedAt >= S.LifeProvedAt))
+      MayArrive.insert(S.Runs.extract(Run));
+  }
   loseRuns(S, "the worker has restarted");
+  for (const auto &[Id, SentAt] : S.Unanswered) {
+    RunState &R = MayArrive[Id];
+    R.MayHaveArrived = true;
+  }
   S.PastLives.insert(S.Entry.BornMs);
   S.Entry.BornMs = BornMs;
-  S.SeenTo = S.AckedTo = 0;
+  S.LifeKnownAt = S.LifeProvedAt = C.mono();
+  for (auto &[Id, R] : MayArrive) {
+    R.Stage = RunStage::Stopping;
+    R.StopConfirmed = false;
+    R.RetryAt = S.LifeKnownAt;
+  }
+  S.Runs.merge(MayArrive);
+  DriveNeeded = true;
+  S.SeenTo = S.AckedTo = S.AckHeardTo = S.AckSentTo = 0;
   S.ClockMs = -1;
   S.FailedJobs.clear();
   // It gets no work before its clock is known.
@@ -437,15 +486,21 @@
     if (!S.Listed && S.Entry.Address.empty() && !S.Runs.empty() &&
         T > S.LeaseEndsAt + LeaseMargin)
       loseRuns(S, "the worker is gone");
-    if (!S.Listed && S.Runs.empty()) {
+    if (LookAtRuns) {
+      std::erase_if(S.Unanswered, [T](const auto &Start) {
+        return T - Start.second > LateStarts;
+      });
+      findStuck(Id, S);
+    }
+    // A worker that comes back has to be told of starts that may still arrive.
+    if (!S.Listed && S.Runs.empty() && S.Unanswered.empty()) {
       It = Sessions.erase(It);
       continue;
     }
-    if (LookAtRuns)
-      findStuck(Id, S);
     if (LookAtRuns && S.Entry.Draining && S.LeavesAt.count())
       evacuate(Id, S);
-    if (!S.SyncInFlight && !S.Entry.Address.empty() && T >= S.NextSyncAt)
+    if (!S.SyncInFlight && !S.Entry.Address.empty() && T >= S.NextSyncAt &&
+        (S.Listed || !S.Runs.empty()))
       sync(Id, S);
     ++It;
   }
--- a/packages/cluster/tests/WorkerFailureTest.cpp
+++ b/packages/cluster/tests/WorkerFailureTest.cpp
@@ -207,6 +207,115 @@
       runUntil([&] { return allShow("1", JobState::Completed); }, 4'000));
 }
 
+// Guards against a start that reaches the next life of its worker while the
+// task runs elsewhere.
+BOOST_AUTO_TEST_CASE(AStartThatOutlivesItsWorkerIsBarred) {
+  for (const char *Id : {"w2", "w3"})
+    Registry.push_back({Id, std::nullopt});
+  run(100);
+  Workers["w1"].LateMs = 1'200;
+  BOOST_TEST(!submit(any(), job("1", 2, 1, 4'000)));
+  run(300);
+  addWorker("w1", "r1");
+  addWorker("w4", "r1");
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 9'000));
+  BOOST_TEST(!Overlap);
+}
+
+// Guards against the loss of an end: the numbers of ends start anew with each
+// life, so what was acknowledged to the former life covers the first ends of
+// the next one.
+BOOST_AUTO_TEST_CASE(AnEndOfTheNextLifeIsNotAcknowledgedUnseen) {
+  for (const char *Id : {"w2", "w3"})
+    Registry.push_back({Id, std::nullopt});
+  BOOST_TEST(!submit(any(), job("1", 8, 1, 50)));
+  BOOST_REQUIRE(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 2'000));
+  run(500);
+  restartUnlisted("w1");
+  // So short that it ends before the owner asks what runs there.
+  BOOST_TEST(!submit(any(), job("2", 1, 1, 1)));
+  BOOST_TEST(
+      runUntil([&] { return allShow("2", JobState::Completed); }, 3'000));
+  BOOST_TEST(!RanAfterItsEnd);
+}
+
+// Guards against a second run beside one that the next life of a worker has
+// confirmed before anything told that there is one.
+BOOST_AUTO_TEST_CASE(ARunOfTheNextLifeIsNotTakenForOneOfTheFormer) {
+  Workers["w1"].Entry.Rack = "r2";
+  for (const char *Id : {"w1", "w2"})
+    Registry.push_back({Id, Workers[Id].Entry});
+  Registry.push_back({"w3", std::nullopt});
+  run(2'000);
+  restartUnlisted("w1");
+  // Its clock goes on, so that only the lists tell of the new life.
+  Workers["w1"].BeganMs = 0;
+  Workers["w1"].StopMs = 200;
+  auto Spec = job("1", 2, 1, 3'000);
+  Spec.Steps[0].DataRack = "r2";
+  BOOST_TEST(!submit(any(), Spec));
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 9'000));
+  BOOST_TEST(!Overlap);
+}
+
+// Guards against urgent work that is late because one call got lost: its whole
+// allowance beyond its own work is about a second.
+BOOST_AUTO_TEST_CASE(AStartThatGotLostIsRepeatedSoon) {
+  for (auto &[Id, W] : Workers)
+    W.LoseStarts = 1;
+  BOOST_TEST(!submit(any(), job("1", 1, 1, 100)));
+  BOOST_TEST(runUntil([&] { return allShow("1", JobState::Completed); }, 900));
+}
+BOOST_AUTO_TEST_CASE(ASyncThatGotLostDelaysAnEndLittle) {
+  BOOST_TEST(!submit(any(), job("1", 1, 1, 3'600)));
+  run(2'000);
+  for (auto &[Id, W] : Workers)
+    W.LoseSyncs = 1;
+  // It ends in 1,600 ms.
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 2'900));
+}
+
+// Guards against a start that was given up and reaches the next life of its
+// worker, which knows nothing of the stop that barred it.
+BOOST_AUTO_TEST_CASE(AStartThatWasGivenUpStaysBarredAfterARestart) {
+  for (const char *Id : {"w2", "w3"})
+    Registry.push_back({Id, std::nullopt});
+  run(100);
+  Workers["w1"].LateMs = 6'000;
+  BOOST_TEST(!submit(any(), job("1", 2, 1, 4'000)));
+  run(300);
+  Workers["w1"].Entry.Draining = true;
+  Registry.push_back({"w1", Workers["w1"].Entry});
+  addWorker("w4", "r1");
+  BOOST_REQUIRE(
+      runUntil([this] { return !Workers["w4"].Runs.empty(); }, 5'000));
+  addWorker("w1", "r1");
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 9'000));
+  BOOST_TEST(!Overlap);
+}
+
+// Guards against room that stays taken for seconds: a stop of a run that never
+// arrived produces no end that would be listed at once.
+BOOST_AUTO_TEST_CASE(AStartThatNeverArrivedGivesItsRoomBackSoon) {
+  for (const char *Id : {"w2", "w3"})
+    Registry.push_back({Id, std::nullopt});
+  run(100);
+  Workers["w1"].LateMs = 60'000;
+  BOOST_TEST(!submit(any(), job("1", 2, 1, 100)));
+  run(300);
+  Workers["w1"].Entry.Draining = true;
+  Registry.push_back({"w1", Workers["w1"].Entry});
+  addWorker("w4", "r1");
+  // The patience for a start, the longest stop, and margins.
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 3'900));
+}
+
 // Guards against endless attempts of a job that can never be done.
 BOOST_AUTO_TEST_CASE(AJobThatAlwaysFailsEndsAfterItsAttempts) {
   for (auto &[Id, W] : Workers)
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -42,6 +42,13 @@
   return W;
 }
 
+void World::restartUnlisted(const std::string &Worker) {
+  FakeWorker Next;
+  Next.Entry = Workers[Worker].Entry;
+  Next.Entry.BornMs = Next.BeganMs = Clock;
+  Workers[Worker] = Next;
+}
+
 Node &World::addDaemon(const std::string &Name, std::int64_t CpuMilli) {
   NodeSettings S;
   S.Name = Name;
@@ -226,7 +233,6 @@
 WorkerReply World::start(FakeWorker &W, const StartAction &A) {
   WorkerReply R;
   R.ClockMs = W.clock(Clock);
-  R.BornMs = W.Entry.BornMs;
   if (A.Epoch < W.Epoch) {
     R.Verdict = WorkerVerdict::Fenced;
     return R;
@@ -263,9 +269,10 @@
   for (const auto &[Id, Other] : Workers)
     for (const auto &Run : Other.Runs)
       Overlap |= Run.Task == A.Task;
+  RanAfterItsEnd |= EndAcknowledged.contains(A.Task);
   W.Cut = W.Cut || W.CutAfterStart;
   ++Starts[A.Task];
-  W.Runs.push_back({A.Task, A.Run, Clock, -1, WorkOf[A.Task.Job]});
+  W.Runs.push_back({A.Task, A.Run, Clock, -1, W.Slowness * WorkOf[A.Task.Job]});
   R.Verdict = WorkerVerdict::Ok;
   return R;
 }
@@ -277,6 +284,10 @@
   FakeWorker &W = Workers[A.Worker.Id];
   if (!W.Up || W.Cut || WorkersCut.contains(Daemon))
     return;
+  if (W.LoseSyncs) {
+    --W.LoseSyncs;
+    return;
+  }
   WorkerReply R;
   R.ClockMs = W.clock(Clock);
   R.BornMs = W.Entry.BornMs;
@@ -287,8 +298,12 @@
     W.Epoch = A.Epoch;
     if (A.LeaseUntilMs >= 0)
       W.LeaseUntilMs = std::max(W.LeaseUntilMs, A.LeaseUntilMs);
-    std::erase_if(W.Ended, [&A](const EndedTask &E) {
-      return E.Number <= A.AcknowledgedTo;
+    std::erase_if(W.Ended, [&](const EndedTask &E) {
+      if (E.Number > A.AcknowledgedTo)
+        return false;
+      if (E.Reason == EndReason::Done)
+        EndAcknowledged.insert(E.Task);
+      return true;
     });
     if (W.Ended.empty() && Clock < Until) {
       SyncAction Later = A;
@@ -401,10 +416,18 @@
               return;
             WorkerReply R;
             if constexpr (std::is_same_v<T, StartAction>) {
+              if (W.LoseStarts) {
+                --W.LoseStarts;
+                return;
+              }
+              if (W.LateMs)
+                // The order outlives the process that it was sent to.
+                return after(W.LateMs, [this, Copy] {
+                  (void)start(Workers[Copy.Worker.Id], Copy);
+                });
               R = start(W, Copy);
             } else {
               R.ClockMs = W.clock(Clock);
-              R.BornMs = W.Entry.BornMs;
               R.Verdict = Copy.Epoch < W.Epoch ? WorkerVerdict::Fenced
                                                : WorkerVerdict::Ok;
               W.Barred[Copy.Task] = std::max(W.Barred[Copy.Task], Copy.Run);
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -25,8 +25,14 @@
   bool Fails = false;         ///< Every run fails at once.
   std::int64_t FailAtMs = -1; ///< All that runs then fails.
   bool CutAfterStart = false; ///< The next start is its last call.
+  std::int64_t LateMs = 0;    ///< Starts are carried out so late, unanswered.
+  unsigned LoseStarts = 0;    ///< The next starts that get lost.
+  unsigned LoseSyncs = 0;     ///< Likewise.
+  std::int64_t Slowness = 1;  ///< Runs take this many times as long.
   bool SlowClock = false;     ///< Its clock is 2% slow.
+  std::int64_t BeganMs = 0;   ///< When its clock was zero.
   std::int64_t clock(std::int64_t Time) const {
+    Time -= BeganMs;
     return SlowClock ? Time * 98 / 100 : Time;
   }
   std::int64_t StopMs = 0;
@@ -56,6 +62,8 @@
   World();
   FakeWorker &addWorker(const std::string &Id, const std::string &Rack,
                         std::int64_t Gpus = 8);
+  /// A new life under the same id, which the registry does not show yet.
+  void restartUnlisted(const std::string &Worker);
   Node &addDaemon(const std::string &Name, std::int64_t CpuMilli = 250);
   void kill(const std::string &Daemon) { Daemons.erase(Daemon); }
   /// Lets a suspended daemon find the answers that came meanwhile.
@@ -73,6 +81,8 @@
   std::map<TaskName, unsigned> Starts;
   unsigned NoRoom = 0;  ///< Starts that a worker refused for want of room.
   bool Overlap = false; ///< A task ran twice at the same time.
+  /// A task started although its good end had been acknowledged.
+  bool RanAfterItsEnd = false;
 
   std::map<std::string, std::unique_ptr<Node>> Daemons;
   std::map<std::string, FakeWorker> Workers;
@@ -124,6 +134,7 @@
   std::map<std::string, std::vector<std::function<void()>>> Kept;
   std::uint64_t Order = 0;
   std::map<std::string, std::int64_t> WorkOf;
+  std::set<TaskName> EndAcknowledged;
   std::unique_ptr<base::StructuredLog> Log;
 };
 
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -152,8 +152,9 @@
         for number in range(self.counts[0]):
             proxy = Proxy(store)
             self.proxies.append(proxy)
-            ip = f"127.{20 + self.seed % 200}.{self.seed // 200 % 250}." \
-                 f"{number + 1}"
+            # No two soaks that run at once share an address.
+            pid = os.getpid()
+            ip = f"127.{20 + pid % 200}.{pid // 200 % 250}.{number + 1}"
             daemon = Daemon(self, f"d-{number}", ip,
                             await proxy.start("127.0.0.1"))
             daemon.proxy = proxy
@@ -216,7 +217,7 @@
         worker.crash()
         self.list_worker(worker)
         await asyncio.sleep(seconds)
-        worker.begin()
+        worker.crash()
         worker.alive = True
         self.hidden.discard(worker.name)
         self.list_worker(worker)
@@ -422,7 +423,6 @@
     old = [int(line.split()[0])
            for line in REGRESSIONS.read_text(encoding="utf-8").splitlines()
            if line and not line.startswith("#")]
-    # A seed also chooses the addresses, so none may be played twice at once.
     seeds = old + [seed for seed in range(first, first + args.seeds)
                    if seed not in old]
     print(f"soak: {len(old)} seeds that failed once, {args.seeds} from "
--- a/scripts/soak/platform.py
+++ b/scripts/soak/platform.py
@@ -204,8 +204,10 @@
         else:
             late = self.world.late_orders
             if late and self.world.rng.random() < late:
+                # Also the next life of the worker may still carry it out.
                 asyncio.get_running_loop().call_later(
-                    self.world.rng.uniform(1, 4), self.order, path, call)
+                    self.world.rng.uniform(1, 4),
+                    lambda: self.alive and self.order(path, call))
                 await asyncio.sleep(30)
                 return None
             status, answer = self.order(path, call)
