Tell slow workers by the pace of their runs and move urgent work off them

Nothing but a percentage that stood still for 3 s was noticed, so new gangs went to slow workers again; 17% of them hold up three gangs of four. A gang that failed, or whose call got lost, waited on top of that.

Also ruled out: that callers see ends late from daemons cut off from the store.

Change: dispatch/Pace measures each run over short windows; a worker whose fastest run is far below its estimate is used last for 6 s; urgent work that ends sooner elsewhere is moved, other work only while nothing waits. Gangs go to workers that nothing speaks against, if need be by stopping cheaper work there, before others are taken. One failure without a success since is a doubt, two distinct jobs are avoided (two and three before). A start or stop is repeated after 250 ms; a sync lasts 500 to 800 ms and is given up 600 ms later (1,500 and 1,200).

Tests: PaceTest, UrgentWorkIsMovedOffASlowWorker, AGangThatWaitsForAMemberIsNotSlow (seen failing without its check), AGangGoesToTheRackWithoutDoubtfulWorkers, RoomIsMadeOnSoundWorkersBeforeSlowOnesAreUsed, SlowWorkersAreUsedWhenThereAreNoOthers; ASyncThatGotLostDelaysAnEndLittle has the bound that failed before.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -72,6 +72,7 @@
     {434, "advice_given", Info},
     {435, "work_evacuated", Info},
     {436, "checkpoint_dropped", Warning},
+    {437, "worker_slow", Warning},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -3,6 +3,7 @@
 
 #include "Tail.h"
 #include "Writer.h"
+#include "heathersaddle/dispatch/Pace.h"
 #include "heathersaddle/dispatch/Planner.h"
 #include <set>
 #include <tuple>
@@ -39,11 +40,14 @@
   bool CallInFlight = false;
   bool MayHaveArrived = false;
   bool StopConfirmed = false;
-  unsigned Tries = 0;
+  unsigned Tries = 0; ///< Of the start.
+  unsigned StopTries = 0;
   MonoTime PlacedAt{};
   MonoTime SentAt{}; ///< The latest start, or later the latest stop.
   MonoTime RetryAt{};
   MonoTime ConfirmedAt{}; ///< Start, or later the stop, was confirmed.
+  dispatch::Pace Speed;
+  bool Working = false; ///< All members of its gang are present.
   unsigned Percent = 0;
   MonoTime ProgressAt{}; ///< When the percentage changed last.
   /// The percentage that was read first, and when: a run that resumes, or was
@@ -85,6 +89,7 @@
   /// Of a draining worker: the earliest time at which it may be gone.
   MonoTime LeavesAt{};
   MonoTime AvoidUntil{};
+  dispatch::SlowWorker Speed;
   /// Jobs that failed here since the last success.
   std::set<std::string> FailedJobs;
   /// When earlier lives of the worker began; by its wall clock, which may jump,
@@ -150,6 +155,12 @@
   void loseRuns(Session &S, std::string_view Why);
   void watchWorkers();
   void findStuck(const std::string &Id, Session &S);
+  /// Judges the worker by the pace of its runs and moves work off slow ones.
+  void findSlow(const std::string &Id, Session &S);
+  /// Whether the unit runs far from its data or spread over racks, and so takes
+  /// longer for a good reason.
+  bool runsFar(const Session &S, const workload::Step &Step, const Job &J,
+               const RunId &Id) const;
   void evacuate(const std::string &Id, Session &S);
   std::int64_t grantLease(Session &S);
 
@@ -167,6 +178,8 @@
   void onStopped(Session &S, RunState &R, const RunId &Id,
                  const WorkerReply &Reply);
   void driveRuns();
+  /// The worker has confirmed the run.
+  void present(RunState &R, const RunId &Id);
   void stopRun(Session &S, const RunId &Id);
   void stopUnit(const UnitId &Unit, std::string_view Why);
   void stopJob(const std::string &Job, std::string_view Why);
@@ -217,6 +230,7 @@
   std::map<UnitId, Advice> Advices; ///< By step.
   unsigned AdviceCalls = 0;         ///< In flight.
   bool PlanNeeded = true;
+  bool WorkWaits = false; ///< The latest plan left something waiting.
   bool Stopping = false;
   bool Deposed = false;
   bool DriveNeeded = false; ///< A run is to be started or stopped now.
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -8,10 +8,11 @@
 
 namespace heathersaddle::cluster {
 
-/// Healthy workers answer within 10 ms. The first try of a start is repeated
-/// soon, as the repeat is harmless and urgent work has about a second to spare;
-/// later ones wait longer, so that a slow link or daemon is not flooded.
-static constexpr Millis FirstStartLimit{250};
+/// Healthy workers answer within 10 ms. The first try of a start or stop is
+/// repeated soon, as the repeat is harmless and urgent work has about a second
+/// to spare; later ones wait longer, so that a slow link or daemon is not
+/// flooded.
+static constexpr Millis FirstCallLimit{250};
 static constexpr Millis CallLimit{1'000};
 static constexpr Millis CallRetry{200};
 /// Repeats of calls are looked for this often.
@@ -26,9 +27,13 @@
 static constexpr Millis NoRoomAvoid{400};
 /// Failures of this many distinct jobs without a success mark a worker as
 /// failing; it gets no work for a while, and then one task at a time.
-static constexpr std::size_t FailingJobs = 3;
+static constexpr std::size_t FailingJobs = 2;
 static constexpr Millis FailingAvoid{6'000};
 
+static Millis callLimit(unsigned Try) {
+  return std::min(CallLimit, FirstCallLimit * (1 << std::min(Try - 1, 2U)));
+}
+
 static std::string_view name(EndReason Why) {
   switch (Why) {
   case EndReason::Done:
@@ -96,8 +101,7 @@
   A.Epoch = Epoch;
   A.Checkpoint = J->task(Id.Task.Key).Checkpoint;
   A.Ticket = R.Ticket;
-  A.TimeLimit =
-      std::min(CallLimit, FirstStartLimit * (1 << std::min(R.Tries - 1, 2U)));
+  A.TimeLimit = callLimit(R.Tries);
   C.count("starts");
   A.Done = answerTo(Worker, Id, &Owner::onStarted);
   C.Actions.push_back(std::move(A));
@@ -155,17 +159,14 @@
   switch (Reply.Verdict) {
   case WorkerVerdict::Ok:
     if (R.Stage == RunStage::Starting) {
-      R.Stage = RunStage::Present;
-      R.ConfirmedAt = T;
-      R.ProgressAt = T;
+      present(R, Id);
       S.NextSyncAt = std::min(S.NextSyncAt, T);
     }
     return;
   case WorkerVerdict::RunTooOld:
     // It ran and ended, or was stopped before it came; the list tells.
     if (R.Stage == RunStage::Starting) {
-      R.Stage = RunStage::Present;
-      R.ConfirmedAt = T;
+      present(R, Id);
       S.NextSyncAt = T;
     }
     return;
@@ -194,6 +195,40 @@
   }
 }
 
+void Owner::present(RunState &R, const RunId &Id) {
+  MonoTime T = C.mono();
+  R.Stage = RunStage::Present;
+  R.ConfirmedAt = R.ProgressAt = T;
+  const Job *J = C.Ledger.find(Id.Task.Job);
+  if (!J || Id.Task.Key.Step >= J->Spec.Steps.size())
+    return;
+  const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
+  std::vector<RunState *> Members;
+  if (Step.Gang) {
+    for (unsigned N = 0; N < Step.Count; ++N) {
+      TaskKey K{Id.Task.Key.Occurrence, Id.Task.Key.Step, N};
+      auto On = Sessions.find(J->task(K).Worker);
+      if (On == Sessions.end())
+        return;
+      auto Run = On->second.Runs.find({{Id.Task.Job, K}, Id.Run});
+      if (Run == On->second.Runs.end() ||
+          Run->second.Stage != RunStage::Present)
+        return;
+      Members.push_back(&Run->second);
+    }
+  } else {
+    Members.push_back(&R);
+  }
+  // Where a run that resumes, or that an earlier owner began, goes on is not
+  // known.
+  bool Fresh = J->task(Id.Task.Key).Checkpoint.empty();
+  for (RunState *M : Members) {
+    M->Working = true;
+    if (Fresh && M->SentAt.count())
+      M->Speed.begin(T);
+  }
+}
+
 void Owner::sendStop(const std::string &Worker, const RunId &Id) {
   auto It = Sessions.find(Worker);
   if (It == Sessions.end() || It->second.Entry.Address.empty())
@@ -207,7 +242,7 @@
   A.Task = Id.Task;
   A.Run = Id.Run;
   A.Epoch = Epoch;
-  A.TimeLimit = CallLimit;
+  A.TimeLimit = callLimit(++R.StopTries);
   C.count("stops");
   A.Done = answerTo(Worker, Id, &Owner::onStopped);
   C.Actions.push_back(std::move(A));
@@ -283,6 +318,7 @@
     return runOver(Id, EndReason::Stopped, "", S);
   R.Stage = RunStage::Stopping;
   R.StopConfirmed = false;
+  R.StopTries = 0;
   R.RetryAt = C.mono();
   DriveNeeded = true;
 }
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -27,8 +27,6 @@
 static constexpr Millis ReachPatience{1'500};
 /// Syncs without an answer after which a worker counts as silent.
 static constexpr unsigned SilentSyncs = 2;
-/// Failures of this many distinct jobs without a success raise doubt.
-static constexpr std::size_t DoubtfulJobs = 2;
 
 std::size_t recordBytes(const Job &J) {
   std::size_t Used = 0;
@@ -94,11 +92,19 @@
   std::int64_t NowMs = C.wall();
   auto Queue = buildQueue(NowMs);
   PlanTook = {};
+  WorkWaits = false;
   if (Queue.empty())
     return;
   guarantee(Queue);
   auto Fleet = buildFleet(NowMs);
   auto Plan = Planner.plan(Fleet, Queue, NowMs, urgentDemand());
+  std::size_t Placed = 0;
+  std::size_t Waited = 0;
+  for (const dispatch::Placed &P : Plan.Places)
+    Placed += P.Tasks.size();
+  for (const dispatch::Waiting &W : Queue)
+    Waited += W.Tasks.size();
+  WorkWaits = Waited > Placed;
   applyPlan(Plan, Fleet);
   PlanTook = C.mono() - PlannedAt;
   C.recordLatency("plan", PlanTook);
@@ -237,7 +243,10 @@
     W.Free = S.Entry.Capacity;
     W.Usable = S.Listed && S.Synced && S.ClockMs >= 0 && !S.Entry.Draining &&
                T >= S.AvoidUntil && !S.Entry.Address.empty();
-    W.Doubtful = S.FailedJobs.size() >= DoubtfulJobs || S.Entry.ColdLeftMs > 0;
+    if (S.Speed.slow(T))
+      W.Doubted = dispatch::Doubt::Slow;
+    else if (!S.FailedJobs.empty() || S.Entry.ColdLeftMs > 0)
+      W.Doubted = dispatch::Doubt::Failed;
     for (auto &[Run, R] : S.Runs) {
       W.Free -= R.Room;
       dispatch::Running Out;
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -8,12 +8,17 @@
 namespace heathersaddle::cluster {
 
 /// How long a worker waits for an end before it answers a sync; bounds the age
-/// of checkpoints and of the percentages from which stuck work is told.
-static constexpr Millis SyncWait{1'500};
+/// of checkpoints and of percentages, from which stuck and slow work is told.
+static constexpr Millis SyncWait{800};
+/// Urgent work has about a second to spare, in which a slow worker or a lost
+/// end must have been noticed.
+static constexpr Millis UrgentSyncWait{500};
 /// Starts without an answer are known to be carried out up to 12 s later.
 static constexpr Millis LateStarts{15'000};
-/// Beyond the wait: two network round trips and a slow daemon.
-static constexpr Millis SyncSlack{1'200};
+/// Beyond the wait: two network round trips and a slow daemon; more for the
+/// first syncs of an owner, which go to all workers at once.
+static constexpr Millis SyncSlack{600};
+static constexpr Millis FirstSyncLimit{1'200};
 static constexpr Millis SyncRetry{250};
 /// Syncs of a worker on which nothing runs are needed only after a start.
 static constexpr Millis IdleSyncPeriod{30'000};
@@ -33,6 +38,8 @@
 /// estimate, is stuck: short work moves several percent a second.
 static constexpr Millis StuckAfter{3'000};
 static constexpr Millis StuckAvoid{10'000};
+/// A unit whose run has a higher number is not moved off slow workers again.
+static constexpr unsigned MovesMost = 6;
 /// The registry's entries may be this old when they are read.
 static constexpr Millis RegistryLag{800};
 /// Runs are looked at this often; a pass over all of them is not free.
@@ -173,7 +180,7 @@
   S.AckSentTo = !First && S.AckedTo > S.AckHeardTo ? S.AckedTo : 0;
   A.AcknowledgedTo = S.AckSentTo;
   A.Wait = First ? Millis(0) : syncWait(S);
-  A.TimeLimit = A.Wait + SyncSlack;
+  A.TimeLimit = First ? FirstSyncLimit : A.Wait + SyncSlack;
   C.count("worker_syncs");
   A.Done = [this, Alive = Alive, Id](const WorkerReply &R) {
     if (*Alive)
@@ -188,11 +195,15 @@
   // The stop of a run that never came produces no end, so the lists have to be
   // asked for when it must be over.
   Millis Wait = SyncWait;
-  for (const auto &[Id, R] : S.Runs)
+  for (const auto &[Id, R] : S.Runs) {
+    const Job *J = C.Ledger.find(Id.Task.Job);
+    if (J && J->Spec.Priority == 0)
+      Wait = std::min(Wait, UrgentSyncWait);
     if (R.Stage == RunStage::Stopping && R.StopConfirmed)
       Wait = std::min(Wait,
                       std::max(Millis(0), R.ConfirmedAt + C.Settings.StopMost +
                                               StopMargin - C.mono()));
+  }
   return Wait;
 }
 
@@ -340,14 +351,16 @@
     R.ProgressAt = Time;
     R.Percent = T.Percent;
   }
+  const Job *J = C.Ledger.find(T.Task.Job);
+  if (J && R.Working)
+    R.Speed.sample(T.Percent, Time,
+                   Millis(J->Spec.Steps[T.Task.Key.Step].EstimateMs));
   if (T.Percent != R.Percent) {
     R.Percent = T.Percent;
     R.ProgressAt = Time;
   }
   if (R.Stage == RunStage::Starting) {
-    R.Stage = RunStage::Present;
-    R.ConfirmedAt = Time;
-    R.ProgressAt = Time;
+    present(R, Id);
   }
 }
 
@@ -439,6 +452,54 @@
   }
 }
 
+bool Owner::runsFar(const Session &S, const workload::Step &Step, const Job &J,
+                    const RunId &Id) const {
+  if (!Step.DataRack.empty() && Step.DataRack != S.Entry.Rack)
+    return true;
+  if (!Step.Gang || !Step.SameRack)
+    return false;
+  for (unsigned N = 0; N < Step.Count; ++N) {
+    auto Other = Sessions.find(
+        J.task({Id.Task.Key.Occurrence, Id.Task.Key.Step, N}).Worker);
+    if (Other != Sessions.end() && Other->second.Entry.Rack != S.Entry.Rack)
+      return true;
+  }
+  return false;
+}
+
+void Owner::findSlow(const std::string &Id, Session &S) {
+  MonoTime T = C.mono();
+  std::vector<double> Paces;
+  std::vector<UnitId> Move;
+  for (const auto &[Run, R] : S.Runs) {
+    const Job *J = C.Ledger.find(Run.Task.Job);
+    auto Share = R.Speed.latest(T);
+    if (R.Stage != RunStage::Present || !J || !Share)
+      continue;
+    const workload::Step &Step = J->Spec.Steps[Run.Task.Key.Step];
+    if (Step.LongRunning || runsFar(S, Step, *J, Run))
+      continue;
+    Paces.push_back(*Share);
+    // Other work would only wait for room that is worse than a slow worker.
+    if ((J->Spec.Priority == 0 || !WorkWaits) && Run.Run <= MovesMost &&
+        dispatch::worthMoving(*Share, R.Percent, Millis(Step.EstimateMs),
+                              Step.SavesProgress))
+      Move.push_back({Run.Task.Job, Run.Task.Key.Occurrence, Run.Task.Key.Step,
+                      Step.Gang ? 0 : Run.Task.Key.Index});
+  }
+  bool Before = S.Speed.slow(T);
+  S.Speed.judge(Paces, T);
+  if (!S.Speed.slow(T))
+    return;
+  if (!Before) {
+    C.count("workers_slow");
+    C.log(437,
+          {{"worker", Id}, {"runs", Paces.size()}, {"moved", Move.size()}});
+  }
+  for (const UnitId &Unit : Move)
+    stopUnit(Unit, "its worker is slow");
+}
+
 /// Load pattern: workers are taken away at short notice while they are full.
 ///
 /// Work that cannot end before its worker may be gone is stopped and runs again
@@ -491,6 +552,7 @@
         return T - Start.second > LateStarts;
       });
       findStuck(Id, S);
+      findSlow(Id, S);
     }
     // A worker that comes back has to be told of starts that may still arrive.
     if (!S.Listed && S.Runs.empty() && S.Unanswered.empty()) {
--- a/packages/cluster/tests/WorkerFailureTest.cpp
+++ b/packages/cluster/tests/WorkerFailureTest.cpp
@@ -276,7 +276,7 @@
     W.LoseSyncs = 1;
   // It ends in 1,600 ms.
   BOOST_TEST(
-      runUntil([&] { return allShow("1", JobState::Completed); }, 2'900));
+      runUntil([&] { return allShow("1", JobState::Completed); }, 2'300));
 }
 
 // Guards against a start that was given up and reaches the next life of its
@@ -316,6 +316,40 @@
       runUntil([&] { return allShow("1", JobState::Completed); }, 3'900));
 }
 
+// Guards against urgent work that takes six times as long where it is while
+// other workers idle, and against more work that follows it there.
+BOOST_AUTO_TEST_CASE(UrgentWorkIsMovedOffASlowWorker) {
+  Workers["w1"].Slowness = 6;
+  auto Urgent = job("1", 1, 8, 2'500);
+  Urgent.Priority = 0;
+  BOOST_TEST(!submit(any(), Urgent));
+  run(300);
+  BOOST_REQUIRE(Workers["w1"].Runs.size() == 1u);
+  // Three times the estimate instead of six.
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 7'500));
+  Urgent = job("2", 1, 8, 2'500);
+  Urgent.Priority = 0;
+  BOOST_TEST(!submit(any(), Urgent));
+  run(300);
+  BOOST_TEST(Workers["w1"].Runs.empty());
+}
+
+// Guards against a gang that is moved because its members wait for one whose
+// start got lost.
+BOOST_AUTO_TEST_CASE(AGangThatWaitsForAMemberIsNotSlow) {
+  auto Urgent = job("1", 2, 8, 2'500);
+  Urgent.Priority = 0;
+  Urgent.Steps[0].Gang = true;
+  Gangs["1"] = 2;
+  Workers["w2"].LoseStarts = 2;
+  BOOST_TEST(!submit(any(), Urgent));
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 4'500));
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == 1u);
+}
+
 // Guards against endless attempts of a job that can never be done.
 BOOST_AUTO_TEST_CASE(AJobThatAlwaysFailsEndsAfterItsAttempts) {
   for (auto &[Id, W] : Workers)
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -212,6 +212,17 @@
   W.Barred[Run.Task] = std::max(W.Barred[Run.Task], Run.Number);
 }
 
+bool World::gangWaits(const FakeWorker::Run &Run) const {
+  auto Gang = Gangs.find(Run.Task.Job);
+  if (Gang == Gangs.end())
+    return false;
+  unsigned Present = 0;
+  for (const auto &[Id, W] : Workers)
+    for (const auto &Other : W.Runs)
+      Present += Other.Task.Job == Run.Task.Job && Other.Number == Run.Number;
+  return Present < Gang->second;
+}
+
 void World::step(FakeWorker &W) {
   if (!W.Up) {
     W.Runs.clear();
@@ -219,6 +230,8 @@
   }
   for (std::size_t N = W.Runs.size(); N-- > 0;) {
     auto &R = W.Runs[N];
+    if (gangWaits(R))
+      R.StartedMs = Clock;
     if (W.clock(Clock) > W.LeaseUntilMs)
       end(W, N, EndReason::LeaseExpired);
     else if (R.StopAtMs >= 0 && Clock >= R.StopAtMs)
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -77,6 +77,8 @@
   workload::JobSpec job(const std::string &Id, unsigned Tasks,
                         std::int64_t Gpus, std::int64_t WorkMs);
   std::string owner() const;
+  /// Jobs whose members work only together, with their number.
+  std::map<std::string, unsigned> Gangs;
   /// Starts that took effect, by task.
   std::map<TaskName, unsigned> Starts;
   unsigned NoRoom = 0;  ///< Starts that a worker refused for want of room.
@@ -120,6 +122,7 @@
   void pump(const std::string &Daemon);
   void carryOut(const std::string &Daemon, Action A);
   void step(FakeWorker &W);
+  bool gangWaits(const FakeWorker::Run &Run) const;
   void end(FakeWorker &W, std::size_t Index, EndReason Why);
   WorkerReply start(FakeWorker &W, const StartAction &A);
   AppendResult append(const AppendAction &A);
--- a/packages/dispatch/include/heathersaddle/dispatch/Fleet.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Fleet.h
@@ -39,15 +39,22 @@
   std::int64_t LostIfStoppedMs = 0;
 };
 
+/// Why a worker is used after others.
+enum class Doubt {
+  None,
+  Failed, ///< Work failed there lately, or it has just started.
+  Slow    ///< What runs there takes several times as long.
+};
+
 struct Worker {
   std::string Id;
   std::string Service;
   std::string Rack;
   std::vector<std::string> Labels;
   Resources Capacity;
-  Resources Free;        ///< Capacity less all that holds room, also stopping.
-  bool Usable = false;   ///< May be given new work.
-  bool Doubtful = false; ///< Recently failed or slow; used last.
+  Resources Free;      ///< Capacity less all that holds room, also stopping.
+  bool Usable = false; ///< May be given new work.
+  Doubt Doubted = Doubt::None;
   std::vector<Running> Runs;
 
   bool hasLabel(std::string_view Label) const;
--- a/packages/dispatch/lib/Packing.cpp
+++ b/packages/dispatch/lib/Packing.cpp
@@ -18,6 +18,11 @@
          (S.RequiredLabel.empty() || W.hasLabel(S.RequiredLabel));
 }
 
+int doubt(const Worker &On, const Waiting &W) {
+  return static_cast<int>(On.Doubted) +
+         (W.Avoid.contains(On.Id) ? static_cast<int>(Doubt::Slow) + 1 : 0);
+}
+
 std::vector<std::size_t> pack(const Fleet &F, Room &Free,
                               std::span<const std::size_t> Candidates,
                               const Waiting &W, std::size_t Count) {
@@ -41,8 +46,7 @@
       if (!Need.fitsIn(Free[C]) ||
           (S.MaxPerWorker && Here[C] >= S.MaxPerWorker))
         continue;
-      int Doubt = (On.Doubtful ? 1 : 0) + (W.Avoid.contains(On.Id) ? 2 : 0);
-      auto Key = std::make_tuple(Doubt, Free[C].Gpus - Need.Gpus,
+      auto Key = std::make_tuple(doubt(On, W), Free[C].Gpus - Need.Gpus,
                                  Free[C].CpuMilli - Need.CpuMilli,
                                  Free[C].MemoryMb - Need.MemoryMb);
       if (!Best || Key < BestKey) {
--- a/packages/dispatch/lib/Packing.h
+++ b/packages/dispatch/lib/Packing.h
@@ -12,6 +12,9 @@
 bool allowed(const Worker &W, const workload::JobSpec &Spec,
              const workload::Step &S);
 
+/// How much speaks against the worker for this step; 0: nothing.
+int doubt(const Worker &On, const Waiting &W);
+
 /// Places up to \p Count tasks on \p Candidates, tightest fit first, sound
 /// workers before doubtful ones; fewer when no more fit. Takes the room.
 std::vector<std::size_t> pack(const Fleet &F, Room &Free,
--- a/packages/dispatch/lib/Planner.cpp
+++ b/packages/dispatch/lib/Planner.cpp
@@ -97,7 +97,7 @@
     }
     bool MaySpread = !W.step().SameRack || !fitsOneEmptyRack(F, R, W);
     Room Visible = roomFor(W, Urgent);
-    auto Where = packGang(F, R, Visible, W, MaySpread);
+    auto Where = packSound(Visible, W, MaySpread);
     if (!Where.empty()) {
       if (Held != Holds.end())
         Holds.erase(Held);
@@ -108,8 +108,19 @@
       keepRoom(Held->second, Need);
       return;
     }
+    auto Made = Urgent ? findRoom(W, MaySpread) : std::nullopt;
+    // Room that is made on sound workers is better than free room on others.
+    if (Made && Made->Cost < DoubtCost)
+      return makeRoom(W, *Made);
+    Where = packGang(F, R, Visible, W, MaySpread);
+    if (!Where.empty()) {
+      take(Where, Need);
+      return place(W, W.Tasks, std::move(Where));
+    }
+    if (Made)
+      return makeRoom(W, *Made);
     if (Urgent)
-      return evictFor(W, MaySpread);
+      return;
     if (Reservations < MaxReservations) {
       Room Allowed = Free;
       for (std::size_t N = 0; N < Allowed.size(); ++N)
@@ -125,6 +136,17 @@
     }
   }
 
+  /// Where the whole gang fits on workers that nothing speaks against: one
+  /// member on a slow or failing worker holds up or breaks all.
+  std::vector<std::size_t> packSound(const Room &Visible, const Waiting &W,
+                                     bool MaySpread) {
+    Room Sound = Visible;
+    for (std::size_t N = 0; N < Sound.size(); ++N)
+      if (doubt(F.Workers[N], W))
+        Sound[N] = {-1, -1, -1};
+    return packGang(F, R, Sound, W, MaySpread);
+  }
+
   bool holdIsFree(const Hold &H, const Resources &Need) const {
     std::map<std::size_t, Resources> Sum;
     for (std::size_t N : H.Workers)
@@ -134,9 +156,10 @@
     });
   }
 
-  void evictFor(const Waiting &W, bool MaySpread) {
+  /// What to stop so that the tasks of urgent \p W can run.
+  std::optional<Eviction> findRoom(const Waiting &W, bool MaySpread) {
     if (Evictions >= MaxEvictions)
-      return;
+      return std::nullopt;
     ++Evictions;
     if (UnitCost.empty())
       UnitCost = unitCosts(F);
@@ -150,21 +173,22 @@
     // A guaranteed gang starts in time even if it has to spread.
     if (!Best && (MaySpread || W.Guaranteed))
       Best = findEviction(F, UnitCost, Free, R.all(W), W);
-    if (!Best)
-      return;
-    if (!W.step().Gang && Best->Units.empty())
-      return;
-    Result.Stops.insert(Best->Units.begin(), Best->Units.end());
+    return Best;
+  }
+
+  /// Stops what is in the way; a gang keeps the room until it can start.
+  void makeRoom(const Waiting &W, const Eviction &E) {
+    Result.Stops.insert(E.Units.begin(), E.Units.end());
     if (!W.step().Gang)
       return;
-    Hold H{unit(W), Best->Workers, {}, NowMs + HoldMostMs};
+    Hold H{unit(W), E.Workers, {}, NowMs + HoldMostMs};
     for (std::size_t N : H.Workers)
       H.WorkerIds.push_back(F.Workers[N].Id);
     keepRoom(H, W.step().room());
     Holds[H.For] = std::move(H);
     for (Worker &On : F.Workers)
       for (Running &Run : On.Runs)
-        if (Best->Units.contains(Run.Unit))
+        if (E.Units.contains(Run.Unit))
           Run.Stoppable = false;
   }
 
@@ -200,7 +224,8 @@
       W.Tasks.erase(W.Tasks.begin(),
                     W.Tasks.begin() +
                         static_cast<std::ptrdiff_t>(Where.size()));
-      evictFor(W, true);
+      if (auto Room = findRoom(W, true))
+        makeRoom(W, *Room);
     }
   }
 
--- a/packages/dispatch/lib/Victims.cpp
+++ b/packages/dispatch/lib/Victims.cpp
@@ -76,8 +76,7 @@
                 });
       Resources Room = Left[C];
       std::vector<UnitId> Units;
-      // Doubtful workers are taken only at a high price.
-      double Cost = On.Doubtful || W.Avoid.contains(On.Id) ? 1e6 : 0;
+      double Cost = doubt(On, W) ? DoubtCost : 0;
       for (const Running *R : Order) {
         if (Need.fitsIn(Room))
           break;
--- a/packages/dispatch/lib/Victims.h
+++ b/packages/dispatch/lib/Victims.h
@@ -12,6 +12,9 @@
   double Cost = 0;                  ///< Lost work, in core-seconds.
 };
 
+/// Of taking a worker that something speaks against; above that of any work.
+inline constexpr double DoubtCost = 1e6;
+
 /// What stopping each unit would lose.
 std::map<UnitId, double> unitCosts(const Fleet &F);
 
--- a/packages/dispatch/tests/PlannerTest.cpp
+++ b/packages/dispatch/tests/PlannerTest.cpp
@@ -213,6 +213,42 @@
   BOOST_TEST(Next.Stops.begin()->Job == "young");
 }
 
+// Guards against a gang that one slow or failing member holds up or breaks
+// while sound workers are free on another rack.
+BOOST_AUTO_TEST_CASE(AGangGoesToTheRackWithoutDoubtfulWorkers) {
+  addRack("r1", 2);
+  addRack("r2", 2);
+  occupy(0, "x", 6);
+  F.Workers[1].Doubted = Doubt::Slow;
+  auto &J = addJob("a", 0, 3, 2, true);
+  J.Spec.Steps[0].SameRack = true;
+  wait(J);
+  auto Next = plan();
+  BOOST_REQUIRE(Next.Places.size() == 1u);
+  for (std::size_t W : Next.Places[0].Workers)
+    BOOST_TEST(F.Workers[W].Rack == "r2");
+}
+
+// Guards against an urgent gang that goes to a slow worker although cheaper
+// work could leave a sound one.
+BOOST_AUTO_TEST_CASE(RoomIsMadeOnSoundWorkersBeforeSlowOnesAreUsed) {
+  addRack("r1", 2);
+  occupy(0, "old", 8);
+  F.Workers[1].Doubted = Doubt::Slow;
+  wait(addJob("a", 0, 1, 8, true));
+  auto Next = plan();
+  BOOST_TEST(Next.Places.empty());
+  BOOST_TEST(Next.Stops.size() == 1u);
+}
+
+// Guards against urgent work that waits although only slow workers are left.
+BOOST_AUTO_TEST_CASE(SlowWorkersAreUsedWhenThereAreNoOthers) {
+  addRack("r1", 1);
+  F.Workers[0].Doubted = Doubt::Slow;
+  wait(addJob("a", 0, 1, 8, true));
+  BOOST_TEST(plan().Places.size() == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(WhenUrgentGangsComeAllDay)
