--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -16,6 +16,8 @@
 struct NodeSettings {
   std::string Name;
   std::string Incarnation; ///< Unique per process start.
+  /// Where this daemon takes requests from others; may be empty.
+  std::string PeerAddress;
   /// This daemon's share of a core, in thousandths; larger ones own.
   std::int64_t CpuMilli = 250;
   std::uint64_t Seed = 0; ///< For jitter.
@@ -133,6 +135,12 @@
   /// Jobs of the queue for which no task has started; none when stale.
   std::optional<std::size_t> waiting(std::string_view Queue) const;
 
+  /// Where a request that this daemon cannot serve may be passed on to: the
+  /// owner as last known. Empty: nowhere.
+  std::string peer() const;
+  /// Counts a request that was passed on.
+  void passedOn();
+
   /// Hands ownership over; calls can still be made until the process ends.
   void beginStop();
   /// Whether a stop would leave nothing behind.
--- a/packages/cluster/lib/Election.cpp
+++ b/packages/cluster/lib/Election.cpp
@@ -113,6 +113,7 @@
   O.Epoch = ClaimEpoch;
   O.Daemon = C.Settings.Name;
   O.Incarnation = C.Settings.Incarnation;
+  O.Address = C.Settings.PeerAddress;
   O.CpuMilli = C.Settings.CpuMilli;
   ClaimInFlight = true;
   C.Actions.push_back(AppendAction{
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -32,7 +32,10 @@
     return Done(std::nullopt);
   }
   // A daemon that is stopping still serves the callers who reach it.
-  if (!Control.fresh(KnownWithin)) {
+  // Load pattern: the store turns some daemons away and serves the others.
+  // Callers must learn at once that nothing was done here, so that they can go
+  // to a daemon that is served.
+  if (Control.failing() || !Control.fresh(KnownWithin)) {
     C.count("submissions_refused_unavailable");
     C.log(426, {{"job", Spec.Id},
                 {"queue", Spec.Queue},
@@ -100,7 +103,8 @@
           return;
         if (R.Verdict == AppendVerdict::Appended)
           return stored(S, R.First);
-        if (R.Verdict != AppendVerdict::Refused && TriesLeft > 1) {
+        if (R.Verdict != AppendVerdict::Refused && TriesLeft > 1 &&
+            !Control.failing()) {
           S.Unanswered = true;
           return store(std::move(S), TriesLeft - 1);
         }
--- a/packages/cluster/lib/Tail.h
+++ b/packages/cluster/lib/Tail.h
@@ -9,11 +9,16 @@
 /// Least time between two reads by those who need not act at once; each read is
 /// a priced call.
 inline constexpr Millis FollowerGap{150};
-/// How long the log may hold a read that has nothing to return.
+/// How long the log may hold a read that has nothing to return. The control
+/// topic's tells whether callers can be served, so a dead path has to be
+/// noticed within about a second; while jobs come, its reads return earlier.
 inline constexpr Millis TailWait{1'000};
+inline constexpr Millis ControlWait{400};
 /// Beyond the wait; a read on a dead connection is given up after both. The
 /// store's slowest known answers take about 300 ms.
-inline constexpr Millis TailSlack{1'200};
+inline constexpr Millis TailSlack{600};
+/// For a page of the newest records, of which many may be large.
+inline constexpr Millis PageLimit{2'200};
 /// A call after a failed one asks for an answer at once and is given up early,
 /// so that the end of an outage is noticed soon.
 inline constexpr Millis ProbeLimit{800};
@@ -31,7 +36,8 @@
 template <class Entry> class Tail {
 public:
   /// \p Gap is the least time between two reads: fewer calls for more delay.
-  Tail(Core &C, Millis Gap) : C(C), Gap(Gap) {}
+  Tail(Core &C, Millis Gap, Millis LongestWait = TailWait)
+      : C(C), Gap(Gap), LongestWait(LongestWait) {}
   ~Tail() { *Alive = false; }
   Tail(const Tail &) = delete;
   Tail &operator=(const Tail &) = delete;
@@ -60,6 +66,8 @@
   bool fresh(Millis Age) const {
     return CaughtUp && C.mono() - LastRead <= Age;
   }
+  /// Whether the latest call had no good answer.
+  bool failing() const { return Retry.count() > 0; }
   void tick() {
     if (InFlight || C.mono() < NextAt)
       return;
@@ -81,15 +89,15 @@
   void read() {
     // Behind the end there is nothing to wait for.
     SentAt = C.mono();
-    bool Probing = Retry.count() > 0;
-    Millis Wait = CaughtUp && !Probing ? TailWait : Millis(0);
+    bool Probing = failing();
+    Millis Wait = CaughtUp && !Probing ? LongestWait : Millis(0);
     C.Actions.push_back(ReadAction<Entry>{
         From, MostKb, Wait, Probing ? ProbeLimit : Wait + TailSlack,
         guarded(&Tail::onBatch)});
   }
   void page() {
-    C.Actions.push_back(NewestAction<Entry>{AfterKey, TailWait + TailSlack,
-                                            guarded(&Tail::onPage)});
+    C.Actions.push_back(
+        NewestAction<Entry>{AfterKey, PageLimit, guarded(&Tail::onPage)});
   }
   void failed() {
     MostKb = ProbeKb;
@@ -142,6 +150,7 @@
 
   Core &C;
   Millis Gap;
+  Millis LongestWait;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   std::uint64_t Generation = 0;
   bool InFlight = false;
--- a/packages/cluster/lib/Writer.cpp
+++ b/packages/cluster/lib/Writer.cpp
@@ -62,6 +62,7 @@
     O.Epoch = Epoch;
     O.Daemon = C.Settings.Name;
     O.Incarnation = C.Settings.Incarnation;
+    O.Address = C.Settings.PeerAddress;
     O.Beat = ++Beat;
     O.CpuMilli = C.Settings.CpuMilli;
     O.Released = Final;
--- a/packages/cluster/tests/StoreFailureTest.cpp
+++ b/packages/cluster/tests/StoreFailureTest.cpp
@@ -104,6 +104,40 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WhenTheStoreTurnsSomeDaemonsAway)
+
+// Guards against callers who are held for seconds, and are then told nothing
+// certain, by a daemon whose neighbours could serve them at once.
+BOOST_AUTO_TEST_CASE(TheySayAtOnceThatTheyCannotServe) {
+  Node &Cut = follower();
+  for (auto &[Name, N] : Daemons)
+    if (N.get() == &Cut)
+      StoreCut.insert(Name);
+  // A second: what urgent work has to spare.
+  run(1'200);
+  std::int64_t Asked = Clock;
+  auto R = submit(Cut, job("1", 1, 1, 100));
+  BOOST_REQUIRE(R);
+  BOOST_TEST((R->Why == Refusal::Unavailable));
+  BOOST_TEST(Clock - Asked <= 10);
+}
+
+// Guards against a second try that cannot be answered either.
+BOOST_AUTO_TEST_CASE(AnAppendUnderWayIsNotRepeatedInVain) {
+  Node &Cut = follower();
+  for (auto &[Name, N] : Daemons)
+    if (N.get() == &Cut)
+      StoreCut.insert(Name);
+  run(600);
+  std::int64_t Asked = Clock;
+  auto R = submit(Cut, job("1", 1, 1, 100));
+  BOOST_REQUIRE(R);
+  BOOST_TEST((R->Why == Refusal::Unresolved));
+  BOOST_TEST(Clock - Asked <= 800);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenTheStoreComesBack)
 
 // Guards against callers that are refused for seconds after an outage, because
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -52,6 +52,7 @@
 Node &World::addDaemon(const std::string &Name, std::int64_t CpuMilli) {
   NodeSettings S;
   S.Name = Name;
+  S.PeerAddress = Name + ":relay";
   S.Incarnation = Name + std::to_string(Clock);
   S.Seed = std::hash<std::string>()(S.Incarnation);
   S.CpuMilli = CpuMilli;
--- a/packages/workload/include/heathersaddle/workload/Ledger.h
+++ b/packages/workload/include/heathersaddle/workload/Ledger.h
@@ -15,6 +15,8 @@
   std::uint64_t Epoch = 0;
   std::string Daemon;
   std::string Incarnation;   ///< Of the daemon's process.
+  /// Where it takes requests that other daemons cannot serve; may be empty.
+  std::string Address;
   bool Released = false;     ///< The owner has stopped; take over at once.
   std::uint64_t Beat = 0;    ///< Grows with each heartbeat.
   std::int64_t CpuMilli = 0; ///< The owner's share of a core, in thousandths.
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -251,6 +251,7 @@
   json::object V{{"e", O.Epoch},
                  {"d", O.Daemon},
                  {"i", O.Incarnation},
+                 {"a", O.Address},
                  {"r", O.Released},
                  {"b", O.Beat},
                  {"w", O.Workers},
@@ -276,6 +277,7 @@
   O.Epoch = static_cast<std::uint64_t>(R.integer("e", 0, MaxMs));
   O.Daemon = R.string("d", MaxText);
   O.Incarnation = R.string("i", MaxText);
+  O.Address = R.string("a", "", MaxText);
   O.Released = R.booleanOr("r", false);
   O.Beat = static_cast<std::uint64_t>(R.integerOr("b", 0, 0, MaxMs));
   O.CpuMilli = R.integerOr("u", 0, 0, MaxMs);
