Store the jobs of all daemons together; changes go to the owner first

Ruled out: partitions for submissions. Their reads would be priced eight times, and each daemon would still append each job by itself. Telling a slow store apart first: the owner's records tell it a second late, when two seconds of appends are queued already.

Change: submissions and cancellations go to the owner first (the address in its records, as for daemons cut off from the store), and are carried out by the daemon itself only when the owner cannot settle them or has been silent for a second. cluster/Intake has one append under way and puts all that came meanwhile into the next one. What waits behind an append without an answer is refused: it was not sent.

--- a/packages/cluster/include/heathersaddle/cluster/Relay.h
+++ b/packages/cluster/include/heathersaddle/cluster/Relay.h
@@ -3,9 +3,10 @@
 
 namespace heathersaddle::cluster {
 
-/// What this daemon could do for a request.
+/// What this daemon did about a request.
 enum class Served {
-  Here,      ///< It is answered.
+  Done,
+  Refused,   ///< For good reasons that hold at all daemons.
   NotHere,   ///< Nothing was done; another daemon may serve it.
   MayHaveRun ///< The store did not answer; asking again does no harm.
 };
@@ -13,9 +14,9 @@
 /// What became of a request that was passed on to another daemon.
 enum class PeerAnswer {
   Served,
-  Refused,      ///< The peer has certainly done nothing.
-  NotDelivered, ///< Likewise, as it has not got the request.
-  Unknown       ///< No answer, or one that settles nothing.
+  Refused, ///< As above.
+  Nothing, ///< The peer has not got it, or could do nothing about it.
+  Unknown  ///< No answer, or one that settles nothing.
 };
 
 /// Whose answer the caller gets.
@@ -25,8 +26,16 @@
   Unresolved ///< Neither can tell whether it has run.
 };
 
-/// A caller is told that nothing has run only if that holds at both daemons.
-Tell settle(Served Own, PeerAnswer Peer, bool ChangesState);
+/// For a request that changes something, was passed on first and is served here
+/// only if \p Peer does not settle it. A caller is told that nothing has run
+/// only if that holds at both daemons.
+Tell settleChange(PeerAnswer Peer, Served Own);
+inline bool settles(PeerAnswer Peer) {
+  return Peer == PeerAnswer::Served || Peer == PeerAnswer::Refused;
+}
+
+/// For a question that this daemon could not answer and then passed on.
+Tell settleQuestion(Served Own, PeerAnswer Peer);
 
 } // namespace heathersaddle::cluster
 
--- a/packages/cluster/lib/Election.cpp
+++ b/packages/cluster/lib/Election.cpp
@@ -60,6 +60,8 @@
   }
   bool Seen = C.Ledger.ownerRecords() != SeenOwnerRecords;
   SeenOwnerRecords = C.Ledger.ownerRecords();
+  if (Seen)
+    OwnerHeardAt = T;
   if (Seen || !Control.fresh(ClaimFreshness)) {
     // Silence counts only while the topic can be read.
     OwnerSeenAt = T;
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -14,7 +14,11 @@
 Node::Impl::Impl(NodeSettings Settings, std::function<Now()> Clock,
                  base::StructuredLog &Log)
     : C(std::move(Settings), std::move(Clock), Log),
-      Control(C, FollowerGap, ControlWait), Operator(C, OperatorGap) {
+      Control(C, FollowerGap, ControlWait), New(C), Operator(C, OperatorGap) {
+  New.OnStored = [this](const Submission &S, std::uint64_t Offset) {
+    stored(S, Offset);
+  };
+  New.Unreachable = [this] { return Control.failing(); };
   Control.OnReset = [this] {
     // An owner's state is ahead of the pages; it gives up before they count.
     if (Own)
@@ -112,10 +116,7 @@
 std::optional<std::size_t> Node::waiting(std::string_view Queue) const {
   return I->waiting(Queue);
 }
-std::string Node::peer() const {
-  const workload::Ownership &O = I->C.Ledger.owner();
-  return I->Own || O.Daemon == I->C.Settings.Name ? "" : O.Address;
-}
+std::string Node::peer() const { return I->peer(); }
 void Node::passedOn() { I->C.count("requests_passed_on"); }
 void Node::beginStop() {
   I->Stopping = true;
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -1,6 +1,7 @@
 #ifndef HEATHERSADDLE_CLUSTER_NODEIMPL_H
 #define HEATHERSADDLE_CLUSTER_NODEIMPL_H
 
+#include "Intake.h"
 #include "Owner.h"
 
 namespace heathersaddle::cluster {
@@ -27,27 +28,17 @@
   // Requests.cpp: callers' requests.
   void submit(workload::JobSpec Spec,
               std::function<void(std::optional<Refusal>)> Done);
-  struct Submission {
-    std::string Job;
-    std::string Queue;
-    unsigned Priority = 0;
-    std::int64_t WorkMs = 0; ///< Of whole workers.
-    MonoTime Started{};
-    KeyValue Record;
-    std::function<void(std::optional<Refusal>)> Done;
-    MonoTime SentAt{};       ///< The latest try.
-    bool Unanswered = false; ///< An earlier try may still take effect.
-  };
-  void store(Submission S, unsigned TriesLeft);
   void stored(const Submission &S, std::uint64_t Offset);
   StatusResult status(std::string_view Job) const;
   void cancel(std::string_view Job, std::function<void(Lookup)> Done);
   /// Carries on with cancellations of jobs that were not known yet.
   void resolveCancels();
+  std::string peer() const;
   std::optional<std::size_t> waiting(std::string_view Queue) const;
 
   Core C;
   Tail<KeyValue> Control;
+  Intake New; ///< Jobs that are not stored yet.
   Tail<OperatorChange> Operator;
   std::unique_ptr<Owner> Own;
   bool StoreUp = false;
@@ -71,6 +62,7 @@
   // Election.
   std::uint64_t SeenOwnerRecords = 0;
   MonoTime OwnerSeenAt{};
+  MonoTime OwnerHeardAt{};      ///< Its latest record was read.
   MonoTime ClaimAt{};           ///< 0: no claim planned.
   std::uint64_t OwnerEpoch = 0; ///< As last seen, and since when.
   MonoTime EpochSeenAt{};
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -5,13 +5,11 @@
 
 namespace heathersaddle::cluster {
 
-/// For one append. A submission is appended again once when it had no answer,
-/// which is harmless as the record is the same; both tries together end before
-/// half of the time that callers wait, so that they can ask another daemon.
+/// For the record of a cancellation.
 static constexpr Millis StoreLimit{700};
-static constexpr unsigned StoreTries = 2;
-/// While the store is slow there is one try of the same length as both.
-static constexpr Millis SlowStoreLimit{1'400};
+/// An owner that has recorded nothing for this long, twice its heartbeat, gets
+/// no requests from other daemons.
+static constexpr Millis PeerSilence{1'000};
 /// Callers are told to return up to one part in this many later than the
 /// backlog asks for.
 static constexpr int ReturnSpread = 2;
@@ -84,45 +82,11 @@
   workload::Resources Total = O.MeanCapacity;
   for (const workload::Step &S : Spec.Steps)
     Work += workload::workerMs(S, Total, 1) * S.Count;
-  store({Spec.Id, Spec.Queue, Spec.Priority, Work, T,
-         workload::Ledger::submission(Spec), std::move(Done)},
-        C.storeIsSlow() ? 1 : StoreTries);
-}
-
-void Node::Impl::store(Submission S, unsigned TriesLeft) {
-  C.count("store_appends");
-  S.SentAt = C.mono();
-  auto Record = S.Record;
-  C.Actions.push_back(AppendAction{
-      {Record},
-      std::nullopt,
-      C.storeIsSlow() ? SlowStoreLimit : StoreLimit,
-      [this, Alive = Alive, S = std::move(S),
-       TriesLeft](const AppendResult &R) mutable {
-        if (!*Alive)
-          return;
-        if (R.Verdict == AppendVerdict::Appended)
-          return stored(S, R.First);
-        if (R.Verdict != AppendVerdict::Refused && TriesLeft > 1 &&
-            !Control.failing()) {
-          S.Unanswered = true;
-          return store(std::move(S), TriesLeft - 1);
-        }
-        // A refusal settles nothing when an earlier try had no answer.
-        bool Refused = R.Verdict == AppendVerdict::Refused && !S.Unanswered;
-        C.count(Refused ? "submissions_refused_unavailable"
-                        : "submissions_unresolved");
-        C.log(426, {{"job", S.Job},
-                    {"queue", S.Queue},
-                    {"reason", Refused ? "store_refused" : "store_silent"},
-                    {"stored_ms", (C.mono() - S.Started).count()}});
-        S.Done(Refusal{Refused ? Refusal::Unavailable : Refusal::Unresolved,
-                       Millis(1'000), "the store did not accept the job"});
-      }});
+  New.add({Spec.Id, Spec.Queue, Spec.Priority, Work, T,
+           workload::Ledger::submission(Spec), std::move(Done)});
 }
 
 void Node::Impl::stored(const Submission &S, std::uint64_t Offset) {
-  C.AppendTook = C.mono() - S.SentAt;
   C.recordLatency("submission_stored", S.Priority, C.mono() - S.Started);
   // Visible here at once; the topic brings it to the others.
   if (Control.following())
@@ -135,7 +99,6 @@
               {"queue", S.Queue},
               {"offset", Offset},
               {"stored_ms", (C.mono() - S.Started).count()}});
-  S.Done(std::nullopt);
 }
 
 StatusResult Node::Impl::status(std::string_view Id) const {
@@ -197,6 +160,15 @@
   }
 }
 
+std::string Node::Impl::peer() const {
+  const workload::Ownership &O = C.Ledger.owner();
+  if (Own || O.Released || O.Daemon == C.Settings.Name)
+    return {};
+  // Its records tell that it works, as long as they can be read.
+  bool Silent = C.mono() - OwnerHeardAt > PeerSilence;
+  return Silent && Control.fresh(PeerSilence) ? "" : O.Address;
+}
+
 std::optional<std::size_t> Node::Impl::waiting(std::string_view Queue) const {
   if (!Control.fresh(KnownWithin))
     return std::nullopt;
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -372,12 +372,16 @@
           if constexpr (std::is_same_v<T, AppendAction>) {
             if (StoreCut.contains(Daemon))
               return;
-            auto R = append(Copy);
-            if (LoseAppends) {
-              --LoseAppends;
-              return;
-            }
-            reply(Daemon, [Copy, R] { Copy.Done(R); });
+            AppendsBusyUntil = std::max(AppendsBusyUntil, Clock) + AppendMs;
+            after(AppendsBusyUntil - Clock, [this, Daemon, Copy] {
+              auto R = append(Copy);
+              if (LoseAppends) {
+                --LoseAppends;
+                return;
+              }
+              if (Daemons.contains(Daemon))
+                reply(Daemon, [Copy, R] { Copy.Done(R); });
+            });
           } else if constexpr (std::is_same_v<T, ReadAction<KeyValue>>) {
             poll(Daemon, Copy, Clock + Copy.Wait.count());
           } else if constexpr (std::is_same_v<T, ReadAction<RegistryChange>>) {
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -97,6 +97,8 @@
   std::set<std::string> WorkersCut; ///< Daemons that reach no worker.
   std::set<std::string> Suspended;  ///< Daemons that stand still.
   std::set<std::string> StoreCut;   ///< Daemons whose store calls get lost.
+  /// How long the control topic takes for an append, one after the other.
+  std::int64_t AppendMs = 0;
   std::int64_t PageMs = 0; ///< How long a page of the control topic takes.
   std::size_t LinkBytesPerMs = 0; ///< Of reads of the control topic; 0: any.
   unsigned LoseAppends = 0;       ///< Answers of appends to lose.
@@ -136,6 +138,7 @@
   std::priority_queue<Event> Events;
   std::map<std::string, std::vector<std::function<void()>>> Kept;
   std::uint64_t Order = 0;
+  std::int64_t AppendsBusyUntil = 0;
   std::map<std::string, std::int64_t> WorkOf;
   std::set<TaskName> EndAcknowledged;
   std::unique_ptr<base::StructuredLog> Log;
--- a/packages/workload/include/heathersaddle/workload/Ledger.h
+++ b/packages/workload/include/heathersaddle/workload/Ledger.h
@@ -14,7 +14,7 @@
 struct Ownership {
   std::uint64_t Epoch = 0;
   std::string Daemon;
-  std::string Incarnation;   ///< Of the daemon's process.
+  std::string Incarnation; ///< Of the daemon's process.
   /// Where it takes requests that other daemons cannot serve; may be empty.
   std::string Address;
   bool Released = false;     ///< The owner has stopped; take over at once.
