Compare the pace of a run with the other tasks of its step

Ruled out: resumed runs and gangs that wait, which have no rate yet.

Change: a run is compared with the median of its step's other runs; a lone one with its queue, in its first run only. One failure without a success since is a hint for the order of workers, not a reason to make room elsewhere. Pace has a source of its own in the owner (OwnerPace.cpp).

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -16,6 +16,10 @@
 /// The part of it without the checkpoint and the name.
 inline constexpr std::size_t RowNumbersBytes = 64;
 
+/// Failures of this many distinct jobs without a success mark a worker as
+/// failing; it gets no work for a while, and is then used last.
+inline constexpr std::size_t FailingJobs = 2;
+
 using dispatch::UnitId;
 using workload::Job;
 using workload::JobState;
@@ -155,14 +159,25 @@
   void loseRuns(Session &S, std::string_view Why);
   void watchWorkers();
   void findStuck(const std::string &Id, Session &S);
-  /// Judges the worker by the pace of its runs and moves work off slow ones.
-  void findSlow(const std::string &Id, Session &S);
+  void evacuate(const std::string &Id, Session &S);
+  std::int64_t grantLease(Session &S);
+
+  // OwnerPace.cpp: slow workers.
+  struct RunRate {
+    const Job *J = nullptr;
+    const workload::Step *Step = nullptr;
+    dispatch::Rate Rate = 0;
+  };
+  /// None when the run says nothing about its worker's speed.
+  std::optional<RunRate> rateOf(const Session &S, const RunId &Id,
+                                const RunState &R) const;
   /// Whether the unit runs far from its data or spread over racks, and so takes
   /// longer for a good reason.
   bool runsFar(const Session &S, const workload::Step &Step, const Job &J,
                const RunId &Id) const;
-  void evacuate(const std::string &Id, Session &S);
-  std::int64_t grantLease(Session &S);
+  void learnRates();
+  /// Judges the worker by the pace of its runs and moves work off slow ones.
+  void findSlow(const std::string &Id, Session &S);
 
   // OwnerRuns.cpp: starts, stops and ends of runs.
   using AnswerHandler = void (Owner::*)(Session &, RunState &, const RunId &,
@@ -221,6 +236,7 @@
   std::map<std::string, Session, std::less<>> Sessions;
   std::set<std::string> ListedNow; ///< While the registry is read anew.
   dispatch::Planner Planner;
+  dispatch::UsualRates Rates;
   std::set<std::string, std::less<>> Live; ///< Jobs that have not ended.
   std::set<std::string, std::less<>> GuaranteedJobs;
   /// Workers on which a task of the step failed.
--- /dev/null
+++ b/packages/cluster/lib/OwnerPace.cpp
@@ -0,0 +1,87 @@
+// Finds workers that are slow, and moves work off them that ends sooner
+// elsewhere. What counts as slow is decided in dispatch/Pace.
+#include "Owner.h"
+
+namespace heathersaddle::cluster {
+
+/// A unit whose run has a higher number is not moved off slow workers again.
+static constexpr unsigned MovesMost = 6;
+
+static UnitId stepOf(const TaskName &Task) {
+  return {Task.Job, Task.Key.Occurrence, Task.Key.Step, 0};
+}
+
+bool Owner::runsFar(const Session &S, const workload::Step &Step, const Job &J,
+                    const RunId &Id) const {
+  if (!Step.DataRack.empty() && Step.DataRack != S.Entry.Rack)
+    return true;
+  if (!Step.Gang || !Step.SameRack)
+    return false;
+  for (unsigned N = 0; N < Step.Count; ++N) {
+    auto Other = Sessions.find(
+        J.task({Id.Task.Key.Occurrence, Id.Task.Key.Step, N}).Worker);
+    if (Other != Sessions.end() && Other->second.Entry.Rack != S.Entry.Rack)
+      return true;
+  }
+  return false;
+}
+
+std::optional<Owner::RunRate> Owner::rateOf(const Session &S, const RunId &Id,
+                                            const RunState &R) const {
+  const Job *J = C.Ledger.find(Id.Task.Job);
+  auto Rate = R.Speed.latest(C.mono());
+  if (R.Stage != RunStage::Present || !J || !Rate)
+    return std::nullopt;
+  const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
+  if (Step.LongRunning || runsFar(S, Step, *J, Id))
+    return std::nullopt;
+  return RunRate{J, &Step, *Rate};
+}
+
+void Owner::learnRates() {
+  Rates.clear();
+  std::map<UnitId, std::string> QueueOf;
+  for (const auto &[Worker, S] : Sessions)
+    for (const auto &[Id, R] : S.Runs)
+      if (auto Known = rateOf(S, Id, R)) {
+        Rates.note(stepOf(Id.Task), Known->Rate);
+        QueueOf.emplace(stepOf(Id.Task), Known->J->Spec.Queue);
+      }
+  Rates.settle(QueueOf);
+}
+
+void Owner::findSlow(const std::string &Id, Session &S) {
+  MonoTime T = C.mono();
+  std::vector<double> Shares;
+  std::vector<UnitId> Move;
+  for (const auto &[Run, R] : S.Runs) {
+    auto Known = rateOf(S, Run, R);
+    if (!Known)
+      continue;
+    const workload::JobSpec &Spec = Known->J->Spec;
+    dispatch::Rate Usual = Rates.of(stepOf(Run.Task), Spec.Queue, Run.Run);
+    if (Usual <= 0)
+      continue;
+    double Share = Known->Rate / Usual;
+    Shares.push_back(Share);
+    // Other work would only wait for room that is worse than a slow worker.
+    if ((Spec.Priority == 0 || !WorkWaits) && Run.Run <= MovesMost &&
+        dispatch::worthMoving(Share, R.Percent, Usual,
+                              Known->Step->SavesProgress))
+      Move.push_back({Run.Task.Job, Run.Task.Key.Occurrence, Run.Task.Key.Step,
+                      Known->Step->Gang ? 0 : Run.Task.Key.Index});
+  }
+  bool Before = S.Speed.slow(T);
+  S.Speed.judge(Shares, T);
+  if (!S.Speed.slow(T))
+    return;
+  if (!Before) {
+    C.count("workers_slow");
+    C.log(437,
+          {{"worker", Id}, {"runs", Shares.size()}, {"moved", Move.size()}});
+  }
+  for (const UnitId &Unit : Move)
+    stopUnit(Unit, "its worker is slow");
+}
+
+} // namespace heathersaddle::cluster
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -25,9 +25,7 @@
 /// A worker that refuses starts gets no work for this long.
 static constexpr Millis RefusalAvoid{3'000};
 static constexpr Millis NoRoomAvoid{400};
-/// Failures of this many distinct jobs without a success mark a worker as
-/// failing; it gets no work for a while, and then one task at a time.
-static constexpr std::size_t FailingJobs = 2;
+/// How long a failing worker gets no work.
 static constexpr Millis FailingAvoid{6'000};
 
 static Millis callLimit(unsigned Try) {
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -245,8 +245,10 @@
                T >= S.AvoidUntil && !S.Entry.Address.empty();
     if (S.Speed.slow(T))
       W.Doubted = dispatch::Doubt::Slow;
-    else if (!S.FailedJobs.empty() || S.Entry.ColdLeftMs > 0)
+    else if (S.FailedJobs.size() >= FailingJobs || S.Entry.ColdLeftMs > 0)
       W.Doubted = dispatch::Doubt::Failed;
+    else if (!S.FailedJobs.empty())
+      W.Doubted = dispatch::Doubt::Unsure;
     for (auto &[Run, R] : S.Runs) {
       W.Free -= R.Room;
       dispatch::Running Out;
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -38,8 +38,6 @@
 /// estimate, is stuck: short work moves several percent a second.
 static constexpr Millis StuckAfter{3'000};
 static constexpr Millis StuckAvoid{10'000};
-/// A unit whose run has a higher number is not moved off slow workers again.
-static constexpr unsigned MovesMost = 6;
 /// The registry's entries may be this old when they are read.
 static constexpr Millis RegistryLag{800};
 /// Runs are looked at this often; a pass over all of them is not free.
@@ -353,8 +351,10 @@
   }
   const Job *J = C.Ledger.find(T.Task.Job);
   if (J && R.Working)
-    R.Speed.sample(T.Percent, Time,
-                   Millis(J->Spec.Steps[T.Task.Key.Step].EstimateMs));
+    R.Speed.sample(
+        T.Percent, Time,
+        Rates.of({T.Task.Job, T.Task.Key.Occurrence, T.Task.Key.Step, 0},
+                 J->Spec.Queue, T.Run));
   if (T.Percent != R.Percent) {
     R.Percent = T.Percent;
     R.ProgressAt = Time;
@@ -452,54 +452,6 @@
   }
 }
 
-bool Owner::runsFar(const Session &S, const workload::Step &Step, const Job &J,
-                    const RunId &Id) const {
-  if (!Step.DataRack.empty() && Step.DataRack != S.Entry.Rack)
-    return true;
-  if (!Step.Gang || !Step.SameRack)
-    return false;
-  for (unsigned N = 0; N < Step.Count; ++N) {
-    auto Other = Sessions.find(
-        J.task({Id.Task.Key.Occurrence, Id.Task.Key.Step, N}).Worker);
-    if (Other != Sessions.end() && Other->second.Entry.Rack != S.Entry.Rack)
-      return true;
-  }
-  return false;
-}
-
-void Owner::findSlow(const std::string &Id, Session &S) {
-  MonoTime T = C.mono();
-  std::vector<double> Paces;
-  std::vector<UnitId> Move;
-  for (const auto &[Run, R] : S.Runs) {
-    const Job *J = C.Ledger.find(Run.Task.Job);
-    auto Share = R.Speed.latest(T);
-    if (R.Stage != RunStage::Present || !J || !Share)
-      continue;
-    const workload::Step &Step = J->Spec.Steps[Run.Task.Key.Step];
-    if (Step.LongRunning || runsFar(S, Step, *J, Run))
-      continue;
-    Paces.push_back(*Share);
-    // Other work would only wait for room that is worse than a slow worker.
-    if ((J->Spec.Priority == 0 || !WorkWaits) && Run.Run <= MovesMost &&
-        dispatch::worthMoving(*Share, R.Percent, Millis(Step.EstimateMs),
-                              Step.SavesProgress))
-      Move.push_back({Run.Task.Job, Run.Task.Key.Occurrence, Run.Task.Key.Step,
-                      Step.Gang ? 0 : Run.Task.Key.Index});
-  }
-  bool Before = S.Speed.slow(T);
-  S.Speed.judge(Paces, T);
-  if (!S.Speed.slow(T))
-    return;
-  if (!Before) {
-    C.count("workers_slow");
-    C.log(437,
-          {{"worker", Id}, {"runs", Paces.size()}, {"moved", Move.size()}});
-  }
-  for (const UnitId &Unit : Move)
-    stopUnit(Unit, "its worker is slow");
-}
-
 /// Load pattern: workers are taken away at short notice while they are full.
 ///
 /// Work that cannot end before its worker may be gone is stopped and runs again
@@ -534,8 +486,10 @@
 void Owner::watchWorkers() {
   MonoTime T = C.mono();
   bool LookAtRuns = T - LookedAt >= LookPeriod;
-  if (LookAtRuns)
+  if (LookAtRuns) {
     LookedAt = T;
+    learnRates();
+  }
   for (auto It = Sessions.begin(); It != Sessions.end();) {
     auto &[Id, S] = *It;
     // The lease as the worker counts it: from the latest clock we know.
--- a/packages/cluster/tests/WorkerFailureTest.cpp
+++ b/packages/cluster/tests/WorkerFailureTest.cpp
@@ -319,6 +319,10 @@
 // Guards against urgent work that takes six times as long where it is while
 // other workers idle, and against more work that follows it there.
 BOOST_AUTO_TEST_CASE(UrgentWorkIsMovedOffASlowWorker) {
+  // What is usual is learnt from a job before.
+  BOOST_TEST(!submit(any(), job("0", 8, 1, 2'500)));
+  BOOST_REQUIRE(
+      runUntil([&] { return allShow("0", JobState::Completed); }, 4'000));
   Workers["w1"].Slowness = 6;
   auto Urgent = job("1", 1, 8, 2'500);
   Urgent.Priority = 0;
--- a/packages/dispatch/include/heathersaddle/dispatch/Fleet.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Fleet.h
@@ -42,7 +42,8 @@
 /// Why a worker is used after others.
 enum class Doubt {
   None,
-  Failed, ///< Work failed there lately, or it has just started.
+  Unsure, ///< The latest job there failed, maybe by its own fault.
+  Failed, ///< Several jobs failed there lately, or it has just started.
   Slow    ///< What runs there takes several times as long.
 };
 
--- a/packages/dispatch/lib/Packing.cpp
+++ b/packages/dispatch/lib/Packing.cpp
@@ -23,6 +23,10 @@
          (W.Avoid.contains(On.Id) ? static_cast<int>(Doubt::Slow) + 1 : 0);
 }
 
+bool unsound(const Worker &On, const Waiting &W) {
+  return doubt(On, W) > static_cast<int>(Doubt::Unsure);
+}
+
 std::vector<std::size_t> pack(const Fleet &F, Room &Free,
                               std::span<const std::size_t> Candidates,
                               const Waiting &W, std::size_t Count) {
--- a/packages/dispatch/lib/Packing.h
+++ b/packages/dispatch/lib/Packing.h
@@ -14,6 +14,8 @@
 
 /// How much speaks against the worker for this step; 0: nothing.
 int doubt(const Worker &On, const Waiting &W);
+/// Whether a gang had better wait for other workers to be freed.
+bool unsound(const Worker &On, const Waiting &W);
 
 /// Places up to \p Count tasks on \p Candidates, tightest fit first, sound
 /// workers before doubtful ones; fewer when no more fit. Takes the room.
--- a/packages/dispatch/lib/Planner.cpp
+++ b/packages/dispatch/lib/Planner.cpp
@@ -142,7 +142,7 @@
                                      bool MaySpread) {
     Room Sound = Visible;
     for (std::size_t N = 0; N < Sound.size(); ++N)
-      if (doubt(F.Workers[N], W))
+      if (unsound(F.Workers[N], W))
         Sound[N] = {-1, -1, -1};
     return packGang(F, R, Sound, W, MaySpread);
   }
--- a/packages/dispatch/lib/Victims.cpp
+++ b/packages/dispatch/lib/Victims.cpp
@@ -76,7 +76,7 @@
                 });
       Resources Room = Left[C];
       std::vector<UnitId> Units;
-      double Cost = doubt(On, W) ? DoubtCost : 0;
+      double Cost = unsound(On, W) ? DoubtCost : 0;
       for (const Running *R : Order) {
         if (Need.fitsIn(Room))
           break;
--- a/packages/dispatch/tests/PlannerTest.cpp
+++ b/packages/dispatch/tests/PlannerTest.cpp
@@ -241,6 +241,18 @@
   BOOST_TEST(Next.Stops.size() == 1u);
 }
 
+// Guards against cheaper work that is thrown away because a task failed by its
+// own fault on a worker with free room.
+BOOST_AUTO_TEST_CASE(OneFailureIsNoReasonToMakeRoomElsewhere) {
+  addRack("r1", 2);
+  occupy(0, "old", 8);
+  F.Workers[1].Doubted = Doubt::Unsure;
+  wait(addJob("a", 0, 1, 8, true));
+  auto Next = plan();
+  BOOST_TEST(Next.Places.size() == 1u);
+  BOOST_TEST(Next.Stops.empty());
+}
+
 // Guards against urgent work that waits although only slow workers are left.
 BOOST_AUTO_TEST_CASE(SlowWorkersAreUsedWhenThereAreNoOthers) {
   addRack("r1", 1);
