Keep the owner while the store is slow; send callers back later in an outage

Ruled out: a wider spread of claims alone; it does not keep the owner.

Change: the owner publishes how long its appends take; silence and spread grow with it. The heartbeat is 400 ms instead of 500. Retry-After of a daemon without its store is the length of the outage so far, 1 to 4 s.

--- a/packages/cluster/include/heathersaddle/cluster/Admission.h
+++ b/packages/cluster/include/heathersaddle/cluster/Admission.h
@@ -18,6 +18,9 @@
 std::optional<base::Millis> refuse(const workload::JobSpec &Spec,
                                    const Load &L);
 
+/// When callers should come back to a deployment without its store.
+base::Millis returnAfterOutage(base::Millis OutageSoFar);
+
 } // namespace heathersaddle::cluster
 
 #endif
--- a/packages/cluster/lib/Admission.cpp
+++ b/packages/cluster/lib/Admission.cpp
@@ -19,6 +19,7 @@
 static constexpr double AcceptWithin = 2.4;
 static constexpr base::Millis RetryLeast{1'000};
 static constexpr base::Millis RetryMost{20'000};
+static constexpr base::Millis OutageRetryMost{4'000};
 
 std::optional<base::Millis> refuse(const workload::JobSpec &Spec,
                                    const Load &L) {
@@ -35,4 +36,12 @@
   return std::clamp(base::Millis(Wait - Allowed), RetryLeast, RetryMost);
 }
 
+/// Load pattern: the store is down for all daemons for some seconds.
+///
+/// How long it will last is not known; as a rule, as long again. Callers who
+/// come back each second would have used up their tries before it is over.
+base::Millis returnAfterOutage(base::Millis OutageSoFar) {
+  return std::clamp(OutageSoFar, RetryLeast, OutageRetryMost);
+}
+
 } // namespace heathersaddle::cluster
--- a/packages/cluster/lib/Election.cpp
+++ b/packages/cluster/lib/Election.cpp
@@ -13,6 +13,13 @@
 static constexpr Millis OwnerSilence{1'500};
 /// Claims are spread over this time.
 static constexpr Millis ClaimSpread{300};
+/// Load pattern: the store is slow, so that the owner's records come late and a
+/// claim is seen late, too. Each append that the owner waits for adds this many
+/// times its length: its own, one of callers' jobs before it, and the read.
+static constexpr int SlowSilence = 3;
+static constexpr int SlowSpread = 8;
+/// Beyond this the store counts as down, not as slow.
+static constexpr Millis SlowMost{500};
 static constexpr Millis HandoverSpread{60};
 /// A daemon with this multiple of the owner's processor takes over ...
 static constexpr std::int64_t LargerBy = 2;
@@ -35,6 +42,10 @@
 /// that unlikely over years of claims.
 static constexpr unsigned RandomSequenceBits = 40;
 
+Millis Node::Impl::ownersAppend() const {
+  return std::min(SlowMost, Millis(C.Ledger.owner().AppendMs));
+}
+
 void Node::Impl::elect() {
   MonoTime T = C.mono();
   if (Own || !Control.following() || Stopping) {
@@ -79,7 +90,8 @@
   bool Larger = O.CpuMilli > 0 &&
                 C.Settings.CpuMilli >= LargerBy * O.CpuMilli &&
                 T - EpochSeenAt > SettleTime;
-  if (!Vacant && !Larger && T - OwnerSeenAt < OwnerSilence) {
+  if (!Vacant && !Larger &&
+      T - OwnerSeenAt < OwnerSilence + SlowSilence * ownersAppend()) {
     ClaimAt = {};
     return;
   }
@@ -88,7 +100,8 @@
     return;
   }
   if (ClaimAt == MonoTime{}) {
-    Millis Spread = Vacant ? HandoverSpread : ClaimSpread;
+    Millis Spread =
+        (Vacant ? HandoverSpread : ClaimSpread) + SlowSpread * ownersAppend();
     // Smaller hosts than the last owner, and at first all small ones, let the
     // larger ones go first.
     std::int64_t Usual = O.CpuMilli ? O.CpuMilli : LargeCpuMilli;
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -34,6 +34,8 @@
   /// Carries on with cancellations of jobs that were not known yet.
   void resolveCancels();
   std::string peer() const;
+  /// How long an append takes now, as the owner has published.
+  Millis ownersAppend() const;
   std::optional<std::size_t> waiting(std::string_view Queue) const;
 
   Core C;
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -7,9 +7,10 @@
 
 /// For the record of a cancellation.
 static constexpr Millis StoreLimit{700};
-/// An owner that has recorded nothing for this long, twice its heartbeat, gets
-/// no requests from other daemons.
-static constexpr Millis PeerSilence{1'000};
+/// An owner that has recorded nothing for this long, when others are about to
+/// claim, gets no requests from other daemons; a slow store adds twice the
+/// length of an append.
+static constexpr Millis PeerSilence{1'500};
 /// Callers are told to return up to one part in this many later than the
 /// backlog asks for.
 static constexpr int ReturnSpread = 2;
@@ -39,7 +40,8 @@
                 {"queue", Spec.Queue},
                 {"reason", "store_unreachable"},
                 {"next", Control.next()}});
-    return Done(Refusal{Refusal::Unavailable, Millis(1'000),
+    return Done(Refusal{Refusal::Unavailable,
+                        returnAfterOutage(Control.silentFor()),
                         "the store cannot be reached"});
   }
   for (const workload::Step &S : Spec.Steps)
@@ -165,8 +167,9 @@
   if (Own || O.Released || O.Daemon == C.Settings.Name)
     return {};
   // Its records tell that it works, as long as they can be read.
-  bool Silent = C.mono() - OwnerHeardAt > PeerSilence;
-  return Silent && Control.fresh(PeerSilence) ? "" : O.Address;
+  Millis Patience = PeerSilence + 2 * ownersAppend();
+  bool Silent = C.mono() - OwnerHeardAt > Patience;
+  return Silent && Control.fresh(Patience) ? "" : O.Address;
 }
 
 std::optional<std::size_t> Node::Impl::waiting(std::string_view Queue) const {
--- a/packages/cluster/lib/Tail.h
+++ b/packages/cluster/lib/Tail.h
@@ -68,6 +68,8 @@
   }
   /// Whether the latest call had no good answer.
   bool failing() const { return Retry.count() > 0; }
+  /// How long ago the topic was read to its end.
+  Millis silentFor() const { return C.mono() - LastRead; }
   void tick() {
     if (InFlight || C.mono() < NextAt)
       return;
--- a/packages/cluster/lib/Writer.cpp
+++ b/packages/cluster/lib/Writer.cpp
@@ -12,7 +12,7 @@
 static constexpr Millis SlowAppendLimit{1'500};
 static constexpr Millis AppendRetry{100};
 /// The owner shows that it works at least this often.
-static constexpr Millis BeatPeriod{500};
+static constexpr Millis BeatPeriod{400};
 /// Most jobs in one append, so that a large batch does not hold up the beat.
 static constexpr std::size_t BatchJobs = 100;
 /// With removals, which are a few bytes each.
@@ -63,6 +63,7 @@
     O.Daemon = C.Settings.Name;
     O.Incarnation = C.Settings.Incarnation;
     O.Address = C.Settings.PeerAddress;
+    O.AppendMs = C.AppendTook.count();
     O.Beat = ++Beat;
     O.CpuMilli = C.Settings.CpuMilli;
     O.Released = Final;
--- a/packages/cluster/tests/AdmissionTest.cpp
+++ b/packages/cluster/tests/AdmissionTest.cpp
@@ -51,4 +51,14 @@
   BOOST_TEST(!refuse(Lasting, {48, 48 * 600'000}));
 }
 
+// Guards against callers whose tries are used up before an outage is over: five
+// tries, one a second, do not outlast six seconds.
+BOOST_AUTO_TEST_CASE(FiveTriesOutlastAnOutageOfTenSeconds) {
+  base::Millis T(1'000);
+  for (int Try = 1; Try < 5; ++Try)
+    T += returnAfterOutage(T);
+  BOOST_TEST(T.count() >= 10'000);
+  BOOST_TEST(returnAfterOutage(base::Millis(100)).count() == 1'000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -99,6 +99,8 @@
   std::set<std::string> StoreCut;   ///< Daemons whose store calls get lost.
   /// How long the control topic takes for an append, one after the other.
   std::int64_t AppendMs = 0;
+  std::int64_t ReadMs = 0; ///< How long its reads take at least.
+  unsigned Claims = 0;     ///< Appends under a new epoch that were tried.
   std::int64_t PageMs = 0; ///< How long a page of the control topic takes.
   std::size_t LinkBytesPerMs = 0; ///< Of reads of the control topic; 0: any.
   unsigned LoseAppends = 0;       ///< Answers of appends to lose.
--- a/packages/workload/include/heathersaddle/workload/Ledger.h
+++ b/packages/workload/include/heathersaddle/workload/Ledger.h
@@ -17,8 +17,10 @@
   std::string Incarnation; ///< Of the daemon's process.
   /// Where it takes requests that other daemons cannot serve; may be empty.
   std::string Address;
-  bool Released = false;     ///< The owner has stopped; take over at once.
-  std::uint64_t Beat = 0;    ///< Grows with each heartbeat.
+  bool Released = false;  ///< The owner has stopped; take over at once.
+  std::uint64_t Beat = 0; ///< Grows with each heartbeat.
+  /// How long the owner's latest append took; tells others of a slow store.
+  std::int64_t AppendMs = 0;
   std::int64_t CpuMilli = 0; ///< The owner's share of a core, in thousandths.
   std::int64_t Workers = 0;  ///< In use.
   Resources MeanCapacity;    ///< Of a worker in use.
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -254,6 +254,7 @@
                  {"a", O.Address},
                  {"r", O.Released},
                  {"b", O.Beat},
+                 {"t", O.AppendMs},
                  {"w", O.Workers},
                  {"u", O.CpuMilli},
                  {"c", O.MeanCapacity.CpuMilli},
@@ -280,6 +281,7 @@
   O.Address = R.string("a", "", MaxText);
   O.Released = R.booleanOr("r", false);
   O.Beat = static_cast<std::uint64_t>(R.integerOr("b", 0, 0, MaxMs));
+  O.AppendMs = R.integerOr("t", 0, 0, MaxMs);
   O.CpuMilli = R.integerOr("u", 0, 0, MaxMs);
   O.Workers = R.integerOr("w", 0, 0, MaxMs);
   O.MeanCapacity.CpuMilli = R.integerOr("c", 0, 0, MaxMs);
