Store callers' jobs in the owner's own append, and keep its copies alive

Change: the owner puts callers' jobs into its next append. While the store is slow a daemon does not try by itself what the owner has not answered.

Found on the way by the address sanitizer: callers were answered from a destructor; the owner now answers them when it steps down.

Tests: JobsThatComeMeanwhileAreStoredTogether and TheOwnerStays run on this path; AnAppendWithoutAnAnswerIsRepeatedSafely and AnOwnerOutlivesLostAnswers hold for copies.

--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -138,6 +138,8 @@
   /// Where a request that this daemon cannot serve may be passed on to: the
   /// owner as last known. Empty: nowhere.
   std::string peer() const;
+  /// Whether appends wait for one another, so that more of them help nobody.
+  bool storeIsSlow() const;
   /// Counts a request that was passed on.
   void passedOn();
 
--- a/packages/cluster/lib/Election.cpp
+++ b/packages/cluster/lib/Election.cpp
@@ -168,6 +168,9 @@
               {"jobs", C.Ledger.jobs().size()},
               {"next", Control.next()}});
   Own = std::make_unique<Owner>(C, ClaimEpoch, ClaimSequence);
+  Own->onStored() = [this](const Submission &S, std::uint64_t Offset) {
+    stored(S, Offset);
+  };
   Own->OnDeposed = [this](std::string_view Reason) { DeposedReason = Reason; };
   Control.setGap({});
 }
@@ -180,6 +183,7 @@
 void Node::Impl::stepDown(std::string_view Reason) {
   C.count("ownership_lost");
   C.log(401, {{"epoch", Own->epoch()}, {"reason", Reason}});
+  Own->abandonCallers();
   Own.reset();
   Control.setGap(FollowerGap);
   // The owner's state was ahead of its records; read them all again.
--- a/packages/cluster/lib/Intake.cpp
+++ b/packages/cluster/lib/Intake.cpp
@@ -80,14 +80,14 @@
   }
   // A refusal settles nothing when an earlier try had no answer.
   for (const Submission &S : Batch)
-    refuse(S, Refused && !Unanswered);
+    refuse(C, S, Refused && !Unanswered);
   if (!Refused)
     for (const Submission &S : std::exchange(Pending, {}))
-      refuse(S, true);
+      refuse(C, S, true);
   flush();
 }
 
-void Intake::refuse(const Submission &S, bool CertainlyNotStored) {
+void refuse(Core &C, const Submission &S, bool CertainlyNotStored) {
   C.count(CertainlyNotStored ? "submissions_refused_unavailable"
                              : "submissions_unresolved");
   C.log(426, {{"job", S.Job},
--- a/packages/cluster/lib/Intake.h
+++ b/packages/cluster/lib/Intake.h
@@ -16,6 +16,9 @@
   std::function<void(std::optional<Refusal>)> Done;
 };
 
+/// Tells the caller, and the log, that the job was not accepted.
+void refuse(Core &C, const Submission &S, bool CertainlyNotStored);
+
 /// Stores what callers hand in: one append under way at most, and the next one
 /// takes all that has come meanwhile.
 class Intake {
@@ -36,7 +39,6 @@
   void flush();
   void send();
   void onResult(const AppendResult &R);
-  void refuse(const Submission &S, bool CertainlyNotStored);
 
   Core &C;
   std::vector<Submission> Pending;
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -117,6 +117,9 @@
   return I->waiting(Queue);
 }
 std::string Node::peer() const { return I->peer(); }
+bool Node::storeIsSlow() const {
+  return I->C.storeIsSlow() || I->ownersAppend() >= Core::SlowAppend;
+}
 void Node::passedOn() { I->C.count("requests_passed_on"); }
 void Node::beginStop() {
   I->Stopping = true;
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -132,6 +132,12 @@
   void tick();
   /// A caller's record about this job was read.
   void jobChanged(std::string_view Job);
+  /// Stores a job that a caller has handed in, with the owner's own records.
+  void store(Submission S) { Records.add(std::move(S)); }
+  std::function<void(const Submission &, std::uint64_t Offset)> &onStored() {
+    return Records.OnStored;
+  }
+  void abandonCallers() { Records.abandonCallers(); }
   void beginStop();
   bool released() const { return Records.released(); }
   std::uint64_t epoch() const { return Epoch; }
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -84,8 +84,14 @@
   workload::Resources Total = O.MeanCapacity;
   for (const workload::Step &S : Spec.Steps)
     Work += workload::workerMs(S, Total, 1) * S.Count;
-  New.add({Spec.Id, Spec.Queue, Spec.Priority, Work, T,
-           workload::Ledger::submission(Spec), std::move(Done)});
+  Submission S{Spec.Id,        Spec.Queue, Spec.Priority,
+               Work,           T,          workload::Ledger::submission(Spec),
+               std::move(Done)};
+  // Two appends at a time would only wait for one another.
+  if (Own && !Stopping)
+    Own->store(std::move(S));
+  else
+    New.add(std::move(S));
 }
 
 void Node::Impl::stored(const Submission &S, std::uint64_t Offset) {
