--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -39,6 +39,7 @@
 SETTINGS = """node = "{name}"
 ip = "{ip}"
 zone = "dc1"
+port_range = [7000, 7015]
 [listen]
 front = "{ip}:8521"
 ready = "{ip}:8523"
