Log requests that are passed on; say in the sources who stores a job

Cause: since changes go to the owner first, the daemon that a caller reached logged nothing about a request that the owner served, so its path could not be followed from the logs.

A test for the owner's published address and length of appends.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -73,6 +73,7 @@
     {435, "work_evacuated", Info},
     {436, "checkpoint_dropped", Warning},
     {437, "worker_slow", Warning},
+    {438, "request_passed_on", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -3,6 +3,7 @@
 
 #include "heathersaddle/base/StructuredLog.h"
 #include "heathersaddle/cluster/Ports.h"
+#include "heathersaddle/cluster/Relay.h"
 #include <algorithm>
 #include <array>
 #include <functional>
@@ -140,8 +141,9 @@
   std::string peer() const;
   /// Whether appends wait for one another, so that more of them help nobody.
   bool storeIsSlow() const;
-  /// Counts a request that was passed on.
-  void passedOn();
+  /// Records what became of a request that was passed on.
+  void passedOn(std::string_view Path, std::string_view Peer, PeerAnswer How,
+                base::Millis Took);
 
   /// Hands ownership over; calls can still be made until the process ends.
   void beginStop();
--- a/packages/cluster/include/heathersaddle/cluster/Relay.h
+++ b/packages/cluster/include/heathersaddle/cluster/Relay.h
@@ -1,6 +1,8 @@
 #ifndef HEATHERSADDLE_CLUSTER_RELAY_H
 #define HEATHERSADDLE_CLUSTER_RELAY_H
 
+#include <string_view>
+
 namespace heathersaddle::cluster {
 
 /// What this daemon did about a request.
@@ -19,6 +21,21 @@
   Unknown  ///< No answer, or one that settles nothing.
 };
 
+/// As the log names it.
+constexpr std::string_view name(PeerAnswer A) {
+  switch (A) {
+  case PeerAnswer::Served:
+    return "served";
+  case PeerAnswer::Refused:
+    return "refused";
+  case PeerAnswer::Nothing:
+    return "nothing";
+  case PeerAnswer::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
 /// Whose answer the caller gets.
 enum class Tell {
   Peers,
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -120,7 +120,15 @@
 bool Node::storeIsSlow() const {
   return I->C.storeIsSlow() || I->ownersAppend() >= Core::SlowAppend;
 }
-void Node::passedOn() { I->C.count("requests_passed_on"); }
+void Node::passedOn(std::string_view Path, std::string_view Peer,
+                    PeerAnswer How, base::Millis Took) {
+  I->C.count("requests_passed_on");
+  I->C.log(438, {{"path", Path},
+                 {"peer", Peer},
+                 {"how", name(How)},
+                 {"took_ms", Took.count()},
+                 {"epoch", I->C.Ledger.owner().Epoch}});
+}
 void Node::beginStop() {
   I->Stopping = true;
   if (I->Own)
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -1,5 +1,7 @@
-// Callers are served by the daemon they reach. A submission is stored before
-// it is acknowledged; the owner reads it from the topic.
+// A submission is stored before it is acknowledged: on the owner together with
+// its own records (Writer.cpp), on another daemon by itself (Intake.cpp), which
+// is needed only when the owner could not be asked. Questions are answered from
+// the topic.
 #include "NodeImpl.h"
 #include "heathersaddle/cluster/Admission.h"
 
@@ -30,10 +32,10 @@
     C.count("submissions_repeated");
     return Done(std::nullopt);
   }
-  // A daemon that is stopping still serves the callers who reach it.
   // Load pattern: the store turns some daemons away and serves the others.
   // Callers must learn at once that nothing was done here, so that they can go
   // to a daemon that is served.
+  // A daemon that is stopping still serves the callers who reach it.
   if (Control.failing() || !Control.fresh(KnownWithin)) {
     C.count("submissions_refused_unavailable");
     C.log(426, {{"job", Spec.Id},
--- a/packages/workload/tests/LedgerTest.cpp
+++ b/packages/workload/tests/LedgerTest.cpp
@@ -155,4 +155,18 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against daemons that cannot find the owner, or take a slow store for a
+// dead owner, because a field got lost on the way.
+BOOST_AUTO_TEST_CASE(WhatTheOwnerPublishesArrives) {
+  Ownership O;
+  O.Epoch = 3;
+  O.Daemon = "a";
+  O.Address = "10.0.0.1:7000";
+  O.AppendMs = 288;
+  Ledger L;
+  BOOST_REQUIRE(L.apply(Ledger::ownership(O)).has_value());
+  BOOST_TEST(L.owner().Address == O.Address);
+  BOOST_TEST(L.owner().AppendMs == O.AppendMs);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
