Test what callers are told when the owner or the store is silent

The owner was replaced before it lost its patience, or lost it before it was replaced; each test now reaches its own path.

No fault was found.

--- a/packages/cluster/tests/StoreFailureTest.cpp
+++ b/packages/cluster/tests/StoreFailureTest.cpp
@@ -188,6 +188,48 @@
   BOOST_TEST((R->Why == Refusal::Unresolved));
 }
 
+// Guards against callers who are held until their deadline by an owner whose
+// appends are not answered, and against "not run" about a job that runs later.
+BOOST_AUTO_TEST_CASE(CallersOfTheOwnerAreToldTheTruthInTime) {
+  // Nobody takes over.
+  std::string Last = owner();
+  std::erase_if(Daemons, [&](const auto &D) { return D.first != Last; });
+  Node &O = *Daemons[Last];
+  LoseAppends = 10'000;
+  std::optional<std::optional<Refusal>> Sent;
+  std::optional<std::optional<Refusal>> Waiting;
+  O.submit(job("sent", 1, 1, 100),
+           [&](const std::optional<Refusal> &R) { Sent = R; });
+  run(450);
+  O.submit(job("waiting", 1, 1, 100),
+           [&](const std::optional<Refusal> &R) { Waiting = R; });
+  run(2'100);
+  LoseAppends = 0;
+  BOOST_REQUIRE((Sent && *Sent && Waiting && *Waiting));
+  BOOST_TEST(((*Sent)->Why == Refusal::Unresolved));
+  BOOST_TEST(((*Waiting)->Why == Refusal::Unavailable));
+  run(4'000);
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Task.Job != "waiting");
+}
+
+// Guards against callers whom nobody answers because their owner steps down.
+BOOST_AUTO_TEST_CASE(CallersOfAnOwnerThatIsReplacedAreAnsweredOnce) {
+  std::string Old = owner();
+  StoreCut.insert(Old);
+  run(600);
+  unsigned Answers = 0;
+  Daemons[Old]->submit(job("1", 1, 1, 100),
+                       [&](const std::optional<Refusal> &) { ++Answers; });
+  run(1'400);
+  StoreCut.clear();
+  BOOST_REQUIRE(runUntil([&] { return !Daemons[Old]->isOwner(); }, 500));
+  // Before it would have lost its patience with the store.
+  BOOST_TEST(Answers == 1u);
+  run(4'000);
+  BOOST_TEST(Answers == 1u);
+}
+
 // Guards against an owner that is replaced because two answers were lost.
 BOOST_AUTO_TEST_CASE(AnOwnerOutlivesLostAnswers) {
   std::string Old = owner();
