Name a step, the size of a record and the owner's silence in one place each

Change: stepOf() and storedBytes() are shared; Incoming, OwnerSilentSince; Reload is gone. No behaviour changes.

--- a/packages/cluster/lib/Core.h
+++ b/packages/cluster/lib/Core.h
@@ -9,6 +9,13 @@
 using base::Millis;
 using base::MonoTime;
 
+/// The store adds a length and the length of the key to each record.
+inline constexpr std::size_t FramingBytes = 5;
+/// What a record takes of an append.
+inline std::size_t storedBytes(const KeyValue &R) {
+  return R.Key.size() + R.Value.size() + FramingBytes;
+}
+
 /// What the parts of a node share.
 struct Core {
   Core(NodeSettings Settings, std::function<Now()> Clock,
--- a/packages/cluster/lib/Election.cpp
+++ b/packages/cluster/lib/Election.cpp
@@ -50,7 +50,7 @@
   MonoTime T = C.mono();
   if (Own || !Control.following() || Stopping) {
     ClaimAt = {};
-    OwnerSeenAt = T;
+    OwnerSilentSince = T;
     if (Stopping || !Control.following())
       Claiming = false;
     return;
@@ -63,7 +63,7 @@
       return becomeOwner();
     if (O.Epoch >= ClaimEpoch && !Ours) {
       Claiming = false;
-      OwnerSeenAt = T;
+      OwnerSilentSince = T;
     } else if (!ClaimInFlight && !ClaimedAt && T >= ClaimRetryAt) {
       claim();
     }
@@ -75,7 +75,7 @@
     OwnerHeardAt = T;
   if (Seen || !Control.fresh(ClaimFreshness)) {
     // Silence counts only while the topic can be read.
-    OwnerSeenAt = T;
+    OwnerSilentSince = T;
   }
   // The owner was an earlier life of this daemon: it has certainly ended.
   bool Ours =
@@ -91,7 +91,7 @@
                 C.Settings.CpuMilli >= LargerBy * O.CpuMilli &&
                 T - EpochSeenAt > SettleTime;
   if (!Vacant && !Larger &&
-      T - OwnerSeenAt < OwnerSilence + SlowSilence * ownersAppend()) {
+      T - OwnerSilentSince < OwnerSilence + SlowSilence * ownersAppend()) {
     ClaimAt = {};
     return;
   }
@@ -118,7 +118,7 @@
   ClaimEpoch = O.Epoch + 1;
   ClaimSequence = C.Random() >> (64 - RandomSequenceBits);
   C.log(424, {{"epoch", ClaimEpoch},
-              {"silent_ms", (T - OwnerSeenAt).count()},
+              {"silent_ms", (T - OwnerSilentSince).count()},
               {"released", O.Released}});
   claim();
 }
@@ -152,7 +152,7 @@
     // Another daemon was first; its claim is on the way.
     Claiming = false;
     ClaimRetryAt = C.mono() + LostClaimPause;
-    OwnerSeenAt = C.mono();
+    OwnerSilentSince = C.mono();
     return;
   case AppendVerdict::Refused:
   case AppendVerdict::Unresolved:
--- a/packages/cluster/lib/Intake.cpp
+++ b/packages/cluster/lib/Intake.cpp
@@ -17,8 +17,6 @@
 static constexpr Millis RetryAfter{1'000};
 /// Most jobs in one append; far more than come within the slowest one.
 static constexpr std::size_t MostTogether = 100;
-/// The store adds a length and the length of the key to each record.
-static constexpr std::size_t FramingBytes = 5;
 
 void Intake::add(Submission S) {
   Pending.push_back(std::move(S));
@@ -31,8 +29,7 @@
   std::size_t Bytes = 0;
   std::size_t Count = 0;
   while (Count < std::min(Pending.size(), MostTogether)) {
-    const KeyValue &R = Pending[Count].Record;
-    Bytes += R.Key.size() + R.Value.size() + FramingBytes;
+    Bytes += storedBytes(Pending[Count].Record);
     if (Count && Bytes > C.Settings.AppendBytes)
       break;
     ++Count;
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -14,11 +14,12 @@
 Node::Impl::Impl(NodeSettings Settings, std::function<Now()> Clock,
                  base::StructuredLog &Log)
     : C(std::move(Settings), std::move(Clock), Log),
-      Control(C, FollowerGap, ControlWait), New(C), Operator(C, OperatorGap) {
-  New.OnStored = [this](const Submission &S, std::uint64_t Offset) {
+      Control(C, FollowerGap, ControlWait), Incoming(C),
+      Operator(C, OperatorGap) {
+  Incoming.OnStored = [this](const Submission &S, std::uint64_t Offset) {
     stored(S, Offset);
   };
-  New.Unreachable = [this] { return Control.failing(); };
+  Incoming.Unreachable = [this] { return Control.failing(); };
   Control.OnReset = [this] {
     // An owner's state is ahead of the pages; it gives up before they count.
     if (Own)
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -40,12 +40,11 @@
 
   Core C;
   Tail<KeyValue> Control;
-  Intake New; ///< Jobs that are not stored yet.
+  Intake Incoming; ///< Jobs that this daemon stores by itself.
   Tail<OperatorChange> Operator;
   std::unique_ptr<Owner> Own;
   bool StoreUp = false;
   bool Stopping = false;
-  bool Reload = false; ///< The state was changed without the log.
   std::string DeposedReason;
   /// Jobs accepted here that the owner's published backlog lacks yet.
   struct Recent {
@@ -63,8 +62,8 @@
 
   // Election.
   std::uint64_t SeenOwnerRecords = 0;
-  MonoTime OwnerSeenAt{};
   MonoTime OwnerHeardAt{};      ///< Its latest record was read.
+  MonoTime OwnerSilentSince{};  ///< Later, if the topic could not be read.
   MonoTime ClaimAt{};           ///< 0: no claim planned.
   std::uint64_t OwnerEpoch = 0; ///< As last seen, and since when.
   MonoTime EpochSeenAt{};
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -30,6 +30,11 @@
 /// At least the bytes of the record of \p J's progress.
 std::size_t recordBytes(const Job &J);
 
+/// The step of a task; as for a gang, the index is 0.
+inline UnitId stepOf(const TaskName &Task) {
+  return {Task.Job, Task.Key.Occurrence, Task.Key.Step, 0};
+}
+
 /// How far a run has come on its worker.
 enum class RunStage {
   Recording, ///< Its placement is not stored yet; nothing was sent.
--- a/packages/cluster/lib/OwnerPace.cpp
+++ b/packages/cluster/lib/OwnerPace.cpp
@@ -7,10 +7,6 @@
 /// A unit whose run has a higher number is not moved off slow workers again.
 static constexpr unsigned MovesMost = 6;
 
-static UnitId stepOf(const TaskName &Task) {
-  return {Task.Job, Task.Key.Occurrence, Task.Key.Step, 0};
-}
-
 bool Owner::runsFar(const Session &S, const workload::Step &Step, const Job &J,
                     const RunId &Id) const {
   if (!Step.DataRack.empty() && Step.DataRack != S.Entry.Rack)
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -175,7 +175,7 @@
   case WorkerVerdict::NoRoom:
     return NeverRan(NoRoomAvoid, "no room");
   case WorkerVerdict::TicketInvalid:
-    Advices.erase({Id.Task.Job, Id.Task.Key.Occurrence, Id.Task.Key.Step, 0});
+    Advices.erase(stepOf(Id.Task));
     return NeverRan(Millis(0), "the ticket is not valid");
   case WorkerVerdict::Invalid:
     return NeverRan(RefusalAvoid, "the worker calls the start invalid");
@@ -410,8 +410,7 @@
   if (!Saved.empty() && T.Phase != TaskPhase::Done)
     keepCheckpoint(*J, Id.Task.Key, Saved);
   if (Why == EndReason::Failed) {
-    FailedOn[{J->Spec.Id, Id.Task.Key.Occurrence, Id.Task.Key.Step, 0}].insert(
-        S.Entry.Id);
+    FailedOn[stepOf(Id.Task)].insert(S.Entry.Id);
     if (S.FailedJobs.size() >= FailingJobs) {
       S.AvoidUntil = C.mono() + FailingAvoid;
       C.log(420, {{"worker", S.Entry.Id}, {"jobs", S.FailedJobs.size()}});
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -274,7 +274,7 @@
         if (Step.SavesProgress && R.CheckpointAt.count())
           Out.LostIfStoppedMs = (T - R.CheckpointAt).count();
         if (Step.MaxPerWorker)
-          ++F.StepTasks[{J->Spec.Id, K.Occurrence, K.Step, 0}][Id];
+          ++F.StepTasks[stepOf(Run.Task)][Id];
       }
       W.Runs.push_back(std::move(Out));
     }
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -351,10 +351,8 @@
   }
   const Job *J = C.Ledger.find(T.Task.Job);
   if (J && R.Working)
-    R.Speed.sample(
-        T.Percent, Time,
-        Rates.of({T.Task.Job, T.Task.Key.Occurrence, T.Task.Key.Step, 0},
-                 J->Spec.Queue, T.Run));
+    R.Speed.sample(T.Percent, Time,
+                   Rates.of(stepOf(T.Task), J->Spec.Queue, T.Run));
   if (T.Percent != R.Percent) {
     R.Percent = T.Percent;
     R.ProgressAt = Time;
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -93,7 +93,7 @@
   if (Own && !Stopping)
     Own->store(std::move(S));
   else
-    New.add(std::move(S));
+    Incoming.add(std::move(S));
 }
 
 void Node::Impl::stored(const Submission &S, std::uint64_t Offset) {
--- a/packages/cluster/lib/Writer.cpp
+++ b/packages/cluster/lib/Writer.cpp
@@ -23,8 +23,6 @@
 static constexpr std::size_t BatchJobs = 100;
 /// With removals, which are a few bytes each.
 static constexpr std::size_t BatchRecords = 500;
-/// The store adds a length and the length of the key to each record.
-static constexpr std::size_t FramingBytes = 5;
 /// Kept free in each append for the owner's own record and for removals.
 static constexpr std::size_t BeatBytes = 32'768;
 
@@ -35,7 +33,7 @@
   Storing.clear();
   std::size_t Left = C.Settings.AppendBytes - BeatBytes;
   auto Fits = [&](const KeyValue &R) {
-    std::size_t Bytes = R.Key.size() + R.Value.size() + FramingBytes;
+    std::size_t Bytes = storedBytes(R);
     if (Bytes > Left)
       return false;
     Left -= Bytes;
