--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,10 @@
-"""Urgent jobs come at once on a queue with advice while other work fills the
-workers. The process that gives the orders ends by itself."""
+"""An urgent job comes on a queue with advice while other work fills the
+workers. The process that gives the orders ends by itself.
+
+Two of 33 workers, H and X, are good for the step. On each of them another
+urgent task holds one GPU of eight. When the one on H ends, the other work on H
+is stopped to make room; before it has stopped, the tickets expire and new
+advice is asked for."""
 
 import asyncio
 import sys
@@ -12,10 +17,12 @@
 from deployment import CouldNotRun, main  # noqa: E402
 
 WORKERS = 33
-ALLOWED = ["i-0003", "i-0007"]
-SHORT_S = 4.0
-LONG_S = 30.0
-BEFORE_END_S = 0.3    # The urgent job comes so long before the short tasks end.
+H, X = "i-0003", "i-0007"
+OTHERS = WORKERS - 2
+URGENT_ON_H_S = 6.0   # How long the other urgent task on H works.
+SHORT_S = 4.6
+LONG_S = 60.0
+WAITS_S = 2.1         # The urgent job comes so long before that task ends.
 ROUNDS = 8
 RESTART_S = 2.5       # The platform starts a process that has ended again.
 ENDS = 3              # By rule, so many ends by itself ...
@@ -42,32 +49,38 @@
             d.record(f"{daemon.name} is started again")
 
 
-async def accepted(d, **job):
+async def accepted(d, work_s, **job):
     for daemon in d.daemons * 3:
         if daemon.has_ended():
             continue
-        name, answer = await d.submit(daemon, **job)
+        name, answer = await d.submit(daemon, work_s, **job)
         if answer is not None and answer[0] == 200:
-            return name
+            return name, job.get("queue", "q")
         await asyncio.sleep(0.3)
     raise CouldNotRun("no daemon accepts a job")
 
 
 async def one_round(d, trouble, ends):
-    short = await accepted(d, work_s=SHORT_S, tasks=WORKERS, gpu=4,
-                           max_per_server=1)
-    long = await accepted(d, work_s=LONG_S, tasks=WORKERS, gpu=4,
-                          max_per_server=1)
-    if not await wait_until(lambda: len(d.at_work(short)) == WORKERS and
-                            len(d.at_work(long)) == WORKERS, 5):
+    on_h = await accepted(d, URGENT_ON_H_S, gpu=1, queue="v", requires="h")
+    jobs = [
+        on_h,
+        await accepted(d, LONG_S, gpu=1, queue="v", requires="x"),
+        await accepted(d, LONG_S, gpu=7, requires="h"),
+        await accepted(d, SHORT_S, gpu=7, requires="x")]
+    for gpu, work_s in ((4, SHORT_S), (2, LONG_S), (2, LONG_S)):
+        jobs.append(await accepted(d, work_s, tasks=OTHERS, gpu=gpu,
+                                   requires="a", max_per_server=1))
+    count = 4 + 3 * OTHERS
+    if not await wait_until(
+            lambda: sum(len(w.runs) for w in d.workers) == count, 2.5):
         raise CouldNotRun("the workers are not filled")
-    jobs = [(short, "q"), (long, "q")]
-    begun = min(s[0]["from"] for s in d.tasks_of(short).values())
-    await asyncio.sleep(begun + SHORT_S - BEFORE_END_S - d.now())
+    begun = d.tasks_of(on_h[0])[f"{on_h[0]}.0.0.0"][0]["from"]
+    await asyncio.sleep(begun + URGENT_ON_H_S - WAITS_S - d.now())
     if trouble:
-        urgent = await accepted(d, work_s=1.0, queue="u")
-        jobs.append((urgent, "u"))
-    await asyncio.sleep(2.5)
+        jobs.append(await accepted(d, 1.0, queue="u"))
+    else:
+        d.record("no urgent job comes")
+    await asyncio.sleep(WAITS_S + 2)
     await restart_ended(d, ends)
     # Clears the workers for the next round.
     for job, queue in jobs:
@@ -95,5 +108,6 @@
 
 main(case, HERE / "record.txt", zones=["z1", "z2"],
      daemons=["z1", "z2", "z1", "z2"], cpu_shares=[0.5, 0.5, 0.12, 0.12],
-     workers=WORKERS, stop_s=0.88, bounds={"stop_ms": 900},
-     advisor=Advisor(ALLOWED, decide_ms=20, each_ms=1, valid_ms=1000))
+     workers=WORKERS, kinds={H: "h", X: "x"}, stop_s=0.88,
+     bounds={"stop_ms": 900},
+     advisor=Advisor([H, X], decide_ms=20, each_ms=1, valid_ms=3000))
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -154,7 +154,7 @@
 class Deployment:
     def __init__(self, record, zones, daemons, workers, lost_zones=0,
                  cpu_shares=None, stop_s=0.1, bounds=None, advisor=None,
-                 racks=None):
+                 racks=None, kinds=None):
         self.record_file = open(record, "w", encoding="utf-8")
         self.t0 = time.monotonic()
         self.zones, self.lost_zones = zones, lost_zones
@@ -174,6 +174,7 @@
         self.urgent_jobs = set()
         self.background = []
         self.racks = racks        # Workers a rack; one rack a zone if none.
+        self.kinds = kinds or {}  # Worker -> kind, if it is not "a".
 
     def now(self):
         return time.monotonic() - self.t0
@@ -222,17 +223,18 @@
         self.store_links[zone].set_cut(cut)
 
     def publish_config(self):
-        """Publishes a queue of usual work, /q/, and a queue of urgent work,
-        /u/, which may need advice."""
+        """Publishes a queue of usual work, /q/, and two of urgent work, of
+        which /u/ may need advice."""
         usual = {"name": "queue-1", "host": "host.example",
                  "path_prefix": "/q/", "service": "render", "priority": 1,
                  "max_attempts": 3, "stretch": 3.0, "latency_slo_ms": 60000}
         urgent = usual | {"name": "queue-0", "path_prefix": "/u/",
                           "priority": 0}
+        plain = urgent | {"name": "queue-0-plain", "path_prefix": "/v/"}
         if self.advisor:
             urgent["advice"] = self.advisor.timing
         self.store.put("keyed.op", "config", {
-            "version": 1, "routes": [usual, urgent],
+            "version": 1, "routes": [usual, urgent, plain],
             "services": [{"name": "render", "enforces_capacity": True}],
             "limits": {},
             "tenants": [{"name": "t1", "api_keys": ["key-1"],
@@ -264,7 +266,9 @@
         for n in range(self.worker_count):
             zone = self.zones[n % len(self.zones)]
             rack = f"r-{n // self.racks}" if self.racks else f"r-{zone}"
-            worker = Worker(self, f"i-{n:04x}", zone, rack, self.link)
+            name = f"i-{n:04x}"
+            worker = Worker(self, name, zone, rack,
+                            self.kinds.get(name, "a"), self.link)
             await worker.start()
             self.workers.append(worker)
             self.store.put("keyed.servers", worker.name, worker.entry())
@@ -333,7 +337,7 @@
     # Clients.
 
     async def submit(self, daemon, work_s, tasks=1, gpu=8, queue="q",
-                     max_per_server=0, long_running=False):
+                     max_per_server=0, long_running=False, requires=""):
         """Submits a job; returns its id and the answer or None."""
         job = f"{random.getrandbits(64):016x}"
         if queue == "u":
@@ -342,6 +346,8 @@
                 "gpu": gpu, "estimate_ms": int(work_s * 1000)}
         if max_per_server:
             step["max_per_server"] = max_per_server
+        if requires:
+            step["requires"] = requires
         if long_running:
             step["long_running"] = True
         self.needs[job] = {k: step[k] for k in ("cpu", "mem_mb", "gpu")}
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -18,10 +18,11 @@
 
 
 class Worker:
-    def __init__(self, deployment, name, zone, rack, link_of_zone):
+    def __init__(self, deployment, name, zone, rack, kind, link_of_zone):
         self.deployment = deployment
         self.bounds = deployment.bounds
-        self.name, self.zone, self.rack = name, zone, rack
+        self.name, self.zone = name, zone
+        self.labels = [kind, rack]
         self.capacity = {"cpu": 64000, "mem_mb": 262144, "gpu": 8}
         self.born = int(time.time() * 1000)
         self.started_at = time.monotonic()
@@ -44,7 +45,7 @@
         return {"service": "render", "addr": "", "zone": self.zone,
                 "version": "v1", "slots": 8, "state": "ready",
                 "cold_left_ms": 0, "seq": 1, "born": self.born,
-                "capacity": self.capacity, "labels": ["a", self.rack]}
+                "capacity": self.capacity, "labels": self.labels}
 
     def clock(self):
         return int((time.monotonic() - self.started_at) * 1000)
