Bound the time for which free room is kept from waiting work

Cause: free room is hidden from waiting work by rules of which each has its own end or none: racks kept for urgent work, reservations of gangs, the wait for the rack with the data or for a single rack, and the avoidance of workers that failed. IdlePool lifted some of them, but only if half of each resource stayed free beside the unit, after up to the estimated run time, never for avoided workers and never for long-running tasks on a pool that is in use.

Change: one rule, dispatch/KeptRoom. While under half of the capacity of the service is in use, work that has waited for 1 s may use room that is kept for other work, and after 2 s any room in which it fits, with avoided and slow workers last. For long-running tasks it holds however full the pool is. The wait is also counted by the owner's steady clock, as the wall clock may jump. Avoided workers are no longer taken for unusable ones; work_waits names `workers_avoided`.

WorkStartsAlthoughAllWorkersAreAvoided fails on the old code.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -281,6 +281,8 @@
   dispatch::UsualRates Rates;
   std::set<std::string, std::less<>> UnfinishedJobs;
   std::set<std::string, std::less<>> GuaranteedJobs;
+  /// Since when each step has had tasks that wait without a break.
+  std::map<UnitId, MonoTime> WaitingSince;
   /// Workers on which a task of the step has failed.
   std::map<UnitId, std::set<std::string>> FailedWorkers;
   double UrgentDemand = 0; ///< In GPUs; decays exponentially.
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -119,6 +119,7 @@
 
 std::vector<dispatch::WaitingTasks> Owner::buildQueue(std::int64_t NowMs) {
   std::vector<dispatch::WaitingTasks> Queue;
+  auto SeenBefore = std::exchange(WaitingSince, {});
   for (const std::string &Id : UnfinishedJobs) {
     const Job &J = *Shared.Ledger.find(Id);
     std::vector<std::int64_t> ChainBefore(J.Spec.Steps.size(), 0);
@@ -157,6 +158,12 @@
         W.Occurrence = K;
         W.Step = S;
         W.DueMs = std::min(Due, NowMs);
+        UnitId StepId{Id, K, S, 0};
+        auto Seen = SeenBefore.find(StepId);
+        MonoTime Since =
+            Seen == SeenBefore.end() ? Shared.mono() : Seen->second;
+        WaitingSince.emplace(StepId, Since);
+        W.SeenWaitingMs = (Shared.mono() - Since).count();
         W.ObjectiveMs = W.DueMs + J.Spec.objectiveMs();
         W.RemainingMs = LongestChain - ChainBefore[S];
         if (auto It = FailedWorkers.find({Id, K, S, 0});
@@ -250,8 +257,9 @@
     W.Labels = S.Entry.Labels;
     W.Capacity = S.Entry.Capacity;
     W.Free = S.Entry.Capacity;
-    W.Usable = S.Listed && S.Synced && S.ClockMs >= 0 && !S.Entry.Draining &&
-               T >= S.AvoidUntil && !S.Entry.Address.empty();
+    W.Usable = S.Listed && S.Synced && S.ClockMs >= 0 && !S.SyncFailures &&
+               !S.Entry.Draining && !S.Entry.Address.empty();
+    W.Avoided = T < S.AvoidUntil;
     if (S.Slowness.isSlow(T))
       W.Condition = dispatch::WorkerCondition::Slow;
     else if (S.FailedJobs.size() >= FailingWorkerJobs ||
--- a/packages/cluster/tests/WorkerFailureTest.cpp
+++ b/packages/cluster/tests/WorkerFailureTest.cpp
@@ -411,6 +411,24 @@
   BOOST_TEST((Starts.begin()->second == 3u));
 }
 
+// Guards against accepted work that waits beside free workers: all of them were
+// avoided for seconds, as runs of several jobs had failed on them.
+BOOST_AUTO_TEST_CASE(WorkStartsAlthoughAllWorkersAreAvoided) {
+  for (auto &[Id, W] : Workers)
+    W.FailsEveryRun = true;
+  for (const char *Id : {"1", "2", "3", "4"}) {
+    auto J = job(Id, 24, 1, 500);
+    J.MaxAttempts = 20;
+    BOOST_TEST(!submit(anyDaemon(), J));
+  }
+  run(1'000);
+  for (auto &[Id, W] : Workers)
+    W.FailsEveryRun = false;
+  BOOST_TEST(!submit(anyDaemon(), job("5", 1, 1, 500)));
+  TaskName Task{"5", {0, 0, 0}};
+  BOOST_TEST(runUntil([&] { return Starts.contains(Task); }, 3'000));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/dispatch/include/heathersaddle/dispatch/Fleet.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Fleet.h
@@ -63,6 +63,8 @@
   Resources Capacity;
   Resources Free;      ///< Capacity minus Allocations, also of stopping work.
   bool Usable = false; ///< May receive new work.
+  /// Failed or refused runs lately; gets work only if that has waited for long.
+  bool Avoided = false;
   WorkerCondition Condition = WorkerCondition::Healthy;
   std::vector<Allocation> Allocations;
 
--- a/packages/dispatch/include/heathersaddle/dispatch/Planner.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Planner.h
@@ -16,6 +16,8 @@
   unsigned Step = 0;
   std::vector<unsigned> Tasks; ///< Indices; all of a gang are placed together.
   std::int64_t DueMs = 0; ///< Earliest time at which it could have started.
+  /// How long it has been seen waiting, by a clock that does not jump.
+  std::int64_t SeenWaitingMs = 0;
   std::int64_t ObjectiveMs = 0; ///< When it must end for full credit.
   /// Estimated time from its start to the end of the occurrence.
   std::int64_t RemainingMs = 0;
@@ -26,6 +28,12 @@
   /// The workers that may run it, with their tickets; null: any worker.
   const std::map<std::string, std::string> *AllowedWorkers = nullptr;
 
+  // Set by the planner; see KeptRoom.cpp.
+  /// May use room that is kept for other work.
+  bool MayUseKeptRoom = false;
+  /// May also use workers that are avoided, and racks that do not suit it.
+  bool MayUseAnyRoom = false;
+
   const workload::Step &step() const { return Job->Spec.Steps[Step]; }
 };
 
@@ -39,6 +47,7 @@
 enum class WaitReason {
   NoWorkerAllowed, ///< No usable worker may run the step.
   NoRoom,          ///< The free room is too small, or split too finely.
+  WorkersAvoided,  ///< It would fit on workers that failed lately.
   NoRack,          ///< It would fit on several racks, but on no single one.
   KeptForOthers    ///< The room is kept for urgent work or reserved for a gang.
 };
--- a/packages/dispatch/lib/KeptRoom.cpp
+++ b/packages/dispatch/lib/KeptRoom.cpp
@@ -1,42 +1,56 @@
-// Load pattern: the traffic ebbs away, and gangs are left that were stopped for
-// urgent work or that never found a free rack.
+// Load pattern: the traffic ebbs away or workers fail in turn, and accepted
+// work is left that finds no room although most of the pool is free.
 //
-// What is kept for urgent work, reserved for gangs or required of a rack pays
-// only while the pool is contended. Long after the last urgent job, its usual
-// need still kept racks idle, and gangs waited for a minute beside a free pool.
-// While at least half of the pool stays free, later urgent work finds room
-// anyway.
-#include "IdlePool.h"
+// Free room is kept from work for several reasons: racks for urgent work,
+// reservations of gangs, workers that failed lately, and the preference for the
+// rack with the data or for a single rack. All of them pay only while the pool
+// is contended, and each may hide most of it: the usual need of urgent work is
+// remembered long after the last urgent job, and a few bad jobs make many
+// workers fail. So one rule bounds them all. While under half of the pool is in
+// use, work that has waited for a while may use room that is kept for other
+// work, and a little later any room in which it fits. Later urgent work then
+// still finds room or stops something. Callers are promised that long-running
+// tasks are started again however full the pool is, so for these the rule holds
+// at any time.
+#include "KeptRoom.h"
 #include <algorithm>
 
 namespace heathersaddle::dispatch {
 
-static constexpr std::int64_t IdleShareDivisor = 2;
 /// New work waits this long, as room may be about to become free elsewhere.
-static constexpr std::int64_t MinIdleWaitMs = 1'000;
+static constexpr std::int64_t KeptRoomWaitMs = 1'000;
+/// Callers are promised that work starts within 3 s while there is room. The
+/// difference covers the next plan and a start that is refused.
+static constexpr std::int64_t AnyRoomWaitMs = 2'000;
 
-bool waitsOnIdlePool(const Fleet &F, const FreeResources &Free,
-                     const WaitingTasks &W, std::int64_t NowMs) {
-  if (NowMs - W.DueMs < MinIdleWaitMs)
-    return false;
-  Resources Total;
-  Resources Left;
+std::int64_t waitedMs(const WaitingTasks &W, std::int64_t NowMs) {
+  return std::max(NowMs - W.DueMs, W.SeenWaitingMs);
+}
+
+/// Whether under half of the capacity of the service is in use. GPUs and cores
+/// are weighted as in the cost of lost work.
+static bool isMostlyFree(const Fleet &F, const FreeResources &Free,
+                         std::string_view Service) {
+  double Capacity = 0;
+  double Left = 0;
   for (std::size_t N = 0; N < F.Workers.size(); ++N) {
-    if (!F.Workers[N].Usable)
+    const Worker &On = F.Workers[N];
+    if (!On.Usable || On.Service != Service)
       continue;
-    Total += F.Workers[N].Capacity;
-    Left += {std::max<std::int64_t>(0, Free[N].CpuMilli),
-             std::max<std::int64_t>(0, Free[N].MemoryMb),
-             std::max<std::int64_t>(0, Free[N].Gpus)};
+    Capacity += weightedCores(On.Capacity);
+    Left += weightedCores({std::max<std::int64_t>(0, Free[N].CpuMilli), 0,
+                           std::max<std::int64_t>(0, Free[N].Gpus)});
   }
-  Resources Need = W.step().room();
-  auto Count = static_cast<std::int64_t>(W.step().Gang ? W.Tasks.size()
-                                                       : std::size_t{1});
-  Left -= {Need.CpuMilli * Count, Need.MemoryMb * Count, Need.Gpus * Count};
-  Resources Kept{Total.CpuMilli / IdleShareDivisor,
-                 Total.MemoryMb / IdleShareDivisor,
-                 Total.Gpus / IdleShareDivisor};
-  return Kept.fitsIn(Left);
+  return 2 * Left > Capacity;
+}
+
+void limitKeptRoom(const Fleet &F, const FreeResources &Free, WaitingTasks &W,
+                   std::int64_t NowMs) {
+  std::int64_t Waited = waitedMs(W, NowMs);
+  W.MayUseKeptRoom =
+      Waited >= KeptRoomWaitMs &&
+      (W.step().LongRunning || isMostlyFree(F, Free, W.Job->Spec.Service));
+  W.MayUseAnyRoom = W.MayUseKeptRoom && Waited >= AnyRoomWaitMs;
 }
 
 } // namespace heathersaddle::dispatch
--- a/packages/dispatch/lib/Packing.cpp
+++ b/packages/dispatch/lib/Packing.cpp
@@ -19,10 +19,10 @@
 }
 
 int penalty(const Worker &On, const WaitingTasks &W) {
+  constexpr int Worst = static_cast<int>(WorkerCondition::Slow) + 1;
   return static_cast<int>(On.Condition) +
-         (W.AvoidedWorkers.contains(On.Id)
-              ? static_cast<int>(WorkerCondition::Slow) + 1
-              : 0);
+         (W.AvoidedWorkers.contains(On.Id) ? Worst : 0) +
+         (On.Avoided ? 2 * Worst : 0);
 }
 
 bool isDegraded(const Worker &On, const WaitingTasks &W) {
@@ -75,15 +75,17 @@
   UnitId Limited;
   if (W.AllowedWorkers)
     Limited = {W.Job->Spec.Id, W.Occurrence, W.Step, 0};
-  auto [It, New] = Kinds.try_emplace(
-      std::make_tuple(W.Job->Spec.Service, W.step().RequiredLabel, Limited),
-      Kind());
+  auto [It, New] = Kinds.try_emplace(std::make_tuple(W.Job->Spec.Service,
+                                                     W.step().RequiredLabel,
+                                                     Limited, W.MayUseAnyRoom),
+                                     Kind());
   if (!New)
     return It->second;
   std::map<std::string_view, std::size_t> Index;
   for (std::size_t N = 0; N < CurrentFleet.Workers.size(); ++N) {
     const Worker &On = CurrentFleet.Workers[N];
     if (!allowed(On, W.Job->Spec, W.step()) ||
+        (On.Avoided && !W.MayUseAnyRoom) ||
         (W.AllowedWorkers && !W.AllowedWorkers->contains(On.Id)))
       continue;
     auto [At, First] = Index.try_emplace(On.Rack, It->second.ByRack.size());
--- a/packages/dispatch/lib/Packing.h
+++ b/packages/dispatch/lib/Packing.h
@@ -45,9 +45,9 @@
   };
   Kind &kind(const WaitingTasks &W);
   const Fleet &CurrentFleet;
-  /// By service, required label and, if only some workers may run the step, the
-  /// step itself.
-  std::map<std::tuple<std::string, std::string, UnitId>, Kind> Kinds;
+  /// By service, required label, if only some workers may run the step, the
+  /// step itself, and whether avoided workers may be used.
+  std::map<std::tuple<std::string, std::string, UnitId, bool>, Kind> Kinds;
 };
 
 /// Places a whole gang; empty if it does not fit. The rack with its data is
--- a/packages/dispatch/lib/Planner.cpp
+++ b/packages/dispatch/lib/Planner.cpp
@@ -4,7 +4,7 @@
 // held (Victims.cpp). The first few other gangs that do not fit get a
 // reservation (Reserve.cpp).
 #include "heathersaddle/dispatch/Planner.h"
-#include "IdlePool.h"
+#include "KeptRoom.h"
 #include "Packing.h"
 #include "Reserve.h"
 #include "UrgentRacks.h"
@@ -50,6 +50,7 @@
   void consider(WaitingTasks &W) {
     bool Urgent = W.Job->Spec.Priority == 0;
     std::size_t PlacedBefore = Result.Placements.size();
+    limitKeptRoom(CurrentFleet, Free, W, NowMs);
     if (W.step().Gang)
       placeGang(W, Urgent);
     else
@@ -85,11 +86,12 @@
                                 [CurrentFleet.Workers[N].Id];
     Result.Placements.push_back({&W, std::move(Tasks), std::move(Where)});
   }
-  /// Free room without the workers that \p W may not use: those kept for urgent
-  /// work, and those with a reservation that starts before \p W would end.
+  /// Free room without the workers that \p W may not use yet: those kept for
+  /// urgent work, and those with a reservation that starts before \p W would
+  /// end.
   FreeResources roomFor(const WaitingTasks &W, bool Urgent) const {
     FreeResources Left = Free;
-    if (Urgent || waitsOnIdlePool(CurrentFleet, Free, W, NowMs))
+    if (Urgent || W.MayUseKeptRoom)
       return Left;
     for (std::size_t N = 0; N < Left.size(); ++N)
       if ((InUrgentRack[N] && !mayUseUrgentRacks(W)) ||
@@ -116,10 +118,11 @@
     }
     bool MaySpread = !W.step().SameRack ||
                      !fitsOneEmptyRack(CurrentFleet, RackIndex, W) ||
-                     (NowMs - W.DueMs > W.step().EstimateMs &&
-                      waitsOnIdlePool(CurrentFleet, Free, W, NowMs));
+                     W.MayUseAnyRoom;
     FreeResources Available = roomFor(W, Urgent);
     auto Where = packWithoutDegraded(Available, W, MaySpread);
+    if (Where.empty() && W.MayUseAnyRoom)
+      Where = packGang(CurrentFleet, RackIndex, Available, W, MaySpread);
     if (!Where.empty()) {
       if (Held != Holds.end())
         Holds.erase(Held);
@@ -275,9 +278,10 @@
       if (DataRack)
         Where =
             pack(CurrentFleet, Available, DataRack->Members, W, W.Tasks.size());
-      bool WaitsForRack = DataRack && static_cast<double>(NowMs - W.DueMs) <
-                                          DataRackWaitFactor *
-                                              static_cast<double>(S.EstimateMs);
+      bool WaitsForRack =
+          DataRack && !W.MayUseAnyRoom &&
+          static_cast<double>(NowMs - W.DueMs) <
+              DataRackWaitFactor * static_cast<double>(S.EstimateMs);
       if (Where.size() < W.Tasks.size() && !WaitsForRack) {
         auto More = pack(CurrentFleet, Available, RackIndex.workersFor(W), W,
                          W.Tasks.size() - Where.size());
@@ -339,7 +343,8 @@
       return false;
     for (std::size_t T = 0; T < H.Workers.size(); ++T) {
       auto It = Index.find(H.WorkerIds[T]);
-      if (It == Index.end() || !F.Workers[It->second].Usable)
+      if (It == Index.end() || !F.Workers[It->second].Usable ||
+          F.Workers[It->second].Avoided)
         return false;
       H.Workers[T] = It->second;
     }
--- a/packages/dispatch/lib/UrgentRacks.cpp
+++ b/packages/dispatch/lib/UrgentRacks.cpp
@@ -20,7 +20,7 @@
   std::map<std::string_view, std::int64_t> Racks;
   std::int64_t Total = 0;
   for (const Worker &W : F.Workers)
-    if (W.Usable) {
+    if (W.Usable && !W.Avoided) {
       Racks[W.Rack] += W.Capacity.Gpus;
       Total += W.Capacity.Gpus;
     }
--- a/packages/dispatch/lib/Waits.cpp
+++ b/packages/dispatch/lib/Waits.cpp
@@ -1,6 +1,6 @@
 // Explains a wait by trying the placement again with one rule less at a time:
-// first without the requirement of a single rack, then without the workers that
-// are kept for other work.
+// without the avoidance of workers that failed lately, without the requirement
+// of a single rack, and without the workers that are kept for other work.
 #include "Waits.h"
 
 namespace heathersaddle::dispatch {
@@ -14,10 +14,14 @@
 
 WaitReason explainWait(const Fleet &F, Racks &R, const FreeResources &Free,
                        const FreeResources &Available, const WaitingTasks &W) {
-  if (R.workersFor(W).empty())
+  WaitingTasks OnAnyWorker = W;
+  OnAnyWorker.MayUseAnyRoom = true;
+  if (R.workersFor(OnAnyWorker).empty())
     return WaitReason::NoWorkerAllowed;
-  if (!fits(F, R, Free, W, true))
+  if (!fits(F, R, Free, OnAnyWorker, true))
     return WaitReason::NoRoom;
+  if (!fits(F, R, Free, W, true))
+    return WaitReason::WorkersAvoided;
   if (fits(F, R, Available, W, true))
     return WaitReason::NoRack;
   return WaitReason::KeptForOthers;
@@ -29,6 +33,8 @@
     return "no_worker_allowed";
   case WaitReason::NoRoom:
     return "no_room";
+  case WaitReason::WorkersAvoided:
+    return "workers_avoided";
   case WaitReason::NoRack:
     return "no_rack";
   case WaitReason::KeptForOthers:
