Read pages of the store in which a key is not text

Callers saw: a daemon that started, or reread a topic, while one key in it was not UTF-8 never got past that page: it did not become ready, and as the owner saw no workers. Cause: the whole page was rejected as invalid JSON, and the fault was not logged. Evidence: PageWithAKeyThatIsNotTextIsRead failed before (the page had no value) and passes now. PageWithAnOddEntryIsReadToItsEnd and BatchWithAnOddEntryIsReadToItsEnd (nesting of 10,000 levels, 1e400, 2^64, bytes that aren't text, 1 MB) passed when they were written: they are guards.

--- a/packages/base/include/heathersaddle/base/Json.h
+++ b/packages/base/include/heathersaddle/base/Json.h
@@ -11,9 +11,13 @@
 
 namespace heathersaddle::base {
 
+/// Whether strings may hold bytes that are not UTF-8.
+enum class JsonStrings { Utf8, AnyBytes };
+
 /// Parses \p Text; nesting is limited to 32 levels.
 Expected<boost::json::value> parseJson(std::string_view Text,
-                                       std::string_view Step);
+                                       std::string_view Step,
+                                       JsonStrings Strings = JsonStrings::Utf8);
 
 /// Reads the fields of one JSON object and keeps the first error.
 ///
--- a/packages/base/lib/Json.cpp
+++ b/packages/base/lib/Json.cpp
@@ -5,9 +5,11 @@
 
 namespace json = boost::json;
 
-Expected<json::value> parseJson(std::string_view Text, std::string_view Step) {
+Expected<json::value> parseJson(std::string_view Text, std::string_view Step,
+                                JsonStrings Strings) {
   json::parse_options Options;
   Options.max_depth = 32;
+  Options.allow_invalid_utf8 = Strings == JsonStrings::AnyBytes;
   boost::system::error_code Ec;
   json::value Value =
       json::parse(json::string_view(Text.data(), Text.size()), Ec, {}, Options);
