Place held units only on workers that the step may use

Cause: a hold was kept while its workers were listed and usable; whether the step may use them (ticket, service, label) was asked only when a place was searched for. The owner took the ticket with at().

Change: a hold is dropped when one of its workers may no longer run the step, by the same function that selects workers for all other placements. The owner checks each placement before it changes anything and leaves out one that can't be carried out, with a log line (440 placement_refused).

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -263,6 +263,9 @@
   std::vector<dispatch::WaitingTasks> buildQueue(std::int64_t NowMs);
   std::int64_t urgentDemand();
   void markGuaranteed(std::vector<dispatch::WaitingTasks> &Queue);
+  /// Why the placement can't be carried out; empty if it can.
+  std::string_view faultOf(const dispatch::TaskPlacement &P,
+                           const dispatch::Fleet &Fleet) const;
   void applyPlan(const dispatch::Plan &Plan, const dispatch::Fleet &Fleet);
   void publishLoad(workload::Ownership &O) const;
   void removeExpiredJobs();
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -301,9 +301,40 @@
   return F;
 }
 
+std::string_view Owner::faultOf(const dispatch::TaskPlacement &P,
+                                const dispatch::Fleet &Fleet) const {
+  const Job *J = Shared.Ledger.find(P.Work->Job->Spec.Id);
+  if (!J || J->ended())
+    return "its job has ended";
+  if (P.Workers.size() != P.Tasks.size())
+    return "it has no worker for each task";
+  for (std::size_t N = 0; N < P.Tasks.size(); ++N) {
+    TaskKey K{P.Work->Occurrence, P.Work->Step, P.Tasks[N]};
+    if (J->task(K).Phase != TaskPhase::Waiting)
+      return "a task does not wait";
+    if (P.Workers[N] >= Fleet.Workers.size())
+      return "a worker is unknown";
+    const std::string &Worker = Fleet.Workers[P.Workers[N]].Id;
+    if (!Sessions.contains(Worker))
+      return "a worker has no session";
+    if (P.Work->AllowedWorkers && !P.Work->AllowedWorkers->contains(Worker))
+      return "a worker has no ticket";
+  }
+  return {};
+}
+
 void Owner::applyPlan(const dispatch::Plan &Plan,
                       const dispatch::Fleet &Fleet) {
   for (const dispatch::TaskPlacement &P : Plan.Placements) {
+    if (auto Fault = faultOf(P, Fleet); !Fault.empty()) {
+      Shared.count("placements_refused");
+      Shared.log(440, {{"job", P.Work->Job->Spec.Id},
+                       {"occurrence", P.Work->Occurrence},
+                       {"step", P.Work->Step},
+                       {"tasks", P.Tasks.size()},
+                       {"reason", Fault}});
+      continue;
+    }
     Job &J = *Shared.Ledger.find(P.Work->Job->Spec.Id);
     const workload::Step &Step = J.Spec.Steps[P.Work->Step];
     std::string WorkerIds;
@@ -328,7 +359,7 @@
       R.PlacedAt = Shared.mono();
       R.ProgressAt = R.PlacedAt;
       if (P.Work->AllowedWorkers)
-        R.Ticket = P.Work->AllowedWorkers->at(Worker);
+        R.Ticket = P.Work->AllowedWorkers->find(Worker)->second;
       S.Runs.emplace(Id, std::move(R));
       RecordWriter.afterStored([this, Worker, Id] { sendStart(Worker, Id); });
     }
--- a/packages/cluster/tests/NormalOperationTest.cpp
+++ b/packages/cluster/tests/NormalOperationTest.cpp
@@ -107,6 +107,48 @@
   BOOST_TEST(TicketsRefused == 0u);
 }
 
+// Guards against an owner that ends by itself when the tickets of an urgent
+// task expire while work is stopped for it, and the new ones name another
+// worker.
+BOOST_AUTO_TEST_CASE(OwnerSurvivesAHoldWhoseTicketExpires) {
+  addWorker("h", "rh").StopDurationMs = 450;
+  addWorker("x", "rx");
+  run(200);
+  auto Submit = [&](const std::string &Id, unsigned Priority, std::int64_t Gpus,
+                    std::int64_t Work, const std::string &Label) {
+    auto J = job(Id, 1, Gpus, Work);
+    J.Priority = Priority;
+    J.Account = "";
+    J.Steps[0].RequiredLabel = Label;
+    BOOST_TEST(!submit(anyDaemon(), J));
+  };
+  Submit("x", 0, 8, 20'000, "rx");
+  Submit("urgent-on-h", 0, 1, 2'400, "rh");
+  Submit("other-on-h", 1, 7, 20'000, "rh");
+  run(150);
+  BOOST_REQUIRE(Workers["h"].Runs.size() == 2u);
+  AllowedWorkers = {"h"};
+  auto J = job("1", 1, 8, 300);
+  J.Priority = 0;
+  J.Account = "";
+  J.NeedsAdvice = true;
+  JobsNeedingTicket = {"1"};
+  BOOST_TEST(!submit(anyDaemon(), J));
+  BOOST_REQUIRE(runUntil(
+      [&] {
+        const auto &Runs = Workers["h"].Runs;
+        return Runs.size() == 1 && Runs[0].StopAtMs >= 0;
+      },
+      3'000));
+  AllowedWorkers = {"x"};
+  BOOST_REQUIRE(runUntil([&] { return Workers["h"].Runs.empty(); }, 2'000));
+  run(100);
+  BOOST_TEST(TicketsRefused == 0u);
+  AllowedWorkers = {"h", "x"};
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 9'000));
+}
+
 // Guards against a daemon that returns to an older version of the
 // configuration.
 BOOST_AUTO_TEST_CASE(OlderConfigurationIsIgnored) {
--- a/packages/dispatch/lib/Packing.cpp
+++ b/packages/dispatch/lib/Packing.cpp
@@ -18,6 +18,11 @@
          (S.RequiredLabel.empty() || W.hasLabel(S.RequiredLabel));
 }
 
+bool allowed(const Worker &On, const WaitingTasks &W) {
+  return allowed(On, W.Job->Spec, W.step()) &&
+         (!W.AllowedWorkers || W.AllowedWorkers->contains(On.Id));
+}
+
 int penalty(const Worker &On, const WaitingTasks &W) {
   constexpr int Worst = static_cast<int>(WorkerCondition::Slow) + 1;
   return static_cast<int>(On.Condition) +
@@ -84,9 +89,7 @@
   std::map<std::string_view, std::size_t> Index;
   for (std::size_t N = 0; N < CurrentFleet.Workers.size(); ++N) {
     const Worker &On = CurrentFleet.Workers[N];
-    if (!allowed(On, W.Job->Spec, W.step()) ||
-        (On.Avoided && !W.MayUseAnyRoom) ||
-        (W.AllowedWorkers && !W.AllowedWorkers->contains(On.Id)))
+    if (!allowed(On, W) || (On.Avoided && !W.MayUseAnyRoom))
       continue;
     auto [At, First] = Index.try_emplace(On.Rack, It->second.ByRack.size());
     if (First)
--- a/packages/dispatch/lib/Packing.h
+++ b/packages/dispatch/lib/Packing.h
@@ -11,6 +11,8 @@
 /// Whether the worker may run tasks of the step.
 bool allowed(const Worker &W, const workload::JobSpec &Spec,
              const workload::Step &S);
+/// As above; if only some workers may run the step, \p On must be one of them.
+bool allowed(const Worker &On, const WaitingTasks &W);
 
 /// Penalty of the worker for this step; 0 if nothing speaks against it.
 int penalty(const Worker &On, const WaitingTasks &W);
--- a/packages/dispatch/lib/Planner.cpp
+++ b/packages/dispatch/lib/Planner.cpp
@@ -337,14 +337,16 @@
         Urgent[{W.Job->Spec.Id, W.Occurrence, W.Step,
                 W.step().Gang ? 0 : Index}] = &W;
   // Drops holds that have expired, whose unit no longer waits, or whose workers
-  // are gone or unusable.
+  // are gone, avoided, or may no longer run the step: a worker may drain, and
+  // its ticket may have expired.
   auto StillValid = [&](Hold &H) {
-    if (!Urgent.contains(H.Unit) || H.UntilMs <= NowMs)
+    auto Waiting = Urgent.find(H.Unit);
+    if (Waiting == Urgent.end() || H.UntilMs <= NowMs)
       return false;
     for (std::size_t T = 0; T < H.Workers.size(); ++T) {
       auto It = Index.find(H.WorkerIds[T]);
-      if (It == Index.end() || !F.Workers[It->second].Usable ||
-          F.Workers[It->second].Avoided)
+      if (It == Index.end() || F.Workers[It->second].Avoided ||
+          !allowed(F.Workers[It->second], *Waiting->second))
         return false;
       H.Workers[T] = It->second;
     }
--- a/packages/dispatch/tests/PlannerTest.cpp
+++ b/packages/dispatch/tests/PlannerTest.cpp
@@ -235,6 +235,53 @@
   BOOST_TEST(Stopped == 16u);
 }
 
+// Guards against a unit that is placed on the worker that is held for it after
+// its ticket for that worker has expired.
+BOOST_AUTO_TEST_CASE(HeldWorkerWithoutATicketGetsNothing) {
+  for (bool Gang : {false, true}) {
+    BOOST_TEST_CONTEXT("gang: " << Gang) {
+      CurrentFleet = {};
+      Queue.clear();
+      Jobs.clear();
+      addRack("r1", 2);
+      occupy(0, "x", 8);
+      occupy(1, "y", 8, 0);
+      std::map<std::string, std::string> Tickets{{"r1-0", "ticket"}};
+      auto &W = wait(addJob("a", 0, 1, 8, Gang));
+      W.AllowedWorkers = &Tickets;
+      BOOST_TEST(plan().Stops.size() == 1u);
+      Worker &Held = CurrentFleet.Workers[0];
+      Held.Allocations.clear();
+      Held.Free = Held.Capacity;
+      Tickets = {{"r1-1", "ticket"}};
+      Queue[0].Tasks = {0};
+      BOOST_TEST(plan().Placements.empty());
+      // Its room is free for other work.
+      wait(addJob("b", 1, 1, 8, false));
+      auto Next = plan();
+      BOOST_REQUIRE(Next.Placements.size() == 1u);
+      BOOST_TEST(Next.Placements[0].Work->Job->Spec.Id == "b");
+    }
+  }
+}
+
+// Guards against a unit that is placed on the worker that is held for it after
+// that has lost a label that the step requires.
+BOOST_AUTO_TEST_CASE(HeldWorkerWithoutTheRequiredLabelGetsNothing) {
+  addRack("r1", 1);
+  occupy(0, "x", 8);
+  auto &J = addJob("a", 0, 1, 8, false);
+  J.Spec.Steps[0].RequiredLabel = "a";
+  wait(J);
+  BOOST_TEST(plan().Stops.size() == 1u);
+  Worker &Held = CurrentFleet.Workers[0];
+  Held.Allocations.clear();
+  Held.Free = Held.Capacity;
+  Held.Labels.clear();
+  Queue[0].Tasks = {0};
+  BOOST_TEST(plan().Placements.empty());
+}
+
 // Guards against urgent work that stops guaranteed work of another account.
 BOOST_AUTO_TEST_CASE(GuaranteedWorkIsNeverStopped) {
   addRack("r1", 1);
