Judge by its scarcest resource whether a pool is mostly free

Kept room was opened while under half of the weighted capacity was in use, also where GPUs had run out.

The rule now needs under half of each resource in use; a pool without GPUs is judged by the others.

--- a/packages/dispatch/lib/KeptRoom.cpp
+++ b/packages/dispatch/lib/KeptRoom.cpp
@@ -6,12 +6,12 @@
 // rack with the data or for a single rack. All of them pay only while the pool
 // is contended, and each may hide most of it: the usual need of urgent work is
 // remembered long after the last urgent job, and a few bad jobs make many
-// workers fail. So one rule bounds them all. While under half of the pool is in
-// use, work that has waited for a while may use room that is kept for other
-// work, and a little later any room in which it fits. Later urgent work then
-// still finds room or stops something. Callers are promised that long-running
-// tasks are started again however full the pool is, so for these the rule holds
-// at any time.
+// workers fail. So one rule bounds them all. While under half of each resource
+// is in use, work that has waited for a while may use room that is kept for
+// other work, and a little later any room in which it fits. Later urgent work
+// then still finds room or stops something. Callers are promised that
+// long-running tasks are started again however full the pool is, so for these
+// the rule holds at any time.
 #include "KeptRoom.h"
 #include <algorithm>
 
@@ -27,21 +27,28 @@
   return std::max(NowMs - W.DueMs, W.SeenWaitingMs);
 }
 
-/// Whether under half of the capacity of the service is in use. GPUs and cores
-/// are weighted as in the cost of lost work.
+/// Whether under half of each resource of the service is in use. Its scarcest
+/// resource decides: where GPUs run out, idle cores are of no use to the work
+/// that waits for GPUs.
 static bool isMostlyFree(const Fleet &F, const FreeResources &Free,
                          std::string_view Service) {
-  double Capacity = 0;
-  double Left = 0;
+  Resources Capacity;
+  Resources Left;
   for (std::size_t N = 0; N < F.Workers.size(); ++N) {
     const Worker &On = F.Workers[N];
     if (!On.Usable || On.Service != Service)
       continue;
-    Capacity += weightedCores(On.Capacity);
-    Left += weightedCores({std::max<std::int64_t>(0, Free[N].CpuMilli), 0,
-                           std::max<std::int64_t>(0, Free[N].Gpus)});
+    Capacity += On.Capacity;
+    Left += {std::max<std::int64_t>(0, Free[N].CpuMilli),
+             std::max<std::int64_t>(0, Free[N].MemoryMb),
+             std::max<std::int64_t>(0, Free[N].Gpus)};
   }
-  return 2 * Left > Capacity;
+  auto MostlyFree = [](std::int64_t Free, std::int64_t All) {
+    return All == 0 || 2 * Free > All;
+  };
+  return MostlyFree(Left.CpuMilli, Capacity.CpuMilli) &&
+         MostlyFree(Left.MemoryMb, Capacity.MemoryMb) &&
+         MostlyFree(Left.Gpus, Capacity.Gpus);
 }
 
 void limitKeptRoom(const Fleet &F, const FreeResources &Free, WaitingTasks &W,
