Give up tasks that crash worker after worker

What callers saw: a task that crashes its workers was started again without limit, a worker and all that ran on it were lost under each run, and its job never ended.

Cause: an attempt was counted only where the worker reports its end. Owner:: finishRun counts ends `failed`; a run whose end nobody reports, because its worker is gone, made its task wait again without a trace in the job's record. The placement could not react either: the task went to the fullest worker.

Change: - A crash is a new incarnation at the worker's id or address without a planned leave, also if it shows only after the lease has expired or after a change of the owner. It is counted, once per run, against every task or gang that may have run there, in the job's record; records without the count are read as before. A lease that expires on a disconnected worker does not count. - As all that ran there are suspected, dispatch keeps them apart, places them where least is lost and, from the second crash on, alone on a worker, which is reserved for that on a busy pool. The rule in KeptRoom.cpp comes first: work that waits for over 2 s on a pool that is mostly free may use any room. - A job is failed if a worker crashes under its task while that is alone there, for the second time or later, unless two other workers without a task in common crash within 2 s, which points to an outage; and at the fourth crash in any case, so that the bound holds for long-running tasks and gangs, too. - Log events 440 task_suspected and 441 task_given_up tell which task of a job was suspected and why; run_lost names neither.

Evidence: without the count, the nine tests of TaskThatCrashesItsWorkers and HealthyTask/IsNotGivenUpBesideTasksThatCrashTheirWorkers fail, e.g. IsGivenUpAndOtherWorkCompletes: Starts[Bad] <= MaxStartsOfCrashingTask has failed [24 > 5] (25, 19, 21, 23, 19, 16, 16 and 47 starts in the others), and without the rule on outages HealthyTask/IsNotGivenUpAfterCrashesOfManyWorkers fails; all pass now. Without mayShare() NothingJoinsThem, ThenTheyRunAlone and WorkerIsReservedForThemOnABusyPool of dispatch fail.

KeptRoomTest: its random pools now contain suspected tasks, too.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -3,6 +3,7 @@
 
 #include "Tail.h"
 #include "Writer.h"
+#include "heathersaddle/dispatch/Crashes.h"
 #include "heathersaddle/dispatch/Pace.h"
 #include "heathersaddle/dispatch/Planner.h"
 #include "heathersaddle/dispatch/Stall.h"
@@ -15,7 +16,7 @@
 /// a checkpoint and a worker's name of usual length, with a reserve.
 inline constexpr std::size_t TaskEntryBytes = 128;
 /// The part of an entry without the checkpoint and the worker's name.
-inline constexpr std::size_t TaskEntryFixedBytes = 64;
+inline constexpr std::size_t TaskEntryFixedBytes = 72;
 
 /// A worker on which this many distinct jobs have failed since the last success
 /// counts as failing: it gets no work for a while and is used last after that.
@@ -36,6 +37,12 @@
   return {Task.Job, Task.Key.Occurrence, Task.Key.Step, 0};
 }
 
+/// The unit that a task belongs to.
+inline UnitId unitOf(const Job &J, const TaskKey &K) {
+  return {J.Spec.Id, K.Occurrence, K.Step,
+          J.Spec.Steps[K.Step].Gang ? 0 : K.Index};
+}
+
 /// State of a run on its worker.
 enum class RunStage {
   Recording, ///< The placement is not stored yet; no call has been sent.
@@ -51,6 +58,11 @@
   bool CallInFlight = false;
   bool MayHaveArrived = false;
   bool StopConfirmed = false;
+  /// Its worker crashed under it. It is stopped in the next incarnation, where
+  /// its start may still arrive.
+  bool Crashed = false;
+  /// The incarnation of the worker that it was placed on; 0: not known.
+  std::int64_t WorkerStartMs = 0;
   std::string_view StopReason; ///< Set with the stage Stopping.
   unsigned StartAttempts = 0;
   unsigned StopAttempts = 0;
@@ -122,6 +134,10 @@
   /// When each start without an answer was sent last. A stop blocks a delayed
   /// start only in the incarnation that received the stop.
   std::map<RunId, MonoTime> UnansweredStarts;
+  /// Runs that were taken for lost when their lease had expired. If the worker
+  /// turns out to have been replaced, it has crashed under them.
+  std::set<RunId> LapsedRuns;
+  MonoTime LapsedAt{};
   unsigned SyncFailures = 0;
   std::map<RunId, RunState> Runs;
 };
@@ -249,6 +265,19 @@
   void endJob(Job &J, JobState State, std::string_view Why);
   bool isCurrentRun(const RunId &Id) const;
 
+  // OwnerCrashes.cpp: tasks that crash their workers.
+  /// The runs that this incarnation of the worker may have carried out.
+  static std::set<RunId> runsPresent(const Session &S);
+  /// Counts the crash of the worker against the tasks of \p Runs and of the
+  /// runs whose lease expired before it was known.
+  void recordCrash(Session &S, std::set<RunId> Runs);
+  void countCrash(const UnitId &Unit, unsigned Run, const Session &S,
+                  bool Alone, bool Late);
+  /// Handles the recorded runs that an earlier incarnation of the worker had,
+  /// when the worker answers this owner for the first time.
+  void findRunsOfEarlierIncarnation(Session &S, const WorkerReply &Reply);
+  void checkSuspendedUnits();
+
   // OwnerAdvice.cpp: queues for which an advisor chooses the workers.
   /// The tickets for a step; null while there is none.
   const std::map<std::string, std::string> *
@@ -283,6 +312,15 @@
   std::set<std::string, std::less<>> GuaranteedJobs;
   /// Since when each step has had tasks that wait without a break.
   std::map<UnitId, MonoTime> WaitingSince;
+  std::vector<dispatch::WorkerCrash> RecentCrashes;
+  struct Suspension {
+    MonoTime Since{};
+    bool Certain = false; ///< To be given up in any case.
+  };
+  /// Units that do not start until it is decided whether they are given up.
+  std::map<UnitId, Suspension> Suspended;
+  /// Workers that this owner has seen crash under a unit, for the log.
+  std::map<UnitId, std::string> CrashedWorkers;
   /// Workers on which a task of the step has failed.
   std::map<UnitId, std::set<std::string>> FailedWorkers;
   double UrgentDemand = 0; ///< In GPUs; decays exponentially.
--- /dev/null
+++ b/packages/cluster/lib/OwnerCrashes.cpp
@@ -0,0 +1,148 @@
+// Counts crashes of workers against the tasks that ran on them, and fails jobs
+// whose tasks crash worker after worker.
+//
+// A worker has crashed if another incarnation has taken its place, under its id
+// or at its address, and it was not about to leave. A lease that expires is no
+// sign of a crash. The count is kept in the job's record, so that later owners
+// continue it; dispatch/lib/Crashes.cpp decides what follows from it.
+#include "Owner.h"
+#include <algorithm>
+
+namespace heathersaddle::cluster {
+
+std::set<RunId> Owner::runsPresent(const Session &S) {
+  std::set<RunId> Present;
+  for (const auto &[Id, R] : S.Runs)
+    if (R.MayHaveArrived && !R.Crashed)
+      Present.insert(Id);
+  return Present;
+}
+
+void Owner::recordCrash(Session &S, std::set<RunId> Runs) {
+  std::set<RunId> Lapsed = std::exchange(S.LapsedRuns, {});
+  if (S.Entry.Draining)
+    return;
+  MonoTime T = Shared.mono();
+  std::map<UnitId, unsigned> Units;
+  std::map<UnitId, unsigned> LapsedUnits;
+  auto Add = [&](const RunId &Id, std::map<UnitId, unsigned> &To) {
+    const Job *J = Shared.Ledger.find(Id.Task.Job);
+    if (!J || Id.Task.Key.Step >= J->Spec.Steps.size())
+      return;
+    unsigned &Run = To[unitOf(*J, Id.Task.Key)];
+    Run = std::max(Run, Id.Run);
+  };
+  for (const RunId &Id : Runs)
+    Add(Id, Units);
+  for (const RunId &Id : Lapsed)
+    Add(Id, LapsedUnits);
+  dispatch::WorkerCrash Crash{S.Entry.Id, T, {}};
+  for (const auto *Group : {&Units, &LapsedUnits})
+    for (const auto &[Unit, Run] : *Group)
+      Crash.Suspects.insert(Unit);
+  bool Alone = Crash.Suspects.size() == 1 && Lapsed.empty();
+  std::erase_if(RecentCrashes, [T](const dispatch::WorkerCrash &C) {
+    return T - C.At > 3 * dispatch::OutageWindow;
+  });
+  RecentCrashes.push_back(std::move(Crash));
+  for (const auto &[Unit, Run] : Units)
+    countCrash(Unit, Run, S, Alone, false);
+  for (const auto &[Unit, Run] : LapsedUnits)
+    countCrash(Unit, Run, S, false, true);
+}
+
+void Owner::countCrash(const UnitId &Unit, unsigned Run, const Session &S,
+                       bool Alone, bool Late) {
+  Job &J = *Shared.Ledger.find(Unit.Job);
+  TaskKey First{Unit.Occurrence, Unit.Step, Unit.Index};
+  auto Known = J.Tasks.find(First);
+  if (J.ended() || Known == J.Tasks.end() ||
+      Known->second.Phase == TaskPhase::Done)
+    return;
+  const workload::Step &Step = J.Spec.Steps[Unit.Step];
+  // Counted once per run, also if several members of a gang lose their workers.
+  // A crash that shows late may belong to a run before the last one counted.
+  unsigned Counted = Known->second.CrashedRun;
+  if (Counted >= Run && (!Late || Step.Gang || Counted == Run))
+    return;
+  for (unsigned N = 0; N < Step.Count; ++N)
+    if (Step.Gang || N == Unit.Index) {
+      TaskProgress &T = J.Tasks[{Unit.Occurrence, Unit.Step, N}];
+      ++T.Crashes;
+      T.CrashedRun = std::max(T.CrashedRun, Run);
+    }
+  RecordWriter.markChanged(J.Spec.Id);
+  unsigned Crashes = Known->second.Crashes;
+  std::string &Workers = CrashedWorkers[Unit];
+  Workers +=
+      (Workers.empty() ? "" : " ") + S.Entry.Id + "/" + std::to_string(Run);
+  Shared.count("crashes_counted");
+  Shared.log(440, {{"worker", S.Entry.Id},
+                   {"job", Unit.Job},
+                   {"occurrence", Unit.Occurrence},
+                   {"step", Unit.Step},
+                   {"index", Unit.Index},
+                   {"run", Run},
+                   {"crashes", Crashes},
+                   {"alone", Alone}});
+  auto Verdict = dispatch::judgeCrash(Crashes, Alone);
+  if (Verdict != dispatch::CrashVerdict::RunAgain)
+    Suspended[Unit] = {Shared.mono(),
+                       Verdict == dispatch::CrashVerdict::GiveUp};
+}
+
+void Owner::findRunsOfEarlierIncarnation(Session &S, const WorkerReply &Reply) {
+  std::set<RunId> Listed;
+  for (const RunningTask &T : Reply.Running)
+    Listed.insert({T.Task, T.Run});
+  for (const EndedTask &T : Reply.Ended)
+    Listed.insert({T.Task, T.Run});
+  std::set<RunId> Earlier;
+  for (auto &[Id, R] : S.Runs)
+    if (R.Stage == RunStage::Starting && R.WorkerStartMs &&
+        Reply.ProcessStartMs && R.WorkerStartMs != Reply.ProcessStartMs &&
+        !Listed.contains(Id)) {
+      Earlier.insert(Id);
+      R.Crashed = true;
+      R.Stage = RunStage::Stopping;
+      R.RetryAt = Shared.mono();
+    }
+  if (Earlier.empty())
+    return;
+  CallsDue = true;
+  recordCrash(S, std::move(Earlier));
+}
+
+void Owner::checkSuspendedUnits() {
+  MonoTime T = Shared.mono();
+  std::vector<UnitId> GivenUp;
+  std::erase_if(Suspended, [&](const auto &Entry) {
+    const auto &[Unit, State] = Entry;
+    const Job *J = Shared.Ledger.find(Unit.Job);
+    if (!J || J->ended())
+      return true;
+    // Other crashes of the same outage may be seen later.
+    if (!State.Certain && T - State.Since < dispatch::OutageWindow)
+      return false;
+    if (State.Certain || !dispatch::isOutage(RecentCrashes, Unit, State.Since))
+      GivenUp.push_back(Unit);
+    PlanNeeded = true;
+    return true;
+  });
+  for (const UnitId &Unit : GivenUp) {
+    Job *J = Shared.Ledger.find(Unit.Job);
+    if (!J || J->ended())
+      continue;
+    const TaskProgress &Task =
+        J->task({Unit.Occurrence, Unit.Step, Unit.Index});
+    Shared.log(441, {{"job", Unit.Job},
+                     {"occurrence", Unit.Occurrence},
+                     {"step", Unit.Step},
+                     {"index", Unit.Index},
+                     {"crashes", Task.Crashes},
+                     {"workers", CrashedWorkers[Unit]}});
+    endJob(*J, JobState::Failed, "its task crashes its workers");
+  }
+}
+
+} // namespace heathersaddle::cluster
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -53,11 +53,6 @@
   return "unknown";
 }
 
-static UnitId unitOf(const Job &J, const TaskKey &K) {
-  return {J.Spec.Id, K.Occurrence, K.Step,
-          J.Spec.Steps[K.Step].Gang ? 0 : K.Index};
-}
-
 static std::int64_t heldGpus(const Session &S) {
   std::int64_t Sum = 0;
   for (const auto &[Id, R] : S.Runs)
@@ -537,6 +532,8 @@
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
   std::erase_if(AdviceByStep,
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
+  std::erase_if(CrashedWorkers,
+                [&](const auto &E) { return E.first.Job == J.Spec.Id; });
 }
 
 } // namespace heathersaddle::cluster
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -58,6 +58,10 @@
   }
   UnfinishedJobs.emplace(Id);
   PlanNeeded = true;
+  for (const auto &[K, T] : J->Tasks)
+    if (T.Phase != TaskPhase::Done && dispatch::judgeCrash(T.Crashes, false) ==
+                                          dispatch::CrashVerdict::GiveUp)
+      Suspended[unitOf(*J, K)] = {Shared.mono(), true};
   if (J->CancelRequested)
     endJob(*J, JobState::Cancelled, "the caller has cancelled it");
   else
@@ -76,6 +80,7 @@
     Registry.tick();
   if (!Stopping) {
     checkWorkers();
+    checkSuspendedUnits();
     MonoTime T = Shared.mono();
     if (!Deposed && T - PlannedAt >= std::max(PlanDuration * PlanPauseFactor,
                                               PlanNeeded ? MinPlanInterval
@@ -137,16 +142,25 @@
         const workload::Step &Step = J.Spec.Steps[S];
         dispatch::WaitingTasks W;
         std::size_t FreeEntriesAfter = FreeEntries;
+        std::vector<unsigned> Suspects;
         for (unsigned N = 0; N < Step.Count; ++N) {
           auto It = J.Tasks.find({K, S, N});
           bool New = It == J.Tasks.end();
           if (New ? !FreeEntriesAfter : It->second.Phase != TaskPhase::Waiting)
             continue;
+          if (!Suspended.empty() && Suspended.contains(unitOf(J, {K, S, N})))
+            continue;
           FreeEntriesAfter -= New;
+          if (!New && It->second.Crashes && !Step.Gang) {
+            Suspects.push_back(N);
+            continue;
+          }
+          if (!New)
+            W.Crashes = std::max(W.Crashes, It->second.Crashes);
           W.Tasks.push_back(N);
         }
-        if (W.Tasks.empty() || (Step.Gang && W.Tasks.size() < Step.Count) ||
-            !J.stepReady(K, S))
+        if ((W.Tasks.empty() && Suspects.empty()) ||
+            (Step.Gang && W.Tasks.size() < Step.Count) || !J.stepReady(K, S))
           continue;
         if (J.Spec.NeedsAdvice) {
           W.AllowedWorkers = ticketsFor(J, K, S);
@@ -169,7 +183,14 @@
         if (auto It = FailedWorkers.find({Id, K, S, 0});
             It != FailedWorkers.end())
           W.AvoidedWorkers = It->second;
-        Queue.push_back(std::move(W));
+        // Each suspected task is placed by itself.
+        for (unsigned N : Suspects) {
+          dispatch::WaitingTasks &Alone = Queue.emplace_back(W);
+          Alone.Tasks = {N};
+          Alone.Crashes = J.task({K, S, N}).Crashes;
+        }
+        if (!W.Tasks.empty())
+          Queue.push_back(std::move(W));
       }
     }
   }
@@ -269,6 +290,7 @@
       W.Condition = dispatch::WorkerCondition::Suspect;
     for (auto &[Run, R] : S.Runs) {
       W.Free -= R.Room;
+      W.Occupied |= !R.Crashed;
       dispatch::Allocation Out;
       Out.Room = R.Room;
       Out.Unit.Job = Run.Task.Job;
@@ -278,7 +300,10 @@
       if (J && Run.Task.Key.Step < J->Spec.Steps.size()) {
         const TaskKey &K = Run.Task.Key;
         const workload::Step &Step = J->Spec.Steps[K.Step];
-        Out.Unit = {J->Spec.Id, K.Occurrence, K.Step, Step.Gang ? 0 : K.Index};
+        Out.Unit = unitOf(*J, K);
+        Out.Ends = !Step.LongRunning;
+        if (!R.Crashed)
+          W.TenantCrashes = std::max(W.TenantCrashes, J->task(K).Crashes);
         Out.Account = J->Spec.Account;
         Out.Priority = J->Spec.Priority;
         Out.Guaranteed = GuaranteedJobs.contains(J->Spec.Id);
@@ -325,6 +350,7 @@
       RunId Id{{J.Spec.Id, K}, T.Run};
       RunState R;
       R.Room = Step.room();
+      R.WorkerStartMs = S.Entry.ProcessStartMs;
       R.PlacedAt = Shared.mono();
       R.ProgressAt = R.PlacedAt;
       if (P.Work->AllowedWorkers)
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -40,6 +40,9 @@
 static constexpr Millis AvoidAfterStalledRun{10'000};
 /// Registry entries may be this old when they are read.
 static constexpr Millis MaxRegistryLag{800};
+/// A worker that has crashed is back within this time after the lease of its
+/// runs.
+static constexpr Millis MaxRestartTime{30'000};
 /// How often all runs are checked for stalled and slow ones and for draining
 /// workers; a pass over all runs costs time.
 static constexpr Millis RunCheckPeriod{200};
@@ -102,6 +105,7 @@
         continue;
       RunState R;
       R.Room = J.Spec.Steps[K.Step].room();
+      R.WorkerStartMs = T.WorkerStartMs;
       R.Stage = J.ended() ? RunStage::Stopping : RunStage::Starting;
       R.MayHaveArrived = true;
       R.StartAttempts = 1;
@@ -127,6 +131,9 @@
   }
   WorkerEntry &E = *Change.Entry;
   if (It == Sessions.end()) {
+    for (auto &[Id, Former] : Sessions)
+      if (Former.Entry.Address == E.Address && !Former.LapsedRuns.empty())
+        recordCrash(Former, {});
     Session &S = Sessions[E.Id];
     S.Entry = std::move(E);
     S.LeaseEndsAt = ActiveSince + Shared.Settings.MaxLease;
@@ -238,6 +245,7 @@
     return false;
   S.Synced = false;
   S.Listed = false;
+  recordCrash(S, runsPresent(S));
   markRunsLost(S, "another worker has its address");
   return true;
 }
@@ -274,8 +282,11 @@
   S.LastAcknowledgedEnd =
       std::max(S.LastAcknowledgedEnd, std::exchange(S.SyncAcknowledgesTo, 0));
   updateClock(S, R);
+  S.LapsedRuns.clear();
   bool First = !S.Synced;
   S.Synced = true;
+  if (First)
+    findRunsOfEarlierIncarnation(S, R);
   for (const EndedTask &E : R.Ended)
     if (E.Number > S.LastHandledEnd) {
       onEndReported(S, E);
@@ -401,6 +412,12 @@
   // stopped there before their tasks run elsewhere: starts without an answer,
   // and those confirmed after the earlier incarnation was last known to be
   // running.
+  std::set<RunId> Crashed = runsPresent(S);
+  // Recorded by an earlier owner, which knew this incarnation already.
+  std::erase_if(Crashed, [&](const RunId &Id) {
+    return S.Runs[Id].WorkerStartMs == ProcessStartMs;
+  });
+  recordCrash(S, Crashed);
   std::map<RunId, RunState> MayArrive;
   for (auto It = S.Runs.begin(); It != S.Runs.end();) {
     auto Run = It++;
@@ -420,6 +437,7 @@
   S.IncarnationSeenAt = S.KnownAliveAt = Shared.mono();
   for (auto &[Id, R] : MayArrive) {
     R.Stage = RunStage::Stopping;
+    R.Crashed = true;
     R.StopConfirmed = false;
     R.RetryAt = S.IncarnationSeenAt;
   }
@@ -547,11 +565,18 @@
     if (!S.Runs.empty() && S.SyncFailures >= 2 &&
         T > S.LeaseEndsAt + LeaseMargin) {
       S.Synced = false;
+      S.LapsedRuns.merge(runsPresent(S));
+      S.LapsedAt = T;
       markRunsLost(S, "its lease has expired");
     }
     if (!S.Listed && S.Entry.Address.empty() && !S.Runs.empty() &&
-        T > S.LeaseEndsAt + LeaseMargin)
+        T > S.LeaseEndsAt + LeaseMargin) {
+      // The registry has not listed it since this owner began. Whether it ran
+      // other work is not known.
+      S.LapsedRuns.merge(runsPresent(S));
+      recordCrash(S, {});
       markRunsLost(S, "the worker is gone");
+    }
     if (CheckRuns) {
       std::erase_if(S.UnansweredStarts, [T](const auto &Start) {
         return T - Start.second > MaxStartDelay;
@@ -562,7 +587,10 @@
     // An unlisted worker may come back and still receive starts that were sent
     // to it. Its session is kept until none can arrive, so that such runs are
     // stopped.
-    if (!S.Listed && S.Runs.empty() && S.UnansweredStarts.empty()) {
+    if (!S.LapsedRuns.empty() && T - S.LapsedAt > MaxRestartTime)
+      S.LapsedRuns.clear();
+    if (!S.Listed && S.Runs.empty() && S.UnansweredStarts.empty() &&
+        S.LapsedRuns.empty()) {
       It = Sessions.erase(It);
       continue;
     }
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -49,6 +49,27 @@
   Workers[Worker] = Next;
 }
 
+void World::crash(const std::string &Worker) {
+  FakeWorker &W = Workers[Worker];
+  W.Up = false;
+  W.Runs.clear();
+  after(RestartMs, [this, Worker] {
+    if (!NewIdAfterCrash) {
+      restartWithoutRegistryChange(Worker);
+      Registry.push_back({Worker, Workers[Worker].Entry});
+      return;
+    }
+    Workers[Worker].Replaced = true;
+    WorkerEntry Next = Workers[Worker].Entry;
+    Next.Id += "+";
+    Next.ProcessStartMs = Clock;
+    Workers[Next.Id].Entry = Next;
+    Workers[Next.Id].ClockZeroMs = Clock;
+    Registry.push_back({Worker, std::nullopt});
+    Registry.push_back({Next.Id, Next});
+  });
+}
+
 Node &World::addDaemon(const std::string &Name, std::int64_t CpuMilli) {
   NodeSettings S;
   S.Name = Name;
@@ -249,6 +270,11 @@
     W.Runs.clear();
     return;
   }
+  if (std::any_of(W.Runs.begin(), W.Runs.end(), [this](const auto &R) {
+        return CrashingTasks.contains(R.Task) &&
+               Clock >= R.StartedMs + CrashDelayMs;
+      }))
+    return crash(W.Entry.Id);
   for (std::size_t N = W.Runs.size(); N-- > 0;) {
     auto &R = W.Runs[N];
     if (!R.GangFinished && isGangIncomplete(R))
@@ -330,6 +356,10 @@
   if (!Daemons.contains(Daemon))
     return;
   FakeWorker &W = Workers[A.Worker.Id];
+  if (W.Replaced)
+    return reply(Daemon, [Done = A.Done] {
+      Done({.Verdict = WorkerVerdict::OtherIncarnation});
+    });
   if (!W.Up || W.Disconnected || DaemonsWithoutWorkers.contains(Daemon))
     return;
   if (W.SyncsToLose) {
@@ -466,6 +496,10 @@
             sync(Daemon, Copy, Clock + Copy.Wait.count());
           } else if constexpr (requires { Copy.Worker; }) {
             FakeWorker &W = Workers[Copy.Worker.Id];
+            if (W.Replaced)
+              return reply(Daemon, [Copy] {
+                Copy.Done({.Verdict = WorkerVerdict::OtherIncarnation});
+              });
             if (!W.Up || W.Disconnected ||
                 DaemonsWithoutWorkers.contains(Daemon))
               return;
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -22,6 +22,7 @@
   };
   WorkerEntry Entry;
   bool Up = true;             ///< Its process runs; if not, its runs are lost.
+  bool Replaced = false;      ///< Another worker answers at its address.
   bool Disconnected = false;  ///< All calls get lost; its runs continue.
   bool AnswersLost = false;   ///< Calls are carried out but not answered.
   bool FailsEveryRun = false; ///< Every run fails at once.
@@ -79,6 +80,9 @@
   /// Restarts the worker as a new incarnation under the same id, whose clock
   /// begins at zero; the registry still lists the former one.
   void restartWithoutRegistryChange(const std::string &Worker);
+  /// Ends the worker's process with all its runs. After RestartMs a new
+  /// incarnation takes its place, whose clock begins at zero.
+  void crash(const std::string &Worker);
   Node &addDaemon(const std::string &Name, std::int64_t CpuMilli = 250);
   void kill(const std::string &Daemon) { Daemons.erase(Daemon); }
   /// Resumes a suspended daemon, which then receives the answers that arrived
@@ -105,6 +109,12 @@
   std::map<TaskName, unsigned> Starts;
   /// Starts that a worker refused because its resources were in use.
   unsigned StartsRefusedForRoom = 0;
+  /// Tasks that crash each worker that starts them, after CrashDelayMs.
+  std::set<TaskName> CrashingTasks;
+  std::int64_t CrashDelayMs = 50;
+  std::int64_t RestartMs = 3'000;
+  /// A worker that restarts gets another id at the same address.
+  bool NewIdAfterCrash = false;
   bool RunsOverlapped = false; ///< A task ran twice at the same time.
   /// A task was started after the acknowledgement of its successful end.
   bool StartedAfterAcknowledgedEnd = false;
--- a/packages/dispatch/include/heathersaddle/dispatch/Fleet.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Fleet.h
@@ -42,6 +42,7 @@
   unsigned Priority = 0;
   bool Guaranteed = false; ///< Within the reserved share of its account.
   bool Stoppable = true;   ///< Not being stopped, and stopping is allowed.
+  bool Ends = true;        ///< False for long-running work.
   std::int64_t EndEstimateMs = 0;
   /// Work since the last checkpoint, which a stop would lose.
   std::int64_t LostIfStoppedMs = 0;
@@ -67,6 +68,9 @@
   bool Avoided = false;
   WorkerCondition Condition = WorkerCondition::Healthy;
   std::vector<Allocation> Allocations;
+  bool Occupied = false; ///< Work runs on it or room on it is held.
+  /// The highest number of crashes counted against a task that runs on it.
+  unsigned TenantCrashes = 0;
 
   bool hasLabel(std::string_view Label) const;
 };
--- a/packages/dispatch/include/heathersaddle/dispatch/Planner.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Planner.h
@@ -24,6 +24,7 @@
   bool Guaranteed = false; ///< Within the reserved share of its account.
   /// Workers on which a task of the step failed; avoided while others fit.
   std::set<std::string> AvoidedWorkers;
+  unsigned Crashes = 0; ///< Workers that crashed under its tasks.
 
   /// The workers that may run it, with their tickets; null: any worker.
   const std::map<std::string, std::string> *AllowedWorkers = nullptr;
--- a/packages/dispatch/lib/Order.cpp
+++ b/packages/dispatch/lib/Order.cpp
@@ -34,7 +34,7 @@
     return std::make_tuple(!Urgent, !(Urgent && W.Guaranteed), Band,
                            Urgent ? W.DueMs : Deadline, W.Job->Spec.Priority,
                            std::string_view(W.Job->Spec.Id), W.Occurrence,
-                           W.Step);
+                           W.Step, W.Tasks.empty() ? 0 : W.Tasks.front());
   };
   std::sort(Queue.begin(), Queue.end(),
             [&](const WaitingTasks &A, const WaitingTasks &B) {
--- a/packages/dispatch/lib/Packing.cpp
+++ b/packages/dispatch/lib/Packing.cpp
@@ -2,6 +2,7 @@
 // least room left afterwards is used, comparing GPUs first. This keeps empty
 // workers free for tasks that need all GPUs of a worker.
 #include "Packing.h"
+#include "heathersaddle/dispatch/Crashes.h"
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -29,6 +30,15 @@
   return penalty(On, W) > static_cast<int>(WorkerCondition::Suspect);
 }
 
+/// Penalty of the worker because of the work that runs there.
+static int companyPenalty(const Worker &On, const WaitingTasks &W) {
+  constexpr int Alone = 4 * (static_cast<int>(WorkerCondition::Slow) + 1);
+  if (On.TenantCrashes >= AloneFromCrashes ||
+      (W.Crashes >= AloneFromCrashes && On.Occupied))
+    return Alone;
+  return W.Crashes && On.TenantCrashes ? 1 : 0;
+}
+
 std::vector<std::size_t> pack(const Fleet &F, FreeResources &Free,
                               std::span<const std::size_t> Candidates,
                               const WaitingTasks &W, std::size_t Count) {
@@ -49,12 +59,15 @@
     std::tuple<int, std::int64_t, std::int64_t, std::int64_t> BestKey;
     for (const std::size_t &C : Candidates) {
       const Worker &On = F.Workers[C];
-      if (!Need.fitsIn(Free[C]) ||
+      if (!Need.fitsIn(Free[C]) || !mayShare(On, W) ||
           (S.MaxPerWorker && TasksOnWorker[C] >= S.MaxPerWorker))
         continue;
-      auto Key = std::make_tuple(penalty(On, W), Free[C].Gpus - Need.Gpus,
-                                 Free[C].CpuMilli - Need.CpuMilli,
-                                 Free[C].MemoryMb - Need.MemoryMb);
+      // A task that may crash the worker goes where the least work is lost.
+      std::int64_t Sign = W.Crashes ? -1 : 1;
+      auto Key = std::make_tuple(penalty(On, W) + companyPenalty(On, W),
+                                 Sign * (Free[C].Gpus - Need.Gpus),
+                                 Sign * (Free[C].CpuMilli - Need.CpuMilli),
+                                 Sign * (Free[C].MemoryMb - Need.MemoryMb));
       if (!Best || Key < BestKey) {
         Best = &C;
         BestKey = Key;
--- a/packages/dispatch/lib/Planner.cpp
+++ b/packages/dispatch/lib/Planner.cpp
@@ -10,6 +10,7 @@
 #include "UrgentRacks.h"
 #include "Victims.h"
 #include "Waits.h"
+#include "heathersaddle/dispatch/Crashes.h"
 #include <algorithm>
 
 namespace heathersaddle::dispatch {
@@ -63,8 +64,10 @@
   }
   /// Makes the room of a hold unavailable to other work.
   void subtractHeldRoom(const Hold &H, const Resources &Need) {
-    for (std::size_t N : H.Workers)
+    for (std::size_t N : H.Workers) {
       Free[N] -= Need;
+      CurrentFleet.Workers[N].Occupied = true;
+    }
   }
   void addHeldRoom(const Hold &H, const Resources &Need) {
     for (std::size_t N : H.Workers)
@@ -80,6 +83,8 @@
   }
   void place(const WaitingTasks &W, std::vector<unsigned> Tasks,
              std::vector<std::size_t> Where) {
+    for (std::size_t N : Where)
+      addTenant(CurrentFleet.Workers[N], W);
     if (W.step().MaxPerWorker)
       for (std::size_t N : Where)
         ++CurrentFleet.StepTasks[{W.Job->Spec.Id, W.Occurrence, W.Step, 0}]
@@ -297,6 +302,8 @@
                                     static_cast<std::ptrdiff_t>(Where.size()));
     if (!Where.empty())
       place(W, std::move(Tasks), Where);
+    else
+      reserveForLoneTask(W);
     if (Urgent && Where.size() < W.Tasks.size()) {
       W.Tasks.erase(W.Tasks.begin(),
                     W.Tasks.begin() +
@@ -306,6 +313,18 @@
     }
   }
 
+  void reserveForLoneTask(const WaitingTasks &W) {
+    if (W.Crashes < AloneFromCrashes || W.Tasks.empty() ||
+        LoneReservations >= MaxReservations)
+      return;
+    auto Reserved = reserveEmptyWorker(CurrentFleet, ReservedFrom,
+                                       RackIndex.workersFor(W), W, NowMs);
+    if (!Reserved)
+      return;
+    ++LoneReservations;
+    ReservedFrom[Reserved->Workers.front()] = Reserved->FromMs;
+  }
+
   Fleet &CurrentFleet;
   std::map<UnitId, Hold> &Holds;
   std::int64_t NowMs;
@@ -316,6 +335,7 @@
   FreeResources Free;
   std::vector<std::int64_t> ReservedFrom; ///< Per worker; 0: not reserved.
   unsigned Reservations = 0;
+  unsigned LoneReservations = 0;
   unsigned EvictionSearches = 0;
   std::map<UnitId, double> UnitCost; ///< Filled by the first search.
 };
--- a/packages/dispatch/lib/Reserve.cpp
+++ b/packages/dispatch/lib/Reserve.cpp
@@ -5,6 +5,7 @@
 // of the work on them. Until then these workers take only work that should end
 // before that time (backfilling), which the caller checks.
 #include "Reserve.h"
+#include "heathersaddle/dispatch/Crashes.h"
 #include <algorithm>
 
 namespace heathersaddle::dispatch {
@@ -32,4 +33,24 @@
   return std::nullopt;
 }
 
+std::optional<Reservation>
+reserveEmptyWorker(const Fleet &F, std::span<const std::int64_t> ReservedFrom,
+                   std::span<const std::size_t> Candidates,
+                   const WaitingTasks &W, std::int64_t NowMs) {
+  std::optional<Reservation> Best;
+  for (std::size_t C : Candidates) {
+    const Worker &On = F.Workers[C];
+    if (ReservedFrom[C] || !W.step().room().fitsIn(On.Capacity) ||
+        On.TenantCrashes >= AloneFromCrashes)
+      continue;
+    std::int64_t EmptyAt = NowMs;
+    for (const Allocation &Run : On.Allocations)
+      EmptyAt = std::max(EmptyAt,
+                         Run.Ends ? Run.EndEstimateMs : NowMs + MaxLookaheadMs);
+    if (EmptyAt < NowMs + MaxLookaheadMs && (!Best || EmptyAt < Best->FromMs))
+      Best = Reservation{{C}, EmptyAt};
+  }
+  return Best;
+}
+
 } // namespace heathersaddle::dispatch
--- a/packages/dispatch/lib/Reserve.h
+++ b/packages/dispatch/lib/Reserve.h
@@ -18,6 +18,14 @@
                                    const WaitingTasks &W, bool MaySpread,
                                    std::int64_t NowMs);
 
+/// Finds the worker on which all work is expected to end first, for a task that
+/// is to run alone; none if that is not in sight. \p ReservedFrom is not 0 for
+/// workers that are reserved already.
+std::optional<Reservation>
+reserveEmptyWorker(const Fleet &F, std::span<const std::int64_t> ReservedFrom,
+                   std::span<const std::size_t> Candidates,
+                   const WaitingTasks &W, std::int64_t NowMs);
+
 } // namespace heathersaddle::dispatch
 
 #endif
--- a/packages/dispatch/lib/Victims.cpp
+++ b/packages/dispatch/lib/Victims.cpp
@@ -6,6 +6,7 @@
 // reserved share of another account is never stopped, and only urgent work
 // within the reserved share of its own account may stop other urgent work.
 #include "Victims.h"
+#include "heathersaddle/dispatch/Crashes.h"
 #include <algorithm>
 
 namespace heathersaddle::dispatch {
@@ -58,7 +59,7 @@
     double BestCost = 0;
     for (std::size_t C : Candidates) {
       const Worker &On = F.Workers[C];
-      if (!Need.fitsIn(On.Capacity) ||
+      if (!Need.fitsIn(On.Capacity) || !mayShare(On, W) ||
           (W.step().MaxPerWorker && TasksOnWorker[C] >= W.step().MaxPerWorker))
         continue;
       // Stops the cheapest units of this worker until the task fits.
--- a/packages/dispatch/tests/KeptRoomTest.cpp
+++ b/packages/dispatch/tests/KeptRoomTest.cpp
@@ -59,7 +59,10 @@
           break;
         W.Free -= A.Room;
         W.Allocations.push_back(A);
+        W.Occupied = true;
       }
+      if (W.Occupied && oneIn(3))
+        W.TenantCrashes = static_cast<unsigned>(below(4));
     }
   }
   void addWaitingWork() {
@@ -84,6 +87,7 @@
       W.Job = &J;
       for (unsigned Index = 0; Index < S.Count; ++Index)
         W.Tasks.push_back(Index);
+      W.Crashes = oneIn(3) ? static_cast<unsigned>(below(4)) : 0;
       W.DueMs = NowMs - PromisedStartMs;
       W.ObjectiveMs = NowMs + below(60'000);
       W.RemainingMs = S.EstimateMs;
--- a/packages/workload/include/heathersaddle/workload/Job.h
+++ b/packages/workload/include/heathersaddle/workload/Job.h
@@ -130,6 +130,9 @@
   unsigned Failures = 0;
   unsigned FailedRun = 0; ///< The latest run that was counted as a failure.
   std::string Checkpoint;
+  /// Runs under which a worker crashed, those of its gang's members included.
+  unsigned Crashes = 0;
+  unsigned CrashedRun = 0; ///< The latest run that was counted as a crash.
   bool operator==(const TaskProgress &) const = default;
 };
 
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -173,6 +173,10 @@
       Row.emplace_back(T.Worker);
       Row.emplace_back(T.WorkerStartMs);
     }
+    if (T.Crashes) {
+      Row.emplace_back(T.Crashes);
+      Row.emplace_back(T.CrashedRun);
+    }
     Rows.push_back(std::move(Row));
     ++It;
   }
@@ -239,6 +243,11 @@
         T.Worker = StringAt(Row, 8);
         T.WorkerStartMs = NumberAt(Row, 9);
       }
+      std::size_t CrashesAt = T.Phase == TaskPhase::Placed ? 10 : 8;
+      if (Row.size() > CrashesAt) {
+        T.Crashes = static_cast<unsigned>(NumberAt(Row, CrashesAt));
+        T.CrashedRun = static_cast<unsigned>(NumberAt(Row, CrashesAt + 1));
+      }
       Tasks.emplace(K, std::move(T));
     }
   if (const auto *E = R.error())
--- a/packages/workload/tests/LedgerTest.cpp
+++ b/packages/workload/tests/LedgerTest.cpp
@@ -69,6 +69,8 @@
   J.State = JobState::Running;
   J.Tasks[{0, 0, 1}] = {TaskPhase::Placed, 3, "w1", 17, 1, 2, "saved"};
   J.Tasks[{1, 1, 0}] = {TaskPhase::Waiting, 2, "", 0, 2, 2, ""};
+  J.Tasks[{1, 1, 1}] = {TaskPhase::Waiting, 4, "", 0, 0, 0, "", 2, 3};
+  J.Tasks[{2, 0, 0}] = {TaskPhase::Placed, 2, "w2", 18, 0, 0, "", 1, 1};
   J.Tasks[{2, 1, 1}] = {TaskPhase::Done, 1, "", 0, 0, 0, ""};
   BOOST_REQUIRE(L.apply(Ledger::submission(J.Spec)).has_value());
   BOOST_REQUIRE(L.apply(Ledger::progress(J)).has_value());
@@ -78,6 +80,22 @@
   BOOST_TEST((Read->State == JobState::Running));
 }
 
+// Guards against progress that is lost because an earlier version of the daemon
+// wrote it, without the counts of crashes.
+BOOST_AUTO_TEST_CASE(ProgressWithoutCrashesIsRead) {
+  Ledger L;
+  BOOST_REQUIRE(L.apply(Ledger::submission(spec())).has_value());
+  BOOST_REQUIRE(L.apply({"p/" + spec().Id,
+                         R"({"s":1,"t":[[0,0,0,1,3,1,2,"saved","w1",17],)"
+                         R"([0,0,1,0,2,0,0,""]]})"})
+                    .has_value());
+  const Job *Read = L.find(spec().Id);
+  BOOST_TEST((Read->task({0, 0, 0}) ==
+              TaskProgress{TaskPhase::Placed, 3, "w1", 17, 1, 2, "saved"}));
+  BOOST_TEST((Read->task({0, 0, 1}) ==
+              TaskProgress{TaskPhase::Waiting, 2, "", 0, 0, 0, ""}));
+}
+
 // Guards against progress records of wide jobs that grow with every task that
 // is done.
 BOOST_AUTO_TEST_CASE(ConsecutiveDoneTasksShareARow) {
