Hold back starts that a worker's shrunken capacity has no room for

What callers would see: a worker that does not guard its capacity is brought over it. The owner follows the capacity in the registry and places nothing on a worker whose runs exceed it, but a start is sent only once its placement is stored, and went out unchecked if the capacity had shrunk meanwhile.

Change: the first call of a start is made only if the run fits beside all runs that the worker may have, including those that are being stopped. Otherwise the task waits again.

Evidence: WorkerWhoseCapacityChanges/GetsNoTaskThatWasPlacedBeforeItShrank fails without the check ("StartsRefusedForRoom == 0u has failed [5 != 0]") and passes with it. The other two tests show that a worker whose capacity shrinks below what runs there gets nothing until enough of it has ended, and that capacity that grows is used; they pass without the change, too.

--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -60,6 +60,15 @@
   return Sum;
 }
 
+/// Whether \p R fits beside all runs that the worker may have.
+static bool hasRoomFor(const Session &S, const RunState &R) {
+  workload::Resources Free = S.Entry.Capacity;
+  for (const auto &[Id, Other] : S.Runs)
+    if (Other.MayHaveArrived)
+      Free -= Other.Room;
+  return R.Room.fitsIn(Free);
+}
+
 bool Owner::isCurrentRun(const RunId &Id) const {
   const Job *J = Shared.Ledger.find(Id.Task.Job);
   if (!J || J->ended())
@@ -84,6 +93,10 @@
     return;
   if (!isCurrentRun(Id) || J->CancelRequested)
     return stopRun(S, Id, "its job has ended");
+  if (!R.MayHaveArrived && !hasRoomFor(S, R)) {
+    R.StopReason = "the worker's capacity has shrunk";
+    return finishRun(Id, EndReason::Stopped, "", S);
+  }
   R.CallInFlight = true;
   R.MayHaveArrived = true;
   R.SentAt = Shared.mono();
