--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -76,6 +76,8 @@
     {438, "request_passed_on", Info},
     {439, "work_waits", Info},
     {440, "placement_refused", Error},
+    {441, "task_suspected", Warning},
+    {442, "task_given_up", Warning},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -53,11 +53,6 @@
   return "unknown";
 }
 
-static UnitId unitOf(const Job &J, const TaskKey &K) {
-  return {J.Spec.Id, K.Occurrence, K.Step,
-          J.Spec.Steps[K.Step].Gang ? 0 : K.Index};
-}
-
 static std::int64_t heldGpus(const Session &S) {
   std::int64_t Sum = 0;
   for (const auto &[Id, R] : S.Runs)
@@ -65,6 +60,15 @@
   return Sum;
 }
 
+/// Whether \p R fits beside all runs that the worker may have.
+static bool hasRoomFor(const Session &S, const RunState &R) {
+  workload::Resources Free = S.Entry.Capacity;
+  for (const auto &[Id, Other] : S.Runs)
+    if (Other.MayHaveArrived)
+      Free -= Other.Room;
+  return R.Room.fitsIn(Free);
+}
+
 bool Owner::isCurrentRun(const RunId &Id) const {
   const Job *J = Shared.Ledger.find(Id.Task.Job);
   if (!J || J->ended())
@@ -89,6 +93,10 @@
     return;
   if (!isCurrentRun(Id) || J->CancelRequested)
     return stopRun(S, Id, "its job has ended");
+  if (!R.MayHaveArrived && !hasRoomFor(S, R)) {
+    R.StopReason = "the worker's capacity has shrunk";
+    return finishRun(Id, EndReason::Stopped, "", S);
+  }
   R.CallInFlight = true;
   R.MayHaveArrived = true;
   R.SentAt = Shared.mono();
@@ -537,6 +545,8 @@
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
   std::erase_if(AdviceByStep,
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
+  std::erase_if(CrashedWorkers,
+                [&](const auto &E) { return E.first.Job == J.Spec.Id; });
 }
 
 } // namespace heathersaddle::cluster
