Ignore registry entries that a worker can't have written

Cause: an entry without `born` counted as the worker's, with an unknown start time, and one that couldn't be read counted as its removal. Fields that aren't used here, ports and the range of capacities weren't checked. Change: workers write all fields each time (PROTOCOL, Service discovery), so an entry in which one is missing, of another type or out of range is passed over, and the last entry holds. WorkerBehindAnUnreadableEntryStaysInUse states the same for the owner.

--- a/packages/cluster/include/heathersaddle/cluster/Ports.h
+++ b/packages/cluster/include/heathersaddle/cluster/Ports.h
@@ -68,7 +68,9 @@
 
 struct RegistryChange {
   std::string Worker;
-  std::optional<WorkerEntry> Entry; ///< None: removed, or not readable.
+  std::optional<WorkerEntry> Entry; ///< None: removed, if it was readable.
+  /// Another writer has written something that is no entry of a worker.
+  bool Unreadable = false;
 };
 
 /// A change to the operator's topic; null if it does not concern the
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -115,6 +115,9 @@
 }
 
 void Owner::onRegistryChange(RegistryChange &&Change) {
+  // It says nothing about the worker, of which the last entry holds.
+  if (Change.Unreadable)
+    return;
   auto It = Sessions.find(Change.Worker);
   if (!Change.Entry) {
     if (It != Sessions.end() && It->second.Listed) {
--- a/packages/net/lib/Target.h
+++ b/packages/net/lib/Target.h
@@ -1,7 +1,7 @@
 #ifndef HEATHERSADDLE_NET_TARGET_H
 #define HEATHERSADDLE_NET_TARGET_H
 
-#include <cstdint>
+#include "heathersaddle/net/Address.h"
 #include <map>
 #include <optional>
 #include <string>
@@ -19,14 +19,6 @@
 /// control character or has a query parameter twice.
 std::optional<Target> parseTarget(std::string_view Text);
 
-struct HostPort {
-  std::string Host; ///< Without brackets.
-  std::uint16_t Port = 0;
-};
-
-/// Splits "HOST:PORT" or "[IPV6]:PORT".
-std::optional<HostPort> parseHostPort(std::string_view Text);
-
 } // namespace heathersaddle::net
 
 #endif
