Begin a worker's incarnation only by its own answer

Cause: the owner took each entry of the registry for the worker's. One with another start time ended the known incarnation, one without became part of it, and the start time that it had replaced was barred for good. Answers at the address in such an entry, which may be another worker's, ended its runs, too. Change: an entry with another start time is a claim. A probe (a sync that renews and acknowledges nothing) asks the worker at the address in it, beside the sync in flight; its answer names the incarnation and settles all claims that were read before the probe was sent. Within an incarnation, entries change only capacity, notice and warm-up, and only if they agree with the worker in the rest (judgeEntry). Answers to calls sent before the latest incarnation was known are ignored, so start times are never ordered and the wall clock may jump. A worker that has restarted without an entry gets no tasks until an entry describes it. Entries of services that neither the configuration nor a job names are passed over and read again when one does. World answers calls by address now, as a worker does that is called by another's id (421).

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -1,6 +1,7 @@
 #ifndef HEATHERSADDLE_CLUSTER_OWNER_H
 #define HEATHERSADDLE_CLUSTER_OWNER_H
 
+#include "EntryVerdict.h"
 #include "Tail.h"
 #include "Writer.h"
 #include "heathersaddle/dispatch/Pace.h"
@@ -83,13 +84,29 @@
   }
 };
 
+/// A registry entry that names another incarnation of its worker than the known
+/// one, until the worker has answered which one it is.
+struct IncarnationClaim {
+  WorkerEntry Entry;
+  MonoTime ReadAt{};
+  std::uint64_t LatestCall = 0; ///< Number of the latest call when it was read.
+};
+
 /// The session with a worker: what this owner knows about its current
 /// incarnation and about all runs that may hold resources on it.
 struct Session {
-  WorkerEntry Entry;
-  bool Listed = true;  ///< The registry lists the worker.
-  bool Synced = false; ///< The worker has answered a sync under this epoch.
+  WorkerEntry Entry;      ///< With the start time of the known incarnation.
+  bool Described = true;  ///< Entry describes the known incarnation.
+  bool Confirmed = false; ///< It has answered a sync at the address in Entry.
+  bool Listed = true;     ///< The registry lists the worker.
+  bool Synced = false;    ///< The worker has answered a sync under this epoch.
+  /// Oldest first. The worker is asked at the address of each in turn.
+  std::vector<IncarnationClaim> Claims;
+  std::size_t NextClaim = 0;     ///< Index of the claim to be asked about next.
+  std::uint64_t ProbeNumber = 0; ///< Number of the call in flight; 0: none.
+  MonoTime NextProbeAt{};
   bool SyncInFlight = false;
+  std::uint64_t SyncNumber = 0; ///< Number of the sync in flight.
   MonoTime SyncSentAt{};
   MonoTime NextSyncAt{};
   MonoTime ClockReadAt{};
@@ -111,9 +128,6 @@
   dispatch::SlowWorkerDetector Slowness;
   /// Jobs that failed here since the last success.
   std::set<std::string> FailedJobs;
-  /// Start times of the worker's earlier incarnations. They come from its wall
-  /// clock, which may jump, so a later incarnation may have an earlier time.
-  std::set<std::int64_t> PastIncarnations;
   /// When the current incarnation was first seen.
   MonoTime IncarnationSeenAt{};
   /// Latest time at which the current incarnation is known to have been
@@ -163,9 +177,30 @@
 private:
   // OwnerWorkers.cpp: the registry and the sessions with workers.
   void onRegistryChange(RegistryChange &&Change);
+  /// Takes an entry that describes the known incarnation.
+  void describeWorker(Session &S, WorkerEntry &&E, MonoTime ReadAt);
+  void addClaim(Session &S, WorkerEntry &&E);
+  /// Asks the worker, at the address of a claim, which incarnation it is.
+  void probe(const std::string &Id, Session &S);
+  void onProbed(const std::string &Id, std::uint64_t Number,
+                const std::string &Address, const WorkerReply &R);
+  /// Settles the claims that were read before the call \p Number was sent: the
+  /// worker has answered it at \p Address as the incarnation that started at
+  /// \p ProcessStartMs.
+  void settleIncarnation(Session &S, std::int64_t ProcessStartMs,
+                         const std::string &Address, std::uint64_t Number);
+  /// Abandons the sync in flight; its answer would be about another
+  /// incarnation or from another address.
+  void abandonSync(Session &S);
+  /// Whether the configuration or an unfinished job names the service. Entries
+  /// of other services are read again when it does.
+  bool isServiceInUse(const std::string &Service);
+  void learnService(const std::string &Service);
+  void learnServices();
   void adoptRecordedRuns(Session &S);
   void sync(const std::string &Id, Session &S);
-  void onSynced(const std::string &Id, const WorkerReply &R);
+  void onSynced(const std::string &Id, std::uint64_t Number,
+                const WorkerReply &R);
   void updateClock(Session &S, const WorkerReply &R);
   /// Whether the clock in the answer to a call sent at \p SentAt shows that the
   /// worker has restarted.
@@ -173,14 +208,11 @@
                       MonoTime SentAt) const;
   /// How long the worker may wait before it answers the next sync.
   Millis syncWait(const Session &S) const;
-  /// Handles answers that end this owner's term or the worker's session;
-  /// returns whether it was one.
-  bool endsSession(Session &S, WorkerVerdict V);
+  /// Handles answers, to calls sent to \p Address, that end this owner's term
+  /// or the worker's session; returns whether it was one.
+  bool endsSession(Session &S, WorkerVerdict V, const std::string &Address);
   void onRunReported(Session &S, const RunningTask &T);
   void onEndReported(Session &S, const EndedTask &T);
-  /// Whether \p ProcessStartMs belongs to another incarnation than the known
-  /// one.
-  bool isNewIncarnation(const Session &S, std::int64_t ProcessStartMs) const;
   void onWorkerRestarted(Session &S, std::int64_t ProcessStartMs);
   void markRunsLost(Session &S, std::string_view Why);
   void checkWorkers();
@@ -277,6 +309,11 @@
   Tail<RegistryChange> Registry;
   std::map<std::string, Session, std::less<>> Sessions;
   std::set<std::string> ListedWorkers; ///< While the registry is reread.
+  std::uint64_t LatestCall = 0;        ///< Number of the latest sync or probe.
+  std::set<std::string, std::less<>> ServicesInUse;
+  std::shared_ptr<const Configuration> ServicesFrom;
+  /// An entry was ignored because its service was not in use.
+  bool UnusedServiceListed = false;
   dispatch::Planner Planner;
   dispatch::UsualRates Rates;
   std::set<std::string, std::less<>> UnfinishedJobs;
--- a/packages/cluster/lib/OwnerAdvice.cpp
+++ b/packages/cluster/lib/OwnerAdvice.cpp
@@ -47,8 +47,9 @@
   std::vector<std::pair<std::int64_t, std::string>> Candidates;
   for (const auto &[Id, Worker] : Sessions) {
     const auto &Labels = Worker.Entry.Labels;
-    if (!Worker.Listed || !Worker.Synced || Worker.Entry.Draining ||
-        Worker.Entry.Service != J.Spec.Service || A.AskedWorkers.contains(Id) ||
+    if (!Worker.Listed || !Worker.Described || !Worker.Synced ||
+        Worker.Entry.Draining || Worker.Entry.Service != J.Spec.Service ||
+        A.AskedWorkers.contains(Id) ||
         !S.room().fitsIn(Worker.Entry.Capacity) ||
         (!S.RequiredLabel.empty() &&
          std::find(Labels.begin(), Labels.end(), S.RequiredLabel) ==
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -111,31 +111,33 @@
 std::function<void(WorkerReply)>
 Owner::makeReplyCallback(const std::string &Worker, const RunId &Id,
                          ReplyHandler Handle) {
-  return [this, Alive = Alive, Worker, Id, Handle](const WorkerReply &Reply) {
-    if (!*Alive)
-      return;
-    auto It = Sessions.find(Worker);
-    if (It == Sessions.end())
-      return;
-    Session &S = It->second;
-    auto Found = S.Runs.find(Id);
-    if (Found == S.Runs.end())
-      return;
-    RunState &R = Found->second;
-    R.CallInFlight = false;
-    if (Reply.Verdict == WorkerVerdict::NoAnswer)
-      S.UnansweredStarts[Id] = R.SentAt;
-    if (clockRestarted(S, Reply, R.SentAt)) {
-      // The next sync lists what runs in the new incarnation.
-      S.Synced = false;
-      S.NextSyncAt = Shared.mono();
-      R.RetryAt = Shared.mono() + CallRetryDelay;
-      return;
-    }
-    updateClock(S, Reply);
-    if (!endsSession(S, Reply.Verdict))
-      (this->*Handle)(S, R, Id, Reply);
-  };
+  return
+      [this, Alive = Alive, Worker, Id, Handle,
+       Address = Sessions.at(Worker).Entry.Address](const WorkerReply &Reply) {
+        if (!*Alive)
+          return;
+        auto It = Sessions.find(Worker);
+        if (It == Sessions.end())
+          return;
+        Session &S = It->second;
+        auto Found = S.Runs.find(Id);
+        if (Found == S.Runs.end())
+          return;
+        RunState &R = Found->second;
+        R.CallInFlight = false;
+        if (Reply.Verdict == WorkerVerdict::NoAnswer)
+          S.UnansweredStarts[Id] = R.SentAt;
+        if (clockRestarted(S, Reply, R.SentAt)) {
+          // The next sync lists what runs in the new incarnation.
+          S.Synced = false;
+          S.NextSyncAt = Shared.mono();
+          R.RetryAt = Shared.mono() + CallRetryDelay;
+          return;
+        }
+        updateClock(S, Reply);
+        if (!endsSession(S, Reply.Verdict, Address))
+          (this->*Handle)(S, R, Id, Reply);
+      };
 }
 
 void Owner::onStarted(Session &S, RunState &R, const RunId &Id,
@@ -188,8 +190,10 @@
   case WorkerVerdict::Unhealthy:
     return NeverRan(AvoidAfterRefusal, "the worker is unhealthy");
   case WorkerVerdict::Fenced:
-  case WorkerVerdict::OtherIncarnation:
-    return; // Handled by endsSession().
+    return;                             // Handled by endsSession().
+  case WorkerVerdict::OtherIncarnation: // The worker has another address now.
+    R.RetryAt = T + Shared.jitter(CallRetryDelay);
+    return;
   case WorkerVerdict::NoAnswer:
   case WorkerVerdict::NotDelivered:
     R.RetryAt = R.StartAttempts > 1 ? T + Shared.jitter(CallRetryDelay) : T;
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -57,6 +57,7 @@
     return;
   }
   UnfinishedJobs.emplace(Id);
+  learnService(J->Spec.Service);
   PlanNeeded = true;
   if (J->CancelRequested)
     endJob(*J, JobState::Cancelled, "the caller has cancelled it");
@@ -72,8 +73,10 @@
 void Owner::tick() {
   if (Deposed)
     return;
-  if (!Stopping)
+  if (!Stopping) {
+    learnServices();
     Registry.tick();
+  }
   if (!Stopping) {
     checkWorkers();
     MonoTime T = Shared.mono();
@@ -257,8 +260,8 @@
     W.Labels = S.Entry.Labels;
     W.Capacity = S.Entry.Capacity;
     W.Free = S.Entry.Capacity;
-    W.Usable = S.Listed && S.Synced && S.ClockMs >= 0 && !S.SyncFailures &&
-               !S.Entry.Draining && !S.Entry.Address.empty();
+    W.Usable = S.Listed && S.Described && S.Synced && S.ClockMs >= 0 &&
+               !S.SyncFailures && !S.Entry.Draining && !S.Entry.Address.empty();
     W.Avoided = T < S.AvoidUntil;
     if (S.Slowness.isSlow(T))
       W.Condition = dispatch::WorkerCondition::Slow;
@@ -362,7 +365,7 @@
   std::int64_t Workers = 0;
   workload::Resources Sum;
   for (const auto &[Id, S] : Sessions)
-    if (S.Listed && S.Synced && !S.Entry.Draining) {
+    if (S.Listed && S.Described && S.Synced && !S.Entry.Draining) {
       ++Workers;
       Sum += S.Entry.Capacity;
     }
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -1,8 +1,10 @@
-// Follows the registry and keeps a session with each worker. A sync renews the
-// lease of all runs on the worker, returns when a run ends, and lists all runs
-// and ends, so that each answer corrects the owner's state. The runs of a
-// worker that does not answer stay placed there until its last lease must have
-// expired; only then may they run elsewhere.
+// Follows the registry and keeps a session with each worker. An entry that
+// names another incarnation than the known one is a claim: a probe, which is a
+// sync that renews and acknowledges nothing, asks the worker about it. A sync
+// renews the lease of all runs on the worker, returns when a run ends, and
+// lists all runs and ends, so that each answer corrects the owner's state. The
+// runs of a worker that does not answer stay placed there until its last lease
+// must have expired; only then may they run elsewhere.
 #include "Owner.h"
 
 namespace heathersaddle::cluster {
@@ -22,6 +24,9 @@
 static constexpr Millis SyncTimeoutMargin{600};
 static constexpr Millis FirstSyncTimeout{1'200};
 static constexpr Millis SyncRetryDelay{250};
+/// The newest entries of a worker that wait for its answer. More of them are
+/// not a worker's: between two of its own it has started again.
+static constexpr std::size_t MaxClaims = 4;
 /// A worker without runs needs no sync until a start is sent to it.
 static constexpr Millis IdleSyncPeriod{30'000};
 /// Clocks of workers may run slow by up to this factor.
@@ -59,8 +64,10 @@
   };
   Registry.OnComplete = [this] {
     for (auto &[Id, S] : Sessions)
-      if (!ListedWorkers.contains(Id))
+      if (!ListedWorkers.contains(Id)) {
         S.Listed = false;
+        S.Claims.clear();
+      }
   };
   for (const auto &[Id, J] : Shared.Ledger.jobs())
     if (J.HasSubmission)
@@ -73,6 +80,7 @@
         Session &S = Sessions[T.Worker];
         S.Entry.Id = T.Worker;
         S.Entry.ProcessStartMs = T.WorkerStartMs;
+        S.Described = false;
         S.Listed = false;
         S.LeaseEndsAt = ActiveSince + Shared.Settings.MaxLease;
         adoptRecordedRuns(S);
@@ -120,7 +128,10 @@
     return;
   auto It = Sessions.find(Change.Worker);
   if (!Change.Entry) {
-    if (It != Sessions.end() && It->second.Listed) {
+    if (It == Sessions.end())
+      return;
+    It->second.Claims.clear();
+    if (It->second.Listed) {
       It->second.Listed = false;
       Shared.log(408,
                  {{"worker", Change.Worker}, {"runs", It->second.Runs.size()}});
@@ -129,7 +140,11 @@
     return;
   }
   WorkerEntry &E = *Change.Entry;
+  bool ServiceInUse = isServiceInUse(E.Service);
   if (It == Sessions.end()) {
+    WorkerEntry Nothing;
+    if (judgeEntry(E, {Nothing}, ServiceInUse) == EntryVerdict::Ignored)
+      return;
     Session &S = Sessions[E.Id];
     S.Entry = std::move(E);
     S.LeaseEndsAt = ActiveSince + Shared.Settings.MaxLease;
@@ -138,25 +153,134 @@
     return;
   }
   Session &S = It->second;
-  // The registry may be older than the worker's own answers.
-  if (S.PastIncarnations.contains(E.ProcessStartMs))
+  switch (judgeEntry(E, {S.Entry, S.Described, S.Confirmed}, ServiceInUse)) {
+  case EntryVerdict::Ignored:
     return;
-  if (isNewIncarnation(S, E.ProcessStartMs)) {
-    Shared.log(409, {{"worker", E.Id}, {"runs", S.Runs.size()}});
-    onWorkerRestarted(S, E.ProcessStartMs);
-    S.Synced = false;
+  case EntryVerdict::Describes:
+    return describeWorker(S, std::move(E), Shared.mono());
+  case EntryVerdict::OtherIncarnation:
+    return addClaim(S, std::move(E));
   }
+}
+
+void Owner::describeWorker(Session &S, WorkerEntry &&E, MonoTime ReadAt) {
   if (S.Entry.Draining != E.Draining && E.Draining)
     Shared.log(410, {{"worker", E.Id},
                      {"runs", S.Runs.size()},
                      {"leaves_in_ms", E.LeavesInMs}});
   if (E.Draining && E.LeavesInMs >= 0)
-    S.LeavesAt = Shared.mono() + Millis(E.LeavesInMs) - MaxRegistryLag;
+    S.LeavesAt = ReadAt + Millis(E.LeavesInMs) - MaxRegistryLag;
+  if (E.Address != S.Entry.Address) {
+    S.Confirmed = false;
+    abandonSync(S);
+  }
   S.Entry = std::move(E);
+  S.Described = true;
   S.Listed = true;
   PlanNeeded = true;
 }
 
+void Owner::addClaim(Session &S, WorkerEntry &&E) {
+  std::erase_if(S.Claims, [&E](const IncarnationClaim &C) {
+    return C.Entry.ProcessStartMs == E.ProcessStartMs &&
+           C.Entry.Address == E.Address;
+  });
+  if (S.Claims.size() == MaxClaims)
+    S.Claims.erase(S.Claims.begin());
+  S.NextClaim = S.Claims.size();
+  S.Claims.push_back({std::move(E), Shared.mono(), LatestCall});
+  S.NextProbeAt = Shared.mono();
+}
+
+void Owner::probe(const std::string &Id, Session &S) {
+  const IncarnationClaim &C = S.Claims[S.NextClaim % S.Claims.size()];
+  S.NextClaim = (S.NextClaim + 1) % S.Claims.size();
+  S.ProbeNumber = ++LatestCall;
+  SyncAction A;
+  A.Worker = {Id, C.Entry.Address};
+  A.Epoch = Epoch;
+  A.TimeLimit = FirstSyncTimeout;
+  Shared.count("worker_probes");
+  A.Done = [this, Alive = Alive, Id, Number = S.ProbeNumber,
+            Address = C.Entry.Address](const WorkerReply &R) {
+    if (*Alive)
+      onProbed(Id, Number, Address, R);
+  };
+  Shared.Actions.push_back(std::move(A));
+}
+
+void Owner::onProbed(const std::string &Id, std::uint64_t Number,
+                     const std::string &Address, const WorkerReply &R) {
+  auto It = Sessions.find(Id);
+  if (It == Sessions.end() || It->second.ProbeNumber != Number)
+    return;
+  Session &S = It->second;
+  S.ProbeNumber = 0;
+  // Refusals are not trusted: the address may be any process's.
+  S.NextProbeAt = Shared.mono() + Shared.jitter(SyncRetryDelay);
+  if (R.Verdict == WorkerVerdict::Ok && R.ProcessStartMs > 0)
+    settleIncarnation(S, R.ProcessStartMs, Address, Number);
+}
+
+void Owner::settleIncarnation(Session &S, std::int64_t ProcessStartMs,
+                              const std::string &Address,
+                              std::uint64_t Number) {
+  std::optional<IncarnationClaim> Own;
+  for (const IncarnationClaim &C : S.Claims)
+    if (C.Entry.ProcessStartMs == ProcessStartMs &&
+        (!Own || C.Entry.Address == Address))
+      Own = C;
+  std::erase_if(S.Claims, [&](const IncarnationClaim &C) {
+    return C.Entry.ProcessStartMs == ProcessStartMs || C.LatestCall < Number;
+  });
+  if (!S.Entry.ProcessStartMs)
+    S.Entry.ProcessStartMs = ProcessStartMs;
+  if (ProcessStartMs == S.Entry.ProcessStartMs)
+    return;
+  // Without an entry of this incarnation, only the known address is certain to
+  // be the worker's.
+  if (!Own && Address != S.Entry.Address)
+    return;
+  Shared.log(409, {{"worker", S.Entry.Id}, {"runs", S.Runs.size()}});
+  onWorkerRestarted(S, ProcessStartMs);
+  S.Described = S.Confirmed = S.Synced = false;
+  if (Own) {
+    describeWorker(S, std::move(Own->Entry), Own->ReadAt);
+    S.Confirmed = S.Entry.Address == Address;
+  }
+}
+
+void Owner::abandonSync(Session &S) {
+  S.SyncInFlight = false;
+  S.SyncNumber = 0;
+  S.SyncAcknowledgesTo = 0;
+  S.NextSyncAt = Shared.mono();
+}
+
+bool Owner::isServiceInUse(const std::string &Service) {
+  if (ServicesInUse.contains(Service))
+    return true;
+  UnusedServiceListed = true;
+  return false;
+}
+
+void Owner::learnService(const std::string &Service) {
+  if (!ServicesInUse.insert(Service).second || !UnusedServiceListed)
+    return;
+  UnusedServiceListed = false;
+  Registry.restart();
+}
+
+void Owner::learnServices() {
+  if (ServicesFrom == Shared.Config || !Shared.Config)
+    return;
+  ServicesFrom = Shared.Config;
+  for (const std::string &Name : ServicesFrom->Services)
+    learnService(Name);
+  for (const Queue &Q : ServicesFrom->Queues)
+    learnService(Q.Service);
+}
+
 /// Returns the end, by the worker's clock, of a full lease that starts now, and
 /// records the latest time by this daemon's clock at which it can expire.
 std::int64_t Owner::grantLease(Session &S) {
@@ -170,6 +294,7 @@
 
 void Owner::sync(const std::string &Id, Session &S) {
   S.SyncInFlight = true;
+  S.SyncNumber = ++LatestCall;
   S.SyncSentAt = Shared.mono();
   SyncAction A;
   A.Worker = {S.Entry.Id, S.Entry.Address};
@@ -190,9 +315,10 @@
   A.Wait = First ? Millis(0) : syncWait(S);
   A.TimeLimit = First ? FirstSyncTimeout : A.Wait + SyncTimeoutMargin;
   Shared.count("worker_syncs");
-  A.Done = [this, Alive = Alive, Id](const WorkerReply &R) {
+  A.Done = [this, Alive = Alive, Id,
+            Number = S.SyncNumber](const WorkerReply &R) {
     if (*Alive)
-      onSynced(Id, R);
+      onSynced(Id, Number, R);
   };
   Shared.Actions.push_back(std::move(A));
 }
@@ -232,12 +358,15 @@
   }
 }
 
-bool Owner::endsSession(Session &S, WorkerVerdict V) {
+bool Owner::endsSession(Session &S, WorkerVerdict V,
+                        const std::string &Address) {
   if (V == WorkerVerdict::Fenced) {
     depose("a worker has seen a later epoch");
     return true;
   }
-  if (V != WorkerVerdict::OtherIncarnation)
+  // An address at which the worker has never answered may not be its own.
+  if (V != WorkerVerdict::OtherIncarnation || !S.Confirmed ||
+      Address != S.Entry.Address)
     return false;
   S.Synced = false;
   S.Listed = false;
@@ -245,16 +374,18 @@
   return true;
 }
 
-void Owner::onSynced(const std::string &Id, const WorkerReply &R) {
+void Owner::onSynced(const std::string &Id, std::uint64_t Number,
+                     const WorkerReply &R) {
   auto It = Sessions.find(Id);
-  if (It == Sessions.end())
+  if (It == Sessions.end() || It->second.SyncNumber != Number)
     return;
   Session &S = It->second;
   S.SyncInFlight = false;
   MonoTime T = Shared.mono();
-  if (endsSession(S, R.Verdict))
+  if (endsSession(S, R.Verdict, S.Entry.Address))
     return;
-  if (R.Verdict != WorkerVerdict::Ok) {
+  // A worker always names its incarnation.
+  if (R.Verdict != WorkerVerdict::Ok || R.ProcessStartMs <= 0) {
     ++S.SyncFailures;
     S.NextSyncAt = T + Shared.jitter(SyncRetryDelay);
     S.AvoidUntil = std::max(S.AvoidUntil, T + AvoidAfterNoAnswer);
@@ -262,14 +393,9 @@
       Shared.log(407, {{"worker", Id}, {"runs", S.Runs.size()}});
     return;
   }
-  if (S.PastIncarnations.contains(R.ProcessStartMs)) {
-    // Sent before the worker restarted, but received after its new registry
-    // entry.
-    S.NextSyncAt = T + Shared.jitter(SyncRetryDelay);
-    return;
-  }
-  if (isNewIncarnation(S, R.ProcessStartMs))
-    onWorkerRestarted(S, R.ProcessStartMs);
+  std::string Address = S.Entry.Address;
+  settleIncarnation(S, R.ProcessStartMs, Address, Number);
+  S.Confirmed = S.Entry.Address == Address;
   if (S.SyncFailures >= 2)
     Shared.log(411, {{"worker", Id}, {"runs", S.Runs.size()}});
   S.SyncFailures = 0;
@@ -391,12 +517,6 @@
   finishRun(Id, T.Reason, T.Checkpoint, S);
 }
 
-bool Owner::isNewIncarnation(const Session &S,
-                             std::int64_t ProcessStartMs) const {
-  return ProcessStartMs > 0 && S.Entry.ProcessStartMs &&
-         ProcessStartMs != S.Entry.ProcessStartMs;
-}
-
 /// Resets the session for a new incarnation, which has no state of the earlier
 /// one and numbers its ends from the beginning.
 void Owner::onWorkerRestarted(Session &S, std::int64_t ProcessStartMs) {
@@ -418,7 +538,6 @@
     RunState &R = MayArrive[Id];
     R.MayHaveArrived = true;
   }
-  S.PastIncarnations.insert(S.Entry.ProcessStartMs);
   S.Entry.ProcessStartMs = ProcessStartMs;
   S.IncarnationSeenAt = S.KnownAliveAt = Shared.mono();
   for (auto &[Id, R] : MayArrive) {
@@ -432,8 +551,10 @@
       S.SyncAcknowledgesTo = 0;
   S.ClockMs = -1;
   S.FailedJobs.clear();
+  S.LeavesAt = {};
   // The worker gets no work before its clock is known.
-  S.NextSyncAt = Shared.mono();
+  abandonSync(S);
+  S.ProbeNumber = 0;
 }
 
 /// Called when all runs of this incarnation have certainly ended.
@@ -565,7 +686,8 @@
     // An unlisted worker may come back and still receive starts that were sent
     // to it. Its session is kept until none can arrive, so that such runs are
     // stopped.
-    if (!S.Listed && S.Runs.empty() && S.UnansweredStarts.empty()) {
+    if (!S.Listed && S.Runs.empty() && S.UnansweredStarts.empty() &&
+        S.Claims.empty()) {
       It = Sessions.erase(It);
       continue;
     }
@@ -574,6 +696,8 @@
     if (!S.SyncInFlight && !S.Entry.Address.empty() && T >= S.NextSyncAt &&
         (S.Listed || !S.Runs.empty()))
       sync(Id, S);
+    if (!S.Claims.empty() && !S.ProbeNumber && T >= S.NextProbeAt)
+      probe(Id, S);
     ++It;
   }
 }
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -325,11 +325,21 @@
   return std::min({Percent, 100U, W.StallsAtPercent.value_or(100)});
 }
 
+FakeWorker *World::workerAt(const std::string &Address) {
+  for (auto &[Id, W] : Workers)
+    if (W.Entry.Address == Address)
+      return &W;
+  return nullptr;
+}
+
 void World::sync(const std::string &Daemon, const SyncAction &A,
                  std::int64_t Until) {
   if (!Daemons.contains(Daemon))
     return;
-  FakeWorker &W = Workers[A.Worker.Id];
+  FakeWorker *At = workerAt(A.Worker.Address);
+  if (!At)
+    return;
+  FakeWorker &W = *At;
   if (!W.Up || W.Disconnected || DaemonsWithoutWorkers.contains(Daemon))
     return;
   if (W.SyncsToLose) {
@@ -337,6 +347,10 @@
     return;
   }
   WorkerReply R;
+  if (W.Entry.Id != A.Worker.Id) {
+    R.Verdict = WorkerVerdict::OtherIncarnation;
+    return reply(Daemon, [Done = A.Done, R] { Done(R); });
+  }
   R.ClockMs = W.clock(Clock);
   R.ProcessStartMs = W.Entry.ProcessStartMs;
   if (A.Epoch < W.Epoch) {
@@ -465,11 +479,18 @@
           } else if constexpr (std::is_same_v<T, SyncAction>) {
             sync(Daemon, Copy, Clock + Copy.Wait.count());
           } else if constexpr (requires { Copy.Worker; }) {
-            FakeWorker &W = Workers[Copy.Worker.Id];
+            FakeWorker *At = workerAt(Copy.Worker.Address);
+            if (!At)
+              return;
+            FakeWorker &W = *At;
             if (!W.Up || W.Disconnected ||
                 DaemonsWithoutWorkers.contains(Daemon))
               return;
             WorkerReply R;
+            if (W.Entry.Id != Copy.Worker.Id) {
+              R.Verdict = WorkerVerdict::OtherIncarnation;
+              return reply(Daemon, [Copy, R] { Copy.Done(R); });
+            }
             if constexpr (std::is_same_v<T, StartAction>) {
               if (W.StartsToLose) {
                 --W.StartsToLose;
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -174,6 +174,9 @@
   /// As above, for all members of the run's gang if its job is in GangSizes.
   bool isUnitFinished(const FakeWorker &W, const FakeWorker::Run &Run) const;
   unsigned percent(const FakeWorker &W, const FakeWorker::Run &Run) const;
+  /// The worker at the address, if there is one. It answers calls to another
+  /// worker that it is not that one.
+  FakeWorker *workerAt(const std::string &Address);
   void endRun(FakeWorker &W, std::size_t Index, EndReason Why);
   WorkerReply start(FakeWorker &W, const StartAction &A);
   AppendResult append(const AppendAction &A);
