--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -170,6 +170,7 @@
   };
   switch (Reply.Verdict) {
   case WorkerVerdict::Ok:
+    markBegun(Id.Task.Job);
     if (R.Stage == RunStage::Starting) {
       onConfirmed(R, Id);
       S.NextSyncAt = std::min(S.NextSyncAt, T);
@@ -211,12 +212,20 @@
   }
 }
 
+void Owner::markBegun(std::string_view Id) {
+  Job *J = Shared.Ledger.find(Id);
+  if (!J || J->State != JobState::Queued)
+    return;
+  J->State = JobState::Running;
+  RecordWriter.markChanged(Id);
+}
+
 void Owner::onConfirmed(RunState &R, const RunId &Id) {
   MonoTime T = Shared.mono();
   R.Stage = RunStage::Confirmed;
   R.ConfirmedAt = R.ProgressAt = T;
   const Job *J = Shared.Ledger.find(Id.Task.Job);
-  if (!J || Id.Task.Key.Step >= J->Spec.Steps.size())
+  if (!J || !J->Spec.has(Id.Task.Key))
     return;
   const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
   std::vector<RunState *> Members;
@@ -316,7 +325,8 @@
       Shared.log(417,
                  {{"worker", Worker}, {"job", Id.Task.Job}, {"run", Id.Run}});
       S.AvoidUntil = std::max(S.AvoidUntil, T + AvoidAfterRefusal);
-      if (J && J->Spec.Steps[Id.Task.Key.Step].Gang)
+      if (J && J->Spec.has(Id.Task.Key) &&
+          J->Spec.Steps[Id.Task.Key.Step].Gang)
         stopUnit(unitOf(*J, Id.Task.Key), "a member did not start");
       else
         stopRun(S, Id, "its start had no answer");
@@ -426,7 +436,7 @@
                    {"lost_core_s", lostCoreSeconds(Last, Why, Saved)}});
   PlanNeeded = true;
   Job *J = Shared.Ledger.find(Id.Task.Job);
-  if (!J || Id.Task.Key.Step >= J->Spec.Steps.size())
+  if (!J || !J->Spec.has(Id.Task.Key))
     return;
   const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
   TaskProgress &T = J->Tasks[Id.Task.Key];
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -27,6 +27,12 @@
 static constexpr Millis JobExpiryPeriod{5'000};
 /// Ended jobs are kept for this much longer than callers are promised.
 static constexpr Millis StatusRetentionMargin{30'000};
+/// Cancellations of jobs that were never submitted are kept for this long, which
+/// is far longer than a submission may be under way: daemons freeze for seconds,
+/// and appends without an answer have been carried out up to 15 s later. It is
+/// counted from when an owner first reads them, as clocks may jump, so an owner
+/// change prolongs it.
+static constexpr Millis UnsubmittedCancelRetention{120'000};
 /// An owner that receives no answers from most workers for this long releases
 /// ownership.
 static constexpr Millis UnreachableTimeout{1'500};
@@ -50,8 +56,13 @@
 
 void Owner::jobChanged(std::string_view Id) {
   Job *J = Shared.Ledger.find(Id);
-  if (!J)
-    return;
+  if (!J) {
+    // A cancellation that is repeated is kept for its whole time again.
+    UnsubmittedCancelsSince.erase(std::string(Id));
+    // Its records were removed, by whomever. Nobody waits for it any more.
+    UnfinishedJobs.erase(std::string(Id));
+    return stopJob(std::string(Id), "its records were removed");
+  }
   if (J->ended()) {
     UnfinishedJobs.erase(std::string(Id));
     return;
@@ -300,7 +311,7 @@
       const Job *J = Shared.Ledger.find(Run.Task.Job);
       Out.Stoppable = false;
       Out.EndEstimateMs = NowMs + MinRemainingMs;
-      if (J && Run.Task.Key.Step < J->Spec.Steps.size()) {
+      if (J && J->Spec.has(Run.Task.Key)) {
         const TaskKey &K = Run.Task.Key;
         const workload::Step &Step = J->Spec.Steps[K.Step];
         Out.Unit = unitOf(*J, K);
@@ -364,6 +375,7 @@
       continue;
     }
     Job &J = *Shared.Ledger.find(P.Work->Job->Spec.Id);
+    bool FirstPlacement = J.Tasks.empty();
     const workload::Step &Step = J.Spec.Steps[P.Work->Step];
     std::string WorkerIds;
     unsigned GangRun = 0;
@@ -392,11 +404,9 @@
       S.Runs.emplace(Id, std::move(R));
       RecordWriter.afterStored([this, Worker, Id] { sendStart(Worker, Id); });
     }
-    if (J.State == JobState::Queued) {
-      J.State = JobState::Running;
+    if (FirstPlacement)
       Shared.recordLatency("job_first_placed", J.Spec.Priority,
                            Millis(Shared.wall() - P.Work->DueMs));
-    }
     RecordWriter.markChanged(J.Spec.Id);
     Shared.log(423, {{"job", J.Spec.Id},
                      {"occurrence", P.Work->Occurrence},
@@ -481,6 +491,13 @@
         Shared.wall() - J.EndedMs >
             (Shared.Settings.StatusRetention + StatusRetentionMargin).count())
       Old.push_back(Id);
+  const auto &Cancels = Shared.Ledger.unsubmittedCancels();
+  std::erase_if(UnsubmittedCancelsSince,
+                [&](const auto &C) { return !Cancels.contains(C.first); });
+  for (const std::string &Id : Cancels)
+    if (T - UnsubmittedCancelsSince.try_emplace(Id, T).first->second >
+        UnsubmittedCancelRetention)
+      Old.push_back(Id);
   for (const std::string &Id : Old)
     RecordWriter.remove(Id);
 }
