--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -248,8 +248,9 @@
       }
       std::size_t CrashesAt = T.Phase == TaskPhase::Placed ? 10 : 8;
       if (Row.size() > CrashesAt) {
-        T.Crashes = static_cast<unsigned>(NumberAt(Row, CrashesAt));
-        T.CrashedRun = static_cast<unsigned>(NumberAt(Row, CrashesAt + 1));
+        T.Crashes = static_cast<unsigned>(NumberAt(Row, CrashesAt, MaxNumber));
+        T.CrashedRun =
+            static_cast<unsigned>(NumberAt(Row, CrashesAt + 1, MaxNumber));
       }
       Tasks.emplace(K, std::move(T));
     }
