--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -325,8 +325,7 @@
       Shared.log(417,
                  {{"worker", Worker}, {"job", Id.Task.Job}, {"run", Id.Run}});
       S.AvoidUntil = std::max(S.AvoidUntil, T + AvoidAfterRefusal);
-      if (J && J->Spec.has(Id.Task.Key) &&
-          J->Spec.Steps[Id.Task.Key.Step].Gang)
+      if (J && J->Spec.has(Id.Task.Key) && J->Spec.Steps[Id.Task.Key.Step].Gang)
         stopUnit(unitOf(*J, Id.Task.Key), "a member did not start");
       else
         stopRun(S, Id, "its start had no answer");
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -27,11 +27,11 @@
 static constexpr Millis JobExpiryPeriod{5'000};
 /// Ended jobs are kept for this much longer than callers are promised.
 static constexpr Millis StatusRetentionMargin{30'000};
-/// Cancellations of jobs that were never submitted are kept for this long, which
-/// is far longer than a submission may be under way: daemons freeze for seconds,
-/// and appends without an answer have been carried out up to 15 s later. It is
-/// counted from when an owner first reads them, as clocks may jump, so an owner
-/// change prolongs it.
+/// Cancellations of jobs that were never submitted are kept for this long,
+/// which is far longer than a submission may be under way: daemons freeze for
+/// seconds, and appends without an answer have been carried out up to 15 s
+/// later. It is counted from when an owner first reads them, as clocks may
+/// jump, so an owner change prolongs it.
 static constexpr Millis UnsubmittedCancelRetention{120'000};
 /// An owner that receives no answers from most workers for this long releases
 /// ownership.
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -35,10 +35,10 @@
 /// Load pattern: a caller cancels random ids, a thousand a second.
 ///
 /// Each cancellation of an unknown job is stored for two minutes, so their rate
-/// is limited on each daemon, and their number for all daemons together. Callers
-/// who cancel jobs that exist are not limited. Forwarded requests reach the
-/// owner, whose refusal is final, so others do not add their rates to it as long
-/// as it serves them.
+/// is limited on each daemon, and their number for all daemons together.
+/// Callers who cancel jobs that exist are not limited. Forwarded requests reach
+/// the owner, whose refusal is final, so others do not add their rates to it as
+/// long as it serves them.
 static constexpr double MaxUnknownCancelsPerSecond = 50;
 static constexpr double MaxUnknownCancelBurst = 100;
 static constexpr std::size_t MaxUnsubmittedCancels = 10'000;
@@ -253,8 +253,8 @@
   S.AnswerBy = T + StoreTimeout;
   S.Record = workload::Ledger::cancellation(U.Job, Shared.wall());
   S.Cancels = true;
-  S.Done = [this, Alive = Alive, Id = U.Job, Done = std::move(U.Done)](
-               const std::optional<Refusal> &NotStored) {
+  S.Done = [this, Alive = Alive, Id = U.Job,
+            Done = std::move(U.Done)](const std::optional<Refusal> &NotStored) {
     if (!*Alive)
       return;
     if (NotStored)
--- a/packages/cluster/tests/CancellationTest.cpp
+++ b/packages/cluster/tests/CancellationTest.cpp
@@ -41,8 +41,8 @@
 
 } // namespace
 
-// Guards against a job that runs after its caller was told that there is no such
-// job: its submission was in a frozen daemon.
+// Guards against a job that runs after its caller was told that there is no
+// such job: its submission was in a frozen daemon.
 BOOST_AUTO_TEST_CASE(LateSubmissionNeverRuns) {
   BOOST_TEST((cancel(*this, follower(), "1") == Lookup::Unknown));
   BOOST_TEST((cancel(*this, *Daemons[owner()], "2") == Lookup::Unknown));
@@ -101,7 +101,8 @@
   unsigned Acknowledged = 0;
   unsigned Refused = 0;
   std::int64_t SlowestMs = 0;
-  std::size_t AppendsBefore = Owner.stats().Counts.find("store_appends")->second;
+  std::size_t AppendsBefore =
+      Owner.stats().Counts.find("store_appends")->second;
   constexpr int Seconds = 5;
   for (int Ms = 0; Ms < 1'000 * Seconds; ++Ms) {
     Owner.cancel("attack" + std::to_string(Ms), [&](Lookup L) {
@@ -119,14 +120,14 @@
   }
   run(3'000);
   StoredMarks Marks = storedMarks(*this);
-  BOOST_TEST_MESSAGE(
-      "cancellations: " << Acknowledged << " acknowledged, " << Refused
-                        << " refused; in the topic: " << Marks.Records
-                        << " records of " << Marks.Bytes
-                        << " bytes; slowest submission: " << SlowestMs
-                        << " ms; appends: "
-                        << Owner.stats().Counts.find("store_appends")->second -
-                               AppendsBefore);
+  BOOST_TEST_MESSAGE("cancellations: "
+                     << Acknowledged << " acknowledged, " << Refused
+                     << " refused; in the topic: " << Marks.Records
+                     << " records of " << Marks.Bytes
+                     << " bytes; slowest submission: " << SlowestMs
+                     << " ms; appends: "
+                     << Owner.stats().Counts.find("store_appends")->second -
+                            AppendsBefore);
   BOOST_TEST(Acknowledged + Refused == 1'000u * Seconds);
   BOOST_TEST(Acknowledged <= 400u);
   BOOST_TEST(Marks.Records == Acknowledged);
--- a/packages/cluster/tests/StoreFailureTest.cpp
+++ b/packages/cluster/tests/StoreFailureTest.cpp
@@ -203,11 +203,8 @@
   BOOST_TEST(!submit(anyDaemon(), job("1", 2, 1, 900)));
   run(300);
   for (TaskKey Key : {TaskKey{0, 0, 99}, TaskKey{9, 0, 0}, TaskKey{0, 9, 0}})
-    Workers["w1"].Ended.push_back({Workers["w1"].NextEndNumber++,
-                                   {"1", Key},
-                                   1,
-                                   EndReason::Done,
-                                   ""});
+    Workers["w1"].Ended.push_back(
+        {Workers["w1"].NextEndNumber++, {"1", Key}, 1, EndReason::Done, ""});
   BOOST_TEST(
       runUntil([&] { return allShow("1", JobState::Completed); }, 3'000));
 }
--- a/packages/cluster/tests/WaitingJobsTest.cpp
+++ b/packages/cluster/tests/WaitingJobsTest.cpp
@@ -5,8 +5,8 @@
 
 namespace {
 
-/// A worker that no longer receives anything, which the owner does not know yet,
-/// and four jobs that only this worker may run.
+/// A worker that no longer receives anything, which the owner does not know
+/// yet, and four jobs that only this worker may run.
 struct JobsPlacedOnALostWorker : Deployment {
   JobsPlacedOnALostWorker() {
     addWorker("h", "rh");
@@ -30,8 +30,8 @@
 
 BOOST_FIXTURE_TEST_SUITE(JobsThatHaveNotBegun, JobsPlacedOnALostWorker)
 
-// Guards against jobs that are missing in the number of waiting ones although no
-// worker has begun them.
+// Guards against jobs that are missing in the number of waiting ones although
+// no worker has begun them.
 BOOST_AUTO_TEST_CASE(AreCountedAsWaitingWhilePlaced) {
   BOOST_TEST(allCount(4));
   BOOST_TEST(allShow("1", JobState::Queued));
--- a/packages/workload/include/heathersaddle/workload/Ledger.h
+++ b/packages/workload/include/heathersaddle/workload/Ledger.h
@@ -56,8 +56,8 @@
   Job *find(std::string_view Id);
   std::map<std::string, Job, std::less<>> &jobs() { return Jobs; }
   const std::map<std::string, Job, std::less<>> &jobs() const { return Jobs; }
-  /// Jobs that were cancelled and whose submissions have not been read: one that
-  /// arrives later is cancelled from the beginning.
+  /// Jobs that were cancelled and whose submissions have not been read: one
+  /// that arrives later is cancelled from the beginning.
   const std::set<std::string, std::less<>> &unsubmittedCancels() const {
     return UnsubmittedCancels;
   }
