Count crashes whose worker was replaced before this owner reached it

A worker that crashed and came back under another id before an owner had reached it answers that owner's calls with 421. As its address is not confirmed, this ends nothing, and the lease of its runs expires without a crash being counted. If another worker has answered at the address by then, the crash is counted.

--- a/packages/cluster/lib/OwnerCrashes.cpp
+++ b/packages/cluster/lib/OwnerCrashes.cpp
@@ -18,6 +18,13 @@
   return Present;
 }
 
+bool Owner::isReplaced(const Session &S) const {
+  return std::any_of(Sessions.begin(), Sessions.end(), [&S](const auto &Other) {
+    return &Other.second != &S && Other.second.Confirmed &&
+           Other.second.Entry.Address == S.Entry.Address;
+  });
+}
+
 void Owner::recordCrash(Session &S, std::set<RunId> Runs) {
   std::set<RunId> Lapsed = std::exchange(S.LapsedRuns, {});
   if (S.Entry.Draining)
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -693,6 +693,8 @@
       S.Synced = false;
       S.LapsedRuns.merge(runsPresent(S));
       S.LapsedAt = T;
+      if (isReplaced(S))
+        recordCrash(S, {});
       markRunsLost(S, "its lease has expired");
     }
     if (!S.Listed && S.Entry.Address.empty() && !S.Runs.empty() &&
