Record where a run was placed, so that the next owner sees its crash at once

Cause: a crashed worker comes back under another id at its old address. An owner that has called it before learns of the crash by a 421 from there. The next owner knew the id of a worker that is no longer listed from the job's record, but not its address, so the run counted as placed until its lease had expired, 6.3 s, and a gang stayed down with it. work_waits does not name such tasks, as they do not wait.

Change: the record of a placed task holds the address of its worker; records without it are read as before. The next owner calls the worker there. Its answer, or that of another worker, decides at once. A worker that is alive but not listed keeps its runs, too.

Evidence: TaskOfReplacedWorkerRunsAgainSoonUnderTheNextOwner fails without the address (no second start within 2 s of the new owner) and passes with it.

--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -43,9 +43,9 @@
   std::size_t Used = 0;
   for (const auto &[K, T] : J.Tasks)
     if (T.Phase != TaskPhase::Done)
-      Used +=
-          std::max(TaskEntryBytes,
-                   TaskEntryFixedBytes + T.Checkpoint.size() + T.Worker.size());
+      Used += std::max(TaskEntryBytes,
+                       TaskEntryFixedBytes + T.Checkpoint.size() +
+                           T.Worker.size() + T.WorkerAddress.size());
   return Used;
 }
 
@@ -393,6 +393,7 @@
       T.Phase = TaskPhase::Placed;
       T.Worker = Worker;
       T.WorkerStartMs = S.Entry.ProcessStartMs;
+      T.WorkerAddress = S.Entry.Address;
       RunId Id{{J.Spec.Id, K}, T.Run};
       RunState R;
       R.Room = Step.room();
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -83,6 +83,10 @@
         Session &S = Sessions[T.Worker];
         S.Entry.Id = T.Worker;
         S.Entry.ProcessStartMs = T.WorkerStartMs;
+        // The run was placed there after the worker had answered. If another
+        // worker answers now, the run has ended.
+        S.Entry.Address = T.WorkerAddress;
+        S.Confirmed = !T.WorkerAddress.empty();
         S.Described = false;
         S.Listed = false;
         S.LeaseEndsAt = ActiveSince + Shared.Settings.MaxLease;
--- a/packages/cluster/tests/CrashingTaskTest.cpp
+++ b/packages/cluster/tests/CrashingTaskTest.cpp
@@ -105,6 +105,26 @@
 
 BOOST_FIXTURE_TEST_SUITE(DeploymentWithCrashingTasks, DeploymentWithCrashes)
 
+// Guards against accepted work that waits for the lease of a crashed worker:
+// the next owner did not know its address, at which another worker answers.
+BOOST_AUTO_TEST_CASE(TaskOfReplacedWorkerRunsAgainSoonUnderTheNextOwner) {
+  NewIdAfterCrash = true;
+  RestartMs = 500;
+  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 20'000)));
+  TaskName Task{"1", {0, 0, 0}};
+  BOOST_REQUIRE(runUntil([&] { return Starts[Task] == 1; }, 3'000));
+  run(1'000);
+  for (auto &[Id, W] : Workers)
+    if (!W.Runs.empty()) {
+      crash(Id);
+      break;
+    }
+  kill(owner());
+  BOOST_REQUIRE(runUntil([&] { return !owner().empty(); }, 8'000));
+  BOOST_TEST(runUntil([&] { return Starts[Task] == 2; }, 2'000));
+  BOOST_TEST(!RunsOverlapped);
+}
+
 BOOST_AUTO_TEST_SUITE(TaskThatCrashesItsWorkers)
 
 // Guards against a task that crashes worker after worker without end.
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -174,6 +174,8 @@
     if (T.Phase == TaskPhase::Placed) {
       Row.emplace_back(T.Worker);
       Row.emplace_back(T.WorkerStartMs);
+      if (!T.WorkerAddress.empty())
+        Row.emplace_back(T.WorkerAddress);
     }
     if (T.Crashes) {
       Row.emplace_back(T.Crashes);
@@ -247,6 +249,10 @@
         T.WorkerStartMs = NumberAt(Row, 9, MaxMs);
       }
       std::size_t CrashesAt = T.Phase == TaskPhase::Placed ? 10 : 8;
+      // Records of earlier versions have no address.
+      if (T.Phase == TaskPhase::Placed && Row.size() > CrashesAt &&
+          Row[CrashesAt].is_string())
+        T.WorkerAddress = StringAt(Row, CrashesAt++);
       if (Row.size() > CrashesAt) {
         T.Crashes = static_cast<unsigned>(NumberAt(Row, CrashesAt, MaxNumber));
         T.CrashedRun =
