Drop recorded progress of tasks that the job does not have

Callers saw: the process that gives the orders could read outside of a job's steps and end by itself; found by reading. The numbers of a recorded task (occurrence, step, index) were used as indices without a check, and larger ones than 2^32 were cut off.

Cause: the reader of a progress record checked its form, not that the job has the tasks. An end that a worker reports for a task with a known step and an unknown index got an entry, too.

JobSpec::has() is asked wherever a task's name comes from a worker.

GangFailureIsCountedOnceAcrossOwners decoded the records beside a submission without steps, so they now were errors; it uses the job's own submission instead, and checks the same.

--- a/packages/cluster/lib/OwnerPace.cpp
+++ b/packages/cluster/lib/OwnerPace.cpp
@@ -27,7 +27,8 @@
                                             const RunState &R) const {
   const Job *J = Shared.Ledger.find(Id.Task.Job);
   auto Rate = R.Speed.latest(Shared.mono());
-  if (R.Stage != RunStage::Confirmed || !J || !Rate)
+  if (R.Stage != RunStage::Confirmed || !J || !J->Spec.has(Id.Task.Key) ||
+      !Rate)
     return std::nullopt;
   const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
   if (Step.LongRunning || hasRemotePlacement(S, Step, *J, Id))
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -204,7 +204,7 @@
   R.Stage = RunStage::Confirmed;
   R.ConfirmedAt = R.ProgressAt = T;
   const Job *J = Shared.Ledger.find(Id.Task.Job);
-  if (!J || Id.Task.Key.Step >= J->Spec.Steps.size())
+  if (!J || !J->Spec.has(Id.Task.Key))
     return;
   const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
   std::vector<RunState *> Members;
@@ -304,7 +304,7 @@
       Shared.log(417,
                  {{"worker", Worker}, {"job", Id.Task.Job}, {"run", Id.Run}});
       S.AvoidUntil = std::max(S.AvoidUntil, T + AvoidAfterRefusal);
-      if (J && J->Spec.Steps[Id.Task.Key.Step].Gang)
+      if (J && J->Spec.has(Id.Task.Key) && J->Spec.Steps[Id.Task.Key.Step].Gang)
         stopUnit(unitOf(*J, Id.Task.Key), "a member did not start");
       else
         stopRun(S, Id, "its start had no answer");
@@ -414,7 +414,7 @@
                    {"lost_core_s", lostCoreSeconds(Last, Why, Saved)}});
   PlanNeeded = true;
   Job *J = Shared.Ledger.find(Id.Task.Job);
-  if (!J || Id.Task.Key.Step >= J->Spec.Steps.size())
+  if (!J || !J->Spec.has(Id.Task.Key))
     return;
   const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
   TaskProgress &T = J->Tasks[Id.Task.Key];
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -275,7 +275,7 @@
       const Job *J = Shared.Ledger.find(Run.Task.Job);
       Out.Stoppable = false;
       Out.EndEstimateMs = NowMs + MinRemainingMs;
-      if (J && Run.Task.Key.Step < J->Spec.Steps.size()) {
+      if (J && J->Spec.has(Run.Task.Key)) {
         const TaskKey &K = Run.Task.Key;
         const workload::Step &Step = J->Spec.Steps[K.Step];
         Out.Unit = {J->Spec.Id, K.Occurrence, K.Step, Step.Gang ? 0 : K.Index};
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -343,7 +343,7 @@
     // Started by an earlier owner or by a start that was carried out late.
     RunState R;
     const Job *J = Shared.Ledger.find(T.Task.Job);
-    if (J && T.Task.Key.Step < J->Spec.Steps.size())
+    if (J && J->Spec.has(T.Task.Key))
       R.Room = J->Spec.Steps[T.Task.Key.Step].room();
     R.Stage = RunStage::Stopping;
     R.MayHaveArrived = true;
@@ -514,7 +514,7 @@
   std::vector<UnitId> Units;
   for (const auto &[Run, R] : S.Runs) {
     const Job *J = Shared.Ledger.find(Run.Task.Job);
-    if (R.Stage != RunStage::Confirmed || !J)
+    if (R.Stage != RunStage::Confirmed || !J || !J->Spec.has(Run.Task.Key))
       continue;
     const workload::Step &Step = J->Spec.Steps[Run.Task.Key.Step];
     if (!Step.LongRunning && T + remainingTime(Step, R) <= S.LeavesAt)
--- a/packages/cluster/tests/WorkerFailureTest.cpp
+++ b/packages/cluster/tests/WorkerFailureTest.cpp
@@ -151,12 +151,11 @@
   Workers["w1"].Entry.Draining = true;
   Registry.push_back({"w1", Workers["w1"].Entry});
   // The failure is recorded, but its acknowledgement does not arrive.
-  auto Recorded = [this] {
+  auto Recorded = [this, &J] {
     return std::any_of(ControlTopic.Records.begin(), ControlTopic.Records.end(),
-                       [](const KeyValue &R) {
+                       [&J](const KeyValue &R) {
                          workload::Ledger L;
-                         (void)L.apply({"j/1", "{\"q\":\"q\",\"s\":\"s\","
-                                               "\"steps\":[]}"});
+                         (void)L.apply(workload::Ledger::submission(J));
                          return R.Key == "p/1" && L.apply(R) &&
                                 L.find("1")->task({0, 0, 0}).Failures == 1;
                        });
--- a/packages/workload/include/heathersaddle/workload/Job.h
+++ b/packages/workload/include/heathersaddle/workload/Job.h
@@ -66,6 +66,18 @@
   }
 };
 
+/// Identifies one task of a job.
+struct TaskKey {
+  unsigned Occurrence = 0;
+  unsigned Step = 0;
+  unsigned Index = 0;
+  bool operator==(const TaskKey &) const = default;
+  bool operator<(const TaskKey &O) const {
+    return std::tie(Occurrence, Step, Index) <
+           std::tie(O.Occurrence, O.Step, O.Index);
+  }
+};
+
 /// An accepted job: its steps, its client account and its objective.
 struct JobSpec {
   std::string Id;
@@ -88,6 +100,11 @@
   bool NeedsAdvice = false;
 
   unsigned occurrences() const { return OccurrenceCount ? OccurrenceCount : 1; }
+  /// Whether the job has this task.
+  bool has(const TaskKey &K) const {
+    return K.Occurrence < occurrences() && K.Step < Steps.size() &&
+           K.Index < Steps[K.Step].Count;
+  }
   base::WallMs dueMs(unsigned Occurrence) const {
     return OccurrenceCount
                ? StartAtMs + static_cast<std::int64_t>(Occurrence) * IntervalMs
@@ -107,18 +124,6 @@
 std::int64_t workerMs(const Step &S, const Resources &Total,
                       std::int64_t Workers);
 
-/// Identifies one task of a job.
-struct TaskKey {
-  unsigned Occurrence = 0;
-  unsigned Step = 0;
-  unsigned Index = 0;
-  bool operator==(const TaskKey &) const = default;
-  bool operator<(const TaskKey &O) const {
-    return std::tie(Occurrence, Step, Index) <
-           std::tie(O.Occurrence, O.Step, O.Index);
-  }
-};
-
 enum class TaskPhase { Waiting, Placed, Done };
 
 /// The recorded state of one task. Tasks that were never placed have no entry.
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -4,6 +4,8 @@
 // consecutive tasks that are done. Tasks that were never placed have no row.
 #include "heathersaddle/workload/Ledger.h"
 #include "heathersaddle/base/Json.h"
+#include <algorithm>
+#include <limits>
 
 namespace heathersaddle::workload {
 
@@ -184,6 +186,8 @@
   return {"p/" + J.Spec.Id, json::serialize(O)};
 }
 
+/// Progress may name tasks that the job does not have, for example if the
+/// record of another version is read.
 static Expected<void> decodeProgress(std::string_view Text, Job &J) {
   auto V = base::parseJson(Text, "read_record");
   if (!V)
@@ -192,14 +196,15 @@
   auto State = static_cast<JobState>(R.integer("s", 0, 4));
   auto Ended = R.integerOr("e", 0, 0, MaxMs);
   std::map<TaskKey, TaskProgress> Tasks;
-  auto NumberAt = [&R](const json::array &Row,
-                       std::size_t Index) -> std::int64_t {
+  auto NumberAt = [&R](const json::array &Row, std::size_t Index,
+                       std::int64_t Max) -> std::int64_t {
     if (Index < Row.size() && Row[Index].is_int64() &&
-        Row[Index].as_int64() >= 0)
+        Row[Index].as_int64() >= 0 && Row[Index].as_int64() <= Max)
       return Row[Index].as_int64();
-    R.fail("t", "a row lacks a number");
+    R.fail("t", "a row lacks a number, or it is too large");
     return 0;
   };
+  constexpr std::int64_t MaxNumber = std::numeric_limits<unsigned>::max();
   auto StringAt = [&R](const json::array &Row,
                        std::size_t Index) -> std::string {
     if (Index < Row.size() && Row[Index].is_string())
@@ -214,17 +219,15 @@
         break;
       }
       const auto &Row = Item.as_array();
-      TaskKey K{static_cast<unsigned>(NumberAt(Row, 0)),
-                static_cast<unsigned>(NumberAt(Row, 1)),
-                static_cast<unsigned>(NumberAt(Row, 2))};
+      TaskKey K{static_cast<unsigned>(NumberAt(Row, 0, MaxCount)),
+                static_cast<unsigned>(NumberAt(Row, 1, MaxCount)),
+                static_cast<unsigned>(NumberAt(Row, 2, MaxCount))};
       TaskProgress T;
-      auto Phase = NumberAt(Row, 3);
-      if (Phase > 2)
-        R.fail("t", "unknown phase");
+      auto Phase = NumberAt(Row, 3, static_cast<std::int64_t>(TaskPhase::Done));
       T.Phase = static_cast<TaskPhase>(Phase);
-      T.Run = static_cast<unsigned>(NumberAt(Row, 4));
+      T.Run = static_cast<unsigned>(NumberAt(Row, 4, MaxNumber));
       if (T.Phase == TaskPhase::Done) {
-        auto Last = Row.size() > 5 ? NumberAt(Row, 5) : K.Index;
+        auto Last = Row.size() > 5 ? NumberAt(Row, 5, MaxCount) : K.Index;
         if (Last - K.Index >= MaxCount)
           R.fail("t", "a row has too many tasks");
         else
@@ -232,15 +235,19 @@
             Tasks.emplace(K, T);
         continue;
       }
-      T.Failures = static_cast<unsigned>(NumberAt(Row, 5));
-      T.FailedRun = static_cast<unsigned>(NumberAt(Row, 6));
+      T.Failures = static_cast<unsigned>(NumberAt(Row, 5, MaxNumber));
+      T.FailedRun = static_cast<unsigned>(NumberAt(Row, 6, MaxNumber));
       T.Checkpoint = StringAt(Row, 7);
       if (T.Phase == TaskPhase::Placed) {
         T.Worker = StringAt(Row, 8);
-        T.WorkerStartMs = NumberAt(Row, 9);
+        T.WorkerStartMs = NumberAt(Row, 9, MaxMs);
       }
       Tasks.emplace(K, std::move(T));
     }
+  if (J.HasSubmission &&
+      !std::all_of(Tasks.begin(), Tasks.end(),
+                   [&](const auto &T) { return J.Spec.has(T.first); }))
+    R.fail("t", "names a task that the job does not have");
   if (const auto *E = R.error())
     return tl::unexpected(*E);
   J.State = State;
@@ -327,8 +334,12 @@
     Job &J = Jobs[Id];
     // A repeated submission, accepted by another daemon, must not change the
     // time of acceptance.
-    if (!J.HasSubmission)
+    if (!J.HasSubmission) {
       J.Spec = std::move(*Spec);
+      // Its progress may have been read first.
+      std::erase_if(J.Tasks,
+                    [&](const auto &T) { return !J.Spec.has(T.first); });
+    }
     J.HasSubmission = true;
     return {};
   }
--- a/packages/workload/tests/LedgerTest.cpp
+++ b/packages/workload/tests/LedgerTest.cpp
@@ -143,6 +143,26 @@
   BOOST_TEST((L.find(spec().Id)->State == JobState::Queued));
 }
 
+// Guards against an owner that ends by itself because a record names a task
+// that the job does not have.
+BOOST_AUTO_TEST_CASE(ProgressOfUnknownTasksIsDropped) {
+  for (const char *Key : {"3,0,0", "0,2,0", "0,0,2", "4294967296,0,0",
+                          "0,4294967296,0", "0,0,4294967296"}) {
+    BOOST_TEST_CONTEXT(Key) {
+      KeyValue Record{"p/" + spec().Id, "{\"s\":1,\"t\":[[" + std::string(Key) +
+                                            ",1,1,0,0,\"\",\"w1\",17]]}"};
+      Ledger L;
+      (void)L.apply(Ledger::submission(spec()));
+      BOOST_TEST(!L.apply(Record).has_value());
+      BOOST_TEST(L.find(spec().Id)->Tasks.empty());
+      Ledger ProgressFirst;
+      (void)ProgressFirst.apply(Record);
+      (void)ProgressFirst.apply(Ledger::submission(spec()));
+      BOOST_TEST(ProgressFirst.find(spec().Id)->Tasks.empty());
+    }
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(JobObjective)
