Forget a job whose records were removed under the owner

Callers saw: nothing yet; found by reading. The owner read address 0 and ended when the records of a job that had not ended were removed from the topic, by whomever, and each of its successors ended with it as long as one had the job.

Cause: the set of unfinished jobs kept the id, and its job was used without a check.

Change: the owner forgets the job and stops its runs.

Evidence: JobWhoseRecordsAreRemovedIsForgotten failed before (memory access violation at address 0xa0). EndOfAnUnknownTaskIsIgnored passed before; it guards the check of recorded tasks.

--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -50,8 +50,11 @@
 
 void Owner::jobChanged(std::string_view Id) {
   Job *J = Shared.Ledger.find(Id);
-  if (!J)
-    return;
+  if (!J) {
+    // Its records were removed, by whomever. Nobody waits for it any more.
+    UnfinishedJobs.erase(std::string(Id));
+    return stopJob(std::string(Id), "its records were removed");
+  }
   if (J->ended()) {
     UnfinishedJobs.erase(std::string(Id));
     return;
--- a/packages/cluster/tests/StoreFailureTest.cpp
+++ b/packages/cluster/tests/StoreFailureTest.cpp
@@ -2,6 +2,7 @@
 
 using namespace heathersaddle;
 using namespace heathersaddle::cluster;
+using workload::TaskKey;
 
 BOOST_AUTO_TEST_SUITE(StoreWithSmallRecordLimit)
 
@@ -174,6 +175,42 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(RecordsOfOtherWriters)
+
+// Guards against an owner that ends by itself because the records of a job that
+// it schedules were removed.
+BOOST_AUTO_TEST_CASE(JobWhoseRecordsAreRemovedIsForgotten) {
+  BOOST_TEST(!submit(anyDaemon(), job("1", 2, 1, 60'000)));
+  BOOST_TEST(!submit(anyDaemon(), job("2", 2, 1, 900)));
+  run(300);
+  for (KeyValue &Record : workload::Ledger::removal("1"))
+    ControlTopic.Records.push_back(std::move(Record));
+  BOOST_TEST(
+      runUntil([&] { return allShow("2", JobState::Completed); }, 3'000));
+  run(600);
+  for (auto &[Name, N] : Daemons)
+    BOOST_TEST((N->status("1").Result == Lookup::Unknown));
+  for (auto &[Id, W] : Workers)
+    BOOST_TEST(W.Runs.empty());
+  BOOST_TEST(!submit(anyDaemon(), job("3", 24, 1, 300)));
+  BOOST_TEST(
+      runUntil([&] { return allShow("3", JobState::Completed); }, 3'000));
+}
+
+// Guards against an end whose effect no daemon can read because the job does
+// not have the task.
+BOOST_AUTO_TEST_CASE(EndOfAnUnknownTaskIsIgnored) {
+  BOOST_TEST(!submit(anyDaemon(), job("1", 2, 1, 900)));
+  run(300);
+  for (TaskKey Key : {TaskKey{0, 0, 99}, TaskKey{9, 0, 0}, TaskKey{0, 9, 0}})
+    Workers["w1"].Ended.push_back(
+        {Workers["w1"].NextEndNumber++, {"1", Key}, 1, EndReason::Done, ""});
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 3'000));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(LostAnswers)
 
 // Guards against owners that stop, or store records twice, after the answer to
