Count a job as waiting until a worker has confirmed a start

Cause: a job counted as running once a task of it was placed, and stayed so if the start had no answer or was refused.

Change: a job is running once a worker has confirmed a start, lists a run or an end of it. A job that has begun stays so when its runs are lost. Its state is told as `queued` until then, which includes the time until the confirmation is stored. The metric job_first_placed is unchanged: it counts the first placement.

--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -143,8 +143,8 @@
   /// Completes with Found once the cancellation is stored, or at once with
   /// Unknown or Stale.
   void cancel(std::string_view Job, std::function<void(Lookup)> Done);
-  /// Number of jobs of the queue of which no task has been placed; none if this
-  /// daemon's state is stale.
+  /// Number of jobs of the queue of which no worker has started a task; none if
+  /// this daemon's state is stale.
   std::optional<std::size_t> waiting(std::string_view Queue) const;
 
   /// Address to which a request may be forwarded: that of the last known owner.
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -232,6 +232,9 @@
   void sendDueCalls();
   /// The worker has confirmed the run.
   void onConfirmed(RunState &R, const RunId &Id);
+  /// A worker has shown that it has started a run of the job. Until then the
+  /// job counts as queued, as its starts may come to nothing.
+  void markBegun(std::string_view Job);
   /// \p Why is logged with the end of the run; it must outlive the run, as a
   /// literal does.
   void stopRun(Session &S, const RunId &Id, std::string_view Why);
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -160,6 +160,7 @@
   };
   switch (Reply.Verdict) {
   case WorkerVerdict::Ok:
+    markBegun(Id.Task.Job);
     if (R.Stage == RunStage::Starting) {
       onConfirmed(R, Id);
       S.NextSyncAt = std::min(S.NextSyncAt, T);
@@ -199,6 +200,14 @@
   }
 }
 
+void Owner::markBegun(std::string_view Id) {
+  Job *J = Shared.Ledger.find(Id);
+  if (!J || J->State != JobState::Queued)
+    return;
+  J->State = JobState::Running;
+  RecordWriter.markChanged(Id);
+}
+
 void Owner::onConfirmed(RunState &R, const RunId &Id) {
   MonoTime T = Shared.mono();
   R.Stage = RunStage::Confirmed;
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -339,6 +339,7 @@
       continue;
     }
     Job &J = *Shared.Ledger.find(P.Work->Job->Spec.Id);
+    bool FirstPlacement = J.Tasks.empty();
     const workload::Step &Step = J.Spec.Steps[P.Work->Step];
     std::string WorkerIds;
     unsigned GangRun = 0;
@@ -366,11 +367,9 @@
       S.Runs.emplace(Id, std::move(R));
       RecordWriter.afterStored([this, Worker, Id] { sendStart(Worker, Id); });
     }
-    if (J.State == JobState::Queued) {
-      J.State = JobState::Running;
+    if (FirstPlacement)
       Shared.recordLatency("job_first_placed", J.Spec.Priority,
                            Millis(Shared.wall() - P.Work->DueMs));
-    }
     RecordWriter.markChanged(J.Spec.Id);
     Shared.log(423, {{"job", J.Spec.Id},
                      {"occurrence", P.Work->Occurrence},
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -355,6 +355,7 @@
   }
   RunState &R = It->second;
   MonoTime Time = Shared.mono();
+  markBegun(T.Task.Job);
   if (!T.Checkpoint.empty() && T.Checkpoint != R.Checkpoint) {
     R.Checkpoint = T.Checkpoint;
     R.CheckpointAt = Time;
@@ -385,6 +386,7 @@
     S.FailedJobs.clear();
   else if (T.Reason == EndReason::Failed)
     S.FailedJobs.insert(T.Task.Job);
+  markBegun(T.Task.Job);
   finishRun(Id, T.Reason, T.Checkpoint, S);
 }
 
