Store the cancellation of an unknown job before it is acknowledged

Cause: a cancellation of a job that is in no record was answered from a recent read of the topic alone. Whatever was still under way (in a frozen daemon, on a slow connection, in an append that is carried out late) was accepted later.

Change: once the topic has been read, the cancellation is stored with the daemon's next append, and then answered. The ledger has applied x/ID to a job that is submitted later already; a daemon that knows it refuses the submission with 503, which says that the job never runs. An owner removes such records two minutes after it first read them, again from the start if the cancellation is repeated; an owner change prolongs it. Each daemon accepts 50 a second, 100 at once, and 10,000 are kept in all; others get 503 with Retry-After. That answer is final for a daemon that forwarded the request, so that it does not store the record in the owner's place. Cancellations of known jobs are not limited.

--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -47,6 +47,7 @@
     Overloaded,  ///< Certainly not run; may be retried after RetryAfter.
     Unavailable, ///< Certainly not run; another daemon may accept it.
     Unresolved,  ///< The store did not answer; retry with the same id.
+    Cancelled,   ///< Was cancelled before it was submitted; never runs.
     Invalid      ///< Can never run.
   };
   Kind Why = Unavailable;
@@ -54,9 +55,13 @@
   std::string Message;
 };
 
-/// Outcome of looking up a job; Stale: this daemon's state is too old to tell
-/// that the job is unknown.
-enum class Lookup { Found, Unknown, Stale };
+/// Outcome of looking up or cancelling a job.
+enum class Lookup {
+  Found,
+  Unknown, ///< To a cancellation: such a job will not run either.
+  Stale,   ///< This daemon's state is too old to tell, or nothing was stored.
+  Refused  ///< Too many unknown jobs are being cancelled; nothing was stored.
+};
 struct StatusResult {
   Lookup Result = Lookup::Stale;
   workload::JobState State = workload::JobState::Queued;
@@ -140,8 +145,7 @@
               std::function<void(std::optional<Refusal>)> Done,
               base::Millis CallerWaits = DefaultCallerWait);
   StatusResult status(std::string_view Job) const;
-  /// Completes with Found once the cancellation is stored, or at once with
-  /// Unknown or Stale.
+  /// Completes with Found or Unknown once the cancellation is stored.
   void cancel(std::string_view Job, std::function<void(Lookup)> Done);
   /// Number of jobs of the queue of which no worker has started a task; none if
   /// this daemon's state is stale.
--- a/packages/cluster/lib/Intake.cpp
+++ b/packages/cluster/lib/Intake.cpp
@@ -93,6 +93,12 @@
 }
 
 void refuse(Core &C, const Submission &S, bool CertainlyNotStored) {
+  if (S.Cancels) {
+    C.count("cancels_failed");
+    C.log(427, {{"job", S.Job}, {"stored", false}});
+    return S.Done(Refusal{Refusal::Unresolved, StoreRetryAfter,
+                          "the store did not accept the cancellation"});
+  }
   C.count(CertainlyNotStored ? "submissions_refused_unavailable"
                              : "submissions_unresolved");
   C.log(426, {{"job", S.Job},
--- a/packages/cluster/lib/Intake.h
+++ b/packages/cluster/lib/Intake.h
@@ -6,7 +6,7 @@
 
 namespace heathersaddle::cluster {
 
-/// A job that is waiting to be stored.
+/// A job, or the cancellation of an unknown one, that is waiting to be stored.
 struct Submission {
   std::string Job;
   std::string Queue;
@@ -16,9 +16,10 @@
   MonoTime AnswerBy{}; ///< Its caller stops waiting soon after that.
   KeyValue Record;
   std::function<void(std::optional<Refusal>)> Done;
+  bool Cancels = false; ///< The record cancels the job.
 };
 
-/// Logs that the job was not accepted and answers the caller accordingly.
+/// Logs that the record was not stored and answers the caller accordingly.
 void refuse(Core &C, const Submission &S, bool CertainlyNotStored);
 
 /// Stores submissions with at most one append in flight; the next append holds
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -40,6 +40,15 @@
   void cancel(std::string_view Job, std::function<void(Lookup)> Done);
   /// Resolves cancellations of jobs that were unknown when they were requested.
   void resolveCancels();
+  struct UnknownCancel {
+    std::string Job;
+    MonoTime Since{};
+    std::function<void(Lookup)> Done;
+  };
+  /// Whether another unknown job may be cancelled now; counts it if so.
+  bool mayCancelUnknown();
+  /// Stores a cancellation of a job that is in no record, then answers.
+  void cancelUnknown(UnknownCancel U);
   std::string forwardTarget() const;
   void recordForwarded(std::string_view Path, std::string_view Peer,
                        PeerAnswer How, Millis Took);
@@ -63,12 +72,10 @@
     std::int64_t WorkMs = 0;
   };
   std::vector<RecentSubmission> RecentSubmissions;
-  struct UnknownCancel {
-    std::string Job;
-    MonoTime Since{};
-    std::function<void(Lookup)> Done;
-  };
   std::vector<UnknownCancel> UnknownCancels;
+  /// How many unknown jobs may be cancelled, at which time.
+  double CancelTokens = 0;
+  MonoTime CancelTokensAt{};
 
   // Election.
   std::uint64_t OwnerRecordsRead = 0;
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -287,6 +287,8 @@
   dispatch::UsualRates Rates;
   std::set<std::string, std::less<>> UnfinishedJobs;
   std::set<std::string, std::less<>> GuaranteedJobs;
+  /// When this owner first read each cancellation of an unknown job.
+  std::map<std::string, MonoTime> UnsubmittedCancelsSince;
   /// Since when each step has had tasks that wait without a break.
   std::map<UnitId, MonoTime> WaitingSince;
   /// Workers on which a task of the step has failed.
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -27,6 +27,12 @@
 static constexpr Millis JobExpiryPeriod{5'000};
 /// Ended jobs are kept for this much longer than callers are promised.
 static constexpr Millis StatusRetentionMargin{30'000};
+/// Cancellations of jobs that were never submitted are kept for this long,
+/// which is far longer than a submission may be under way: daemons freeze for
+/// seconds, and appends without an answer have been carried out up to 15 s
+/// later. It is counted from when an owner first reads them, as clocks may
+/// jump, so an owner change prolongs it.
+static constexpr Millis UnsubmittedCancelRetention{120'000};
 /// An owner that receives no answers from most workers for this long releases
 /// ownership.
 static constexpr Millis UnreachableTimeout{1'500};
@@ -51,6 +57,8 @@
 void Owner::jobChanged(std::string_view Id) {
   Job *J = Shared.Ledger.find(Id);
   if (!J) {
+    // A cancellation that is repeated is kept for its whole time again.
+    UnsubmittedCancelsSince.erase(std::string(Id));
     // Its records were removed, by whomever. Nobody waits for it any more.
     UnfinishedJobs.erase(std::string(Id));
     return stopJob(std::string(Id), "its records were removed");
@@ -454,6 +462,13 @@
         Shared.wall() - J.EndedMs >
             (Shared.Settings.StatusRetention + StatusRetentionMargin).count())
       Old.push_back(Id);
+  const auto &Cancels = Shared.Ledger.unsubmittedCancels();
+  std::erase_if(UnsubmittedCancelsSince,
+                [&](const auto &C) { return !Cancels.contains(C.first); });
+  for (const std::string &Id : Cancels)
+    if (T - UnsubmittedCancelsSince.try_emplace(Id, T).first->second >
+        UnsubmittedCancelRetention)
+      Old.push_back(Id);
   for (const std::string &Id : Old)
     RecordWriter.remove(Id);
 }
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -26,9 +26,22 @@
 /// job that is not final is told by the owner if the topic was not read within
 /// this time here; reads usually end every 600 ms.
 static constexpr Millis MaxStatusAge{1'000};
+/// Told with the refusal of a job that was cancelled before. Trying again does
+/// not help, so it is as long as any.
+static constexpr Millis CancelledRetryAfter{20'000};
 /// Longest time to find out whether a job exists: a read in flight and another
 /// one, at the store's usual speed.
 static constexpr Millis JobLookupTimeout{2'000};
+/// Load pattern: a caller cancels random ids, a thousand a second.
+///
+/// Each cancellation of an unknown job is stored for two minutes, so their rate
+/// is limited on each daemon, and their number for all daemons together.
+/// Callers who cancel jobs that exist are not limited. Forwarded requests reach
+/// the owner, whose refusal is final, so others do not add their rates to it as
+/// long as it serves them.
+static constexpr double MaxUnknownCancelsPerSecond = 50;
+static constexpr double MaxUnknownCancelBurst = 100;
+static constexpr std::size_t MaxUnsubmittedCancels = 10'000;
 /// The owner publishes the backlog about once a second. Until then the work of
 /// jobs accepted here is added to it, for this long.
 static constexpr Millis RecentSubmissionAge{1'500};
@@ -40,6 +53,14 @@
     Shared.count("submissions_repeated");
     return Done(std::nullopt);
   }
+  if (Shared.Ledger.unsubmittedCancels().contains(Spec.Id)) {
+    Shared.count("submissions_refused_cancelled");
+    Shared.log(426, {{"job", Spec.Id},
+                     {"queue", Spec.Queue},
+                     {"reason", "cancelled_before"}});
+    return Done(Refusal{Refusal::Cancelled, CancelledRetryAfter,
+                        "the job was cancelled before it was submitted"});
+  }
   // Load pattern: the store rejects calls of some daemons and serves the
   // others. Callers must learn at once that nothing was done here, so that they
   // can use a daemon that is served. A daemon that is stopping still serves the
@@ -142,6 +163,12 @@
   // Makes the job visible here at once; other daemons read it from the topic.
   if (ControlTopic.following())
     (void)Shared.Ledger.applyExceptProgress(S.Record);
+  if (S.Cancels) {
+    if (ActiveOwner)
+      ActiveOwner->jobChanged(S.Job);
+    Shared.count("cancels_accepted");
+    return Shared.log(427, {{"job", S.Job}, {"stored", true}});
+  }
   RecentSubmissions.push_back({Shared.mono(), S.Priority, S.WorkMs});
   if (ActiveOwner)
     ActiveOwner->jobChanged(S.Job);
@@ -167,8 +194,11 @@
 void Node::Impl::cancel(std::string_view Id, std::function<void(Lookup)> Done) {
   const Job *J = Shared.Ledger.find(Id);
   if (!J) {
-    // Another daemon may have just accepted it. A caller that is told that the
-    // job is unknown relies on its not running, so the topic has to be read
+    if (!mayCancelUnknown()) {
+      Shared.count("cancels_refused");
+      return Done(Lookup::Refused);
+    }
+    // Another daemon may have just accepted it, so the topic has to be read
     // first.
     UnknownCancels.push_back({std::string(Id), Shared.mono(), std::move(Done)});
     return;
@@ -198,6 +228,45 @@
       }});
 }
 
+bool Node::Impl::mayCancelUnknown() {
+  MonoTime T = Shared.mono();
+  double Seconds =
+      std::chrono::duration<double>(T - std::exchange(CancelTokensAt, T))
+          .count();
+  CancelTokens = std::min(MaxUnknownCancelBurst,
+                          CancelTokens + Seconds * MaxUnknownCancelsPerSecond);
+  if (CancelTokens < 1 ||
+      Shared.Ledger.unsubmittedCancels().size() >= MaxUnsubmittedCancels)
+    return false;
+  CancelTokens -= 1;
+  return true;
+}
+
+/// A caller that is told that the job is unknown relies on its not running, but
+/// its submission may still arrive: it may be in a frozen daemon, on a slow
+/// connection, or in an append that the store carries out late.
+void Node::Impl::cancelUnknown(UnknownCancel U) {
+  MonoTime T = Shared.mono();
+  Submission S;
+  S.Job = U.Job;
+  S.Started = T;
+  S.AnswerBy = T + StoreTimeout;
+  S.Record = workload::Ledger::cancellation(U.Job, Shared.wall());
+  S.Cancels = true;
+  S.Done = [this, Alive = Alive, Id = U.Job,
+            Done = std::move(U.Done)](const std::optional<Refusal> &NotStored) {
+    if (!*Alive)
+      return;
+    if (NotStored)
+      return Done(Lookup::Stale);
+    Done(Shared.Ledger.find(Id) ? Lookup::Found : Lookup::Unknown);
+  };
+  if (ActiveOwner && !Stopping)
+    ActiveOwner->store(std::move(S));
+  else
+    Incoming.add(std::move(S));
+}
+
 void Node::Impl::resolveCancels() {
   if (UnknownCancels.empty())
     return;
@@ -207,7 +276,7 @@
     if (Shared.Ledger.find(U.Job))
       cancel(U.Job, std::move(U.Done));
     else if (ControlTopic.covers(U.Since))
-      U.Done(Lookup::Unknown);
+      cancelUnknown(std::move(U));
     else if (T - U.Since > JobLookupTimeout)
       U.Done(Lookup::Stale);
     else
--- a/packages/workload/include/heathersaddle/workload/Ledger.h
+++ b/packages/workload/include/heathersaddle/workload/Ledger.h
@@ -5,6 +5,7 @@
 #include "heathersaddle/workload/Job.h"
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -55,6 +56,11 @@
   Job *find(std::string_view Id);
   std::map<std::string, Job, std::less<>> &jobs() { return Jobs; }
   const std::map<std::string, Job, std::less<>> &jobs() const { return Jobs; }
+  /// Jobs that were cancelled and whose submissions have not been read: one
+  /// that arrives later is cancelled from the beginning.
+  const std::set<std::string, std::less<>> &unsubmittedCancels() const {
+    return UnsubmittedCancels;
+  }
   const Ownership &owner() const { return Owner; }
   /// Number of applied records with progress or ownership.
   std::uint64_t ownerRecords() const { return OwnerRecords; }
@@ -70,6 +76,7 @@
 private:
   base::Expected<void> applyOwner(std::string_view Value);
   std::map<std::string, Job, std::less<>> Jobs;
+  std::set<std::string, std::less<>> UnsubmittedCancels;
   Ownership Owner;
   std::uint64_t OwnerRecords = 0;
 };
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -325,6 +325,7 @@
   char Kind = Record.Key[0];
   if (Record.Value.empty()) {
     Jobs.erase(Id);
+    UnsubmittedCancels.erase(Id);
     return {};
   }
   if (Kind == 'j') {
@@ -341,6 +342,7 @@
                     [&](const auto &T) { return !J.Spec.has(T.first); });
     }
     J.HasSubmission = true;
+    UnsubmittedCancels.erase(Id);
     return {};
   }
   Job &J = Jobs[Id];
@@ -348,6 +350,8 @@
     J.Spec.Id = Id;
   if (Kind == 'x') {
     J.CancelRequested = true;
+    if (!J.HasSubmission)
+      UnsubmittedCancels.insert(Id);
     return {};
   }
   ++OwnerRecords;
@@ -366,6 +370,7 @@
 
 void Ledger::clear() {
   Jobs.clear();
+  UnsubmittedCancels.clear();
   Owner = {};
 }
 
