--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 300
 
 .PHONY: all packages build check lint sanitize bench bench-control demo faults fuzz \
-  mutations soak deploy-build
+  mutations soak deploy-build review
 
 all: build
 
@@ -77,3 +77,15 @@
 	@sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)" >target.log 2>&1 || \
 	  { cat target.log; exit 1; }
 	@test -x target/platform/heathersaddle-node
+
+# Runs the cases of the review (review/REPORT.md) against the deployed daemon,
+# with their disruptions, or without them if TROUBLE=0: about ten minutes. A
+# case fails while its fault is there.
+review: deploy-build
+	@review/build.sh
+	@Failed=; for Case in review/[1-5]; do \
+	  echo "$$Case: $$(sed -n 's/^rule: //p' $$Case/claim.txt)"; \
+	  $$Case/run.sh || Failed="$$Failed $$Case"; \
+	done; \
+	git checkout -q -- review; \
+	test -z "$$Failed" || { echo "failed:$$Failed"; exit 1; }
