Bound leases by the owner's latest confirmation from the store

The owner in that zone went on renewing the leases there while its successor, which assumed that no earlier lease ends later than ActiveSince + MaxLease, started the tasks elsewhere. With most workers on the owner's side it never stopped.

An owner that is cut off cannot know that it has been replaced. It knows when it sent its latest append that the store answered as appended (T0); a claim fences, so no successor had claimed by T0, and the successor reads that record before its own claim, at R >= T0. LeaseTerms now derives both bounds in one place: the owner grants no lease that ends after T0 + X, the successor awaits R + X, with X = the longest lease by a slow clock (6,126 ms; the old bound left the 2% out) + the time after which a silent owner is replaced (1,800 ms). Only appends with the owner's record count, from when their first copy was composed. Suspension is covered, as the clocks go on and deadlines are points of time. Records that were not read one by one (pages) count as read at the first page. After a release the bound is one lease; nothing is granted once it is sent. Once a worker has answered the successor, earlier owners' leases there end within a lease. Past T0 + X an owner gives no orders at all (calls to workers, plans) until it is confirmed again; events 440 and 441. Syncs get shorter while leases run out, so that a renewal follows soon after a confirmation.

Other permissions of an owner that is cut off were examined and stay as they are (table in docs/platform-integration.md): starts and acknowledgements need a stored record, stops are fenced or end only runs of its own, tickets are checked by the workers, answers to callers come from what is stored or read.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -75,6 +75,8 @@
     {437, "worker_slow", Warning},
     {438, "request_passed_on", Info},
     {439, "work_waits", Info},
+    {440, "orders_paused", Warning},
+    {441, "orders_resumed", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/lib/Election.cpp
+++ b/packages/cluster/lib/Election.cpp
@@ -8,16 +8,10 @@
 
 namespace heathersaddle::cluster {
 
-/// An owner that has recorded nothing for this long is replaced. This covers
-/// more than two missed heartbeats with a slow store, and is much shorter than
-/// the leases of 6 s.
-static constexpr Millis OwnerTimeout{1'500};
 /// Load pattern: the store rejects the owner's calls, or its process has ended,
 /// while callers' requests arrive. An owner that could not handle a forwarded
 /// request is replaced after this time, which covers a heartbeat and its read.
 static constexpr Millis RefusingOwnerTimeout{700};
-/// Claims are delayed by a random time up to this one.
-static constexpr Millis MaxClaimDelay{300};
 /// Load pattern: the store is slow, so that the owner's records and claims are
 /// read late. The timeout is extended by this many times the duration of an
 /// append: the owner's own append, an append of callers' jobs before it, and
@@ -133,6 +127,7 @@
   ClaimAt = {};
   Claiming = true;
   ClaimOffset.reset();
+  ClaimedAt = T;
   ClaimEpoch = O.Epoch + 1;
   ClaimSequence = Shared.Random() >> (64 - RandomSequenceBits);
   Shared.log(424, {{"epoch", ClaimEpoch},
@@ -188,7 +183,9 @@
   Shared.log(400, {{"epoch", ClaimEpoch},
                    {"jobs", Shared.Ledger.jobs().size()},
                    {"next", ControlTopic.next()}});
-  ActiveOwner = std::make_unique<Owner>(Shared, ClaimEpoch, ClaimSequence);
+  ActiveOwner =
+      std::make_unique<Owner>(Shared, ClaimEpoch, ClaimSequence, ClaimedAt,
+                              FormerLeases.endBefore(ClaimEpoch));
   ActiveOwner->onStored() = [this](const Submission &S, std::uint64_t Offset) {
     onSubmissionStored(S, Offset);
   };
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -16,12 +16,14 @@
                  base::StructuredLog &Log)
     : Shared(std::move(Settings), std::move(Clock), Log),
       ControlTopic(Shared, FollowerReadInterval, MaxControlReadWait),
-      Incoming(Shared), OperatorTopic(Shared, OperatorReadInterval) {
+      Incoming(Shared), OperatorTopic(Shared, OperatorReadInterval),
+      FormerLeases(LeaseTerms(Shared.Settings.MaxLease)) {
   Incoming.OnStored = [this](const Submission &S, std::uint64_t Offset) {
     onSubmissionStored(S, Offset);
   };
   Incoming.Unreachable = [this] { return ControlTopic.failing(); };
   ControlTopic.OnReset = [this] {
+    FormerLeases.recordsSkipped(Shared.mono());
     // An owner's state is ahead of the records in the pages, so it steps down
     // before the pages are applied.
     if (ActiveOwner)
@@ -41,6 +43,8 @@
   // While this node is the owner, its state is ahead of its own records.
   auto Applied = ActiveOwner ? Shared.Ledger.applyExceptProgress(Record)
                              : Shared.Ledger.apply(Record);
+  if (auto O = workload::Ledger::decodeOwnership(Record); O && *O)
+    FormerLeases.ownerRecordRead((*O)->Epoch, (*O)->Released, Shared.mono());
   if (!Applied)
     Shared.log(405,
                {{"key", Record.Key}, {"reason", Applied.error().toString()}});
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -71,6 +71,7 @@
   std::vector<UnknownCancel> UnknownCancels;
 
   // Election.
+  EarlierLeases FormerLeases;
   std::uint64_t OwnerRecordsRead = 0;
   MonoTime OwnerRecordReadAt{}; ///< When its latest record was read.
   /// When the owner first could not handle a forwarded request after its latest
@@ -85,6 +86,7 @@
   bool ClaimInFlight = false;
   std::uint64_t ClaimEpoch = 0;
   std::uint64_t ClaimSequence = 0;
+  MonoTime ClaimedAt{};                     ///< When the claim was first sent.
   std::optional<std::uint64_t> ClaimOffset; ///< Offset of this daemon's claim.
   MonoTime ClaimRetryAt{};
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -3,6 +3,7 @@
 
 #include "Tail.h"
 #include "Writer.h"
+#include "heathersaddle/cluster/LeaseTerms.h"
 #include "heathersaddle/dispatch/Pace.h"
 #include "heathersaddle/dispatch/Planner.h"
 #include "heathersaddle/dispatch/Stall.h"
@@ -138,7 +139,10 @@
 /// Schedules all work while this daemon is the owner.
 class Owner {
 public:
-  Owner(Core &C, std::uint64_t Epoch, std::uint64_t Sequence);
+  /// The claim was first sent at \p ClaimedAt. Leases of earlier owners end by
+  /// \p FormerLeasesEnd.
+  Owner(Core &C, std::uint64_t Epoch, std::uint64_t Sequence,
+        MonoTime ClaimedAt, MonoTime FormerLeasesEnd);
   ~Owner();
   Owner(const Owner &) = delete;
   Owner &operator=(const Owner &) = delete;
@@ -194,7 +198,14 @@
                                            const RunId &Run) const;
   void stopStalledRuns(const std::string &Id, Session &S);
   void evacuate(const std::string &Id, Session &S);
-  std::int64_t grantLease(Session &S);
+  /// The latest end, by this daemon's clock, of a lease granted now; none if
+  /// this owner may grant none.
+  std::optional<MonoTime> leaseEnd() const;
+  /// The deadline, by the worker's clock, of a lease granted now.
+  std::optional<std::int64_t> grantLease(Session &S);
+  /// Returns whether the store has confirmed recently enough that this daemon
+  /// is the owner. If not, another one may be, and this one gives no orders.
+  bool isConfirmed();
 
   // OwnerPace.cpp: detection of slow workers.
   struct RunRate {
@@ -300,7 +311,9 @@
   MonoTime PlannedAt{};
   Millis PlanDuration{};
   MonoTime JobsExpiredAt{};
-  MonoTime ActiveSince{};
+  LeaseTerms Leases;
+  MonoTime FormerLeasesEnd{}; ///< Of all earlier owners' leases.
+  bool WasConfirmed = true;   ///< As of the latest tick.
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -89,6 +89,11 @@
     return;
   if (!isCurrentRun(Id) || J->CancelRequested)
     return stopRun(S, Id, "its job has ended");
+  auto LeaseUntilMs = grantLease(S);
+  if (!LeaseUntilMs) {
+    R.RetryAt = Shared.mono() + CallRetryDelay;
+    return;
+  }
   R.CallInFlight = true;
   R.MayHaveArrived = true;
   R.SentAt = Shared.mono();
@@ -98,7 +103,7 @@
   A.Task = Id.Task;
   A.Run = Id.Run;
   A.Payload = J->Spec.Payload;
-  A.LeaseUntilMs = grantLease(S);
+  A.LeaseUntilMs = *LeaseUntilMs;
   A.Epoch = Epoch;
   A.Checkpoint = J->task(Id.Task.Key).Checkpoint;
   A.Ticket = R.Ticket;
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -74,7 +74,8 @@
     return;
   if (!Stopping)
     Registry.tick();
-  if (!Stopping) {
+  bool MayGiveOrders = isConfirmed();
+  if (!Stopping && MayGiveOrders) {
     checkWorkers();
     MonoTime T = Shared.mono();
     if (!Deposed && T - PlannedAt >= std::max(PlanDuration * PlanPauseFactor,
@@ -84,9 +85,9 @@
   }
   if (!Deposed && !RecordWriter.released())
     RecordWriter.tick();
-  if (!Deposed && !RecordWriter.released())
+  if (!Deposed && !RecordWriter.released() && MayGiveOrders)
     sendDueCalls();
-  if (!Deposed && !Stopping) {
+  if (!Deposed && !Stopping && MayGiveOrders) {
     removeExpiredJobs();
     checkReachability();
   }
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -24,8 +24,10 @@
 static constexpr Millis SyncRetryDelay{250};
 /// A worker without runs needs no sync until a start is sent to it.
 static constexpr Millis IdleSyncPeriod{30'000};
-/// Clocks of workers may run slow by up to this factor.
-static constexpr double MaxClockDriftFactor = 1.021;
+/// While a lease cannot be renewed in full, a sync may take up to one part in
+/// this many of the rest of it, so that a renewal follows soon once it can.
+static constexpr int SyncsPerLeaseRest = 4;
+static constexpr Millis MinRenewalWait{100};
 /// Added to the latest end of a lease: time for the worker to stop its runs.
 static constexpr Millis LeaseMargin{300};
 /// Added to the longest duration of a stop before an unlisted run counts as
@@ -44,9 +46,11 @@
 /// workers; a pass over all runs costs time.
 static constexpr Millis RunCheckPeriod{200};
 
-Owner::Owner(Core &C, std::uint64_t Epoch, std::uint64_t Sequence)
-    : Shared(C), Epoch(Epoch), RecordWriter(C, Epoch, Sequence),
-      Registry(C, FollowerReadInterval), ActiveSince(Shared.mono()) {
+Owner::Owner(Core &C, std::uint64_t Epoch, std::uint64_t Sequence,
+             MonoTime ClaimedAt, MonoTime FormerLeasesEnd)
+    : Shared(C), Epoch(Epoch), RecordWriter(C, Epoch, Sequence, ClaimedAt),
+      Registry(C, FollowerReadInterval), Leases(C.Settings.MaxLease),
+      FormerLeasesEnd(FormerLeasesEnd) {
   RecordWriter.OnDeposed = [this](std::string_view Reason) { depose(Reason); };
   RecordWriter.FillHeartbeat = [this](workload::Ownership &O) {
     publishLoad(O);
@@ -74,7 +78,7 @@
         S.Entry.Id = T.Worker;
         S.Entry.ProcessStartMs = T.WorkerStartMs;
         S.Listed = false;
-        S.LeaseEndsAt = ActiveSince + Shared.Settings.MaxLease;
+        S.LeaseEndsAt = FormerLeasesEnd;
         adoptRecordedRuns(S);
       }
 }
@@ -129,7 +133,7 @@
   if (It == Sessions.end()) {
     Session &S = Sessions[E.Id];
     S.Entry = std::move(E);
-    S.LeaseEndsAt = ActiveSince + Shared.Settings.MaxLease;
+    S.LeaseEndsAt = FormerLeasesEnd;
     adoptRecordedRuns(S);
     PlanNeeded = true;
     return;
@@ -154,15 +158,32 @@
   PlanNeeded = true;
 }
 
-/// Returns the end, by the worker's clock, of a full lease that starts now, and
-/// records the latest time by this daemon's clock at which it can expire.
-std::int64_t Owner::grantLease(Session &S) {
-  auto SinceClockRead = (Shared.mono() - S.ClockReadAt).count();
-  auto Lease = SinceClockRead + Shared.Settings.MaxLease.count();
-  auto MaxDuration = static_cast<std::int64_t>(static_cast<double>(Lease) *
-                                               MaxClockDriftFactor);
-  S.LeaseEndsAt = std::max(S.LeaseEndsAt, S.ClockReadAt + Millis(MaxDuration));
-  return S.ClockMs + Lease;
+std::optional<MonoTime> Owner::leaseEnd() const {
+  // The next owner expects no leases from after the release.
+  if (RecordWriter.releaseSent())
+    return std::nullopt;
+  MonoTime T = Shared.mono();
+  MonoTime End = Leases.endOfGrant(T, RecordWriter.confirmedAt());
+  return End > T ? std::optional(End) : std::nullopt;
+}
+
+std::optional<std::int64_t> Owner::grantLease(Session &S) {
+  auto End = leaseEnd();
+  if (!End)
+    return std::nullopt;
+  S.LeaseEndsAt = std::max(S.LeaseEndsAt, *End);
+  return S.ClockMs + Leases.onWorkerClock(S.ClockReadAt, *End).count();
+}
+
+bool Owner::isConfirmed() {
+  MonoTime T = Shared.mono();
+  MonoTime ConfirmedAt = RecordWriter.confirmedAt();
+  bool Confirmed = Leases.endOfGrant(T, ConfirmedAt) > T;
+  if (Confirmed != std::exchange(WasConfirmed, Confirmed))
+    Shared.log(
+        Confirmed ? 441 : 440,
+        {{"epoch", Epoch}, {"confirmed_before_ms", (T - ConfirmedAt).count()}});
+  return Confirmed;
 }
 
 void Owner::sync(const std::string &Id, Session &S) {
@@ -177,7 +198,7 @@
   // elsewhere.
   bool First = !S.Synced || S.ClockMs < 0;
   if (!First && !S.Runs.empty() && !S.SyncFailures)
-    A.LeaseUntilMs = grantLease(S);
+    A.LeaseUntilMs = grantLease(S).value_or(-1);
   // Each incarnation numbers its ends from the beginning. An acknowledgement
   // that the worker has received is not sent again: after an unnoticed restart
   // it would acknowledge ends that the owner has not read.
@@ -200,6 +221,9 @@
   // Stopping a run that never arrived produces no end, so the lists are
   // requested when the stop must have completed.
   Millis Wait = MaxSyncWait;
+  if (auto End = leaseEnd())
+    Wait = std::clamp((*End - Shared.mono()) / SyncsPerLeaseRest,
+                      MinRenewalWait, MaxSyncWait);
   for (const auto &[Id, R] : S.Runs) {
     const Job *J = Shared.Ledger.find(Id.Task.Job);
     if (J && J->Spec.Priority == 0)
@@ -276,6 +300,8 @@
   updateClock(S, R);
   bool First = !S.Synced;
   S.Synced = true;
+  // From its answer on, the worker refuses calls of earlier owners.
+  S.LeaseEndsAt = std::min(S.LeaseEndsAt, T + Leases.longest());
   for (const EndedTask &E : R.Ended)
     if (E.Number > S.LastHandledEnd) {
       onEndReported(S, E);
--- a/packages/cluster/lib/Writer.cpp
+++ b/packages/cluster/lib/Writer.cpp
@@ -73,7 +73,9 @@
   MonoTime T = Shared.mono();
   bool Final = Releasing && ChangedJobs.empty() && PendingSubmissions.empty();
   ReleaseInFlight = Final;
-  if (Records.empty() || T >= NextHeartbeatAt || Final) {
+  ComposedAt = T;
+  OwnerRecordInFlight = Records.empty() || T >= NextHeartbeatAt || Final;
+  if (OwnerRecordInFlight) {
     workload::Ownership O;
     O.Epoch = Epoch;
     O.Daemon = Shared.Settings.Name;
@@ -120,6 +122,10 @@
     InFlight = false;
     UnansweredCopies = 0;
     ReleaseStored = ReleaseInFlight;
+    // The answer may be to any copy, and the first one may have been carried
+    // out at once. Later owners go by the owner's records only.
+    if (OwnerRecordInFlight)
+      ConfirmedAt = ComposedAt;
     auto Callbacks = std::exchange(InFlightCallbacks, {});
     auto Stored = std::exchange(InFlightSubmissions, {});
     auto StillAlive = Alive;
--- a/packages/cluster/lib/Writer.h
+++ b/packages/cluster/lib/Writer.h
@@ -11,8 +11,10 @@
 /// added before them are stored.
 class Writer {
 public:
-  Writer(Core &C, std::uint64_t Epoch, std::uint64_t Sequence)
-      : Shared(C), Epoch(Epoch), Sequence(Sequence) {}
+  /// The claim was first sent at \p ClaimedAt.
+  Writer(Core &C, std::uint64_t Epoch, std::uint64_t Sequence,
+         MonoTime ClaimedAt)
+      : Shared(C), Epoch(Epoch), Sequence(Sequence), ConfirmedAt(ClaimedAt) {}
   ~Writer() { *Alive = false; }
   Writer(const Writer &) = delete;
   Writer &operator=(const Writer &) = delete;
@@ -39,6 +41,11 @@
   /// afterwards.
   void release();
   bool released() const { return ReleaseStored; }
+  /// Whether the release may have been stored.
+  bool releaseSent() const { return ReleaseInFlight || ReleaseStored; }
+  /// When the latest of the owner's records that are known to be stored was
+  /// first sent. No later owner had claimed at that time.
+  MonoTime confirmedAt() const { return ConfirmedAt; }
   void tick();
 
 private:
@@ -64,6 +71,9 @@
   bool Releasing = false;
   bool ReleaseInFlight = false; ///< The append in flight releases ownership.
   bool ReleaseStored = false;
+  MonoTime ComposedAt{}; ///< Of the append in flight; before its first copy.
+  bool OwnerRecordInFlight = false; ///< That append has the owner's record.
+  MonoTime ConfirmedAt{};
   MonoTime SentAt{};     ///< When the first copy was sent.
   MonoTime LastSentAt{}; ///< When the latest copy was sent.
   MonoTime RetryAt{};
--- a/packages/cluster/tests/DaemonFailureTest.cpp
+++ b/packages/cluster/tests/DaemonFailureTest.cpp
@@ -313,6 +313,97 @@
       runUntil([&] { return allShow("1", JobState::Completed); }, 3'000));
 }
 
+// Guards against tasks that wait longer for the leases of an owner that was
+// lost with their worker: work that lasts may be down for 9 s.
+BOOST_AUTO_TEST_CASE(TasksOfWorkerLostWithItsOwnerRunElsewhereInTime) {
+  for (std::int64_t PhaseMs : {0, 90, 180, 270, 360}) {
+    std::string Id = std::to_string(PhaseMs);
+    BOOST_REQUIRE(!submit(anyDaemon(), job(Id, 6, 1, 10'500)));
+    run(1'000 + PhaseMs);
+    BOOST_REQUIRE(!Workers["w1"].Runs.empty());
+    std::string Lost = owner();
+    kill(Lost);
+    Workers["w1"].Up = false;
+    std::int64_t LostAtMs = Clock;
+    auto AllRun = [&] {
+      return Workers["w2"].Runs.size() + Workers["w3"].Runs.size() == 6u;
+    };
+    BOOST_TEST(runUntil(AllRun, 12'000));
+    BOOST_TEST(Clock - LostAtMs < 9'000);
+    BOOST_TEST_MESSAGE("started elsewhere after " << Clock - LostAtMs);
+    addDaemon(Lost);
+    addWorker("w1", "r1");
+    BOOST_TEST(
+        runUntil([&] { return allShow(Id, JobState::Completed); }, 20'000));
+    run(2'000);
+  }
+}
+
+/// A Deployment whose owner can be cut off, with some of the workers, from the
+/// store, from the other workers and, as to its workers, from the other
+/// daemons.
+struct DeploymentWithZones : Deployment {
+  std::string CutOwner;
+  void cutOwnerOffWith(const std::set<std::string> &Zone) {
+    CutOwner = owner();
+    DaemonsWithoutStore.insert(CutOwner);
+    for (const auto &[Id, W] : Workers)
+      for (const auto &[Name, N] : Daemons)
+        if (Zone.contains(Id) != (Name == CutOwner))
+          UnreachableWorkers[Name].insert(Id);
+  }
+  void heal() {
+    DaemonsWithoutStore.clear();
+    UnreachableWorkers.clear();
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(OwnerCutOffWithItsZone, DeploymentWithZones)
+
+// Guards against an owner that is cut off with some workers and goes on
+// renewing their leases while the next owner starts their tasks elsewhere.
+BOOST_AUTO_TEST_CASE(TasksOfCutOffZoneNeverRunTwiceAtOnce) {
+  const std::vector<std::set<std::string>> Zones{{"w1"}, {"w1", "w2"}};
+  int N = 0;
+  for (const auto &Zone : Zones)
+    for (std::int64_t CutAfterMs : {730, 910, 1'090, 1'270}) {
+      std::string Id = std::to_string(N++);
+      for (auto &[Worker, W] : Workers)
+        W.SlowClock = N % 2;
+      BOOST_REQUIRE(!submit(anyDaemon(), job("long" + Id, 6, 1, 25'000)));
+      BOOST_REQUIRE(!submit(anyDaemon(), job("short" + Id, 3, 1, 5'000)));
+      run(CutAfterMs);
+      cutOwnerOffWith(Zone);
+      run(16'000);
+      heal();
+      BOOST_TEST(runUntil(
+          [&] {
+            return allShow("long" + Id, JobState::Completed) &&
+                   allShow("short" + Id, JobState::Completed);
+          },
+          60'000));
+      BOOST_TEST(!RunsOverlapped);
+      BOOST_TEST(!StartedAfterAcknowledgedEnd);
+      BOOST_TEST(!StartedAfterEndAcknowledgedLater);
+      run(10'000);
+    }
+}
+
+// Guards against an owner that gives orders for ever although it has been
+// replaced and nobody can tell it so.
+BOOST_AUTO_TEST_CASE(OwnerCutOffForLongGivesNoOrders) {
+  BOOST_REQUIRE(!submit(anyDaemon(), job("1", 24, 1, 60'000)));
+  run(1'000);
+  cutOwnerOffWith({"w1", "w2"});
+  run(9'000);
+  BOOST_TEST(Workers["w1"].Runs.empty());
+  unsigned CallsBefore = WorkerCalls[CutOwner];
+  run(20'000);
+  BOOST_TEST(WorkerCalls[CutOwner] == CallsBefore);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/cluster/tests/StoreFailureTest.cpp
+++ b/packages/cluster/tests/StoreFailureTest.cpp
@@ -154,6 +154,42 @@
   }
 }
 
+// Guards against work that is thrown away because the owner may not renew
+// leases while the store is down for all daemons.
+BOOST_AUTO_TEST_CASE(TasksOutlastAnOutageOfTheLengthOfALease) {
+  for (int OutageMs : {5'000, 6'000, 6'500}) {
+    std::string Id = std::to_string(OutageMs);
+    BOOST_TEST(!submit(anyDaemon(), job(Id, 12, 1, 15'000)));
+    run(900);
+    for (auto &[Name, N] : Daemons)
+      DaemonsWithoutStore.insert(Name);
+    run(OutageMs);
+    DaemonsWithoutStore.clear();
+    BOOST_TEST(
+        runUntil([&] { return allShow(Id, JobState::Completed); }, 15'000));
+  }
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == 1u);
+}
+
+// Guards against tasks that are started twice, or not at all, after an outage
+// in which all leases have ended.
+BOOST_AUTO_TEST_CASE(TasksThatLapseInALongOutageRunAgain) {
+  BOOST_TEST(!submit(anyDaemon(), job("1", 12, 1, 15'000)));
+  run(900);
+  for (auto &[Name, N] : Daemons)
+    DaemonsWithoutStore.insert(Name);
+  run(20'000);
+  for (auto &[Id, W] : Workers)
+    BOOST_TEST(W.Runs.empty());
+  DaemonsWithoutStore.clear();
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 17'500));
+  BOOST_TEST(!RunsOverlapped);
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == 2u);
+}
+
 // Guards against a daemon that never catches up after an outage, because the
 // records that it has missed do not fit through its link within the timeout of
 // one read.
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -212,11 +212,19 @@
 void World::endRun(FakeWorker &W, std::size_t Index, EndReason Why) {
   auto Run = W.Runs[Index];
   W.Runs.erase(W.Runs.begin() + static_cast<std::ptrdiff_t>(Index));
+  W.EndedAtMs[W.NextEndNumber] = Clock;
   W.Ended.push_back(
       {W.NextEndNumber++, Run.Task, Run.Number, Why, W.Checkpoint});
   W.LastBarredRun[Run.Task] = std::max(W.LastBarredRun[Run.Task], Run.Number);
 }
 
+bool World::reaches(const std::string &Daemon, const FakeWorker &W) const {
+  auto Unreachable = UnreachableWorkers.find(Daemon);
+  return W.Up && !W.Disconnected && !DaemonsWithoutWorkers.contains(Daemon) &&
+         (Unreachable == UnreachableWorkers.end() ||
+          !Unreachable->second.contains(W.Entry.Id));
+}
+
 bool World::isGangIncomplete(const FakeWorker::Run &Run) const {
   auto Gang = GangSizes.find(Run.Task.Job);
   if (Gang == GangSizes.end())
@@ -245,6 +253,8 @@
 }
 
 void World::updateRuns(FakeWorker &W) {
+  if (W.clock(Clock) > W.LeaseUntilMs)
+    W.LapsedAtMs = Clock;
   if (!W.Up) {
     W.Runs.clear();
     return;
@@ -313,6 +323,7 @@
   StartedAfterAcknowledgedEnd |= AcknowledgedTasks.contains(A.Task);
   W.Disconnected = W.Disconnected || W.DisconnectAfterStart;
   ++Starts[A.Task];
+  StartedAtMs[A.Task] = Clock;
   W.Runs.push_back(
       {A.Task, A.Run, Clock, -1, W.SlowdownFactor * WorkMsByJob[A.Task.Job]});
   R.Verdict = WorkerVerdict::Ok;
@@ -330,7 +341,7 @@
   if (!Daemons.contains(Daemon))
     return;
   FakeWorker &W = Workers[A.Worker.Id];
-  if (!W.Up || W.Disconnected || DaemonsWithoutWorkers.contains(Daemon))
+  if (!reaches(Daemon, W))
     return;
   if (W.SyncsToLose) {
     --W.SyncsToLose;
@@ -349,8 +360,12 @@
     std::erase_if(W.Ended, [&](const EndedTask &E) {
       if (E.Number > A.AcknowledgedTo)
         return false;
-      if (E.Reason == EndReason::Done)
+      if (E.Reason == EndReason::Done) {
         AcknowledgedTasks.insert(E.Task);
+        std::int64_t EndedAtMs = W.EndedAtMs[E.Number];
+        StartedAfterEndAcknowledgedLater |=
+            StartedAtMs[E.Task] > EndedAtMs && W.LapsedAtMs <= EndedAtMs;
+      }
       return true;
     });
     if (W.Ended.empty() && Clock < Until) {
@@ -397,6 +412,8 @@
                 OnTimeout();
                 tickDaemon(Daemon);
               });
+        if constexpr (requires { Call.Worker; })
+          ++WorkerCalls[Daemon];
         auto Copy = Call;
         after(NetworkMs, [this, Daemon, Copy] {
           if (!Daemons.contains(Daemon))
@@ -466,8 +483,7 @@
             sync(Daemon, Copy, Clock + Copy.Wait.count());
           } else if constexpr (requires { Copy.Worker; }) {
             FakeWorker &W = Workers[Copy.Worker.Id];
-            if (!W.Up || W.Disconnected ||
-                DaemonsWithoutWorkers.contains(Daemon))
+            if (!reaches(Daemon, W))
               return;
             WorkerReply R;
             if constexpr (std::is_same_v<T, StartAction>) {
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -44,11 +44,13 @@
   }
   std::int64_t StopDurationMs = 0; ///< How long a stop takes.
   std::int64_t LeaseUntilMs = 0;   ///< By its own clock.
+  std::int64_t LapsedAtMs = 0;     ///< When it last held no lease.
   std::uint64_t Epoch = 0;
   std::uint64_t Acknowledged = 0;
   std::string Checkpoint; ///< Reported for every run and every end.
   std::vector<Run> Runs;
   std::vector<EndedTask> Ended;
+  std::map<std::uint64_t, std::int64_t> EndedAtMs; ///< By number of the end.
   /// Runs of the task up to this number can no longer start here.
   std::map<TaskName, unsigned> LastBarredRun;
   std::uint64_t NextEndNumber = 1;
@@ -108,6 +110,11 @@
   bool RunsOverlapped = false; ///< A task ran twice at the same time.
   /// A task was started after the acknowledgement of its successful end.
   bool StartedAfterAcknowledgedEnd = false;
+  /// A task was started after its successful end, and that end was acknowledged
+  /// later although the worker had held its lease in between.
+  bool StartedAfterEndAcknowledgedLater = false;
+  /// How often each daemon has called a worker, including calls that got lost.
+  std::map<std::string, unsigned> WorkerCalls;
 
   std::map<std::string, std::unique_ptr<Node>> Daemons;
   std::map<std::string, FakeWorker> Workers;
@@ -121,6 +128,8 @@
   unsigned TicketsRefused = 0;
   /// Daemons whose calls to workers get lost.
   std::set<std::string> DaemonsWithoutWorkers;
+  /// For each daemon, the workers whose calls from it get lost.
+  std::map<std::string, std::set<std::string>> UnreachableWorkers;
   /// Daemons whose processes are suspended.
   std::set<std::string> SuspendedDaemons;
   /// Daemons whose calls to the store get lost, except for pages of the
@@ -175,6 +184,8 @@
   bool isUnitFinished(const FakeWorker &W, const FakeWorker::Run &Run) const;
   unsigned percent(const FakeWorker &W, const FakeWorker::Run &Run) const;
   void endRun(FakeWorker &W, std::size_t Index, EndReason Why);
+  /// Whether calls of the daemon are received by the worker and answered.
+  bool reaches(const std::string &Daemon, const FakeWorker &W) const;
   WorkerReply start(FakeWorker &W, const StartAction &A);
   AppendResult append(const AppendAction &A);
   /// Answers a read once there are records, its records have been deleted or
@@ -194,6 +205,7 @@
   std::int64_t AppendsBusyUntil = 0;
   std::map<std::string, std::int64_t> WorkMsByJob;
   std::set<TaskName> AcknowledgedTasks;
+  std::map<TaskName, std::int64_t> StartedAtMs;
   std::unique_ptr<base::StructuredLog> Log;
 };
 
--- a/packages/workload/include/heathersaddle/workload/Ledger.h
+++ b/packages/workload/include/heathersaddle/workload/Ledger.h
@@ -64,11 +64,14 @@
   static KeyValue cancellation(std::string_view Id, base::WallMs When);
   static KeyValue progress(const Job &J);
   static KeyValue ownership(const Ownership &O);
+  /// None if the record does not concern ownership.
+  static base::Expected<std::optional<Ownership>>
+  decodeOwnership(const KeyValue &Record);
   /// Tombstones for all keys of a job.
   static std::vector<KeyValue> removal(std::string_view Id);
 
 private:
-  base::Expected<void> applyOwner(std::string_view Value);
+  base::Expected<void> applyOwner(const KeyValue &Record);
   std::map<std::string, Job, std::less<>> Jobs;
   Ownership Owner;
   std::uint64_t OwnerRecords = 0;
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -272,8 +272,11 @@
   return {{"j/" + Name, ""}, {"x/" + Name, ""}, {"p/" + Name, ""}};
 }
 
-Expected<void> Ledger::applyOwner(std::string_view Value) {
-  auto V = base::parseJson(Value, "read_record");
+Expected<std::optional<Ownership>>
+Ledger::decodeOwnership(const KeyValue &Record) {
+  if (Record.Key != OwnerKey)
+    return std::nullopt;
+  auto V = base::parseJson(Record.Value, "read_record");
   if (!V)
     return tl::unexpected(V.error());
   JsonReader R(*V, "read_record");
@@ -295,8 +298,15 @@
       O.BacklogMs.push_back(B.is_int64() ? B.as_int64() : 0);
   if (const auto *E = R.error())
     return tl::unexpected(*E);
-  if (O.Epoch >= Owner.Epoch)
-    Owner = std::move(O);
+  return O;
+}
+
+Expected<void> Ledger::applyOwner(const KeyValue &Record) {
+  auto O = decodeOwnership(Record);
+  if (!O)
+    return tl::unexpected(O.error());
+  if (*O && (*O)->Epoch >= Owner.Epoch)
+    Owner = std::move(**O);
   return {};
 }
 
@@ -309,7 +319,7 @@
 Expected<void> Ledger::apply(const KeyValue &Record) {
   if (Record.Key == OwnerKey) {
     ++OwnerRecords;
-    return applyOwner(Record.Value);
+    return applyOwner(Record);
   }
   if (Record.Key.size() < 3 || Record.Key[1] != '/')
     return base::makeError(base::ErrorCode::Internal, "read_record",
