--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -75,8 +75,11 @@
     {437, "worker_slow", Warning},
     {438, "request_passed_on", Info},
     {439, "work_waits", Info},
-    {440, "orders_paused", Warning},
-    {441, "orders_resumed", Info},
+    {440, "placement_refused", Error},
+    {441, "task_suspected", Warning},
+    {442, "task_given_up", Warning},
+    {443, "orders_paused", Warning},
+    {444, "orders_resumed", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -1,9 +1,11 @@
 #ifndef HEATHERSADDLE_CLUSTER_OWNER_H
 #define HEATHERSADDLE_CLUSTER_OWNER_H
 
+#include "EntryVerdict.h"
 #include "Tail.h"
 #include "Writer.h"
 #include "heathersaddle/cluster/LeaseTerms.h"
+#include "heathersaddle/dispatch/Crashes.h"
 #include "heathersaddle/dispatch/Pace.h"
 #include "heathersaddle/dispatch/Planner.h"
 #include "heathersaddle/dispatch/Stall.h"
@@ -16,7 +18,7 @@
 /// a checkpoint and a worker's name of usual length, with a reserve.
 inline constexpr std::size_t TaskEntryBytes = 128;
 /// The part of an entry without the checkpoint and the worker's name.
-inline constexpr std::size_t TaskEntryFixedBytes = 64;
+inline constexpr std::size_t TaskEntryFixedBytes = 72;
 
 /// A worker on which this many distinct jobs have failed since the last success
 /// counts as failing: it gets no work for a while and is used last after that.
@@ -37,6 +39,12 @@
   return {Task.Job, Task.Key.Occurrence, Task.Key.Step, 0};
 }
 
+/// The unit that a task belongs to.
+inline UnitId unitOf(const Job &J, const TaskKey &K) {
+  return {J.Spec.Id, K.Occurrence, K.Step,
+          J.Spec.Steps[K.Step].Gang ? 0 : K.Index};
+}
+
 /// State of a run on its worker.
 enum class RunStage {
   Recording, ///< The placement is not stored yet; no call has been sent.
@@ -52,6 +60,11 @@
   bool CallInFlight = false;
   bool MayHaveArrived = false;
   bool StopConfirmed = false;
+  /// Its worker crashed under it. It is stopped in the next incarnation, where
+  /// its start may still arrive.
+  bool Crashed = false;
+  /// The incarnation of the worker that it was placed on; 0: not known.
+  std::int64_t WorkerStartMs = 0;
   std::string_view StopReason; ///< Set with the stage Stopping.
   unsigned StartAttempts = 0;
   unsigned StopAttempts = 0;
@@ -84,13 +97,29 @@
   }
 };
 
+/// A registry entry that names another incarnation of its worker than the known
+/// one, until the worker has answered which one it is.
+struct IncarnationClaim {
+  WorkerEntry Entry;
+  MonoTime ReadAt{};
+  std::uint64_t LatestCall = 0; ///< Number of the latest call when it was read.
+};
+
 /// The session with a worker: what this owner knows about its current
 /// incarnation and about all runs that may hold resources on it.
 struct Session {
-  WorkerEntry Entry;
-  bool Listed = true;  ///< The registry lists the worker.
-  bool Synced = false; ///< The worker has answered a sync under this epoch.
+  WorkerEntry Entry;      ///< With the start time of the known incarnation.
+  bool Described = true;  ///< Entry describes the known incarnation.
+  bool Confirmed = false; ///< It has answered a sync at the address in Entry.
+  bool Listed = true;     ///< The registry lists the worker.
+  bool Synced = false;    ///< The worker has answered a sync under this epoch.
+  /// Oldest first. The worker is asked at the address of each in turn.
+  std::vector<IncarnationClaim> Claims;
+  std::size_t NextClaim = 0;     ///< Index of the claim to be asked about next.
+  std::uint64_t ProbeNumber = 0; ///< Number of the call in flight; 0: none.
+  MonoTime NextProbeAt{};
   bool SyncInFlight = false;
+  std::uint64_t SyncNumber = 0; ///< Number of the sync in flight.
   MonoTime SyncSentAt{};
   MonoTime NextSyncAt{};
   MonoTime ClockReadAt{};
@@ -112,9 +141,6 @@
   dispatch::SlowWorkerDetector Slowness;
   /// Jobs that failed here since the last success.
   std::set<std::string> FailedJobs;
-  /// Start times of the worker's earlier incarnations. They come from its wall
-  /// clock, which may jump, so a later incarnation may have an earlier time.
-  std::set<std::int64_t> PastIncarnations;
   /// When the current incarnation was first seen.
   MonoTime IncarnationSeenAt{};
   /// Latest time at which the current incarnation is known to have been
@@ -123,6 +149,10 @@
   /// When each start without an answer was sent last. A stop blocks a delayed
   /// start only in the incarnation that received the stop.
   std::map<RunId, MonoTime> UnansweredStarts;
+  /// Runs that were taken for lost when their lease had expired. If the worker
+  /// turns out to have been replaced, it has crashed under them.
+  std::set<RunId> LapsedRuns;
+  MonoTime LapsedAt{};
   unsigned SyncFailures = 0;
   std::map<RunId, RunState> Runs;
 };
@@ -167,9 +197,30 @@
 private:
   // OwnerWorkers.cpp: the registry and the sessions with workers.
   void onRegistryChange(RegistryChange &&Change);
+  /// Takes an entry that describes the known incarnation.
+  void describeWorker(Session &S, WorkerEntry &&E, MonoTime ReadAt);
+  void addClaim(Session &S, WorkerEntry &&E);
+  /// Asks the worker, at the address of a claim, which incarnation it is.
+  void probe(const std::string &Id, Session &S);
+  void onProbed(const std::string &Id, std::uint64_t Number,
+                const std::string &Address, const WorkerReply &R);
+  /// Settles the claims that were read before the call \p Number was sent: the
+  /// worker has answered it at \p Address as the incarnation that started at
+  /// \p ProcessStartMs.
+  void settleIncarnation(Session &S, std::int64_t ProcessStartMs,
+                         const std::string &Address, std::uint64_t Number);
+  /// Abandons the sync in flight; its answer would be about another
+  /// incarnation or from another address.
+  void abandonSync(Session &S);
+  /// Whether the configuration or an unfinished job names the service. Entries
+  /// of other services are read again when it does.
+  bool isServiceInUse(const std::string &Service);
+  void learnService(const std::string &Service);
+  void learnServices();
   void adoptRecordedRuns(Session &S);
   void sync(const std::string &Id, Session &S);
-  void onSynced(const std::string &Id, const WorkerReply &R);
+  void onSynced(const std::string &Id, std::uint64_t Number,
+                const WorkerReply &R);
   void updateClock(Session &S, const WorkerReply &R);
   /// Whether the clock in the answer to a call sent at \p SentAt shows that the
   /// worker has restarted.
@@ -177,14 +228,11 @@
                       MonoTime SentAt) const;
   /// How long the worker may wait before it answers the next sync.
   Millis syncWait(const Session &S) const;
-  /// Handles answers that end this owner's term or the worker's session;
-  /// returns whether it was one.
-  bool endsSession(Session &S, WorkerVerdict V);
+  /// Handles answers, to calls sent to \p Address, that end this owner's term
+  /// or the worker's session; returns whether it was one.
+  bool endsSession(Session &S, WorkerVerdict V, const std::string &Address);
   void onRunReported(Session &S, const RunningTask &T);
   void onEndReported(Session &S, const EndedTask &T);
-  /// Whether \p ProcessStartMs belongs to another incarnation than the known
-  /// one.
-  bool isNewIncarnation(const Session &S, std::int64_t ProcessStartMs) const;
   void onWorkerRestarted(Session &S, std::int64_t ProcessStartMs);
   void markRunsLost(Session &S, std::string_view Why);
   void checkWorkers();
@@ -243,6 +291,9 @@
   void sendDueCalls();
   /// The worker has confirmed the run.
   void onConfirmed(RunState &R, const RunId &Id);
+  /// A worker has shown that it has started a run of the job. Until then the
+  /// job counts as queued, as its starts may come to nothing.
+  void markBegun(std::string_view Job);
   /// \p Why is logged with the end of the run; it must outlive the run, as a
   /// literal does.
   void stopRun(Session &S, const RunId &Id, std::string_view Why);
@@ -260,6 +311,19 @@
   void endJob(Job &J, JobState State, std::string_view Why);
   bool isCurrentRun(const RunId &Id) const;
 
+  // OwnerCrashes.cpp: tasks that crash their workers.
+  /// The runs that this incarnation of the worker may have carried out.
+  static std::set<RunId> runsPresent(const Session &S);
+  /// Counts the crash of the worker against the tasks of \p Runs and of the
+  /// runs whose lease expired before it was known.
+  void recordCrash(Session &S, std::set<RunId> Runs);
+  void countCrash(const UnitId &Unit, unsigned Run, const Session &S,
+                  bool Alone, bool Late);
+  /// Handles the recorded runs that an earlier incarnation of the worker had,
+  /// when the worker answers this owner for the first time.
+  void findRunsOfEarlierIncarnation(Session &S, const WorkerReply &Reply);
+  void checkSuspendedUnits();
+
   // OwnerAdvice.cpp: queues for which an advisor chooses the workers.
   /// The tickets for a step; null while there is none.
   const std::map<std::string, std::string> *
@@ -274,6 +338,9 @@
   std::vector<dispatch::WaitingTasks> buildQueue(std::int64_t NowMs);
   std::int64_t urgentDemand();
   void markGuaranteed(std::vector<dispatch::WaitingTasks> &Queue);
+  /// Why the placement can't be carried out; empty if it can.
+  std::string_view faultOf(const dispatch::TaskPlacement &P,
+                           const dispatch::Fleet &Fleet) const;
   void applyPlan(const dispatch::Plan &Plan, const dispatch::Fleet &Fleet);
   void publishLoad(workload::Ownership &O) const;
   void removeExpiredJobs();
@@ -288,12 +355,28 @@
   Tail<RegistryChange> Registry;
   std::map<std::string, Session, std::less<>> Sessions;
   std::set<std::string> ListedWorkers; ///< While the registry is reread.
+  std::uint64_t LatestCall = 0;        ///< Number of the latest sync or probe.
+  std::set<std::string, std::less<>> ServicesInUse;
+  std::shared_ptr<const Configuration> ServicesFrom;
+  /// An entry was ignored because its service was not in use.
+  bool UnusedServiceListed = false;
   dispatch::Planner Planner;
   dispatch::UsualRates Rates;
   std::set<std::string, std::less<>> UnfinishedJobs;
   std::set<std::string, std::less<>> GuaranteedJobs;
+  /// When this owner first read each cancellation of an unknown job.
+  std::map<std::string, MonoTime> UnsubmittedCancelsSince;
   /// Since when each step has had tasks that wait without a break.
   std::map<UnitId, MonoTime> WaitingSince;
+  std::vector<dispatch::WorkerCrash> RecentCrashes;
+  struct Suspension {
+    MonoTime Since{};
+    bool Certain = false; ///< To be given up in any case.
+  };
+  /// Units that do not start until it is decided whether they are given up.
+  std::map<UnitId, Suspension> Suspended;
+  /// Workers that this owner has seen crash under a unit, for the log.
+  std::map<UnitId, std::string> CrashedWorkers;
   /// Workers on which a task of the step has failed.
   std::map<UnitId, std::set<std::string>> FailedWorkers;
   double UrgentDemand = 0; ///< In GPUs; decays exponentially.
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -53,11 +53,6 @@
   return "unknown";
 }
 
-static UnitId unitOf(const Job &J, const TaskKey &K) {
-  return {J.Spec.Id, K.Occurrence, K.Step,
-          J.Spec.Steps[K.Step].Gang ? 0 : K.Index};
-}
-
 static std::int64_t heldGpus(const Session &S) {
   std::int64_t Sum = 0;
   for (const auto &[Id, R] : S.Runs)
@@ -65,6 +60,15 @@
   return Sum;
 }
 
+/// Whether \p R fits beside all runs that the worker may have.
+static bool hasRoomFor(const Session &S, const RunState &R) {
+  workload::Resources Free = S.Entry.Capacity;
+  for (const auto &[Id, Other] : S.Runs)
+    if (Other.MayHaveArrived)
+      Free -= Other.Room;
+  return R.Room.fitsIn(Free);
+}
+
 bool Owner::isCurrentRun(const RunId &Id) const {
   const Job *J = Shared.Ledger.find(Id.Task.Job);
   if (!J || J->ended())
@@ -89,6 +93,10 @@
     return;
   if (!isCurrentRun(Id) || J->CancelRequested)
     return stopRun(S, Id, "its job has ended");
+  if (!R.MayHaveArrived && !hasRoomFor(S, R)) {
+    R.StopReason = "the worker's capacity has shrunk";
+    return finishRun(Id, EndReason::Stopped, "", S);
+  }
   auto LeaseUntilMs = grantLease(S);
   if (!LeaseUntilMs) {
     R.RetryAt = Shared.mono() + CallRetryDelay;
@@ -116,31 +124,33 @@
 std::function<void(WorkerReply)>
 Owner::makeReplyCallback(const std::string &Worker, const RunId &Id,
                          ReplyHandler Handle) {
-  return [this, Alive = Alive, Worker, Id, Handle](const WorkerReply &Reply) {
-    if (!*Alive)
-      return;
-    auto It = Sessions.find(Worker);
-    if (It == Sessions.end())
-      return;
-    Session &S = It->second;
-    auto Found = S.Runs.find(Id);
-    if (Found == S.Runs.end())
-      return;
-    RunState &R = Found->second;
-    R.CallInFlight = false;
-    if (Reply.Verdict == WorkerVerdict::NoAnswer)
-      S.UnansweredStarts[Id] = R.SentAt;
-    if (clockRestarted(S, Reply, R.SentAt)) {
-      // The next sync lists what runs in the new incarnation.
-      S.Synced = false;
-      S.NextSyncAt = Shared.mono();
-      R.RetryAt = Shared.mono() + CallRetryDelay;
-      return;
-    }
-    updateClock(S, Reply);
-    if (!endsSession(S, Reply.Verdict))
-      (this->*Handle)(S, R, Id, Reply);
-  };
+  return
+      [this, Alive = Alive, Worker, Id, Handle,
+       Address = Sessions.at(Worker).Entry.Address](const WorkerReply &Reply) {
+        if (!*Alive)
+          return;
+        auto It = Sessions.find(Worker);
+        if (It == Sessions.end())
+          return;
+        Session &S = It->second;
+        auto Found = S.Runs.find(Id);
+        if (Found == S.Runs.end())
+          return;
+        RunState &R = Found->second;
+        R.CallInFlight = false;
+        if (Reply.Verdict == WorkerVerdict::NoAnswer)
+          S.UnansweredStarts[Id] = R.SentAt;
+        if (clockRestarted(S, Reply, R.SentAt)) {
+          // The next sync lists what runs in the new incarnation.
+          S.Synced = false;
+          S.NextSyncAt = Shared.mono();
+          R.RetryAt = Shared.mono() + CallRetryDelay;
+          return;
+        }
+        updateClock(S, Reply);
+        if (!endsSession(S, Reply.Verdict, Address))
+          (this->*Handle)(S, R, Id, Reply);
+      };
 }
 
 void Owner::onStarted(Session &S, RunState &R, const RunId &Id,
@@ -165,6 +175,7 @@
   };
   switch (Reply.Verdict) {
   case WorkerVerdict::Ok:
+    markBegun(Id.Task.Job);
     if (R.Stage == RunStage::Starting) {
       onConfirmed(R, Id);
       S.NextSyncAt = std::min(S.NextSyncAt, T);
@@ -193,8 +204,10 @@
   case WorkerVerdict::Unhealthy:
     return NeverRan(AvoidAfterRefusal, "the worker is unhealthy");
   case WorkerVerdict::Fenced:
-  case WorkerVerdict::OtherIncarnation:
-    return; // Handled by endsSession().
+    return;                             // Handled by endsSession().
+  case WorkerVerdict::OtherIncarnation: // The worker has another address now.
+    R.RetryAt = T + Shared.jitter(CallRetryDelay);
+    return;
   case WorkerVerdict::NoAnswer:
   case WorkerVerdict::NotDelivered:
     R.RetryAt = R.StartAttempts > 1 ? T + Shared.jitter(CallRetryDelay) : T;
@@ -204,12 +217,20 @@
   }
 }
 
+void Owner::markBegun(std::string_view Id) {
+  Job *J = Shared.Ledger.find(Id);
+  if (!J || J->State != JobState::Queued)
+    return;
+  J->State = JobState::Running;
+  RecordWriter.markChanged(Id);
+}
+
 void Owner::onConfirmed(RunState &R, const RunId &Id) {
   MonoTime T = Shared.mono();
   R.Stage = RunStage::Confirmed;
   R.ConfirmedAt = R.ProgressAt = T;
   const Job *J = Shared.Ledger.find(Id.Task.Job);
-  if (!J || Id.Task.Key.Step >= J->Spec.Steps.size())
+  if (!J || !J->Spec.has(Id.Task.Key))
     return;
   const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
   std::vector<RunState *> Members;
@@ -309,7 +330,7 @@
       Shared.log(417,
                  {{"worker", Worker}, {"job", Id.Task.Job}, {"run", Id.Run}});
       S.AvoidUntil = std::max(S.AvoidUntil, T + AvoidAfterRefusal);
-      if (J && J->Spec.Steps[Id.Task.Key.Step].Gang)
+      if (J && J->Spec.has(Id.Task.Key) && J->Spec.Steps[Id.Task.Key.Step].Gang)
         stopUnit(unitOf(*J, Id.Task.Key), "a member did not start");
       else
         stopRun(S, Id, "its start had no answer");
@@ -419,7 +440,7 @@
                    {"lost_core_s", lostCoreSeconds(Last, Why, Saved)}});
   PlanNeeded = true;
   Job *J = Shared.Ledger.find(Id.Task.Job);
-  if (!J || Id.Task.Key.Step >= J->Spec.Steps.size())
+  if (!J || !J->Spec.has(Id.Task.Key))
     return;
   const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
   TaskProgress &T = J->Tasks[Id.Task.Key];
@@ -542,6 +563,8 @@
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
   std::erase_if(AdviceByStep,
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
+  std::erase_if(CrashedWorkers,
+                [&](const auto &E) { return E.first.Job == J.Spec.Id; });
 }
 
 } // namespace heathersaddle::cluster
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -27,6 +27,12 @@
 static constexpr Millis JobExpiryPeriod{5'000};
 /// Ended jobs are kept for this much longer than callers are promised.
 static constexpr Millis StatusRetentionMargin{30'000};
+/// Cancellations of jobs that were never submitted are kept for this long,
+/// which is far longer than a submission may be under way: daemons freeze for
+/// seconds, and appends without an answer have been carried out up to 15 s
+/// later. It is counted from when an owner first reads them, as clocks may
+/// jump, so an owner change prolongs it.
+static constexpr Millis UnsubmittedCancelRetention{120'000};
 /// An owner that receives no answers from most workers for this long releases
 /// ownership.
 static constexpr Millis UnreachableTimeout{1'500};
@@ -50,14 +56,24 @@
 
 void Owner::jobChanged(std::string_view Id) {
   Job *J = Shared.Ledger.find(Id);
-  if (!J)
-    return;
+  if (!J) {
+    // A cancellation that is repeated is kept for its whole time again.
+    UnsubmittedCancelsSince.erase(std::string(Id));
+    // Its records were removed, by whomever. Nobody waits for it any more.
+    UnfinishedJobs.erase(std::string(Id));
+    return stopJob(std::string(Id), "its records were removed");
+  }
   if (J->ended()) {
     UnfinishedJobs.erase(std::string(Id));
     return;
   }
   UnfinishedJobs.emplace(Id);
+  learnService(J->Spec.Service);
   PlanNeeded = true;
+  for (const auto &[K, T] : J->Tasks)
+    if (T.Phase != TaskPhase::Done && dispatch::judgeCrash(T.Crashes, false) ==
+                                          dispatch::CrashVerdict::GiveUp)
+      Suspended[unitOf(*J, K)] = {Shared.mono(), true};
   if (J->CancelRequested)
     endJob(*J, JobState::Cancelled, "the caller has cancelled it");
   else
@@ -72,11 +88,14 @@
 void Owner::tick() {
   if (Deposed)
     return;
-  if (!Stopping)
+  if (!Stopping) {
+    learnServices();
     Registry.tick();
+  }
   bool MayGiveOrders = isConfirmed();
   if (!Stopping && MayGiveOrders) {
     checkWorkers();
+    checkSuspendedUnits();
     MonoTime T = Shared.mono();
     if (!Deposed && T - PlannedAt >= std::max(PlanDuration * PlanPauseFactor,
                                               PlanNeeded ? MinPlanInterval
@@ -138,16 +157,25 @@
         const workload::Step &Step = J.Spec.Steps[S];
         dispatch::WaitingTasks W;
         std::size_t FreeEntriesAfter = FreeEntries;
+        std::vector<unsigned> Suspects;
         for (unsigned N = 0; N < Step.Count; ++N) {
           auto It = J.Tasks.find({K, S, N});
           bool New = It == J.Tasks.end();
           if (New ? !FreeEntriesAfter : It->second.Phase != TaskPhase::Waiting)
             continue;
+          if (!Suspended.empty() && Suspended.contains(unitOf(J, {K, S, N})))
+            continue;
           FreeEntriesAfter -= New;
+          if (!New && It->second.Crashes && !Step.Gang) {
+            Suspects.push_back(N);
+            continue;
+          }
+          if (!New)
+            W.Crashes = std::max(W.Crashes, It->second.Crashes);
           W.Tasks.push_back(N);
         }
-        if (W.Tasks.empty() || (Step.Gang && W.Tasks.size() < Step.Count) ||
-            !J.stepReady(K, S))
+        if ((W.Tasks.empty() && Suspects.empty()) ||
+            (Step.Gang && W.Tasks.size() < Step.Count) || !J.stepReady(K, S))
           continue;
         if (J.Spec.NeedsAdvice) {
           W.AllowedWorkers = ticketsFor(J, K, S);
@@ -170,7 +198,14 @@
         if (auto It = FailedWorkers.find({Id, K, S, 0});
             It != FailedWorkers.end())
           W.AvoidedWorkers = It->second;
-        Queue.push_back(std::move(W));
+        // Each suspected task is placed by itself.
+        for (unsigned N : Suspects) {
+          dispatch::WaitingTasks &Alone = Queue.emplace_back(W);
+          Alone.Tasks = {N};
+          Alone.Crashes = J.task({K, S, N}).Crashes;
+        }
+        if (!W.Tasks.empty())
+          Queue.push_back(std::move(W));
       }
     }
   }
@@ -258,8 +293,8 @@
     W.Labels = S.Entry.Labels;
     W.Capacity = S.Entry.Capacity;
     W.Free = S.Entry.Capacity;
-    W.Usable = S.Listed && S.Synced && S.ClockMs >= 0 && !S.SyncFailures &&
-               !S.Entry.Draining && !S.Entry.Address.empty();
+    W.Usable = S.Listed && S.Described && S.Synced && S.ClockMs >= 0 &&
+               !S.SyncFailures && !S.Entry.Draining && !S.Entry.Address.empty();
     W.Avoided = T < S.AvoidUntil;
     if (S.Slowness.isSlow(T))
       W.Condition = dispatch::WorkerCondition::Slow;
@@ -270,16 +305,20 @@
       W.Condition = dispatch::WorkerCondition::Suspect;
     for (auto &[Run, R] : S.Runs) {
       W.Free -= R.Room;
+      W.Occupied |= !R.Crashed;
       dispatch::Allocation Out;
       Out.Room = R.Room;
       Out.Unit.Job = Run.Task.Job;
       const Job *J = Shared.Ledger.find(Run.Task.Job);
       Out.Stoppable = false;
       Out.EndEstimateMs = NowMs + MinRemainingMs;
-      if (J && Run.Task.Key.Step < J->Spec.Steps.size()) {
+      if (J && J->Spec.has(Run.Task.Key)) {
         const TaskKey &K = Run.Task.Key;
         const workload::Step &Step = J->Spec.Steps[K.Step];
-        Out.Unit = {J->Spec.Id, K.Occurrence, K.Step, Step.Gang ? 0 : K.Index};
+        Out.Unit = unitOf(*J, K);
+        Out.Ends = !Step.LongRunning;
+        if (!R.Crashed)
+          W.TenantCrashes = std::max(W.TenantCrashes, J->task(K).Crashes);
         Out.Account = J->Spec.Account;
         Out.Priority = J->Spec.Priority;
         Out.Guaranteed = GuaranteedJobs.contains(J->Spec.Id);
@@ -302,10 +341,42 @@
   return F;
 }
 
+std::string_view Owner::faultOf(const dispatch::TaskPlacement &P,
+                                const dispatch::Fleet &Fleet) const {
+  const Job *J = Shared.Ledger.find(P.Work->Job->Spec.Id);
+  if (!J || J->ended())
+    return "its job has ended";
+  if (P.Workers.size() != P.Tasks.size())
+    return "it has no worker for each task";
+  for (std::size_t N = 0; N < P.Tasks.size(); ++N) {
+    TaskKey K{P.Work->Occurrence, P.Work->Step, P.Tasks[N]};
+    if (J->task(K).Phase != TaskPhase::Waiting)
+      return "a task does not wait";
+    if (P.Workers[N] >= Fleet.Workers.size())
+      return "a worker is unknown";
+    const std::string &Worker = Fleet.Workers[P.Workers[N]].Id;
+    if (!Sessions.contains(Worker))
+      return "a worker has no session";
+    if (P.Work->AllowedWorkers && !P.Work->AllowedWorkers->contains(Worker))
+      return "a worker has no ticket";
+  }
+  return {};
+}
+
 void Owner::applyPlan(const dispatch::Plan &Plan,
                       const dispatch::Fleet &Fleet) {
   for (const dispatch::TaskPlacement &P : Plan.Placements) {
+    if (auto Fault = faultOf(P, Fleet); !Fault.empty()) {
+      Shared.count("placements_refused");
+      Shared.log(440, {{"job", P.Work->Job->Spec.Id},
+                       {"occurrence", P.Work->Occurrence},
+                       {"step", P.Work->Step},
+                       {"tasks", P.Tasks.size()},
+                       {"reason", Fault}});
+      continue;
+    }
     Job &J = *Shared.Ledger.find(P.Work->Job->Spec.Id);
+    bool FirstPlacement = J.Tasks.empty();
     const workload::Step &Step = J.Spec.Steps[P.Work->Step];
     std::string WorkerIds;
     unsigned GangRun = 0;
@@ -326,18 +397,17 @@
       RunId Id{{J.Spec.Id, K}, T.Run};
       RunState R;
       R.Room = Step.room();
+      R.WorkerStartMs = S.Entry.ProcessStartMs;
       R.PlacedAt = Shared.mono();
       R.ProgressAt = R.PlacedAt;
       if (P.Work->AllowedWorkers)
-        R.Ticket = P.Work->AllowedWorkers->at(Worker);
+        R.Ticket = P.Work->AllowedWorkers->find(Worker)->second;
       S.Runs.emplace(Id, std::move(R));
       RecordWriter.afterStored([this, Worker, Id] { sendStart(Worker, Id); });
     }
-    if (J.State == JobState::Queued) {
-      J.State = JobState::Running;
+    if (FirstPlacement)
       Shared.recordLatency("job_first_placed", J.Spec.Priority,
                            Millis(Shared.wall() - P.Work->DueMs));
-    }
     RecordWriter.markChanged(J.Spec.Id);
     Shared.log(423, {{"job", J.Spec.Id},
                      {"occurrence", P.Work->Occurrence},
@@ -363,7 +433,7 @@
   std::int64_t Workers = 0;
   workload::Resources Sum;
   for (const auto &[Id, S] : Sessions)
-    if (S.Listed && S.Synced && !S.Entry.Draining) {
+    if (S.Listed && S.Described && S.Synced && !S.Entry.Draining) {
       ++Workers;
       Sum += S.Entry.Capacity;
     }
@@ -422,6 +492,13 @@
         Shared.wall() - J.EndedMs >
             (Shared.Settings.StatusRetention + StatusRetentionMargin).count())
       Old.push_back(Id);
+  const auto &Cancels = Shared.Ledger.unsubmittedCancels();
+  std::erase_if(UnsubmittedCancelsSince,
+                [&](const auto &C) { return !Cancels.contains(C.first); });
+  for (const std::string &Id : Cancels)
+    if (T - UnsubmittedCancelsSince.try_emplace(Id, T).first->second >
+        UnsubmittedCancelRetention)
+      Old.push_back(Id);
   for (const std::string &Id : Old)
     RecordWriter.remove(Id);
 }
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -49,6 +49,27 @@
   Workers[Worker] = Next;
 }
 
+void World::crash(const std::string &Worker) {
+  FakeWorker &W = Workers[Worker];
+  W.Up = false;
+  W.Runs.clear();
+  after(RestartMs, [this, Worker] {
+    if (!NewIdAfterCrash) {
+      restartWithoutRegistryChange(Worker);
+      Registry.push_back({Worker, Workers[Worker].Entry});
+      return;
+    }
+    Workers[Worker].Replaced = true;
+    WorkerEntry Next = Workers[Worker].Entry;
+    Next.Id += "+";
+    Next.ProcessStartMs = Clock;
+    Workers[Next.Id].Entry = Next;
+    Workers[Next.Id].ClockZeroMs = Clock;
+    Registry.push_back({Worker, std::nullopt});
+    Registry.push_back({Next.Id, Next});
+  });
+}
+
 Node &World::addDaemon(const std::string &Name, std::int64_t CpuMilli) {
   NodeSettings S;
   S.Name = Name;
@@ -259,6 +280,11 @@
     W.Runs.clear();
     return;
   }
+  if (std::any_of(W.Runs.begin(), W.Runs.end(), [this](const auto &R) {
+        return CrashingTasks.contains(R.Task) &&
+               Clock >= R.StartedMs + CrashDelayMs;
+      }))
+    return crash(W.Entry.Id);
   for (std::size_t N = W.Runs.size(); N-- > 0;) {
     auto &R = W.Runs[N];
     if (!R.GangFinished && isGangIncomplete(R))
@@ -336,11 +362,21 @@
   return std::min({Percent, 100U, W.StallsAtPercent.value_or(100)});
 }
 
+FakeWorker *World::workerAt(const std::string &Address) {
+  for (auto &[Id, W] : Workers)
+    if (W.Entry.Address == Address && !W.Replaced)
+      return &W;
+  return nullptr;
+}
+
 void World::sync(const std::string &Daemon, const SyncAction &A,
                  std::int64_t Until) {
   if (!Daemons.contains(Daemon))
     return;
-  FakeWorker &W = Workers[A.Worker.Id];
+  FakeWorker *At = workerAt(A.Worker.Address);
+  if (!At)
+    return;
+  FakeWorker &W = *At;
   if (!reaches(Daemon, W))
     return;
   if (W.SyncsToLose) {
@@ -348,6 +384,10 @@
     return;
   }
   WorkerReply R;
+  if (W.Entry.Id != A.Worker.Id) {
+    R.Verdict = WorkerVerdict::OtherIncarnation;
+    return reply(Daemon, [Done = A.Done, R] { Done(R); });
+  }
   R.ClockMs = W.clock(Clock);
   R.ProcessStartMs = W.Entry.ProcessStartMs;
   if (A.Epoch < W.Epoch) {
@@ -482,10 +522,17 @@
           } else if constexpr (std::is_same_v<T, SyncAction>) {
             sync(Daemon, Copy, Clock + Copy.Wait.count());
           } else if constexpr (requires { Copy.Worker; }) {
-            FakeWorker &W = Workers[Copy.Worker.Id];
+            FakeWorker *At = workerAt(Copy.Worker.Address);
+            if (!At)
+              return;
+            FakeWorker &W = *At;
             if (!reaches(Daemon, W))
               return;
             WorkerReply R;
+            if (W.Entry.Id != Copy.Worker.Id) {
+              R.Verdict = WorkerVerdict::OtherIncarnation;
+              return reply(Daemon, [Copy, R] { Copy.Done(R); });
+            }
             if constexpr (std::is_same_v<T, StartAction>) {
               if (W.StartsToLose) {
                 --W.StartsToLose;
--- a/packages/dispatch/lib/Planner.cpp
+++ b/packages/dispatch/lib/Planner.cpp
@@ -10,6 +10,7 @@
 #include "UrgentRacks.h"
 #include "Victims.h"
 #include "Waits.h"
+#include "heathersaddle/dispatch/Crashes.h"
 #include <algorithm>
 
 namespace heathersaddle::dispatch {
@@ -63,8 +64,10 @@
   }
   /// Makes the room of a hold unavailable to other work.
   void subtractHeldRoom(const Hold &H, const Resources &Need) {
-    for (std::size_t N : H.Workers)
+    for (std::size_t N : H.Workers) {
       Free[N] -= Need;
+      CurrentFleet.Workers[N].Occupied = true;
+    }
   }
   void addHeldRoom(const Hold &H, const Resources &Need) {
     for (std::size_t N : H.Workers)
@@ -80,6 +83,8 @@
   }
   void place(const WaitingTasks &W, std::vector<unsigned> Tasks,
              std::vector<std::size_t> Where) {
+    for (std::size_t N : Where)
+      addTenant(CurrentFleet.Workers[N], W);
     if (W.step().MaxPerWorker)
       for (std::size_t N : Where)
         ++CurrentFleet.StepTasks[{W.Job->Spec.Id, W.Occurrence, W.Step, 0}]
@@ -297,6 +302,8 @@
                                     static_cast<std::ptrdiff_t>(Where.size()));
     if (!Where.empty())
       place(W, std::move(Tasks), Where);
+    else
+      reserveForLoneTask(W);
     if (Urgent && Where.size() < W.Tasks.size()) {
       W.Tasks.erase(W.Tasks.begin(),
                     W.Tasks.begin() +
@@ -306,6 +313,18 @@
     }
   }
 
+  void reserveForLoneTask(const WaitingTasks &W) {
+    if (W.Crashes < AloneFromCrashes || W.Tasks.empty() ||
+        LoneReservations >= MaxReservations)
+      return;
+    auto Reserved = reserveEmptyWorker(CurrentFleet, ReservedFrom,
+                                       RackIndex.workersFor(W), W, NowMs);
+    if (!Reserved)
+      return;
+    ++LoneReservations;
+    ReservedFrom[Reserved->Workers.front()] = Reserved->FromMs;
+  }
+
   Fleet &CurrentFleet;
   std::map<UnitId, Hold> &Holds;
   std::int64_t NowMs;
@@ -316,6 +335,7 @@
   FreeResources Free;
   std::vector<std::int64_t> ReservedFrom; ///< Per worker; 0: not reserved.
   unsigned Reservations = 0;
+  unsigned LoneReservations = 0;
   unsigned EvictionSearches = 0;
   std::map<UnitId, double> UnitCost; ///< Filled by the first search.
 };
@@ -337,14 +357,16 @@
         Urgent[{W.Job->Spec.Id, W.Occurrence, W.Step,
                 W.step().Gang ? 0 : Index}] = &W;
   // Drops holds that have expired, whose unit no longer waits, or whose workers
-  // are gone or unusable.
+  // are gone, avoided, or may no longer run the step: a worker may drain, and
+  // its ticket may have expired.
   auto StillValid = [&](Hold &H) {
-    if (!Urgent.contains(H.Unit) || H.UntilMs <= NowMs)
+    auto Waiting = Urgent.find(H.Unit);
+    if (Waiting == Urgent.end() || H.UntilMs <= NowMs)
       return false;
     for (std::size_t T = 0; T < H.Workers.size(); ++T) {
       auto It = Index.find(H.WorkerIds[T]);
-      if (It == Index.end() || !F.Workers[It->second].Usable ||
-          F.Workers[It->second].Avoided)
+      if (It == Index.end() || F.Workers[It->second].Avoided ||
+          !allowed(F.Workers[It->second], *Waiting->second))
         return false;
       H.Workers[T] = It->second;
     }
