--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -78,6 +78,8 @@
     {440, "placement_refused", Error},
     {441, "task_suspected", Warning},
     {442, "task_given_up", Warning},
+    {443, "orders_paused", Warning},
+    {444, "orders_resumed", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -92,7 +92,8 @@
     learnServices();
     Registry.tick();
   }
-  if (!Stopping) {
+  bool MayGiveOrders = isConfirmed();
+  if (!Stopping && MayGiveOrders) {
     checkWorkers();
     checkSuspendedUnits();
     MonoTime T = Shared.mono();
@@ -103,9 +104,9 @@
   }
   if (!Deposed && !RecordWriter.released())
     RecordWriter.tick();
-  if (!Deposed && !RecordWriter.released())
+  if (!Deposed && !RecordWriter.released() && MayGiveOrders)
     sendDueCalls();
-  if (!Deposed && !Stopping) {
+  if (!Deposed && !Stopping && MayGiveOrders) {
     removeExpiredJobs();
     checkReachability();
   }
