--- a/packages/workload/include/heathersaddle/workload/Job.h
+++ b/packages/workload/include/heathersaddle/workload/Job.h
@@ -137,7 +137,7 @@
   std::string Checkpoint;
   /// Runs under which a worker crashed, those of its gang's members included.
   unsigned Crashes = 0;
-  unsigned CrashedRun = 0; ///< The latest run that was counted as a crash.
+  unsigned CrashedRun = 0;   ///< The latest run that was counted as a crash.
   std::string WorkerAddress; ///< Where Worker was called; may be empty.
   bool operator==(const TaskProgress &) const = default;
 };
