--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -314,7 +314,7 @@
   // OwnerCrashes.cpp: tasks that crash their workers.
   /// The runs that this incarnation of the worker may have carried out.
   static std::set<RunId> runsPresent(const Session &S);
-  /// Whether another worker has answered at the worker's address.
+  /// Whether another worker has answered this owner at the worker's address.
   bool isReplaced(const Session &S) const;
   /// Counts the crash of the worker against the tasks of \p Runs and of the
   /// runs whose lease expired before it was known.
--- a/packages/cluster/lib/OwnerCrashes.cpp
+++ b/packages/cluster/lib/OwnerCrashes.cpp
@@ -20,7 +20,8 @@
 
 bool Owner::isReplaced(const Session &S) const {
   return std::any_of(Sessions.begin(), Sessions.end(), [&S](const auto &Other) {
-    return &Other.second != &S && Other.second.Confirmed &&
+    return &Other.second != &S && Other.second.Synced &&
+           Other.second.Confirmed &&
            Other.second.Entry.Address == S.Entry.Address;
   });
 }
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -394,7 +394,8 @@
       T.Phase = TaskPhase::Placed;
       T.Worker = Worker;
       T.WorkerStartMs = S.Entry.ProcessStartMs;
-      T.WorkerAddress = S.Entry.Address;
+      // The next owner takes another worker's answer there for a crash.
+      T.WorkerAddress = S.Confirmed ? S.Entry.Address : "";
       RunId Id{{J.Spec.Id, K}, T.Run};
       RunState R;
       R.Room = Step.room();
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -723,7 +723,8 @@
       S.Synced = false;
       S.LapsedRuns.merge(runsPresent(S));
       S.LapsedAt = T;
-      if (isReplaced(S))
+      // The registry has not listed some since this owner began.
+      if (isReplaced(S) || (!S.Listed && !S.Described))
         recordCrash(S, {});
       markRunsLost(S, "its lease has expired");
     }
