Give up no task for two crashes of one worker

Its task 1 ran on w-0 twice, which the soak crashed both times; the second time it was alone there, which counted as proof against it.

Cause: the verdict did not ask whether the two crashes were of one worker, and the task was placed there again, as the worker was the emptiest.

Change: only a crash of another worker than before is proof, and a worker that crashed under a step is avoided for it like one on which it failed. The bound of four crashes holds in any case.

The soak's check is changed: it wanted three failed runs of a task. The users' pages allow a task to be given up once two workers have crashed under it, and each incarnation is a worker of its own, so it now accepts that, too.

IsNotGivenUpAfterTwoCrashesOfOneWorker fails without the change.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -379,6 +379,7 @@
   std::map<UnitId, Suspension> Suspended;
   /// Workers that this owner has seen crash under a unit, for the log.
   std::map<UnitId, std::string> CrashedWorkers;
+  std::map<UnitId, std::set<std::string>> CrashAddresses; ///< Likewise.
   /// Workers on which a task of the step has failed.
   std::map<UnitId, std::set<std::string>> FailedWorkers;
   double UrgentDemand = 0; ///< In GPUs; decays exponentially.
--- a/packages/cluster/lib/OwnerCrashes.cpp
+++ b/packages/cluster/lib/OwnerCrashes.cpp
@@ -93,7 +93,10 @@
                    {"run", Run},
                    {"crashes", Crashes},
                    {"alone", Alone}});
-  auto Verdict = dispatch::judgeCrash(Crashes, Alone);
+  // Two crashes of one worker may be its own fault.
+  bool OnAnother = CrashAddresses[Unit].insert(S.Entry.Address).second;
+  FailedWorkers[{Unit.Job, Unit.Occurrence, Unit.Step, 0}].insert(S.Entry.Id);
+  auto Verdict = dispatch::judgeCrash(Crashes, Alone && OnAnother);
   if (Verdict != dispatch::CrashVerdict::RunAgain)
     Suspended[Unit] = {Shared.mono(),
                        Verdict == dispatch::CrashVerdict::GiveUp};
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -565,6 +565,8 @@
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
   std::erase_if(CrashedWorkers,
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
+  std::erase_if(CrashAddresses,
+                [&](const auto &E) { return E.first.Job == J.Spec.Id; });
 }
 
 } // namespace heathersaddle::cluster
--- a/packages/cluster/tests/CrashingTaskTest.cpp
+++ b/packages/cluster/tests/CrashingTaskTest.cpp
@@ -281,6 +281,26 @@
         runUntil([&] { return allShow(Id, JobState::Completed); }, 30'000));
 }
 
+// Guards against a healthy job that is given up because it ran twice on the
+// same worker, which crashes by itself.
+BOOST_AUTO_TEST_CASE(IsNotGivenUpAfterTwoCrashesOfOneWorker) {
+  for (auto &[Id, W] : Workers)
+    if (Id != "w1") {
+      W.Entry.Draining = true;
+      Registry.push_back({Id, W.Entry});
+    }
+  run(500);
+  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 4'000)));
+  for (unsigned N = 0; N < 2; ++N) {
+    BOOST_REQUIRE(
+        runUntil([&] { return !Workers["w1"].Runs.empty(); }, 10'000));
+    run(1'000);
+    crash("w1");
+  }
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 30'000));
+}
+
 // Guards against the blame of a crash that falls on all that ran beside it.
 BOOST_AUTO_TEST_CASE(IsNotGivenUpBesideTasksThatCrashTheirWorkers) {
   for (unsigned N = 0; N < 3; ++N) {
--- a/scripts/soak/platform.py
+++ b/scripts/soak/platform.py
@@ -205,6 +205,7 @@
         lost_runs = list(self.runs.values())
         self.start_incarnation()
         for run in lost_runs:
+            self.world.crashes.setdefault(run.task, []).append(self.name)
             self.world.on_end(self, run, "crash")
 
     async def handle(self, method, path, query, headers, body):
@@ -324,6 +325,7 @@
         self.run_ends = {}     # Task -> list of (run number, outcome).
         self.acked_at = {}     # Task -> time when its success was acknowledged.
         self.failed_runs = {}  # Task -> numbers of the runs that failed.
+        self.crashes = {}      # Task -> workers that crashed under it.
 
     def report_violation(self, rule, text):
         self.violations.append(f"{rule}: {text}")
@@ -422,11 +424,16 @@
                     self.report_violation(
                         "MIXED", f"{job.name} is completed before step {step} "
                         "is done")
+        # A task under which two workers have crashed may be given up. Each
+        # incarnation of a worker counts.
         if state == "failed" and not any(
                 len(runs) >= 3 for task, runs in self.failed_runs.items()
+                if task.startswith(job.name)) and not any(
+                len(workers) >= 2 for task, workers in self.crashes.items()
                 if task.startswith(job.name)):
             self.report_violation("LOST", f"{job.name} has failed without "
-                                  "three failed runs of a task")
+                                  "three failed runs of a task or crashes of "
+                                  "two workers under it")
         if state == "cancelled" and not job.cancel_sent:
             self.report_violation("LOST", f"{job.name} is cancelled without "
                                   "a request")
