--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -174,6 +174,8 @@
     if (T.Phase == TaskPhase::Placed) {
       Row.emplace_back(T.Worker);
       Row.emplace_back(T.WorkerStartMs);
+      if (!T.WorkerAddress.empty())
+        Row.emplace_back(T.WorkerAddress);
     }
     if (T.Crashes) {
       Row.emplace_back(T.Crashes);
@@ -247,6 +249,10 @@
         T.WorkerStartMs = NumberAt(Row, 9, MaxMs);
       }
       std::size_t CrashesAt = T.Phase == TaskPhase::Placed ? 10 : 8;
+      // Records of earlier versions have no address.
+      if (T.Phase == TaskPhase::Placed && Row.size() > CrashesAt &&
+          Row[CrashesAt].is_string())
+        T.WorkerAddress = StringAt(Row, CrashesAt++);
       if (Row.size() > CrashesAt) {
         T.Crashes = static_cast<unsigned>(NumberAt(Row, CrashesAt, MaxNumber));
         T.CrashedRun =
@@ -289,8 +295,11 @@
   return {{"j/" + Name, ""}, {"x/" + Name, ""}, {"p/" + Name, ""}};
 }
 
-Expected<void> Ledger::applyOwner(std::string_view Value) {
-  auto V = base::parseJson(Value, "read_record");
+Expected<std::optional<Ownership>>
+Ledger::decodeOwnership(const KeyValue &Record) {
+  if (Record.Key != OwnerKey)
+    return std::nullopt;
+  auto V = base::parseJson(Record.Value, "read_record");
   if (!V)
     return tl::unexpected(V.error());
   JsonReader R(*V, "read_record");
@@ -312,8 +321,15 @@
       O.BacklogMs.push_back(B.is_int64() ? B.as_int64() : 0);
   if (const auto *E = R.error())
     return tl::unexpected(*E);
-  if (O.Epoch >= Owner.Epoch)
-    Owner = std::move(O);
+  return O;
+}
+
+Expected<void> Ledger::applyOwner(const KeyValue &Record) {
+  auto O = decodeOwnership(Record);
+  if (!O)
+    return tl::unexpected(O.error());
+  if (*O && (*O)->Epoch >= Owner.Epoch)
+    Owner = std::move(**O);
   return {};
 }
 
@@ -326,7 +342,7 @@
 Expected<void> Ledger::apply(const KeyValue &Record) {
   if (Record.Key == OwnerKey) {
     ++OwnerRecords;
-    return applyOwner(Record.Value);
+    return applyOwner(Record);
   }
   if (Record.Key.size() < 3 || Record.Key[1] != '/')
     return base::makeError(base::ErrorCode::Internal, "read_record",
