Keep one list of the crashes seen under a unit

Cause: the text for the log and the set of addresses were two maps that held the same crashes.

Change: one list per unit, from which both are derived. No change in behaviour.

--- a/packages/cluster/lib/OwnerCrashes.cpp
+++ b/packages/cluster/lib/OwnerCrashes.cpp
@@ -81,9 +81,6 @@
     }
   RecordWriter.markChanged(J.Spec.Id);
   unsigned Crashes = Known->second.Crashes;
-  std::string &Workers = CrashedWorkers[Unit];
-  Workers +=
-      (Workers.empty() ? "" : " ") + S.Entry.Id + "/" + std::to_string(Run);
   Shared.count("crashes_counted");
   Shared.log(441, {{"worker", S.Entry.Id},
                    {"job", Unit.Job},
@@ -94,7 +91,11 @@
                    {"crashes", Crashes},
                    {"alone", Alone}});
   // Two crashes of one worker may be its own fault.
-  bool OnAnother = CrashAddresses[Unit].insert(S.Entry.Address).second;
+  auto &Seen = CrashesSeen[Unit];
+  bool OnAnother = std::none_of(Seen.begin(), Seen.end(), [&S](const auto &C) {
+    return C.Address == S.Entry.Address;
+  });
+  Seen.push_back({S.Entry.Id, S.Entry.Address, Run});
   FailedWorkers[{Unit.Job, Unit.Occurrence, Unit.Step, 0}].insert(S.Entry.Id);
   auto Verdict = dispatch::judgeCrash(Crashes, Alone && OnAnother);
   if (Verdict != dispatch::CrashVerdict::RunAgain)
@@ -146,12 +147,16 @@
       continue;
     const TaskProgress &Task =
         J->task({Unit.Occurrence, Unit.Step, Unit.Index});
+    std::string Workers;
+    for (const SeenCrash &C : CrashesSeen[Unit])
+      Workers +=
+          (Workers.empty() ? "" : " ") + C.Worker + "/" + std::to_string(C.Run);
     Shared.log(442, {{"job", Unit.Job},
                      {"occurrence", Unit.Occurrence},
                      {"step", Unit.Step},
                      {"index", Unit.Index},
                      {"crashes", Task.Crashes},
-                     {"workers", CrashedWorkers[Unit]}});
+                     {"workers", Workers}});
     endJob(*J, JobState::Failed, "its task crashes its workers");
   }
 }
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -563,9 +563,7 @@
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
   std::erase_if(AdviceByStep,
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
-  std::erase_if(CrashedWorkers,
-                [&](const auto &E) { return E.first.Job == J.Spec.Id; });
-  std::erase_if(CrashAddresses,
+  std::erase_if(CrashesSeen,
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
 }
 
