Move the reading of the registry to a source of its own

Change: entries, claims and probes are in OwnerRegistry.cpp, the sessions stay. Code is moved only; two constants that both use are in Owner.h.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -20,6 +20,11 @@
 /// The part of an entry without the checkpoint and the worker's name.
 inline constexpr std::size_t TaskEntryFixedBytes = 72;
 
+/// The first syncs of an owner get more time than later ones, as they go to all
+/// workers at once.
+inline constexpr Millis FirstSyncTimeout{1'200};
+inline constexpr Millis SyncRetryDelay{250};
+
 /// A worker on which this many distinct jobs have failed since the last success
 /// counts as failing: it gets no work for a while and is used last after that.
 inline constexpr std::size_t FailingWorkerJobs = 2;
@@ -195,7 +200,7 @@
   std::uint64_t epoch() const { return Epoch; }
 
 private:
-  // OwnerWorkers.cpp: the registry and the sessions with workers.
+  // OwnerRegistry.cpp: the registry and the incarnations of workers.
   void onRegistryChange(RegistryChange &&Change);
   /// Takes an entry that describes the known incarnation.
   void describeWorker(Session &S, WorkerEntry &&E, MonoTime ReadAt);
@@ -217,6 +222,8 @@
   bool isServiceInUse(const std::string &Service);
   void learnService(const std::string &Service);
   void learnServices();
+
+  // OwnerWorkers.cpp: the sessions with workers.
   void adoptRecordedRuns(Session &S);
   void sync(const std::string &Id, Session &S);
   void onSynced(const std::string &Id, std::uint64_t Number,
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -1,10 +1,8 @@
-// Follows the registry and keeps a session with each worker. An entry that
-// names another incarnation than the known one is a claim: a probe, which is a
-// sync that renews and acknowledges nothing, asks the worker about it. A sync
-// renews the lease of all runs on the worker, returns when a run ends, and
-// lists all runs and ends, so that each answer corrects the owner's state. The
-// runs of a worker that does not answer stay placed there until its last lease
-// must have expired; only then may they run elsewhere.
+// Keeps a session with each worker. A sync renews the lease of all runs on the
+// worker, returns when a run ends, and lists all runs and ends, so that each
+// answer corrects the owner's state. The runs of a worker that does not answer
+// stay placed there until its last lease must have expired; only then may they
+// run elsewhere.
 #include "Owner.h"
 
 namespace heathersaddle::cluster {
@@ -19,14 +17,8 @@
 /// Starts without an answer have been seen to be carried out up to 12 s later.
 static constexpr Millis MaxStartDelay{15'000};
 /// Added to the wait of a sync for its timeout: covers two network round trips
-/// and a slow daemon. The first syncs of an owner get more time, as they go to
-/// all workers at once.
+/// and a slow daemon.
 static constexpr Millis SyncTimeoutMargin{600};
-static constexpr Millis FirstSyncTimeout{1'200};
-static constexpr Millis SyncRetryDelay{250};
-/// The newest entries of a worker that wait for its answer. More of them are
-/// not a worker's: between two of its own it has started again.
-static constexpr std::size_t MaxClaims = 4;
 /// A worker without runs needs no sync until a start is sent to it.
 static constexpr Millis IdleSyncPeriod{30'000};
 /// While a lease cannot be renewed in full, a sync may take up to one part in
@@ -45,8 +37,6 @@
 /// A worker that does not answer a sync gets no new work for this long.
 static constexpr Millis AvoidAfterNoAnswer{1'500};
 static constexpr Millis AvoidAfterStalledRun{10'000};
-/// Registry entries may be this old when they are read.
-static constexpr Millis MaxRegistryLag{800};
 /// A worker that has crashed is back within this time after the lease of its
 /// runs.
 static constexpr Millis MaxRestartTime{30'000};
@@ -134,168 +124,6 @@
   }
 }
 
-void Owner::onRegistryChange(RegistryChange &&Change) {
-  // It says nothing about the worker, of which the last entry holds.
-  if (Change.Unreadable)
-    return;
-  auto It = Sessions.find(Change.Worker);
-  if (!Change.Entry) {
-    if (It == Sessions.end())
-      return;
-    It->second.Claims.clear();
-    if (It->second.Listed) {
-      It->second.Listed = false;
-      Shared.log(408,
-                 {{"worker", Change.Worker}, {"runs", It->second.Runs.size()}});
-      PlanNeeded = true;
-    }
-    return;
-  }
-  WorkerEntry &E = *Change.Entry;
-  bool ServiceInUse = isServiceInUse(E.Service);
-  if (It == Sessions.end()) {
-    WorkerEntry Nothing;
-    if (judgeEntry(E, {Nothing}, ServiceInUse) == EntryVerdict::Ignored)
-      return;
-    for (auto &[Id, Former] : Sessions)
-      if (Former.Entry.Address == E.Address && !Former.LapsedRuns.empty())
-        recordCrash(Former, {});
-    Session &S = Sessions[E.Id];
-    S.Entry = std::move(E);
-    S.LeaseEndsAt = FormerLeasesEnd;
-    adoptRecordedRuns(S);
-    PlanNeeded = true;
-    return;
-  }
-  Session &S = It->second;
-  switch (judgeEntry(E, {S.Entry, S.Described, S.Confirmed}, ServiceInUse)) {
-  case EntryVerdict::Ignored:
-    return;
-  case EntryVerdict::Describes:
-    return describeWorker(S, std::move(E), Shared.mono());
-  case EntryVerdict::OtherIncarnation:
-    return addClaim(S, std::move(E));
-  }
-}
-
-void Owner::describeWorker(Session &S, WorkerEntry &&E, MonoTime ReadAt) {
-  if (S.Entry.Draining != E.Draining && E.Draining)
-    Shared.log(410, {{"worker", E.Id},
-                     {"runs", S.Runs.size()},
-                     {"leaves_in_ms", E.LeavesInMs}});
-  if (E.Draining && E.LeavesInMs >= 0)
-    S.LeavesAt = ReadAt + Millis(E.LeavesInMs) - MaxRegistryLag;
-  if (E.Address != S.Entry.Address) {
-    S.Confirmed = false;
-    abandonSync(S);
-  }
-  S.Entry = std::move(E);
-  S.Described = true;
-  S.Listed = true;
-  PlanNeeded = true;
-}
-
-void Owner::addClaim(Session &S, WorkerEntry &&E) {
-  std::erase_if(S.Claims, [&E](const IncarnationClaim &C) {
-    return C.Entry.ProcessStartMs == E.ProcessStartMs &&
-           C.Entry.Address == E.Address;
-  });
-  if (S.Claims.size() == MaxClaims)
-    S.Claims.erase(S.Claims.begin());
-  S.NextClaim = S.Claims.size();
-  S.Claims.push_back({std::move(E), Shared.mono(), LatestCall});
-  S.NextProbeAt = Shared.mono();
-}
-
-void Owner::probe(const std::string &Id, Session &S) {
-  const IncarnationClaim &C = S.Claims[S.NextClaim % S.Claims.size()];
-  S.NextClaim = (S.NextClaim + 1) % S.Claims.size();
-  S.ProbeNumber = ++LatestCall;
-  SyncAction A;
-  A.Worker = {Id, C.Entry.Address};
-  A.Epoch = Epoch;
-  A.TimeLimit = FirstSyncTimeout;
-  Shared.count("worker_probes");
-  A.Done = [this, Alive = Alive, Id, Number = S.ProbeNumber,
-            Address = C.Entry.Address](const WorkerReply &R) {
-    if (*Alive)
-      onProbed(Id, Number, Address, R);
-  };
-  Shared.Actions.push_back(std::move(A));
-}
-
-void Owner::onProbed(const std::string &Id, std::uint64_t Number,
-                     const std::string &Address, const WorkerReply &R) {
-  auto It = Sessions.find(Id);
-  if (It == Sessions.end() || It->second.ProbeNumber != Number)
-    return;
-  Session &S = It->second;
-  S.ProbeNumber = 0;
-  // Refusals are not trusted: the address may be any process's.
-  S.NextProbeAt = Shared.mono() + Shared.jitter(SyncRetryDelay);
-  if (R.Verdict == WorkerVerdict::Ok && R.ProcessStartMs > 0)
-    settleIncarnation(S, R.ProcessStartMs, Address, Number);
-}
-
-void Owner::settleIncarnation(Session &S, std::int64_t ProcessStartMs,
-                              const std::string &Address,
-                              std::uint64_t Number) {
-  std::optional<IncarnationClaim> Own;
-  for (const IncarnationClaim &C : S.Claims)
-    if (C.Entry.ProcessStartMs == ProcessStartMs &&
-        (!Own || C.Entry.Address == Address))
-      Own = C;
-  std::erase_if(S.Claims, [&](const IncarnationClaim &C) {
-    return C.Entry.ProcessStartMs == ProcessStartMs || C.LatestCall < Number;
-  });
-  if (!S.Entry.ProcessStartMs)
-    S.Entry.ProcessStartMs = ProcessStartMs;
-  if (ProcessStartMs == S.Entry.ProcessStartMs)
-    return;
-  // Without an entry of this incarnation, only the known address is certain to
-  // be the worker's.
-  if (!Own && Address != S.Entry.Address)
-    return;
-  Shared.log(409, {{"worker", S.Entry.Id}, {"runs", S.Runs.size()}});
-  onWorkerRestarted(S, ProcessStartMs);
-  S.Described = S.Confirmed = S.Synced = false;
-  if (Own) {
-    describeWorker(S, std::move(Own->Entry), Own->ReadAt);
-    S.Confirmed = S.Entry.Address == Address;
-  }
-}
-
-void Owner::abandonSync(Session &S) {
-  S.SyncInFlight = false;
-  S.SyncNumber = 0;
-  S.SyncAcknowledgesTo = 0;
-  S.NextSyncAt = Shared.mono();
-}
-
-bool Owner::isServiceInUse(const std::string &Service) {
-  if (ServicesInUse.contains(Service))
-    return true;
-  UnusedServiceListed = true;
-  return false;
-}
-
-void Owner::learnService(const std::string &Service) {
-  if (!ServicesInUse.insert(Service).second || !UnusedServiceListed)
-    return;
-  UnusedServiceListed = false;
-  Registry.restart();
-}
-
-void Owner::learnServices() {
-  if (ServicesFrom == Shared.Config || !Shared.Config)
-    return;
-  ServicesFrom = Shared.Config;
-  for (const std::string &Name : ServicesFrom->Services)
-    learnService(Name);
-  for (const Queue &Q : ServicesFrom->Queues)
-    learnService(Q.Service);
-}
-
 std::optional<MonoTime> Owner::leaseEnd() const {
   // The next owner expects no leases from after the release.
   if (RecordWriter.releaseSent())
