Await late grants to the earlier incarnation of a silent worker

Callers could see a task run twice at the same time.

Cause: an owner counts the end of a silent worker's lease from its own grants. A grant's deadline is a point of time on the worker's clock, so a late grant was taken to be harmless. After a restart under the same id that clock begins anew, and the worker shortens the deadline to a full lease from then on. A start or sync for the earlier incarnation that is carried out up to 15 s late therefore renews the lease of the next one. If that worker is cut off, its runs go on for up to a lease after the owner has started them elsewhere.

Change: a session remembers its latest grant; after a restart the runs of a silent worker count as ended a lease after that grant may have arrived. The simulated worker shortens leases as the platform's do; before, it took any deadline.

Cost: the runs of a worker that restarts under its id and falls silent within 15 s wait for up to 21 s instead of 6.4 s. Not covered: an owner does not know of grants that its predecessor sent to an earlier incarnation of a worker that it cannot reach itself.

--- a/packages/cluster/lib/LeaseTerms.cpp
+++ b/packages/cluster/lib/LeaseTerms.cpp
@@ -10,7 +10,9 @@
 // sent its latest confirmed record, the next owner may count the same time from
 // its reading of the latest record. Who reaches whom, how long a claim takes
 // and whether a process was suspended in between do not matter: deadlines are
-// points of time, so an order that is carried out late does not extend one.
+// points of time, so an order that is carried out late does not extend one. The
+// exception is a worker that has restarted, whose clock begins anew: for those
+// Owner::silentRunsEndAt() adds the time in which such an order may arrive.
 //
 // The fixed time: a full lease, and the time after which a silent owner is
 // replaced. The second part lets all runs outlast a store that is down for
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -131,6 +131,10 @@
   std::int64_t ClockMs = -1; ///< The worker's clock at ClockReadAt.
   /// Latest time, by this daemon's clock, at which a granted lease can expire.
   MonoTime LeaseEndsAt{};
+  MonoTime LatestGrantAt{}; ///< To the current incarnation.
+  /// Until when a grant to an earlier incarnation may be carried out by the
+  /// current one; 0: there is none.
+  MonoTime StrayGrantsUntil{};
   /// Number of the latest end that has been handled.
   std::uint64_t LastHandledEnd = 0;
   /// Number of the latest end whose effect is stored.
@@ -258,6 +262,8 @@
   std::optional<MonoTime> leaseEnd() const;
   /// The deadline, by the worker's clock, of a lease granted now.
   std::optional<std::int64_t> grantLease(Session &S);
+  /// When all runs of a worker that is not heard of have certainly ended.
+  MonoTime silentRunsEndAt(const Session &S) const;
   /// Returns whether the store has confirmed recently enough that this daemon
   /// is the owner. If not, another one may be, and this one gives no orders.
   bool isConfirmed();
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -14,8 +14,8 @@
 /// Longest wait while urgent work runs there: it has about a second of slack,
 /// within which a slow worker or a lost end must be detected.
 static constexpr Millis MaxUrgentSyncWait{500};
-/// Starts without an answer have been seen to be carried out up to 12 s later.
-static constexpr Millis MaxStartDelay{15'000};
+/// Calls without an answer have been seen to be carried out up to 12 s later.
+static constexpr Millis MaxCallDelay{15'000};
 /// Added to the wait of a sync for its timeout: covers two network round trips
 /// and a slow daemon.
 static constexpr Millis SyncTimeoutMargin{600};
@@ -138,9 +138,19 @@
   if (!End)
     return std::nullopt;
   S.LeaseEndsAt = std::max(S.LeaseEndsAt, *End);
+  S.LatestGrantAt = Shared.mono();
   return S.ClockMs + Leases.onWorkerClock(S.ClockReadAt, *End).count();
 }
 
+/// A deadline is a point of time on the clock of one incarnation. The clock of
+/// the next one begins anew, so that it takes a late grant for a full lease
+/// from then on.
+MonoTime Owner::silentRunsEndAt(const Session &S) const {
+  if (!S.StrayGrantsUntil.count())
+    return S.LeaseEndsAt;
+  return std::max(S.LeaseEndsAt, S.StrayGrantsUntil + Leases.longest());
+}
+
 bool Owner::isConfirmed() {
   MonoTime T = Shared.mono();
   MonoTime ConfirmedAt = RecordWriter.confirmedAt();
@@ -417,6 +427,8 @@
   }
   S.Entry.ProcessStartMs = ProcessStartMs;
   S.IncarnationSeenAt = S.KnownAliveAt = Shared.mono();
+  if (S.LatestGrantAt.count())
+    S.StrayGrantsUntil = std::exchange(S.LatestGrantAt, {}) + MaxCallDelay;
   for (auto &[Id, R] : MayArrive) {
     R.Stage = RunStage::Stopping;
     R.Crashed = true;
@@ -547,7 +559,7 @@
     auto &[Id, S] = *It;
     // The lease is counted from the latest known reading of the worker's clock.
     if (!S.Runs.empty() && S.SyncFailures >= 2 &&
-        T > S.LeaseEndsAt + LeaseMargin) {
+        T > silentRunsEndAt(S) + LeaseMargin) {
       S.Synced = false;
       S.LapsedRuns.merge(runsPresent(S));
       S.LapsedAt = T;
@@ -557,7 +569,7 @@
       markRunsLost(S, "its lease has expired");
     }
     if (!S.Listed && S.Entry.Address.empty() && !S.Runs.empty() &&
-        T > S.LeaseEndsAt + LeaseMargin) {
+        T > silentRunsEndAt(S) + LeaseMargin) {
       // The registry has not listed it since this owner began. Whether it ran
       // other work is not known.
       S.LapsedRuns.merge(runsPresent(S));
@@ -566,7 +578,7 @@
     }
     if (CheckRuns) {
       std::erase_if(S.UnansweredStarts, [T](const auto &Start) {
-        return T - Start.second > MaxStartDelay;
+        return T - Start.second > MaxCallDelay;
       });
       stopStalledRuns(Id, S);
       checkWorkerSpeed(Id, S);
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -321,7 +321,7 @@
     R.Verdict = WorkerVerdict::DeadlinePassed;
     return R;
   }
-  W.LeaseUntilMs = std::max(W.LeaseUntilMs, A.LeaseUntilMs);
+  W.extendLease(Clock, A.LeaseUntilMs);
   if (JobsNeedingTicket.contains(A.Task.Job) &&
       A.Ticket != "ticket-" + A.Worker.Id) {
     ++TicketsRefused;
@@ -401,7 +401,7 @@
     R.Verdict = WorkerVerdict::Ok;
     W.Epoch = A.Epoch;
     if (A.LeaseUntilMs >= 0)
-      W.LeaseUntilMs = std::max(W.LeaseUntilMs, A.LeaseUntilMs);
+      W.extendLease(Clock, A.LeaseUntilMs);
     std::erase_if(W.Ended, [&](const EndedTask &E) {
       if (E.Number > A.AcknowledgedTo)
         return false;
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -45,7 +45,13 @@
   }
   std::int64_t StopDurationMs = 0; ///< How long a stop takes.
   std::int64_t LeaseUntilMs = 0;   ///< By its own clock.
-  std::int64_t LapsedAtMs = 0;     ///< When it last held no lease.
+  /// Shortens a longer lease to MaxLeaseMs from now.
+  void extendLease(std::int64_t Time, std::int64_t UntilMs) {
+    LeaseUntilMs =
+        std::max(LeaseUntilMs, std::min(UntilMs, clock(Time) + MaxLeaseMs));
+  }
+  static constexpr std::int64_t MaxLeaseMs = 6'000;
+  std::int64_t LapsedAtMs = 0; ///< When it last held no lease.
   std::uint64_t Epoch = 0;
   std::uint64_t Acknowledged = 0;
   std::string Checkpoint; ///< Reported for every run and every end.
