Check before each start whether its worker is still fit for it

A start is sent once its placement is stored, which takes seconds with a slow store, and again by the next owner. Only the capacity was looked at again.

Change: startFault() is asked before each start. A run that cannot have begun is ended and placed again; one that may have begun is stopped.

Evidence: WorkerThatDrainsMeanwhileGetsNoStart, ...OfTheNextOwner and NothingStartsWithAnExpiredTicket (4 starts refused) fail without the change to packages/cluster/lib and pass with it; the other tests of the package pass.

Looked at as well, and sound: pointers from a plan into the queue and into AdviceByStep are used before anything that erases them; a job is looked up again, and faultOf() covers what is left; records cannot name tasks that the job does not have (Ledger); Sessions.at() is used only for workers found in the same call.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -29,6 +29,10 @@
 /// counts as failing: it gets no work for a while and is used last after that.
 inline constexpr std::size_t FailingWorkerJobs = 2;
 
+/// Nothing is placed with a ticket in this time before it expires, so that the
+/// start still arrives in time.
+inline constexpr Millis TicketMargin{500};
+
 using dispatch::UnitId;
 using workload::Job;
 using workload::JobState;
@@ -91,6 +95,7 @@
   MonoTime CheckpointAt{};
   std::string Checkpoint;
   std::string Ticket;
+  MonoTime TicketValidUntil{}; ///< If it has a ticket.
 };
 
 struct RunId {
@@ -296,6 +301,8 @@
                                                      const RunId &Id,
                                                      ReplyHandler Handle);
   void sendStart(const std::string &Worker, const RunId &Id);
+  /// Why the worker must not be told to start the run now; empty if it may.
+  std::string_view startFault(const Session &S, const RunState &R) const;
   void onStarted(Session &S, RunState &R, const RunId &Id,
                  const WorkerReply &Reply);
   void sendStop(const std::string &Worker, const RunId &Id);
--- a/packages/cluster/lib/OwnerAdvice.cpp
+++ b/packages/cluster/lib/OwnerAdvice.cpp
@@ -18,9 +18,6 @@
 static constexpr unsigned MaxAdviceCalls = 8;
 static constexpr Millis AdviceTimeout{6'000};
 static constexpr Millis AdviceRetryDelay{500};
-/// Tickets are not used in this time before they expire, so that a start still
-/// arrives in time.
-static constexpr Millis TicketMargin{500};
 /// Used if the configuration sets no validity.
 static constexpr std::int64_t DefaultAdviceValidMs = 3'000;
 
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -69,6 +69,21 @@
   return R.Room.fitsIn(Free);
 }
 
+/// A plan is carried out once its placements are stored, which takes seconds if
+/// the store is slow; the worker may have changed meanwhile.
+std::string_view Owner::startFault(const Session &S, const RunState &R) const {
+  if (S.Entry.Draining)
+    return "the worker is draining";
+  // The worker may have begun the run.
+  if (R.MayHaveArrived)
+    return {};
+  if (!hasRoomFor(S, R))
+    return "the worker's capacity has shrunk";
+  if (!R.Ticket.empty() && Shared.mono() > R.TicketValidUntil)
+    return "the ticket has expired";
+  return {};
+}
+
 bool Owner::isCurrentRun(const RunId &Id) const {
   const Job *J = Shared.Ledger.find(Id.Task.Job);
   if (!J || J->ended())
@@ -93,9 +108,10 @@
     return;
   if (!isCurrentRun(Id) || J->CancelRequested)
     return stopRun(S, Id, "its job has ended");
-  if (!R.MayHaveArrived && !hasRoomFor(S, R)) {
-    R.StopReason = "the worker's capacity has shrunk";
-    return finishRun(Id, EndReason::Stopped, "", S);
+  if (auto Fault = startFault(S, R); !Fault.empty()) {
+    R.StopReason = Fault;
+    return R.MayHaveArrived ? stopUnit(unitOf(*J, Id.Task.Key), Fault)
+                            : finishRun(Id, EndReason::Stopped, "", S);
   }
   auto LeaseUntilMs = grantLease(S);
   if (!LeaseUntilMs) {
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -402,8 +402,12 @@
       R.WorkerStartMs = S.Entry.ProcessStartMs;
       R.PlacedAt = Shared.mono();
       R.ProgressAt = R.PlacedAt;
-      if (P.Work->AllowedWorkers)
+      if (P.Work->AllowedWorkers) {
         R.Ticket = P.Work->AllowedWorkers->find(Worker)->second;
+        if (auto A = AdviceByStep.find(stepOf(Id.Task));
+            A != AdviceByStep.end())
+          R.TicketValidUntil = A->second.ValidUntil + TicketMargin;
+      }
       S.Runs.emplace(Id, std::move(R));
       RecordWriter.afterStored([this, Worker, Id] { sendStart(Worker, Id); });
     }
--- a/packages/cluster/tests/Deployment.h
+++ b/packages/cluster/tests/Deployment.h
@@ -34,6 +34,10 @@
         DaemonsWithoutStore.insert(Name);
     return Follower;
   }
+  void setDraining(const std::string &Worker, bool Draining) {
+    Workers[Worker].Entry.Draining = Draining;
+    Registry.push_back({Worker, Workers[Worker].Entry});
+  }
   bool shows(Node &N, const std::string &Id, JobState S) {
     auto R = N.status(Id);
     return R.Result == Lookup::Found && R.State == S;
--- a/packages/cluster/tests/LateOrderTest.cpp
+++ b/packages/cluster/tests/LateOrderTest.cpp
@@ -5,21 +5,12 @@
 
 BOOST_FIXTURE_TEST_SUITE(OrdersThatAreCarriedOutLate, Deployment)
 
-namespace {
-
-void setDraining(World &W, const std::string &Worker, bool Draining) {
-  W.Workers[Worker].Entry.Draining = Draining;
-  W.Registry.push_back({Worker, W.Workers[Worker].Entry});
-}
-
-} // namespace
-
 // Guards against a second run beside the first one: the lease of a worker that
 // had restarted was renewed by a start meant for its earlier incarnation, whose
 // clock was ahead, and ended later than the owner assumed.
 BOOST_AUTO_TEST_CASE(LateStartForAnEarlierIncarnationRenewsTheLease) {
   for (const char *Id : {"w2", "w3"})
-    setDraining(*this, Id, true);
+    setDraining(Id, true);
   run(100);
   Workers["w1"].StartDelayMs = 12'000;
   std::int64_t SentMs = Clock;
@@ -34,9 +25,67 @@
       runUntil([&] { return Workers["w1"].Runs.size() == 1u; }, 5'000));
   run(SentMs + 11'000 - Clock);
   Workers["w1"].Disconnected = true;
-  setDraining(*this, "w2", false);
+  setDraining("w2", false);
   BOOST_TEST(runUntil([&] { return !Workers["w2"].Runs.empty(); }, 24'000));
   BOOST_TEST(!RunsOverlapped);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(PlansThatAreCarriedOutLate, Deployment)
+
+// Guards against a start on a worker that is about to be removed: it began to
+// drain while the placement was being stored.
+BOOST_AUTO_TEST_CASE(WorkerThatDrainsMeanwhileGetsNoStart) {
+  for (const char *Id : {"w2", "w3"})
+    setDraining(Id, true);
+  run(500);
+  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 500)));
+  AppendDurationMs = 700;
+  run(60);
+  setDraining("w1", true);
+  setDraining("w2", false);
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 8'000));
+  BOOST_TEST(Workers["w1"].NextEndNumber == 1u);
+  BOOST_TEST((Starts[{"1", {0, 0, 0}}] == 1u));
+}
+
+// Guards against the same under the next owner, which repeats the starts of its
+// predecessor.
+BOOST_AUTO_TEST_CASE(WorkerThatDrainsMeanwhileGetsNoStartOfTheNextOwner) {
+  for (const char *Id : {"w2", "w3"})
+    setDraining(Id, true);
+  run(500);
+  DaemonsWithoutWorkers.insert(owner());
+  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 500)));
+  run(200);
+  kill(owner());
+  setDraining("w1", true);
+  setDraining("w2", false);
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 12'000));
+  BOOST_TEST(Workers["w1"].NextEndNumber == 1u);
+  BOOST_TEST((Starts[{"1", {0, 0, 0}}] == 1u));
+}
+
+// Guards against starts that a worker must refuse: the ticket had expired when
+// the placement was stored.
+BOOST_AUTO_TEST_CASE(NothingStartsWithAnExpiredTicket) {
+  for (const char *Name : {"a", "b", "c"})
+    if (Name != owner())
+      kill(Name);
+  AllowedWorkers = {"w1", "w2"};
+  JobsNeedingTicket = {"1"};
+  auto J = job("1", 4, 1, 500);
+  J.NeedsAdvice = true;
+  BOOST_TEST(!submit(anyDaemon(), J));
+  AppendDurationMs = 3'500;
+  run(100);
+  AppendDurationMs = 0;
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 9'000));
+  BOOST_TEST(TicketsRefused == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -309,6 +309,17 @@
   }
 }
 
+std::string World::makeTicket(const std::string &Worker) const {
+  return "ticket-" + Worker + "-" + std::to_string(Clock);
+}
+
+bool World::isTicketValid(const StartAction &A) const {
+  auto It = TicketIssuedMs.find(A.Ticket);
+  return It != TicketIssuedMs.end() &&
+         A.Ticket.starts_with("ticket-" + A.Worker.Id + "-") &&
+         Clock - It->second <= TicketValidMs;
+}
+
 WorkerReply World::start(FakeWorker &W, const StartAction &A) {
   WorkerReply R;
   R.ClockMs = W.clock(Clock);
@@ -322,8 +333,7 @@
     return R;
   }
   W.extendLease(Clock, A.LeaseUntilMs);
-  if (JobsNeedingTicket.contains(A.Task.Job) &&
-      A.Ticket != "ticket-" + A.Worker.Id) {
+  if (JobsNeedingTicket.contains(A.Task.Job) && !isTicketValid(A)) {
     ++TicketsRefused;
     R.Verdict = WorkerVerdict::TicketInvalid;
     return R;
@@ -522,7 +532,7 @@
             std::map<std::string, std::string> Tickets;
             for (const std::string &Worker : Copy.Workers)
               if (AllowedWorkers.contains(Worker))
-                Tickets[Worker] = "ticket-" + Worker;
+                TicketIssuedMs[Tickets[Worker] = makeTicket(Worker)] = Clock;
             reply(Daemon, [Copy, Tickets] { Copy.Done(Tickets); });
           } else if constexpr (std::is_same_v<T, SyncAction>) {
             sync(Daemon, Copy, Clock + Copy.Wait.count());
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -146,6 +146,7 @@
   /// Jobs whose starts need a ticket.
   std::set<std::string> JobsNeedingTicket;
   unsigned TicketsRefused = 0;
+  static constexpr std::int64_t TicketValidMs = 3'000;
   /// Daemons whose calls to workers get lost.
   std::set<std::string> DaemonsWithoutWorkers;
   /// For each daemon, the workers whose calls from it get lost.
@@ -210,6 +211,9 @@
   /// Whether calls of the daemon are received by the worker and answered.
   bool reaches(const std::string &Daemon, const FakeWorker &W) const;
   WorkerReply start(FakeWorker &W, const StartAction &A);
+  std::string makeTicket(const std::string &Worker) const;
+  /// Whether the ticket is one for the worker and has not expired.
+  bool isTicketValid(const StartAction &A) const;
   AppendResult append(const AppendAction &A);
   /// Answers a read once there are records, its records have been deleted or
   /// the time is \p Until.
@@ -229,6 +233,7 @@
   std::map<std::string, std::int64_t> WorkMsByJob;
   std::set<TaskName> AcknowledgedTasks;
   std::map<TaskName, std::int64_t> StartedAtMs;
+  std::map<std::string, std::int64_t> TicketIssuedMs;
   std::unique_ptr<base::StructuredLog> Log;
 };
 
