Answer a cancellation that may be stored with 504

Callers saw 503 "the cancellation is not stored" for a cancellation whose append had no answer; the store may carry it out later, and the job that the caller takes to go on is cancelled then.

Cause: Node::cancel() and refuse() did not tell an append that was refused from one without an answer; both became Lookup::Stale, which the handler answers with 503.

Change: Lookup::Unresolved, answered with 504 like a submission of that kind. The caller asks again, which is harmless.

--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -59,8 +59,9 @@
 enum class Lookup {
   Found,
   Unknown, ///< To a cancellation: such a job will not run either.
-  Stale,   ///< This daemon's state is too old to tell, or nothing was stored.
-  Refused  ///< Too many unknown jobs are being cancelled; nothing was stored.
+  Stale,   ///< This daemon's state is too old to tell; nothing was stored.
+  Refused, ///< Too many unknown jobs are being cancelled; nothing was stored.
+  Unresolved ///< The store did not answer; the job may be cancelled later.
 };
 struct StatusResult {
   Lookup Result = Lookup::Stale;
--- a/packages/cluster/lib/Intake.cpp
+++ b/packages/cluster/lib/Intake.cpp
@@ -96,8 +96,9 @@
   if (S.Cancels) {
     C.count("cancels_failed");
     C.log(427, {{"job", S.Job}, {"stored", false}});
-    return S.Done(Refusal{Refusal::Unresolved, StoreRetryAfter,
-                          "the store did not accept the cancellation"});
+    return S.Done(
+        Refusal{CertainlyNotStored ? Refusal::Unavailable : Refusal::Unresolved,
+                StoreRetryAfter, "the store did not accept the cancellation"});
   }
   C.count(CertainlyNotStored ? "submissions_refused_unavailable"
                              : "submissions_unresolved");
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -219,7 +219,8 @@
         Shared.count(Stored ? "cancels_accepted" : "cancels_failed");
         Shared.log(427, {{"job", Id}, {"stored", Stored}});
         if (!Stored)
-          return Done(Lookup::Stale);
+          return Done(R.Verdict == AppendVerdict::Refused ? Lookup::Stale
+                                                          : Lookup::Unresolved);
         if (ControlTopic.following())
           (void)Shared.Ledger.applyExceptProgress(Record);
         if (ActiveOwner)
@@ -258,7 +259,8 @@
     if (!*Alive)
       return;
     if (NotStored)
-      return Done(Lookup::Stale);
+      return Done(NotStored->Why == Refusal::Unresolved ? Lookup::Unresolved
+                                                        : Lookup::Stale);
     Done(Shared.Ledger.find(Id) ? Lookup::Found : Lookup::Unknown);
   };
   if (ActiveOwner && !Stopping)
--- a/packages/cluster/tests/CancellationTest.cpp
+++ b/packages/cluster/tests/CancellationTest.cpp
@@ -140,4 +140,12 @@
   BOOST_TEST((cancel(*this, Owner, "mine") == Lookup::Found));
 }
 
+// Guards against a caller that is told that nothing was stored, although the
+// store carries out its cancellation later.
+BOOST_AUTO_TEST_CASE(IsUnresolvedIfTheStoreMayHaveCarriedItOut) {
+  AppendAnswersToLose = 10;
+  BOOST_TEST((cancel(*this, follower(), "1") == Lookup::Unresolved));
+  BOOST_TEST(isKept(*this, "x/1"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
