Refuse no copy of a submission that may still be stored

Callers saw 503, which says that a job never runs, for a repeated request whose first copy was in an append without an answer at the same daemon; the append was carried out and the job ran.

Cause: admission judged each request by itself; only jobs that had been read from the topic were known.

Change: a daemon remembers the submissions that it has handed to the store and that are not answered, or were answered as unresolved in the last 20 s (appends without an answer have been carried out up to 15 s later). It gives 504 to their copies where it would refuse them. Other daemons do not know of them; the owner, to which changes are forwarded first, does.

Evidence: IsNotRefusedWhileTheFirstMayBeStored fails without the change (Overloaded) and passes with it; another job is refused as before.

--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -33,6 +33,14 @@
   void submit(workload::JobSpec Spec,
               std::function<void(std::optional<Refusal>)> Done,
               Millis CallerWaits);
+  /// Returns \p Done, which also keeps account of whether the submission is
+  /// answered, for mayBeStored().
+  std::function<void(std::optional<Refusal>)>
+  trackSubmission(const std::string &Id,
+                  std::function<void(std::optional<Refusal>)> Done);
+  /// Whether an earlier copy of the submission was handed to the store here and
+  /// may still be stored.
+  bool mayBeStored(std::string_view Id) const;
   /// The appends of this daemon that store new jobs.
   AppendState appendState() const;
   void onSubmissionStored(const Submission &S, std::uint64_t Offset);
@@ -72,6 +80,11 @@
     std::int64_t WorkMs = 0;
   };
   std::vector<RecentSubmission> RecentSubmissions;
+  struct OpenSubmission {
+    unsigned Unanswered = 0; ///< Copies.
+    MonoTime MayBeStoredUntil{};
+  };
+  std::map<std::string, OpenSubmission, std::less<>> OpenSubmissions;
   std::vector<UnknownCancel> UnknownCancels;
   /// How many unknown jobs may be cancelled, at which time.
   double CancelTokens = 0;
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -42,6 +42,8 @@
 static constexpr double MaxUnknownCancelsPerSecond = 50;
 static constexpr double MaxUnknownCancelBurst = 100;
 static constexpr std::size_t MaxUnsubmittedCancels = 10'000;
+/// Appends without an answer have been carried out up to 15 s later.
+static constexpr Millis MaxAppendDelay{20'000};
 /// The owner publishes the backlog about once a second. Until then the work of
 /// jobs accepted here is added to it, for this long.
 static constexpr Millis RecentSubmissionAge{1'500};
@@ -61,6 +63,16 @@
     return Done(Refusal{Refusal::Cancelled, CancelledRetryAfter,
                         "the job was cancelled before it was submitted"});
   }
+  // A caller that is told that its job never runs relies on that for all copies
+  // of the request.
+  auto Refuse = [&](Refusal R) {
+    if (mayBeStored(Spec.Id)) {
+      Shared.count("submissions_unresolved");
+      R.Why = Refusal::Unresolved;
+      R.Message = "an earlier copy of the request may still be stored";
+    }
+    Done(std::move(R));
+  };
   // Load pattern: the store rejects calls of some daemons and serves the
   // others. Callers must learn at once that nothing was done here, so that they
   // can use a daemon that is served. A daemon that is stopping still serves the
@@ -75,8 +87,8 @@
                      {"next", ControlTopic.next()},
                      {"state_age_ms", Outage.count()},
                      {"retry_after_ms", RetryDelay.count()}});
-    return Done(Refusal{Refusal::Unavailable, RetryDelay,
-                        "the store cannot be reached"});
+    return Refuse(Refusal{Refusal::Unavailable, RetryDelay,
+                          "the store cannot be reached"});
   }
   for (const workload::Step &S : Spec.Steps)
     if (S.Gang && S.Count * TaskEntryBytes > Shared.Settings.RecordBytes) {
@@ -111,8 +123,8 @@
                      {"workers", L.Workers},
                      {"retry_after_ms", RetryDelay->count()},
                      {"epoch", O.Epoch}});
-    return Done(Refusal{Refusal::Overloaded, *RetryDelay,
-                        "the work ahead would make this job too late"});
+    return Refuse(Refusal{Refusal::Overloaded, *RetryDelay,
+                          "the work ahead would make this job too late"});
   }
   AppendState Store = appendState();
   if (auto RetryDelay = slowStoreRetryDelay(Store, CallerWaits)) {
@@ -124,8 +136,8 @@
                      {"in_flight_ms", Store.InFlightFor.count()},
                      {"caller_waits_ms", CallerWaits.count()},
                      {"retry_after_ms", RetryDelay->count()}});
-    return Done(Refusal{Refusal::Overloaded, *RetryDelay,
-                        "the store is too slow to store the job in time"});
+    return Refuse(Refusal{Refusal::Overloaded, *RetryDelay,
+                          "the store is too slow to store the job in time"});
   }
   Spec.AcceptedMs = Shared.wall();
   std::int64_t Work = 0;
@@ -139,7 +151,7 @@
                T,
                T + std::max(Millis(0), CallerWaits - AnswerMargin),
                workload::Ledger::submission(Spec),
-               std::move(Done)};
+               trackSubmission(Spec.Id, std::move(Done))};
   // The owner sends one append at a time: two would only wait for each other.
   if (ActiveOwner && !Stopping)
     ActiveOwner->store(std::move(S));
@@ -147,6 +159,33 @@
     Incoming.add(std::move(S));
 }
 
+std::function<void(std::optional<Refusal>)>
+Node::Impl::trackSubmission(const std::string &Id,
+                            std::function<void(std::optional<Refusal>)> Done) {
+  MonoTime T = Shared.mono();
+  std::erase_if(OpenSubmissions, [T](const auto &Entry) {
+    return !Entry.second.Unanswered && T > Entry.second.MayBeStoredUntil;
+  });
+  ++OpenSubmissions[Id].Unanswered;
+  return [this, Alive = Alive, Id,
+          Done = std::move(Done)](const std::optional<Refusal> &R) {
+    if (*Alive) {
+      OpenSubmission &Open = OpenSubmissions[Id];
+      Open.Unanswered -= Open.Unanswered > 0;
+      if (R && R->Why == Refusal::Unresolved)
+        Open.MayBeStoredUntil = Shared.mono() + MaxAppendDelay;
+    }
+    Done(R);
+  };
+}
+
+bool Node::Impl::mayBeStored(std::string_view Id) const {
+  auto It = OpenSubmissions.find(Id);
+  return It != OpenSubmissions.end() &&
+         (It->second.Unanswered ||
+          Shared.mono() <= It->second.MayBeStoredUntil);
+}
+
 AppendState Node::Impl::appendState() const {
   if (ActiveOwner && !Stopping)
     return ActiveOwner->appendState();
--- a/packages/cluster/tests/CancellationTest.cpp
+++ b/packages/cluster/tests/CancellationTest.cpp
@@ -149,3 +149,44 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(RepeatedSubmission, Deployment)
+
+namespace {
+
+/// Submits the job for a caller that waits \p WaitMs, and runs for that time.
+std::optional<Refusal> submitFor(World &W, Node &N, workload::JobSpec Spec,
+                                 std::int64_t WaitMs) {
+  std::optional<Refusal> Answer = Refusal{Refusal::Unresolved, {}, "none"};
+  N.submit(
+      std::move(Spec),
+      [&Answer](const std::optional<Refusal> &R) { Answer = R; },
+      base::Millis(WaitMs));
+  W.run(WaitMs);
+  return Answer;
+}
+
+} // namespace
+
+// Guards against a job that runs after its caller was told that it never runs:
+// the daemon refused a repeated request while an append with the first one
+// could still be carried out.
+BOOST_AUTO_TEST_CASE(IsNotRefusedWhileTheFirstMayBeStored) {
+  Node &Owner = *Daemons[owner()];
+  AppendDurationMs = 1'500;
+  auto First = submitFor(*this, Owner, job("1", 1, 1, 300), 600);
+  BOOST_TEST((First && First->Why == Refusal::Unresolved));
+  auto Repeated = submitFor(*this, Owner, job("1", 1, 1, 300), 200);
+  BOOST_REQUIRE(Repeated);
+  BOOST_TEST((Repeated->Why == Refusal::Unresolved));
+  // Another job is refused, as it is certainly not stored.
+  auto Other = submitFor(*this, Owner, job("2", 1, 1, 300), 200);
+  BOOST_REQUIRE(Other);
+  BOOST_TEST((Other->Why == Refusal::Overloaded));
+  AppendDurationMs = 0;
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 9'000));
+  BOOST_TEST(!Starts.contains({"2", {0, 0, 0}}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
