Send copies of orders to workers while earlier ones are unanswered

Cause: orders were tried too seldom for what depends on all of them. A start was tried three times in the 1.8 s that it has, each try waiting for the end of the one before, so that one start in eight failed; a gang of 5 started with a chance of 0.51, one of 30 with 0.02, and all members were stopped and the whole gang placed again. In the same way a lease needs one of its syncs, each of which took 1.4 s to fail, and room for urgent work needs the stops of all that is in its way. A worker whose sync had no answer got no work for 1.5 s, so that a good part of all sound workers counted as unusable at any time.

Change: CopyPacing decides when a further copy of an unanswered call is sent: after 150 ms, or after twice the time that the worker takes to answer, with limits per worker and in all. The first answer counts. Starts, stops and syncs are sent so; a sync without an answer is therefore evidence from up to four calls. Copies of a sync renew the lease up to the same time as the first one and acknowledge nothing. While calls to a worker get lost, its syncs wait for 200 ms at most. A start is given up counted from when it was first sent, not from the plan. A copy of a start that has no answer is barred in the worker's next incarnation also if the run has ended since. A stop that is being repeated no longer delays the end of a run that the worker does not list.

Why it works: calls are idempotent and the worker carries out a run number at most once, so copies change nothing but the chance that one is carried out in time; with 12 tries a start fails once in 4,000 times instead of once in 8.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -1,6 +1,7 @@
 #ifndef HEATHERSADDLE_CLUSTER_OWNER_H
 #define HEATHERSADDLE_CLUSTER_OWNER_H
 
+#include "CopyPacing.h"
 #include "EntryVerdict.h"
 #include "Tail.h"
 #include "Writer.h"
@@ -66,7 +67,8 @@
 struct RunState {
   workload::Resources Room;
   RunStage Stage = RunStage::Recording;
-  bool CallInFlight = false;
+  unsigned StartsInFlight = 0;
+  unsigned StopsInFlight = 0;
   bool MayHaveArrived = false;
   bool StopConfirmed = false;
   /// Its worker crashed under it. It is stopped in the next incarnation, where
@@ -78,6 +80,8 @@
   unsigned StartAttempts = 0;
   unsigned StopAttempts = 0;
   MonoTime PlacedAt{};
+  /// When this owner first sent the start, or took the run over.
+  MonoTime StartingSince{};
   /// When the latest start or, later, the latest stop was sent.
   MonoTime SentAt{};
   MonoTime RetryAt{};
@@ -129,8 +133,16 @@
   std::uint64_t ProbeNumber = 0; ///< Number of the call in flight; 0: none.
   MonoTime NextProbeAt{};
   bool SyncInFlight = false;
-  std::uint64_t SyncNumber = 0; ///< Number of the sync in flight.
-  MonoTime SyncSentAt{};
+  std::uint64_t SyncNumber = 0; ///< Number of the sync in flight; 0: none.
+  MonoTime SyncSentAt{};        ///< When its first copy was sent.
+  MonoTime SyncEndsAt{};        ///< When all its copies end.
+  MonoTime NextSyncCopyAt{};
+  std::int64_t SyncLeaseUntilMs = -1; ///< As in SyncAction.
+  unsigned SyncCopies = 0;            ///< Sent, and of these in flight.
+  unsigned SyncCopiesInFlight = 0;
+  unsigned CallsInFlight = 0; ///< Starts, stops and copies of syncs.
+  CopyPacing Pacing;
+  MonoTime LatestLossAt{}; ///< When a call was last found to have no answer.
   MonoTime NextSyncAt{};
   MonoTime ClockReadAt{};
   std::int64_t ClockMs = -1; ///< The worker's clock at ClockReadAt.
@@ -235,13 +247,19 @@
   // OwnerWorkers.cpp: the sessions with workers.
   void adoptRecordedRuns(Session &S);
   void sync(const std::string &Id, Session &S);
-  void onSynced(const std::string &Id, std::uint64_t Number,
+  /// Sends another copy of the sync in flight, within the limits.
+  void copySync(const std::string &Id, Session &S);
+  void sendSync(const std::string &Id, Session &S, Millis Wait);
+  void onSynced(const std::string &Id, std::uint64_t Number, bool Copy,
                 const WorkerReply &R);
   void updateClock(Session &S, const WorkerReply &R);
   /// Whether the clock in the answer to a call sent at \p SentAt shows that the
   /// worker has restarted.
   bool clockRestarted(const Session &S, const WorkerReply &R,
                       MonoTime SentAt) const;
+  /// Takes note of whether a call was answered, and how long after \p DueAt,
+  /// the earliest time at which its answer was due.
+  void recordAnswer(Session &S, WorkerVerdict V, MonoTime DueAt);
   /// How long the worker may wait before it answers the next sync.
   Millis syncWait(const Session &S) const;
   /// Handles answers, to calls sent to \p Address, that end this owner's term
@@ -292,23 +310,28 @@
   void checkWorkerSpeed(const std::string &Id, Session &S);
 
   // OwnerRuns.cpp: starts, stops and ends of runs.
-  using ReplyHandler = void (Owner::*)(Session &, RunState &, const RunId &,
-                                       const WorkerReply &);
-  /// Returns the callback for the answer to a call about a run. It passes the
-  /// answer to \p Handle if the owner, the worker's session and the run still
-  /// exist.
-  std::function<void(WorkerReply)> makeReplyCallback(const std::string &Worker,
-                                                     const RunId &Id,
-                                                     ReplyHandler Handle);
+  enum class OrderKind { Start, Stop };
+  /// Counts an order that is being sent, and returns the callback for its
+  /// answer. It passes the answer on if the owner, the worker's session and the
+  /// run still exist.
+  std::function<void(WorkerReply)> trackOrder(const std::string &Worker,
+                                              const RunId &Id, OrderKind Kind);
+  /// Whether an order of which \p InFlight copies are in flight may be sent.
+  bool maySend(const Session &S, unsigned InFlight) const {
+    return !InFlight || mayCopy(S.CallsInFlight, CallsInFlight);
+  }
   void sendStart(const std::string &Worker, const RunId &Id);
   /// Why the worker must not be told to start the run now; empty if it may.
   std::string_view startFault(const Session &S, const RunState &R) const;
-  void onStarted(Session &S, RunState &R, const RunId &Id,
+  void onStarted(Session &S, RunState &R, const RunId &Id, MonoTime SentAt,
                  const WorkerReply &Reply);
   void sendStop(const std::string &Worker, const RunId &Id);
-  void onStopped(Session &S, RunState &R, const RunId &Id,
+  void onStopped(Session &S, RunState &R, MonoTime SentAt,
                  const WorkerReply &Reply);
   void sendDueCalls();
+  /// Stops the run in an incarnation of the worker to which its start was not
+  /// sent, but may still arrive.
+  void barInThisIncarnation(Session &S, const RunId &Id);
   /// The worker has confirmed the run.
   void onConfirmed(RunState &R, const RunId &Id);
   /// A worker has shown that it has started a run of the job. Until then the
@@ -414,7 +437,8 @@
   bool WorkWaiting = false; ///< The latest plan left tasks waiting.
   bool Stopping = false;
   bool Deposed = false;
-  bool CallsDue = false; ///< A call to start or stop a run is due now.
+  unsigned CallsInFlight = 0; ///< To all workers, as in Session.
+  bool CallsDue = false;      ///< A call to start or stop a run is due now.
   MonoTime CallsCheckedAt{};
   MonoTime RunsCheckedAt{};
   MonoTime MajorityAnsweredAt{}; ///< Last time that most workers answered.
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -1,21 +1,19 @@
 // A run passes through the stages Recording, Starting, Confirmed and, if it is
-// to end early, Stopping. A start without an answer is sent again with the same
-// run number, which the worker carries out at most once. After a timeout it is
-// replaced by a stop, which also prevents a start that arrives later from
-// running. Resources are freed only when the worker reports the end or its
-// lists show that it does not have the run.
+// to end early, Stopping. Copies of a start are sent with the same run number,
+// which the worker carries out at most once, until one is answered
+// (CopyPacing.cpp). After a timeout the start is replaced by a stop, which also
+// prevents a start that arrives later from running. Resources are freed only
+// when the worker reports the end or its lists show that it does not have the
+// run.
 #include "Owner.h"
 #include <algorithm>
 
 namespace heathersaddle::cluster {
 
-/// Healthy workers answer within 10 ms. The first attempt of a start or stop
-/// times out early, because repeating it is harmless and urgent work has only
-/// about a second of slack; later attempts have longer timeouts, so that a slow
-/// link or daemon is not overloaded.
-static constexpr Millis FirstCallTimeout{250};
+/// Further copies of a start or stop are sent long before the first one ends.
 static constexpr Millis CallTimeout{1'000};
 static constexpr Millis CallRetryDelay{200};
+static constexpr Millis ConfirmedStopPeriod{1'000};
 /// How often runs are checked for calls that are due.
 static constexpr Millis CallCheckPeriod{50};
 /// A start without an answer is abandoned after this time, ...
@@ -30,11 +28,6 @@
 /// A worker that counts as failing gets no work for this long.
 static constexpr Millis AvoidAfterFailures{6'000};
 
-static Millis callTimeout(unsigned Attempt) {
-  return std::min(CallTimeout,
-                  FirstCallTimeout * (1 << std::min(Attempt - 1, 2U)));
-}
-
 static std::string_view name(EndReason Why) {
   switch (Why) {
   case EndReason::Done:
@@ -99,7 +92,7 @@
   Session &S = It->second;
   auto Found = S.Runs.find(Id);
   const Job *J = Shared.Ledger.find(Id.Task.Job);
-  if (Found == S.Runs.end() || !J || Found->second.CallInFlight)
+  if (Found == S.Runs.end() || !J || !maySend(S, Found->second.StartsInFlight))
     return;
   RunState &R = Found->second;
   if (R.Stage == RunStage::Recording)
@@ -118,10 +111,13 @@
     R.RetryAt = Shared.mono() + CallRetryDelay;
     return;
   }
-  R.CallInFlight = true;
   R.MayHaveArrived = true;
   R.SentAt = Shared.mono();
-  ++R.StartAttempts;
+  if (!R.StartAttempts++)
+    R.StartingSince = R.SentAt;
+  else // The lists may show the run before another copy is answered.
+    S.NextSyncAt = std::min(S.NextSyncAt, R.SentAt);
+  R.RetryAt = R.SentAt + S.Pacing.interval(R.StartAttempts);
   StartAction A;
   A.Worker = {S.Entry.Id, S.Entry.Address};
   A.Task = Id.Task;
@@ -131,48 +127,74 @@
   A.Epoch = Epoch;
   A.Checkpoint = J->task(Id.Task.Key).Checkpoint;
   A.Ticket = R.Ticket;
-  A.TimeLimit = callTimeout(R.StartAttempts);
+  A.TimeLimit = CallTimeout;
   Shared.count("starts");
-  A.Done = makeReplyCallback(Worker, Id, &Owner::onStarted);
+  A.Done = trackOrder(Worker, Id, OrderKind::Start);
   Shared.Actions.push_back(std::move(A));
 }
 
 std::function<void(WorkerReply)>
-Owner::makeReplyCallback(const std::string &Worker, const RunId &Id,
-                         ReplyHandler Handle) {
-  return
-      [this, Alive = Alive, Worker, Id, Handle,
-       Address = Sessions.at(Worker).Entry.Address](const WorkerReply &Reply) {
-        if (!*Alive)
-          return;
-        auto It = Sessions.find(Worker);
-        if (It == Sessions.end())
-          return;
-        Session &S = It->second;
-        auto Found = S.Runs.find(Id);
-        if (Found == S.Runs.end())
-          return;
-        RunState &R = Found->second;
-        R.CallInFlight = false;
-        if (Reply.Verdict == WorkerVerdict::NoAnswer)
-          S.UnansweredStarts[Id] = R.SentAt;
-        if (clockRestarted(S, Reply, R.SentAt)) {
-          // The next sync lists what runs in the new incarnation.
-          S.Synced = false;
-          S.NextSyncAt = Shared.mono();
-          R.RetryAt = Shared.mono() + CallRetryDelay;
-          return;
-        }
-        updateClock(S, Reply);
-        if (!endsSession(S, Reply.Verdict, Address))
-          (this->*Handle)(S, R, Id, Reply);
-      };
+Owner::trackOrder(const std::string &Worker, const RunId &Id, OrderKind Kind) {
+  Session &Receiver = Sessions.at(Worker);
+  RunState &Ordered = Receiver.Runs.at(Id);
+  ++CallsInFlight;
+  ++Receiver.CallsInFlight;
+  ++(Kind == OrderKind::Start ? Ordered.StartsInFlight : Ordered.StopsInFlight);
+  return [this, Alive = Alive, Worker, Id, Kind, SentAt = Shared.mono(),
+          Address = Receiver.Entry.Address](const WorkerReply &Reply) {
+    if (!*Alive)
+      return;
+    --CallsInFlight;
+    auto It = Sessions.find(Worker);
+    if (It == Sessions.end())
+      return;
+    Session &S = It->second;
+    // A session or a run may have been forgotten and learned of again.
+    S.CallsInFlight -= S.CallsInFlight > 0;
+    recordAnswer(S, Reply.Verdict, SentAt);
+    // The run may have ended since, by another copy of its start.
+    if (Kind == OrderKind::Start && Reply.Verdict == WorkerVerdict::NoAnswer) {
+      MonoTime &Latest = S.UnansweredStarts[Id];
+      Latest = std::max(Latest, SentAt);
+    }
+    auto Found = S.Runs.find(Id);
+    if (Found == S.Runs.end()) {
+      // The starts that had no answer by then were barred at the restart.
+      if (Kind == OrderKind::Start && SentAt < S.IncarnationSeenAt &&
+          Reply.Verdict == WorkerVerdict::NoAnswer)
+        barInThisIncarnation(S, Id);
+      return;
+    }
+    RunState &R = Found->second;
+    unsigned &InFlight =
+        Kind == OrderKind::Start ? R.StartsInFlight : R.StopsInFlight;
+    InFlight -= InFlight > 0;
+    if (clockRestarted(S, Reply, SentAt)) {
+      // The next sync lists what runs in the new incarnation.
+      S.Synced = false;
+      S.NextSyncAt = Shared.mono();
+      R.RetryAt = Shared.mono() + CallRetryDelay;
+      return;
+    }
+    updateClock(S, Reply);
+    if (endsSession(S, Reply.Verdict, Address))
+      return;
+    if (Kind == OrderKind::Start)
+      onStarted(S, R, Id, SentAt, Reply);
+    else
+      onStopped(S, R, SentAt, Reply);
+  };
 }
 
-void Owner::onStarted(Session &S, RunState &R, const RunId &Id,
+void Owner::onStarted(Session &S, RunState &R, const RunId &Id, MonoTime SentAt,
                       const WorkerReply &Reply) {
   MonoTime T = Shared.mono();
-  Shared.recordLatency("start_answered", T - R.SentAt);
+  Shared.recordLatency("start_answered", T - SentAt);
+  if (Reply.Verdict == WorkerVerdict::Ok)
+    markBegun(Id.Task.Job);
+  // Another copy has been answered, or the run is being stopped.
+  if (R.Stage != RunStage::Starting)
+    return;
   auto NeverRan = [&](Millis Avoid, std::string_view Why) {
     Shared.count("starts_refused");
     Shared.log(416, {{"worker", S.Entry.Id},
@@ -191,19 +213,14 @@
   };
   switch (Reply.Verdict) {
   case WorkerVerdict::Ok:
-    markBegun(Id.Task.Job);
-    if (R.Stage == RunStage::Starting) {
-      onConfirmed(R, Id);
-      S.NextSyncAt = std::min(S.NextSyncAt, T);
-    }
+    onConfirmed(R, Id);
+    S.NextSyncAt = std::min(S.NextSyncAt, T);
     return;
   case WorkerVerdict::RunTooOld:
     // The run has ended, or was stopped before this start arrived; the next
     // sync shows which.
-    if (R.Stage == RunStage::Starting) {
-      onConfirmed(R, Id);
-      S.NextSyncAt = T;
-    }
+    onConfirmed(R, Id);
+    S.NextSyncAt = T;
     return;
   case WorkerVerdict::DeadlinePassed:
     R.RetryAt = T;
@@ -224,9 +241,10 @@
   case WorkerVerdict::OtherIncarnation: // The worker has another address now.
     R.RetryAt = T + Shared.jitter(CallRetryDelay);
     return;
-  case WorkerVerdict::NoAnswer:
   case WorkerVerdict::NotDelivered:
     R.RetryAt = R.StartAttempts > 1 ? T + Shared.jitter(CallRetryDelay) : T;
+    [[fallthrough]];
+  case WorkerVerdict::NoAnswer:
     CallsDue = true;
     S.NextSyncAt = std::min(S.NextSyncAt, T);
     return;
@@ -241,6 +259,16 @@
   RecordWriter.markChanged(Id);
 }
 
+void Owner::barInThisIncarnation(Session &S, const RunId &Id) {
+  RunState &R = S.Runs[Id];
+  R.Stage = RunStage::Stopping;
+  R.MayHaveArrived = true;
+  R.Crashed = true;
+  R.StopConfirmed = false;
+  R.RetryAt = Shared.mono();
+  CallsDue = true;
+}
+
 void Owner::onConfirmed(RunState &R, const RunId &Id) {
   MonoTime T = Shared.mono();
   R.Stage = RunStage::Confirmed;
@@ -281,33 +309,35 @@
     return;
   Session &S = It->second;
   RunState &R = S.Runs[Id];
-  R.CallInFlight = true;
   R.SentAt = Shared.mono();
+  R.RetryAt = R.SentAt + S.Pacing.interval(++R.StopAttempts);
   StopAction A;
   A.Worker = {S.Entry.Id, S.Entry.Address};
   A.Task = Id.Task;
   A.Run = Id.Run;
   A.Epoch = Epoch;
-  A.TimeLimit = callTimeout(++R.StopAttempts);
+  A.TimeLimit = CallTimeout;
   Shared.count("stops");
-  A.Done = makeReplyCallback(Worker, Id, &Owner::onStopped);
+  A.Done = trackOrder(Worker, Id, OrderKind::Stop);
   Shared.Actions.push_back(std::move(A));
 }
 
-void Owner::onStopped(Session &S, RunState &R, const RunId &,
+void Owner::onStopped(Session &S, RunState &R, MonoTime SentAt,
                       const WorkerReply &Reply) {
   MonoTime T = Shared.mono();
   // An answer from the worker's previous incarnation says nothing about the
   // current one.
   if (Reply.Verdict == WorkerVerdict::Ok && !R.StopConfirmed &&
-      R.SentAt >= S.IncarnationSeenAt) {
+      SentAt >= S.IncarnationSeenAt) {
     R.StopConfirmed = true;
     R.ConfirmedAt = T;
   }
   // The stop is repeated, at a low rate once confirmed, until the end is
   // listed.
-  R.RetryAt =
-      T + (R.StopConfirmed ? Millis(1'000) : Shared.jitter(CallRetryDelay));
+  if (R.StopConfirmed)
+    R.RetryAt = T + ConfirmedStopPeriod;
+  else if (Reply.Verdict != WorkerVerdict::NoAnswer)
+    R.RetryAt = T + Shared.jitter(CallRetryDelay);
   S.NextSyncAt = std::min(S.NextSyncAt, T);
 }
 
@@ -330,14 +360,14 @@
   for (auto &[Worker, S] : Sessions) {
     std::vector<RunId> GiveUp;
     for (auto &[Id, R] : S.Runs) {
-      if (R.CallInFlight || T < R.RetryAt)
+      if (T < R.RetryAt)
         continue;
       if (R.Stage == RunStage::Starting && S.Synced && S.ClockMs >= 0) {
-        if (R.StartAttempts && T - R.PlacedAt > GiveUpAfter)
+        if (R.StartAttempts && T - R.StartingSince > GiveUpAfter)
           GiveUp.push_back(Id);
         else
           Calls.push_back({Worker, Id, false});
-      } else if (R.Stage == RunStage::Stopping) {
+      } else if (R.Stage == RunStage::Stopping && maySend(S, R.StopsInFlight)) {
         Calls.push_back({Worker, Id, true});
       }
     }
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -14,11 +14,22 @@
 /// Longest wait while urgent work runs there: it has about a second of slack,
 /// within which a slow worker or a lost end must be detected.
 static constexpr Millis MaxUrgentSyncWait{500};
+/// Longest wait for this long after a call to the worker had no answer: whether
+/// the sync is lost, too, shows only after the wait.
+static constexpr Millis MaxLossyPathWait{200};
+static constexpr Millis LossyPathTime{3'000};
 /// Calls without an answer have been seen to be carried out up to 12 s later.
 static constexpr Millis MaxCallDelay{15'000};
 /// Added to the wait of a sync for its timeout: covers two network round trips
 /// and a slow daemon.
 static constexpr Millis SyncTimeoutMargin{600};
+/// The copies of a sync are sent within that margin, so that one without an
+/// answer is evidence from several calls. A worker that has already failed a
+/// sync gets one more copy only.
+static constexpr unsigned MaxSyncCopies = 4;
+static constexpr unsigned MaxSyncCopiesAfterFailure = 2;
+static constexpr Millis FirstSyncCopyDelay{600};
+static constexpr Millis MinSyncCopyTime{50};
 /// A worker without runs needs no sync until a start is sent to it.
 static constexpr Millis IdleSyncPeriod{30'000};
 /// While a lease cannot be renewed in full, a sync may take up to one part in
@@ -115,7 +126,7 @@
       R.Stage = J.ended() ? RunStage::Stopping : RunStage::Starting;
       R.MayHaveArrived = true;
       R.StartAttempts = 1;
-      R.PlacedAt = Shared.mono();
+      R.PlacedAt = R.StartingSince = Shared.mono();
       // Waits for the worker's first list before the start is sent again.
       R.RetryAt = Shared.mono() + SyncRetryDelay;
       R.ProgressAt = Shared.mono();
@@ -163,45 +174,93 @@
 }
 
 void Owner::sync(const std::string &Id, Session &S) {
-  S.SyncInFlight = true;
-  S.SyncNumber = ++LatestCall;
-  S.SyncSentAt = Shared.mono();
-  SyncAction A;
-  A.Worker = {S.Entry.Id, S.Entry.Address};
-  A.Epoch = Epoch;
+  MonoTime T = Shared.mono();
   // The worker's clock is unknown before its first answer. A worker that did
   // not answer the latest sync gets no longer lease: the call could arrive
   // late, so each attempt would postpone the time at which its runs may run
   // elsewhere.
   bool First = !S.Synced || S.ClockMs < 0;
+  S.SyncLeaseUntilMs = -1;
   if (!First && !S.Runs.empty() && !S.SyncFailures)
-    A.LeaseUntilMs = grantLease(S).value_or(-1);
+    S.SyncLeaseUntilMs = grantLease(S).value_or(-1);
   // Each incarnation numbers its ends from the beginning. An acknowledgement
   // that the worker has received is not sent again: after an unnoticed restart
   // it would acknowledge ends that the owner has not read.
   S.SyncAcknowledgesTo =
       !First && S.LastStoredEnd > S.LastAcknowledgedEnd ? S.LastStoredEnd : 0;
-  A.AcknowledgedTo = S.SyncAcknowledgesTo;
-  A.Wait = First ? Millis(0) : syncWait(S);
-  A.TimeLimit = First ? FirstSyncTimeout : A.Wait + SyncTimeoutMargin;
+  Millis Wait = First ? Millis(0) : syncWait(S);
+  S.SyncInFlight = true;
+  S.SyncNumber = ++LatestCall;
+  S.SyncSentAt = T;
+  S.SyncEndsAt = T + (First ? FirstSyncTimeout : Wait + SyncTimeoutMargin);
+  S.SyncCopies = S.SyncCopiesInFlight = 0;
+  sendSync(Id, S, Wait);
+  S.NextSyncCopyAt =
+      T + Wait + (First ? FirstSyncCopyDelay : S.Pacing.interval(1));
+}
+
+void Owner::copySync(const std::string &Id, Session &S) {
+  MonoTime T = Shared.mono();
+  S.NextSyncCopyAt = T + S.Pacing.interval(S.SyncCopies);
+  if (S.SyncCopies <
+          (S.SyncFailures ? MaxSyncCopiesAfterFailure : MaxSyncCopies) &&
+      S.SyncEndsAt - T >= MinSyncCopyTime &&
+      mayCopy(S.CallsInFlight, CallsInFlight))
+    sendSync(Id, S, Millis(0));
+}
+
+/// Copies renew the lease up to the same time as the first one, so that the
+/// runs of a silent worker need not be awaited for longer. They carry no
+/// acknowledgement: after an unnoticed restart, each late one would acknowledge
+/// ends that the owner has not read.
+void Owner::sendSync(const std::string &Id, Session &S, Millis Wait) {
+  MonoTime T = Shared.mono();
+  bool Copy = S.SyncCopies++ > 0;
+  ++S.SyncCopiesInFlight;
+  // The first ones are not counted, as nearly every worker has one in flight.
+  S.CallsInFlight += Copy;
+  CallsInFlight += Copy;
+  SyncAction A;
+  A.Worker = {S.Entry.Id, S.Entry.Address};
+  A.Epoch = Epoch;
+  A.LeaseUntilMs = S.SyncLeaseUntilMs;
+  A.AcknowledgedTo = Copy ? 0 : S.SyncAcknowledgesTo;
+  A.Wait = Wait;
+  A.TimeLimit = S.SyncEndsAt - T;
   Shared.count("worker_syncs");
-  A.Done = [this, Alive = Alive, Id,
-            Number = S.SyncNumber](const WorkerReply &R) {
-    if (*Alive)
-      onSynced(Id, Number, R);
+  A.Done = [this, Alive = Alive, Id, Copy, Number = S.SyncNumber,
+            DueAt = T + Wait](const WorkerReply &R) {
+    if (!*Alive)
+      return;
+    CallsInFlight -= Copy;
+    if (auto It = Sessions.find(Id); It != Sessions.end()) {
+      It->second.CallsInFlight -= Copy && It->second.CallsInFlight;
+      recordAnswer(It->second, R.Verdict, DueAt);
+    }
+    onSynced(Id, Number, Copy, R);
   };
   Shared.Actions.push_back(std::move(A));
 }
 
+void Owner::recordAnswer(Session &S, WorkerVerdict V, MonoTime DueAt) {
+  MonoTime T = Shared.mono();
+  if (V == WorkerVerdict::NoAnswer)
+    S.LatestLossAt = T;
+  else if (V != WorkerVerdict::NotDelivered)
+    S.Pacing.answered(std::max(Millis(0), T - DueAt));
+}
+
 Millis Owner::syncWait(const Session &S) const {
   if (S.Runs.empty())
     return Millis(0);
   // Stopping a run that never arrived produces no end, so the lists are
   // requested when the stop must have completed.
   Millis Wait = MaxSyncWait;
+  if (S.LatestLossAt.count() && Shared.mono() - S.LatestLossAt < LossyPathTime)
+    Wait = MaxLossyPathWait;
   if (auto End = leaseEnd())
     Wait = std::clamp((*End - Shared.mono()) / SyncsPerLeaseRest,
-                      MinRenewalWait, MaxSyncWait);
+                      MinRenewalWait, Wait);
   for (const auto &[Id, R] : S.Runs) {
     const Job *J = Shared.Ledger.find(Id.Task.Job);
     if (J && J->Spec.Priority == 0)
@@ -248,18 +307,25 @@
   return true;
 }
 
-void Owner::onSynced(const std::string &Id, std::uint64_t Number,
+void Owner::onSynced(const std::string &Id, std::uint64_t Number, bool Copy,
                      const WorkerReply &R) {
   auto It = Sessions.find(Id);
   if (It == Sessions.end() || It->second.SyncNumber != Number)
     return;
   Session &S = It->second;
+  --S.SyncCopiesInFlight;
+  // A worker always names its incarnation.
+  bool Answered = R.Verdict == WorkerVerdict::Ok && R.ProcessStartMs > 0;
+  if (!Answered && S.SyncCopiesInFlight &&
+      (R.Verdict == WorkerVerdict::NoAnswer ||
+       R.Verdict == WorkerVerdict::NotDelivered))
+    return;
   S.SyncInFlight = false;
+  S.SyncNumber = 0;
   MonoTime T = Shared.mono();
   if (endsSession(S, R.Verdict, S.Entry.Address))
     return;
-  // A worker always names its incarnation.
-  if (R.Verdict != WorkerVerdict::Ok || R.ProcessStartMs <= 0) {
+  if (!Answered) {
     ++S.SyncFailures;
     S.NextSyncAt = T + Shared.jitter(SyncRetryDelay);
     S.AvoidUntil = std::max(S.AvoidUntil, T + AvoidAfterNoAnswer);
@@ -274,8 +340,10 @@
     Shared.log(411, {{"worker", Id}, {"runs", S.Runs.size()}});
   S.SyncFailures = 0;
   S.KnownAliveAt = std::max(S.KnownAliveAt, S.SyncSentAt);
-  S.LastAcknowledgedEnd =
-      std::max(S.LastAcknowledgedEnd, std::exchange(S.SyncAcknowledgesTo, 0));
+  if (!Copy)
+    S.LastAcknowledgedEnd =
+        std::max(S.LastAcknowledgedEnd, S.SyncAcknowledgesTo);
+  S.SyncAcknowledgesTo = 0;
   updateClock(S, R);
   S.LapsedRuns.clear();
   bool First = !S.Synced;
@@ -302,7 +370,7 @@
   if (R.Ended.size() < MaxListedEnds) {
     std::vector<RunId> UnlistedRuns;
     for (auto &[Run, State] : S.Runs) {
-      if (Listed.contains(Run) || State.CallInFlight)
+      if (Listed.contains(Run))
         continue;
       // A run that is being stopped may be in neither list and still holds its
       // resources.
@@ -598,6 +666,8 @@
     if (!S.SyncInFlight && !S.Entry.Address.empty() && T >= S.NextSyncAt &&
         (S.Listed || !S.Runs.empty()))
       sync(Id, S);
+    else if (S.SyncInFlight && T >= S.NextSyncCopyAt)
+      copySync(Id, S);
     if (!S.Claims.empty() && !S.ProbeNumber && T >= S.NextProbeAt)
       probe(Id, S);
     ++It;
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -439,6 +439,12 @@
     reply(Daemon, [Done = A.Done, R] { Done(R); });
 }
 
+std::int64_t World::drawCallDelay() {
+  if (std::uniform_real_distribution<>(0, 1)(Random) >= LateCallShare)
+    return 0;
+  return std::uniform_int_distribution<std::int64_t>(2'000, 12'000)(Random);
+}
+
 void World::carryOut(const std::string &Daemon, Action A) {
   // Each call is completed once: by its answer or after its time limit.
   std::visit(
@@ -467,10 +473,15 @@
                 OnTimeout();
                 tickDaemon(Daemon);
               });
-        if constexpr (requires { Call.Worker; })
-          ++WorkerCalls[Daemon];
         auto Copy = Call;
-        after(NetworkMs, [this, Daemon, Copy] {
+        std::int64_t DelayMs = 0;
+        if constexpr (requires { Call.Worker; }) {
+          ++WorkerCalls[Daemon];
+          DelayMs = drawCallDelay();
+          if (DelayMs)
+            Copy.Done = [](const WorkerReply &) {};
+        }
+        after(NetworkMs + DelayMs, [this, Daemon, Copy] {
           if (!Daemons.contains(Daemon))
             return;
           if constexpr (std::is_same_v<T, AppendAction>) {
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <random>
 #include <set>
 
 namespace heathersaddle::cluster {
@@ -133,6 +134,10 @@
   /// A task was started after its successful end, and that end was acknowledged
   /// later although the worker had held its lease in between.
   bool StartedAfterEndAcknowledgedLater = false;
+  /// This share of all calls to workers is not answered, and carried out 2 to
+  /// 12 s later.
+  double LateCallShare = 0;
+  std::mt19937_64 Random;
   /// How often each daemon has called a worker, including calls that got lost.
   std::map<std::string, unsigned> WorkerCalls;
 
@@ -194,6 +199,8 @@
   /// Calls the daemon's tick() and carries out its actions.
   void tickDaemon(const std::string &Daemon);
   void carryOut(const std::string &Daemon, Action A);
+  /// Draws by how much the next call to a worker is late; 0: not at all.
+  std::int64_t drawCallDelay();
   /// Ends the runs whose end is due.
   void updateRuns(FakeWorker &W);
   /// Whether the run belongs to a job in GangSizes of which not all members
