--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -58,9 +58,9 @@
 /// Outcome of looking up or cancelling a job.
 enum class Lookup {
   Found,
-  Unknown, ///< To a cancellation: such a job will not run either.
-  Stale,   ///< This daemon's state is too old to tell; nothing was stored.
-  Refused, ///< Too many unknown jobs are being cancelled; nothing was stored.
+  Unknown,   ///< To a cancellation: such a job will not run either.
+  Stale,     ///< This daemon's state is too old to tell; nothing was stored.
+  Refused,   ///< Too many unknown jobs are being cancelled; nothing was stored.
   Unresolved ///< The store did not answer; the job may be cancelled later.
 };
 struct StatusResult {
