Keep the workers that crashed under a task in the job's record

The next owner (d-3, epoch 3) found a count of 3, saw the crash of w-4 as the first of that worker, and gave the job up.

Change: the record names the addresses of the workers that crashed.

Evidence: IsNotGivenUpAfterCrashesOfOneWorkerUnderTwoOwners fails without the change to packages/cluster/lib and passes with it.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -431,13 +431,6 @@
   };
   /// Units that do not start until it is decided whether they are given up.
   std::map<UnitId, Suspension> Suspended;
-  struct SeenCrash {
-    std::string Worker;
-    std::string Address;
-    unsigned Run = 0;
-  };
-  /// The crashes of workers under a unit that this owner has seen.
-  std::map<UnitId, std::vector<SeenCrash>> CrashesSeen;
   /// Workers on which a task of the step has failed.
   std::map<UnitId, std::set<std::string>> FailedWorkers;
   double UrgentDemand = 0; ///< In GPUs; decays exponentially.
--- a/packages/cluster/lib/OwnerCrashes.cpp
+++ b/packages/cluster/lib/OwnerCrashes.cpp
@@ -132,12 +132,14 @@
                    {"run", Run},
                    {"crashes", Crashes},
                    {"alone", Alone}});
-  // Two crashes of one worker may be its own fault.
-  auto &Seen = CrashesSeen[Unit];
-  bool OnAnother = std::none_of(Seen.begin(), Seen.end(), [&S](const auto &C) {
-    return C.Address == S.Entry.Address;
-  });
-  Seen.push_back({S.Entry.Id, S.Entry.Address, Run});
+  // Two crashes of one worker may be its own fault, also if an earlier owner
+  // has seen the first.
+  auto &Workers = Known->second.CrashedWorkers;
+  const std::string &Worker =
+      S.Entry.Address.empty() ? S.Entry.Id : S.Entry.Address;
+  bool OnAnother =
+      std::find(Workers.begin(), Workers.end(), Worker) == Workers.end();
+  Workers.push_back(Worker);
   FailedWorkers[{Unit.Job, Unit.Occurrence, Unit.Step, 0}].insert(S.Entry.Id);
   auto Verdict = dispatch::judgeCrash(Crashes, Alone && OnAnother);
   if (Verdict != dispatch::CrashVerdict::RunAgain)
@@ -190,9 +192,8 @@
     const TaskProgress &Task =
         J->task({Unit.Occurrence, Unit.Step, Unit.Index});
     std::string Workers;
-    for (const SeenCrash &C : CrashesSeen[Unit])
-      Workers +=
-          (Workers.empty() ? "" : " ") + C.Worker + "/" + std::to_string(C.Run);
+    for (const std::string &Worker : Task.CrashedWorkers)
+      Workers += (Workers.empty() ? "" : " ") + Worker;
     Shared.log(442, {{"job", Unit.Job},
                      {"occurrence", Unit.Occurrence},
                      {"step", Unit.Step},
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -609,8 +609,6 @@
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
   std::erase_if(AdviceByStep,
                 [&](const auto &E) { return E.first.Job == J.Spec.Id; });
-  std::erase_if(CrashesSeen,
-                [&](const auto &E) { return E.first.Job == J.Spec.Id; });
 }
 
 } // namespace heathersaddle::cluster
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -41,13 +41,16 @@
 
 std::size_t recordBytes(const Job &J) {
   std::size_t Used = 0;
-  for (const auto &[K, T] : J.Tasks)
-    if (T.Phase != TaskPhase::Done)
-      Used +=
-          std::max(TaskEntryBytes,
-                   TaskEntryFixedBytes + T.Checkpoint.size() + T.Worker.size() +
-                       T.WorkerAddress.size() + T.Lapsed.Worker.size() +
-                       T.Lapsed.WorkerAddress.size());
+  for (const auto &[K, T] : J.Tasks) {
+    if (T.Phase == TaskPhase::Done)
+      continue;
+    std::size_t Bytes = TaskEntryFixedBytes + T.Checkpoint.size() +
+                        T.Worker.size() + T.WorkerAddress.size() +
+                        T.Lapsed.Worker.size() + T.Lapsed.WorkerAddress.size();
+    for (const std::string &Worker : T.CrashedWorkers)
+      Bytes += Worker.size();
+    Used += std::max(TaskEntryBytes, Bytes);
+  }
   return Used;
 }
 
--- a/packages/cluster/tests/CrashingTaskTest.cpp
+++ b/packages/cluster/tests/CrashingTaskTest.cpp
@@ -300,6 +300,28 @@
       runUntil([&] { return allShow("1", JobState::Completed); }, 30'000));
 }
 
+// Guards against the same if another owner has seen the first crash.
+BOOST_AUTO_TEST_CASE(IsNotGivenUpAfterCrashesOfOneWorkerUnderTwoOwners) {
+  for (auto &[Id, W] : Workers)
+    if (Id != "w1")
+      setDraining(Id, true);
+  run(500);
+  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 4'000)));
+  for (unsigned N = 0; N < 2; ++N) {
+    BOOST_REQUIRE(
+        runUntil([&] { return !Workers["w1"].Runs.empty(); }, 10'000));
+    run(1'000);
+    crash("w1");
+    if (N == 0) {
+      // By then the crash is counted.
+      run(RestartMs + 500);
+      kill(owner());
+    }
+  }
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 30'000));
+}
+
 // Guards against the blame of a crash that falls on all that ran beside it.
 BOOST_AUTO_TEST_CASE(IsNotGivenUpBesideTasksThatCrashTheirWorkers) {
   for (unsigned N = 0; N < 3; ++N) {
--- a/packages/workload/include/heathersaddle/workload/Job.h
+++ b/packages/workload/include/heathersaddle/workload/Job.h
@@ -146,7 +146,9 @@
   std::string Checkpoint;
   /// Runs under which a worker crashed, those of its gang's members included.
   unsigned Crashes = 0;
-  unsigned CrashedRun = 0;   ///< The latest run that was counted as a crash.
+  unsigned CrashedRun = 0; ///< The latest run that was counted as a crash.
+  /// The addresses of the workers that crashed; of a gang, with its first task.
+  std::vector<std::string> CrashedWorkers;
   std::string WorkerAddress; ///< Where Worker was called; may be empty.
   LapsedRun Lapsed;
   bool operator==(const TaskProgress &) const = default;
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -185,6 +185,11 @@
       Row.emplace_back(json::array{T.Lapsed.Run, T.Lapsed.Worker,
                                    T.Lapsed.WorkerStartMs,
                                    T.Lapsed.WorkerAddress});
+    if (!T.CrashedWorkers.empty()) {
+      if (!T.Lapsed.Run)
+        Row.emplace_back(json::array());
+      Row.emplace_back(json::value_from(T.CrashedWorkers));
+    }
     Rows.push_back(std::move(Row));
     ++It;
   }
@@ -262,12 +267,18 @@
         T.CrashedRun =
             static_cast<unsigned>(NumberAt(Row, CrashesAt + 1, MaxNumber));
       }
-      if (Row.size() > CrashesAt + 2 && Row[CrashesAt + 2].is_array()) {
+      if (Row.size() > CrashesAt + 2 && Row[CrashesAt + 2].is_array() &&
+          !Row[CrashesAt + 2].as_array().empty()) {
         const auto &Lapsed = Row[CrashesAt + 2].as_array();
         T.Lapsed = {static_cast<unsigned>(NumberAt(Lapsed, 0, MaxNumber)),
                     StringAt(Lapsed, 1), NumberAt(Lapsed, 2, MaxMs),
                     StringAt(Lapsed, 3)};
       }
+      if (Row.size() > CrashesAt + 3 && Row[CrashesAt + 3].is_array()) {
+        const auto &Workers = Row[CrashesAt + 3].as_array();
+        for (std::size_t N = 0; N < Workers.size(); ++N)
+          T.CrashedWorkers.push_back(StringAt(Workers, N));
+      }
       Tasks.emplace(K, std::move(T));
     }
   if (J.HasSubmission &&
--- a/packages/workload/tests/LedgerTest.cpp
+++ b/packages/workload/tests/LedgerTest.cpp
@@ -76,6 +76,8 @@
   J.Tasks[{2, 0, 0}].WorkerAddress = "10.0.0.2:80";
   J.Tasks[{1, 1, 0}].Lapsed = {2, "w3", 19, "10.0.0.3:80"};
   J.Tasks[{1, 1, 1}].Lapsed = {4, "w4", 20, ""};
+  J.Tasks[{1, 1, 1}].CrashedWorkers = {"10.0.0.1:80", "10.0.0.4:80"};
+  J.Tasks[{2, 0, 0}].CrashedWorkers = {"10.0.0.4:80"};
   BOOST_REQUIRE(L.apply(Ledger::submission(J.Spec)).has_value());
   BOOST_REQUIRE(L.apply(Ledger::progress(J)).has_value());
   const Job *Read = L.find(J.Spec.Id);
