Test that a late copy of a start does not repeat an ended task

Without barInThisIncarnation() the task runs again after its end was acknowledged; LateCopyOfAStartDoesNotRunAnEndedTaskAgain fails then and passes with it.

--- a/packages/cluster/tests/LateOrderTest.cpp
+++ b/packages/cluster/tests/LateOrderTest.cpp
@@ -30,6 +30,27 @@
   BOOST_TEST(!RunsOverlapped);
 }
 
+// Guards against a task that runs again after its end was acknowledged: a copy
+// of its start was still unanswered when its worker restarted, and reached the
+// next incarnation.
+BOOST_AUTO_TEST_CASE(LateCopyOfAStartDoesNotRunAnEndedTaskAgain) {
+  for (const char *Id : {"w2", "w3"})
+    setDraining(Id, true);
+  run(100);
+  Workers["w1"].StartDelayMs = 4'000;
+  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 100)));
+  run(60);
+  Workers["w1"].StartDelayMs = 0;
+  BOOST_REQUIRE(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 600));
+  run(100);
+  restartWithoutRegistryChange("w1");
+  Registry.push_back({"w1", Workers["w1"].Entry});
+  run(6'000);
+  BOOST_TEST((Starts[{"1", {0, 0, 0}}] == 1u));
+  BOOST_TEST(!StartedAfterAcknowledgedEnd);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(PlansThatAreCarriedOutLate, Deployment)
