Move syncs and orders of the owner to sources of their own

Functions and constants are moved, and the groups in Owner.h follow; nothing else is changed. The tests of the package pass.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -250,6 +250,31 @@
   Session &recordedWorker(const std::string &Id, std::int64_t ProcessStartMs,
                           const std::string &Address);
   void adoptRecordedRuns(Session &S);
+  void onWorkerRestarted(Session &S, std::int64_t ProcessStartMs);
+  void markRunsLost(Session &S, std::string_view Why);
+  void checkWorkers();
+  struct MemberProgress {
+    dispatch::RunProgress Progress;
+    std::string Worker;
+  };
+  /// The progress of all members of the run's gang; empty if that of a member
+  /// is not known.
+  std::vector<MemberProgress> gangProgress(const Job &J,
+                                           const RunId &Run) const;
+  void stopStalledRuns(const std::string &Id, Session &S);
+  void evacuate(const std::string &Id, Session &S);
+  /// When all runs of a worker that is not heard of have certainly ended.
+  MonoTime silentRunsEndAt(const Session &S) const;
+  /// Returns whether the store has confirmed recently enough that this daemon
+  /// is the owner. If not, another one may be, and this one gives no orders.
+  bool isConfirmed();
+
+  // OwnerSyncs.cpp: leases, and what the answers to syncs tell.
+  /// The latest end, by this daemon's clock, of a lease granted now; none if
+  /// this owner may grant none.
+  std::optional<MonoTime> leaseEnd() const;
+  /// The deadline, by the worker's clock, of a lease granted now.
+  std::optional<std::int64_t> grantLease(Session &S);
   void sync(const std::string &Id, Session &S);
   /// Sends another copy of the sync in flight, within the limits.
   void copySync(const std::string &Id, Session &S);
@@ -271,29 +296,6 @@
   bool endsSession(Session &S, WorkerVerdict V, const std::string &Address);
   void onRunReported(Session &S, const RunningTask &T);
   void onEndReported(Session &S, const EndedTask &T);
-  void onWorkerRestarted(Session &S, std::int64_t ProcessStartMs);
-  void markRunsLost(Session &S, std::string_view Why);
-  void checkWorkers();
-  struct MemberProgress {
-    dispatch::RunProgress Progress;
-    std::string Worker;
-  };
-  /// The progress of all members of the run's gang; empty if that of a member
-  /// is not known.
-  std::vector<MemberProgress> gangProgress(const Job &J,
-                                           const RunId &Run) const;
-  void stopStalledRuns(const std::string &Id, Session &S);
-  void evacuate(const std::string &Id, Session &S);
-  /// The latest end, by this daemon's clock, of a lease granted now; none if
-  /// this owner may grant none.
-  std::optional<MonoTime> leaseEnd() const;
-  /// The deadline, by the worker's clock, of a lease granted now.
-  std::optional<std::int64_t> grantLease(Session &S);
-  /// When all runs of a worker that is not heard of have certainly ended.
-  MonoTime silentRunsEndAt(const Session &S) const;
-  /// Returns whether the store has confirmed recently enough that this daemon
-  /// is the owner. If not, another one may be, and this one gives no orders.
-  bool isConfirmed();
 
   // OwnerPace.cpp: detection of slow workers.
   struct RunRate {
@@ -313,7 +315,7 @@
   /// it is slow.
   void checkWorkerSpeed(const std::string &Id, Session &S);
 
-  // OwnerRuns.cpp: starts, stops and ends of runs.
+  // OwnerOrders.cpp: starts and stops that are sent to workers.
   enum class OrderKind { Start, Stop };
   /// Counts an order that is being sent, and returns the callback for its
   /// answer. It passes the answer on if the owner, the worker's session and the
@@ -336,6 +338,8 @@
   /// Stops the run in an incarnation of the worker to which its start was not
   /// sent, but may still arrive.
   void barInThisIncarnation(Session &S, const RunId &Id);
+
+  // OwnerRuns.cpp: the stages and ends of runs.
   /// The worker has confirmed the run.
   void onConfirmed(RunState &R, const RunId &Id);
   /// A worker has shown that it has started a run of the job. Until then the
