Log that a refusal became unresolved, and shorten tests

A caller that got 504 for a copy of a submission that may be stored found only the refusal in the log; a second line job_refused with the reason earlier_copy_may_be_stored tells it now. Tests that leave one worker in use share Deployment::useOnly(). The tests of the package pass.

--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -68,6 +68,9 @@
   auto Refuse = [&](Refusal R) {
     if (mayBeStored(Spec.Id)) {
       Shared.count("submissions_unresolved");
+      Shared.log(426, {{"job", Spec.Id},
+                       {"queue", Spec.Queue},
+                       {"reason", "earlier_copy_may_be_stored"}});
       R.Why = Refusal::Unresolved;
       R.Message = "an earlier copy of the request may still be stored";
     }
--- a/packages/cluster/tests/CrashingTaskTest.cpp
+++ b/packages/cluster/tests/CrashingTaskTest.cpp
@@ -283,12 +283,7 @@
 // Guards against a healthy job that is given up because it ran twice on the
 // same worker, which crashes by itself.
 BOOST_AUTO_TEST_CASE(IsNotGivenUpAfterTwoCrashesOfOneWorker) {
-  for (auto &[Id, W] : Workers)
-    if (Id != "w1") {
-      W.Entry.Draining = true;
-      Registry.push_back({Id, W.Entry});
-    }
-  run(500);
+  useOnly("w1");
   BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 4'000)));
   for (unsigned N = 0; N < 2; ++N) {
     BOOST_REQUIRE(
@@ -302,10 +297,7 @@
 
 // Guards against the same if another owner has seen the first crash.
 BOOST_AUTO_TEST_CASE(IsNotGivenUpAfterCrashesOfOneWorkerUnderTwoOwners) {
-  for (auto &[Id, W] : Workers)
-    if (Id != "w1")
-      setDraining(Id, true);
-  run(500);
+  useOnly("w1");
   BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 4'000)));
   for (unsigned N = 0; N < 2; ++N) {
     BOOST_REQUIRE(
--- a/packages/cluster/tests/Deployment.h
+++ b/packages/cluster/tests/Deployment.h
@@ -38,6 +38,13 @@
     Workers[Worker].Entry.Draining = Draining;
     Registry.push_back({Worker, Workers[Worker].Entry});
   }
+  /// Leaves \p Worker as the only one that gets new work.
+  void useOnly(const std::string &Worker) {
+    for (const auto &[Id, W] : Workers)
+      if (Id != Worker)
+        setDraining(Id, true);
+    run(500);
+  }
   bool shows(Node &N, const std::string &Id, JobState S) {
     auto R = N.status(Id);
     return R.Result == Lookup::Found && R.State == S;
--- a/packages/cluster/tests/LateOrderTest.cpp
+++ b/packages/cluster/tests/LateOrderTest.cpp
@@ -9,9 +9,7 @@
 // had restarted was renewed by a start meant for its earlier incarnation, whose
 // clock was ahead, and ended later than the owner assumed.
 BOOST_AUTO_TEST_CASE(LateStartForAnEarlierIncarnationRenewsTheLease) {
-  for (const char *Id : {"w2", "w3"})
-    setDraining(Id, true);
-  run(100);
+  useOnly("w1");
   Workers["w1"].StartDelayMs = 12'000;
   std::int64_t SentMs = Clock;
   BOOST_TEST(!submit(anyDaemon(), job("late", 1, 1, 60'000)));
@@ -34,9 +32,7 @@
 // of its start was still unanswered when its worker restarted, and reached the
 // next incarnation.
 BOOST_AUTO_TEST_CASE(LateCopyOfAStartDoesNotRunAnEndedTaskAgain) {
-  for (const char *Id : {"w2", "w3"})
-    setDraining(Id, true);
-  run(100);
+  useOnly("w1");
   Workers["w1"].StartDelayMs = 4'000;
   BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 100)));
   run(60);
@@ -58,9 +54,7 @@
 // Guards against a start on a worker that is about to be removed: it began to
 // drain while the placement was being stored.
 BOOST_AUTO_TEST_CASE(WorkerThatDrainsMeanwhileGetsNoStart) {
-  for (const char *Id : {"w2", "w3"})
-    setDraining(Id, true);
-  run(500);
+  useOnly("w1");
   BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 500)));
   AppendDurationMs = 700;
   run(60);
@@ -75,9 +69,7 @@
 // Guards against the same under the next owner, which repeats the starts of its
 // predecessor.
 BOOST_AUTO_TEST_CASE(WorkerThatDrainsMeanwhileGetsNoStartOfTheNextOwner) {
-  for (const char *Id : {"w2", "w3"})
-    setDraining(Id, true);
-  run(500);
+  useOnly("w1");
   DaemonsWithoutWorkers.insert(owner());
   BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 500)));
   run(200);
--- a/packages/cluster/tests/LossyPathTest.cpp
+++ b/packages/cluster/tests/LossyPathTest.cpp
@@ -106,8 +106,8 @@
   BOOST_TEST(InTime * 10 >= Seeds * 9, InTime << " of " << Seeds);
 }
 
-// Guards against a failure of one of these on the path between a done task and
-// its owner: nothing may run twice or be lost.
+// Guards against work that is lost or runs twice because orders, or the answers
+// to them, are late.
 BOOST_AUTO_TEST_CASE(WorkRunsOnceAndEnds) {
   for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
     LossyDeployment D(Seed);
