Bar a start in the next incarnation while its copies are in flight

Cause, from its logs: one copy of a start was late, another was answered, the run was done and acknowledged, and its worker restarted. The late copy was barred in the next incarnation only once it had ended without an answer, a second after it was sent; the owner was killed before that. Before copies were sent a first try ended after 250 ms, so this came with the change that sends them.

Change: a run that ends while copies of its start are in flight counts as one with an unanswered start at once, and is barred as soon as a restart is noticed.

Evidence: LateCopyOfAStartIsBarredBeforeItsOwnerIsKilled fails without the change to packages/cluster/lib and passes with it; the other tests of the package pass.

--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -161,6 +161,10 @@
     Last = std::move(It->second);
     S.Runs.erase(It);
   }
+  // A copy of its start may arrive after a restart of the worker, at which this
+  // owner may not live to see that the copy has no answer.
+  if (Last.StartsInFlight)
+    S.UnansweredStarts[Id] = Last.SentAt;
   if (Saved.empty())
     Saved = Last.Checkpoint;
   Shared.log(431, {{"job", Id.Task.Job},
--- a/packages/cluster/tests/LateOrderTest.cpp
+++ b/packages/cluster/tests/LateOrderTest.cpp
@@ -47,6 +47,26 @@
   BOOST_TEST(!StartedAfterAcknowledgedEnd);
 }
 
+// Guards against the same if the owner is killed before it can tell that the
+// copy has no answer: found by the soak's seed 2026120570.
+BOOST_AUTO_TEST_CASE(LateCopyOfAStartIsBarredBeforeItsOwnerIsKilled) {
+  useOnly("w1");
+  // Before the next owner calls the worker, which bars calls of earlier ones.
+  Workers["w1"].StartDelayMs = 1'300;
+  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 100)));
+  run(60);
+  Workers["w1"].StartDelayMs = 0;
+  BOOST_REQUIRE(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 600));
+  restartWithoutRegistryChange("w1");
+  Registry.push_back({"w1", Workers["w1"].Entry});
+  run(200);
+  kill(owner());
+  run(6'000);
+  BOOST_TEST((Starts[{"1", {0, 0, 0}}] == 1u));
+  BOOST_TEST(!StartedAfterAcknowledgedEnd);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_FIXTURE_TEST_SUITE(PlansThatAreCarriedOutLate, Deployment)
