Share the steps of the tests of late orders

Two tests repeated how a job ends although the first copy of its start is late, and three how a worker restarts.

--- a/packages/cluster/tests/LateOrderTest.cpp
+++ b/packages/cluster/tests/LateOrderTest.cpp
@@ -3,7 +3,29 @@
 using namespace heathersaddle;
 using namespace heathersaddle::cluster;
 
-BOOST_FIXTURE_TEST_SUITE(OrdersThatAreCarriedOutLate, Deployment)
+namespace {
+
+struct DeploymentWithLateOrders : Deployment {
+  /// Restarts the worker under its id, as the registry shows.
+  void restart(const std::string &Worker) {
+    restartWithoutRegistryChange(Worker);
+    Registry.push_back({Worker, Workers[Worker].Entry});
+  }
+  /// Runs job "1" on w1 to its end. The first copy of its start is carried out
+  /// after \p DelayMs, another one at once.
+  void completeDespiteALateStart(std::int64_t DelayMs) {
+    Workers["w1"].StartDelayMs = DelayMs;
+    BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 100)));
+    run(60);
+    Workers["w1"].StartDelayMs = 0;
+    BOOST_REQUIRE(
+        runUntil([&] { return allShow("1", JobState::Completed); }, 600));
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(OrdersThatAreCarriedOutLate, DeploymentWithLateOrders)
 
 // Guards against a second run beside the first one: the lease of a worker that
 // had restarted was renewed by a start meant for its earlier incarnation, whose
@@ -14,8 +36,7 @@
   std::int64_t SentMs = Clock;
   BOOST_TEST(!submit(anyDaemon(), job("late", 1, 1, 60'000)));
   run(1'500);
-  restartWithoutRegistryChange("w1");
-  Registry.push_back({"w1", Workers["w1"].Entry});
+  restart("w1");
   anyDaemon().cancel("late", [](Lookup) {});
   run(4'000);
   BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 60'000)));
@@ -33,15 +54,9 @@
 // next incarnation.
 BOOST_AUTO_TEST_CASE(LateCopyOfAStartDoesNotRunAnEndedTaskAgain) {
   useOnly("w1");
-  Workers["w1"].StartDelayMs = 4'000;
-  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 100)));
-  run(60);
-  Workers["w1"].StartDelayMs = 0;
-  BOOST_REQUIRE(
-      runUntil([&] { return allShow("1", JobState::Completed); }, 600));
+  completeDespiteALateStart(4'000);
   run(100);
-  restartWithoutRegistryChange("w1");
-  Registry.push_back({"w1", Workers["w1"].Entry});
+  restart("w1");
   run(6'000);
   BOOST_TEST((Starts[{"1", {0, 0, 0}}] == 1u));
   BOOST_TEST(!StartedAfterAcknowledgedEnd);
@@ -52,14 +67,8 @@
 BOOST_AUTO_TEST_CASE(LateCopyOfAStartIsBarredBeforeItsOwnerIsKilled) {
   useOnly("w1");
   // Before the next owner calls the worker, which bars calls of earlier ones.
-  Workers["w1"].StartDelayMs = 1'300;
-  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 1, 100)));
-  run(60);
-  Workers["w1"].StartDelayMs = 0;
-  BOOST_REQUIRE(
-      runUntil([&] { return allShow("1", JobState::Completed); }, 600));
-  restartWithoutRegistryChange("w1");
-  Registry.push_back({"w1", Workers["w1"].Entry});
+  completeDespiteALateStart(1'300);
+  restart("w1");
   run(200);
   kill(owner());
   run(6'000);
