Report calls to workers that a limit holds back

Cause: an order, or a copy of a sync, that is due and not sent because of the limits on calls in flight left no trace in logs or metrics, so that an owner that sends too few copies looked like one whose copies are lost.

Change: each is counted once until it is sent (orders_held_back_total, sync_copies_held_back_total), and event 445, at most one a second, gives the counts since the last line, the calls in flight and the limit. Which calls are sent does not change.

Result: all tests of the packages cluster and base pass.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -80,6 +80,7 @@
     {442, "task_given_up", Warning},
     {443, "orders_paused", Warning},
     {444, "orders_resumed", Info},
+    {445, "calls_held_back", Warning},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/lib/CopyPacing.cpp
+++ b/packages/cluster/lib/CopyPacing.cpp
@@ -25,8 +25,6 @@
 /// Less than the connections to one worker, so that first copies and syncs
 /// need not wait for one.
 static constexpr unsigned MaxCallsToWorker = 12;
-/// For when a network failure affects many workers at the same time.
-static constexpr unsigned MaxCallsInAll = 512;
 
 void CopyPacing::answered(Millis Took) {
   auto Decayed = Millis(static_cast<std::int64_t>(
--- a/packages/cluster/lib/CopyPacing.h
+++ b/packages/cluster/lib/CopyPacing.h
@@ -5,6 +5,9 @@
 
 namespace heathersaddle::cluster {
 
+/// For when a network failure affects many workers at the same time.
+inline constexpr unsigned MaxCallsInAll = 512;
+
 /// Decides when a further copy of an unanswered call is sent to a worker.
 class CopyPacing {
 public:
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -71,6 +71,7 @@
   unsigned StopsInFlight = 0;
   bool MayHaveArrived = false;
   bool StopConfirmed = false;
+  bool HeldBack = false; ///< A limit holds back a call that is due.
   /// Its worker crashed under it. It is stopped in the next incarnation, where
   /// its start may still arrive.
   bool Crashed = false;
@@ -140,6 +141,7 @@
   std::int64_t SyncLeaseUntilMs = -1; ///< As in SyncAction.
   unsigned SyncCopies = 0;            ///< Sent, and of these in flight.
   unsigned SyncCopiesInFlight = 0;
+  bool SyncCopyHeldBack = false; ///< A limit holds back a copy that is due.
   unsigned CallsInFlight = 0; ///< Starts, stops and copies of syncs.
   CopyPacing Pacing;
   MonoTime LatestLossAt{}; ///< When a call was last found to have no answer.
@@ -335,6 +337,12 @@
   void onStopped(Session &S, RunState &R, MonoTime SentAt,
                  const WorkerReply &Reply);
   void sendDueCalls();
+  /// Counts an order or a copy of a sync that a limit holds back, once until it
+  /// is sent.
+  void noteHeldBack(bool &HeldBack, std::string_view Counter,
+                    unsigned &SinceReport);
+  /// Logs the calls held back since the last report, at most once a second.
+  void reportHeldCalls();
   /// Stops the run in an incarnation of the worker to which its start was not
   /// sent, but may still arrive.
   void barInThisIncarnation(Session &S, const RunId &Id);
@@ -448,6 +456,9 @@
   unsigned CallsInFlight = 0; ///< To all workers, as in Session.
   bool CallsDue = false;      ///< A call to start or stop a run is due now.
   MonoTime CallsCheckedAt{};
+  unsigned OrdersHeldBack = 0; ///< Since the last report.
+  unsigned SyncCopiesHeldBack = 0;
+  MonoTime HeldCallsReportedAt{};
   MonoTime RunsCheckedAt{};
   MonoTime MajorityAnsweredAt{}; ///< Last time that most workers answered.
   MonoTime PlannedAt{};
--- a/packages/cluster/lib/OwnerOrders.cpp
+++ b/packages/cluster/lib/OwnerOrders.cpp
@@ -22,6 +22,7 @@
 /// for this long.
 static constexpr Millis AvoidAfterRefusal{3'000};
 static constexpr Millis AvoidAfterNoRoom{400};
+static constexpr Millis HeldCallsReportPeriod{1'000};
 
 static std::int64_t heldGpus(const Session &S) {
   std::int64_t Sum = 0;
@@ -61,9 +62,11 @@
   Session &S = It->second;
   auto Found = S.Runs.find(Id);
   const Job *J = Shared.Ledger.find(Id.Task.Job);
-  if (Found == S.Runs.end() || !J || !maySend(S, Found->second.StartsInFlight))
+  if (Found == S.Runs.end() || !J)
     return;
   RunState &R = Found->second;
+  if (!maySend(S, R.StartsInFlight))
+    return noteHeldBack(R.HeldBack, "orders_held_back", OrdersHeldBack);
   if (R.Stage == RunStage::Recording)
     R.Stage = RunStage::Starting;
   if (R.Stage != RunStage::Starting)
@@ -80,6 +83,7 @@
     R.RetryAt = Shared.mono() + CallRetryDelay;
     return;
   }
+  R.HeldBack = false;
   R.MayHaveArrived = true;
   R.SentAt = Shared.mono();
   if (!R.StartAttempts++)
@@ -236,6 +240,7 @@
     return;
   Session &S = It->second;
   RunState &R = S.Runs[Id];
+  R.HeldBack = false;
   R.SentAt = Shared.mono();
   R.RetryAt = R.SentAt + S.Pacing.interval(++R.StopAttempts);
   StopAction A;
@@ -294,7 +299,11 @@
           GiveUp.push_back(Id);
         else
           Calls.push_back({Worker, Id, false});
-      } else if (R.Stage == RunStage::Stopping && maySend(S, R.StopsInFlight)) {
+      } else if (R.Stage == RunStage::Stopping) {
+        if (!maySend(S, R.StopsInFlight)) {
+          noteHeldBack(R.HeldBack, "orders_held_back", OrdersHeldBack);
+          continue;
+        }
         Calls.push_back({Worker, Id, true});
       }
     }
@@ -315,6 +324,27 @@
       continue;
     D.Stop ? sendStop(D.Worker, D.Id) : sendStart(D.Worker, D.Id);
   }
+  reportHeldCalls();
+}
+
+void Owner::noteHeldBack(bool &HeldBack, std::string_view Counter,
+                         unsigned &SinceReport) {
+  if (std::exchange(HeldBack, true))
+    return;
+  ++SinceReport;
+  Shared.count(Counter);
+}
+
+void Owner::reportHeldCalls() {
+  MonoTime T = Shared.mono();
+  if ((!OrdersHeldBack && !SyncCopiesHeldBack) ||
+      T - HeldCallsReportedAt < HeldCallsReportPeriod)
+    return;
+  HeldCallsReportedAt = T;
+  Shared.log(445, {{"orders", std::exchange(OrdersHeldBack, 0)},
+                   {"sync_copies", std::exchange(SyncCopiesHeldBack, 0)},
+                   {"in_flight", CallsInFlight},
+                   {"limit", MaxCallsInAll}});
 }
 
 } // namespace heathersaddle::cluster
--- a/packages/cluster/lib/OwnerSyncs.cpp
+++ b/packages/cluster/lib/OwnerSyncs.cpp
@@ -89,11 +89,14 @@
 void Owner::copySync(const std::string &Id, Session &S) {
   MonoTime T = Shared.mono();
   S.NextSyncCopyAt = T + S.Pacing.interval(S.SyncCopies);
-  if (S.SyncCopies <
-          (S.SyncFailures ? MaxSyncCopiesAfterFailure : MaxSyncCopies) &&
-      S.SyncEndsAt - T >= MinSyncCopyTime &&
-      mayCopy(S.CallsInFlight, CallsInFlight))
-    sendSync(Id, S, Millis(0));
+  if (S.SyncCopies >=
+          (S.SyncFailures ? MaxSyncCopiesAfterFailure : MaxSyncCopies) ||
+      S.SyncEndsAt - T < MinSyncCopyTime)
+    return;
+  if (!mayCopy(S.CallsInFlight, CallsInFlight))
+    return noteHeldBack(S.SyncCopyHeldBack, "sync_copies_held_back",
+                        SyncCopiesHeldBack);
+  sendSync(Id, S, Millis(0));
 }
 
 /// Copies renew the lease up to the same time as the first one, so that the
@@ -103,6 +106,7 @@
 void Owner::sendSync(const std::string &Id, Session &S, Millis Wait) {
   MonoTime T = Shared.mono();
   bool Copy = S.SyncCopies++ > 0;
+  S.SyncCopyHeldBack = false;
   ++S.SyncCopiesInFlight;
   // The first ones are not counted, as nearly every worker has one in flight.
   S.CallsInFlight += Copy;
