Derive the limits on calls to workers from the host, and send the most urgent first

Cause: an owner had at most 512 calls to workers in flight, on any host, and each first copy was sent above that limit, so new work took the copies from everything else.

Change: callLimits() derives all limits on calls to workers from the descriptors, the processor share and the link of the host. CallBudget counts all orders, first copies too, and keeps a part of both limits for renewals of leases that end soon. Orders that are due are sent in this order: stops whose room waiting work needs, starts of gangs that lack few members, others; among these the oldest first. A copy of a sync that is held back is sent as soon as the limits allow it, not skipped.

Result: all tests of the packages cluster and adapter pass.

--- /dev/null
+++ b/packages/cluster/include/heathersaddle/cluster/CallLimits.h
@@ -0,0 +1,26 @@
+#ifndef HEATHERSADDLE_CLUSTER_CALLLIMITS_H
+#define HEATHERSADDLE_CLUSTER_CALLLIMITS_H
+
+namespace heathersaddle::cluster {
+
+struct NodeSettings;
+
+/// A worker accepts 64 connections, and a former owner may hold as many as the
+/// current one.
+inline constexpr unsigned MaxCallsToWorker = 24;
+
+/// Limits of an owner's calls to workers: starts, stops and copies of syncs.
+/// The first copy of a sync is not limited; each worker has at most one in
+/// flight.
+struct CallLimits {
+  unsigned InFlight = 0; ///< To all workers.
+  unsigned ToWorker = 0; ///< In flight to one worker.
+  double PerSecond = 0;  ///< To all workers, on average.
+};
+
+/// The limits that the daemon's host can bear.
+CallLimits callLimits(const NodeSettings &S);
+
+} // namespace heathersaddle::cluster
+
+#endif
--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -22,6 +22,8 @@
   /// This daemon's CPU share in thousandths of a core; larger daemons are
   /// preferred as owners.
   std::int64_t CpuMilli = 250;
+  std::size_t MaxDescriptors = 4'096;
+  std::int64_t LinkBytesPerSecond = 1'250'000;
   std::uint64_t Seed = 0; ///< For jitter.
   /// Longest lease that a worker accepts.
   base::Millis MaxLease{6'000};
--- /dev/null
+++ b/packages/cluster/lib/CallBudget.h
@@ -0,0 +1,54 @@
+#ifndef HEATHERSADDLE_CLUSTER_CALLBUDGET_H
+#define HEATHERSADDLE_CLUSTER_CALLBUDGET_H
+
+#include "heathersaddle/base/Time.h"
+#include "heathersaddle/cluster/CallLimits.h"
+#include <compare>
+
+namespace heathersaddle::cluster {
+
+/// Keeps count of an owner's calls to workers and decides whether another one
+/// may be sent.
+class CallBudget {
+public:
+  enum class Purpose {
+    Order,  ///< A start, a stop, or a sync whose lease lasts for a while.
+    Renewal ///< A sync that renews a lease before it ends.
+  };
+
+  explicit CallBudget(CallLimits Limits);
+
+  const CallLimits &limits() const { return Limits; }
+  unsigned inFlight() const { return InFlight; }
+  /// Whether a call may be sent at \p Now beside \p ToWorker calls in flight to
+  /// its worker.
+  bool allows(Purpose P, unsigned ToWorker, base::MonoTime Now);
+  void sent();
+  /// A call that was sent has been answered or has timed out.
+  void ended();
+
+private:
+  CallLimits Limits;
+  unsigned InFlight = 0;
+  double Allowance = 0; ///< Calls that may be sent now without exceeding the
+                        ///< average.
+  base::MonoTime UpdatedAt{};
+};
+
+/// The urgency of an order that is due, the most urgent first. It decides which
+/// orders are sent if not all can be.
+struct OrderUrgency {
+  enum class Need {
+    FreesRoom,     ///< Stops a run whose room waiting work needs.
+    CompletesGang, ///< Starts a member of a gang, which may time out.
+    Other
+  };
+  Need For = Need::Other;
+  unsigned MissingMembers = 0; ///< Of the gang.
+  base::MonoTime DueAt{};
+  auto operator<=>(const OrderUrgency &) const = default;
+};
+
+} // namespace heathersaddle::cluster
+
+#endif
--- a/packages/cluster/lib/CopyPacing.cpp
+++ b/packages/cluster/lib/CopyPacing.cpp
@@ -22,9 +22,6 @@
 static constexpr unsigned MaxQuickCopies = 12;
 /// A late answer is remembered with this weight at the next answer.
 static constexpr double UsualTimeDecay = 0.9;
-/// Less than the connections to one worker, so that first copies and syncs
-/// need not wait for one.
-static constexpr unsigned MaxCallsToWorker = 12;
 
 void CopyPacing::answered(Millis Took) {
   auto Decayed = Millis(static_cast<std::int64_t>(
@@ -38,8 +35,4 @@
   return std::clamp(2 * UsualTime, MinInterval, MaxInterval);
 }
 
-bool mayCopy(unsigned ToWorker, unsigned InAll) {
-  return ToWorker < MaxCallsToWorker && InAll < MaxCallsInAll;
-}
-
 } // namespace heathersaddle::cluster
--- a/packages/cluster/lib/CopyPacing.h
+++ b/packages/cluster/lib/CopyPacing.h
@@ -5,9 +5,6 @@
 
 namespace heathersaddle::cluster {
 
-/// For when a network failure affects many workers at the same time.
-inline constexpr unsigned MaxCallsInAll = 512;
-
 /// Decides when a further copy of an unanswered call is sent to a worker.
 class CopyPacing {
 public:
@@ -21,10 +18,6 @@
   base::Millis UsualTime{};
 };
 
-/// Whether a copy may be sent beside \p ToWorker calls in flight to its worker
-/// and \p InAll to all workers.
-bool mayCopy(unsigned ToWorker, unsigned InAll);
-
 } // namespace heathersaddle::cluster
 
 #endif
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -1,6 +1,7 @@
 #ifndef HEATHERSADDLE_CLUSTER_OWNER_H
 #define HEATHERSADDLE_CLUSTER_OWNER_H
 
+#include "CallBudget.h"
 #include "CopyPacing.h"
 #include "EntryVerdict.h"
 #include "Tail.h"
@@ -34,6 +35,10 @@
 /// start still arrives in time.
 inline constexpr Millis TicketMargin{500};
 
+/// Why a run is stopped whose room waiting work needs.
+inline constexpr std::string_view RoomNeededReason =
+    "urgent work needs its resources";
+
 using dispatch::UnitId;
 using workload::Job;
 using workload::JobState;
@@ -142,6 +147,10 @@
   unsigned SyncCopies = 0;            ///< Sent, and of these in flight.
   unsigned SyncCopiesInFlight = 0;
   bool SyncCopyHeldBack = false; ///< A limit holds back a copy that is due.
+  /// The end of the lease that the sync in flight grants, and of the latest
+  /// lease that the worker has confirmed.
+  MonoTime SyncLeaseEndsAt{};
+  MonoTime HeldLeaseEndsAt{};
   unsigned CallsInFlight = 0; ///< Starts, stops and copies of syncs.
   CopyPacing Pacing;
   MonoTime LatestLossAt{}; ///< When a call was last found to have no answer.
@@ -324,11 +333,9 @@
   /// run still exist.
   std::function<void(WorkerReply)> trackOrder(const std::string &Worker,
                                               const RunId &Id, OrderKind Kind);
-  /// Whether an order of which \p InFlight copies are in flight may be sent.
-  bool maySend(const Session &S, unsigned InFlight) const {
-    return !InFlight || mayCopy(S.CallsInFlight, CallsInFlight);
-  }
   void sendStart(const std::string &Worker, const RunId &Id);
+  /// Called when the run's placement is stored.
+  void makeStartDue(const std::string &Worker, const RunId &Id);
   /// Why the worker must not be told to start the run now; empty if it may.
   std::string_view startFault(const Session &S, const RunState &R) const;
   void onStarted(Session &S, RunState &R, const RunId &Id, MonoTime SentAt,
@@ -336,6 +343,17 @@
   void sendStop(const std::string &Worker, const RunId &Id);
   void onStopped(Session &S, RunState &R, MonoTime SentAt,
                  const WorkerReply &Reply);
+  struct DueOrder {
+    OrderUrgency Urgency;
+    std::string Worker;
+    RunId Id;
+  };
+  /// The orders that are due, the most urgent first. Gives up starts that have
+  /// had no answer for \p GiveUpAfter.
+  std::vector<DueOrder> dueOrders(Millis GiveUpAfter);
+  OrderUrgency urgencyOf(const RunId &Id, const RunState &R,
+                         const std::map<UnitId, unsigned> &Starting) const;
+  void giveUpStart(const std::string &Worker, Session &S, const RunId &Id);
   void sendDueCalls();
   /// Counts an order or a copy of a sync that a limit holds back, once until it
   /// is sent.
@@ -453,8 +471,8 @@
   bool WorkWaiting = false; ///< The latest plan left tasks waiting.
   bool Stopping = false;
   bool Deposed = false;
-  unsigned CallsInFlight = 0; ///< To all workers, as in Session.
-  bool CallsDue = false;      ///< A call to start or stop a run is due now.
+  CallBudget Budget;
+  bool CallsDue = false; ///< A call to start or stop a run is due now.
   MonoTime CallsCheckedAt{};
   unsigned OrdersHeldBack = 0; ///< Since the last report.
   unsigned SyncCopiesHeldBack = 0;
--- a/packages/cluster/lib/OwnerOrders.cpp
+++ b/packages/cluster/lib/OwnerOrders.cpp
@@ -55,6 +55,18 @@
   return {};
 }
 
+void Owner::makeStartDue(const std::string &Worker, const RunId &Id) {
+  auto It = Sessions.find(Worker);
+  if (It == Sessions.end())
+    return;
+  auto Run = It->second.Runs.find(Id);
+  if (Run == It->second.Runs.end() || Run->second.Stage != RunStage::Recording)
+    return;
+  Run->second.Stage = RunStage::Starting;
+  Run->second.RetryAt = Shared.mono();
+  CallsDue = true;
+}
+
 void Owner::sendStart(const std::string &Worker, const RunId &Id) {
   auto It = Sessions.find(Worker);
   if (It == Sessions.end())
@@ -65,10 +77,6 @@
   if (Found == S.Runs.end() || !J)
     return;
   RunState &R = Found->second;
-  if (!maySend(S, R.StartsInFlight))
-    return noteHeldBack(R.HeldBack, "orders_held_back", OrdersHeldBack);
-  if (R.Stage == RunStage::Recording)
-    R.Stage = RunStage::Starting;
   if (R.Stage != RunStage::Starting)
     return;
   if (!isCurrentRun(Id) || J->CancelRequested)
@@ -110,14 +118,14 @@
 Owner::trackOrder(const std::string &Worker, const RunId &Id, OrderKind Kind) {
   Session &Receiver = Sessions.at(Worker);
   RunState &Ordered = Receiver.Runs.at(Id);
-  ++CallsInFlight;
+  Budget.sent();
   ++Receiver.CallsInFlight;
   ++(Kind == OrderKind::Start ? Ordered.StartsInFlight : Ordered.StopsInFlight);
   return [this, Alive = Alive, Worker, Id, Kind, SentAt = Shared.mono(),
           Address = Receiver.Entry.Address](const WorkerReply &Reply) {
     if (!*Alive)
       return;
-    --CallsInFlight;
+    Budget.ended();
     auto It = Sessions.find(Worker);
     if (It == Sessions.end())
       return;
@@ -273,6 +281,71 @@
   S.NextSyncAt = std::min(S.NextSyncAt, T);
 }
 
+void Owner::giveUpStart(const std::string &Worker, Session &S,
+                        const RunId &Id) {
+  const Job *J = Shared.Ledger.find(Id.Task.Job);
+  Shared.log(417, {{"worker", Worker}, {"job", Id.Task.Job}, {"run", Id.Run}});
+  S.AvoidUntil = std::max(S.AvoidUntil, Shared.mono() + AvoidAfterRefusal);
+  if (J && J->Spec.has(Id.Task.Key) && J->Spec.Steps[Id.Task.Key.Step].Gang)
+    stopUnit(unitOf(*J, Id.Task.Key), "a member did not start");
+  else
+    stopRun(S, Id, "its start had no answer");
+}
+
+OrderUrgency
+Owner::urgencyOf(const RunId &Id, const RunState &R,
+                 const std::map<UnitId, unsigned> &Starting) const {
+  using Need = OrderUrgency::Need;
+  OrderUrgency U;
+  U.DueAt = R.RetryAt;
+  if (R.Stage == RunStage::Stopping) {
+    U.For = R.StopReason == RoomNeededReason ? Need::FreesRoom : Need::Other;
+    return U;
+  }
+  const Job *J = Shared.Ledger.find(Id.Task.Job);
+  if (!J || !J->Spec.has(Id.Task.Key) || !J->Spec.Steps[Id.Task.Key.Step].Gang)
+    return U;
+  U.For = Need::CompletesGang;
+  U.MissingMembers = Starting.at(unitOf(*J, Id.Task.Key));
+  return U;
+}
+
+std::vector<Owner::DueOrder> Owner::dueOrders(Millis GiveUpAfter) {
+  MonoTime T = Shared.mono();
+  std::vector<std::pair<const std::string *, RunId>> Overdue;
+  std::vector<std::pair<const std::string *, RunId>> Due;
+  std::map<UnitId, unsigned> Starting;
+  for (auto &[Worker, S] : Sessions)
+    for (auto &[Id, R] : S.Runs) {
+      bool Starts = R.Stage == RunStage::Starting;
+      if (Starts)
+        if (const Job *J = Shared.Ledger.find(Id.Task.Job);
+            J && J->Spec.has(Id.Task.Key))
+          ++Starting[unitOf(*J, Id.Task.Key)];
+      if (T < R.RetryAt || !(Starts ? S.Synced && S.ClockMs >= 0
+                                    : R.Stage == RunStage::Stopping))
+        continue;
+      if (Starts && R.StartAttempts && T - R.StartingSince > GiveUpAfter)
+        Overdue.emplace_back(&Worker, Id);
+      else
+        Due.emplace_back(&Worker, Id);
+    }
+  for (const auto &[Worker, Id] : Overdue)
+    giveUpStart(*Worker, Sessions.at(*Worker), Id);
+  std::vector<DueOrder> Orders;
+  Orders.reserve(Due.size());
+  for (const auto &[Worker, Id] : Due) {
+    const auto &Runs = Sessions.at(*Worker).Runs;
+    if (auto R = Runs.find(Id); R != Runs.end())
+      Orders.push_back({urgencyOf(Id, R->second, Starting), *Worker, Id});
+  }
+  std::sort(Orders.begin(), Orders.end(),
+            [](const DueOrder &A, const DueOrder &B) {
+              return A.Urgency < B.Urgency;
+            });
+  return Orders;
+}
+
 void Owner::sendDueCalls() {
   MonoTime T = Shared.mono();
   if (!CallsDue && T - CallsCheckedAt < CallCheckPeriod)
@@ -282,47 +355,20 @@
   auto Assembly = Millis(static_cast<std::int64_t>(
       GangStartTimeoutShare *
       static_cast<double>(Shared.Settings.GangAssembly.count())));
-  Millis GiveUpAfter = std::min(StartTimeout, Assembly);
-  struct Due {
-    std::string Worker;
-    RunId Id;
-    bool Stop;
-  };
-  std::vector<Due> Calls;
-  for (auto &[Worker, S] : Sessions) {
-    std::vector<RunId> GiveUp;
-    for (auto &[Id, R] : S.Runs) {
-      if (T < R.RetryAt)
-        continue;
-      if (R.Stage == RunStage::Starting && S.Synced && S.ClockMs >= 0) {
-        if (R.StartAttempts && T - R.StartingSince > GiveUpAfter)
-          GiveUp.push_back(Id);
-        else
-          Calls.push_back({Worker, Id, false});
-      } else if (R.Stage == RunStage::Stopping) {
-        if (!maySend(S, R.StopsInFlight)) {
-          noteHeldBack(R.HeldBack, "orders_held_back", OrdersHeldBack);
-          continue;
-        }
-        Calls.push_back({Worker, Id, true});
-      }
-    }
-    for (const RunId &Id : GiveUp) {
-      const Job *J = Shared.Ledger.find(Id.Task.Job);
-      Shared.log(417,
-                 {{"worker", Worker}, {"job", Id.Task.Job}, {"run", Id.Run}});
-      S.AvoidUntil = std::max(S.AvoidUntil, T + AvoidAfterRefusal);
-      if (J && J->Spec.has(Id.Task.Key) && J->Spec.Steps[Id.Task.Key.Step].Gang)
-        stopUnit(unitOf(*J, Id.Task.Key), "a member did not start");
-      else
-        stopRun(S, Id, "its start had no answer");
-    }
-  }
-  for (const Due &D : Calls) {
+  for (const DueOrder &D : dueOrders(std::min(StartTimeout, Assembly))) {
     auto It = Sessions.find(D.Worker);
-    if (It == Sessions.end() || !It->second.Runs.contains(D.Id))
+    if (It == Sessions.end())
       continue;
-    D.Stop ? sendStop(D.Worker, D.Id) : sendStart(D.Worker, D.Id);
+    Session &S = It->second;
+    auto Run = S.Runs.find(D.Id);
+    if (Run == S.Runs.end())
+      continue;
+    if (!Budget.allows(CallBudget::Purpose::Order, S.CallsInFlight, T)) {
+      noteHeldBack(Run->second.HeldBack, "orders_held_back", OrdersHeldBack);
+      continue;
+    }
+    Run->second.Stage == RunStage::Stopping ? sendStop(D.Worker, D.Id)
+                                            : sendStart(D.Worker, D.Id);
   }
   reportHeldCalls();
 }
@@ -343,8 +389,8 @@
   HeldCallsReportedAt = T;
   Shared.log(445, {{"orders", std::exchange(OrdersHeldBack, 0)},
                    {"sync_copies", std::exchange(SyncCopiesHeldBack, 0)},
-                   {"in_flight", CallsInFlight},
-                   {"limit", MaxCallsInAll}});
+                   {"in_flight", Budget.inFlight()},
+                   {"limit", Budget.limits().InFlight}});
 }
 
 } // namespace heathersaddle::cluster
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -414,7 +414,8 @@
           R.TicketValidUntil = A->second.ValidUntil + TicketMargin;
       }
       S.Runs.emplace(Id, std::move(R));
-      RecordWriter.afterStored([this, Worker, Id] { sendStart(Worker, Id); });
+      RecordWriter.afterStored(
+          [this, Worker, Id] { makeStartDue(Worker, Id); });
     }
     if (FirstPlacement)
       Shared.recordLatency("job_first_placed", J.Spec.Priority,
@@ -437,7 +438,7 @@
                      {"waited_ms", Shared.wall() - W.Work->DueMs},
                      {"reason", dispatch::name(W.Reason)}});
   for (const UnitId &Unit : Plan.Stops)
-    stopUnit(Unit, "urgent work needs its resources");
+    stopUnit(Unit, RoomNeededReason);
 }
 
 void Owner::publishLoad(workload::Ownership &O) const {
--- a/packages/cluster/lib/OwnerSyncs.cpp
+++ b/packages/cluster/lib/OwnerSyncs.cpp
@@ -26,6 +26,8 @@
 static constexpr unsigned MaxSyncCopiesAfterFailure = 2;
 static constexpr Millis FirstSyncCopyDelay{600};
 static constexpr Millis MinSyncCopyTime{50};
+/// A lease that ends within this time is renewed before other calls are made.
+static constexpr Millis RenewalMargin{3'000};
 /// A worker without runs needs no sync until a start is sent to it.
 static constexpr Millis IdleSyncPeriod{30'000};
 /// While a lease cannot be renewed in full, a sync may take up to one part in
@@ -68,8 +70,10 @@
   // elsewhere.
   bool First = !S.Synced || S.ClockMs < 0;
   S.SyncLeaseUntilMs = -1;
-  if (!First && !S.Runs.empty() && !S.SyncFailures)
+  if (!First && !S.Runs.empty() && !S.SyncFailures) {
     S.SyncLeaseUntilMs = grantLease(S).value_or(-1);
+    S.SyncLeaseEndsAt = S.LeaseEndsAt;
+  }
   // Each incarnation numbers its ends from the beginning. An acknowledgement
   // that the worker has received is not sent again: after an unnoticed restart
   // it would acknowledge ends that the owner has not read.
@@ -88,15 +92,21 @@
 
 void Owner::copySync(const std::string &Id, Session &S) {
   MonoTime T = Shared.mono();
-  S.NextSyncCopyAt = T + S.Pacing.interval(S.SyncCopies);
   if (S.SyncCopies >=
           (S.SyncFailures ? MaxSyncCopiesAfterFailure : MaxSyncCopies) ||
-      S.SyncEndsAt - T < MinSyncCopyTime)
+      S.SyncEndsAt - T < MinSyncCopyTime) {
+    S.NextSyncCopyAt = S.SyncEndsAt;
     return;
-  if (!mayCopy(S.CallsInFlight, CallsInFlight))
+  }
+  bool Renews =
+      S.SyncLeaseUntilMs >= 0 && S.HeldLeaseEndsAt - T < RenewalMargin;
+  if (!Budget.allows(Renews ? CallBudget::Purpose::Renewal
+                            : CallBudget::Purpose::Order,
+                     S.CallsInFlight, T))
     return noteHeldBack(S.SyncCopyHeldBack, "sync_copies_held_back",
                         SyncCopiesHeldBack);
   sendSync(Id, S, Millis(0));
+  S.NextSyncCopyAt = T + S.Pacing.interval(S.SyncCopies - 1);
 }
 
 /// Copies renew the lease up to the same time as the first one, so that the
@@ -109,8 +119,10 @@
   S.SyncCopyHeldBack = false;
   ++S.SyncCopiesInFlight;
   // The first ones are not counted, as nearly every worker has one in flight.
-  S.CallsInFlight += Copy;
-  CallsInFlight += Copy;
+  if (Copy) {
+    ++S.CallsInFlight;
+    Budget.sent();
+  }
   SyncAction A;
   A.Worker = {S.Entry.Id, S.Entry.Address};
   A.Epoch = Epoch;
@@ -123,7 +135,8 @@
             DueAt = T + Wait](const WorkerReply &R) {
     if (!*Alive)
       return;
-    CallsInFlight -= Copy;
+    if (Copy)
+      Budget.ended();
     if (auto It = Sessions.find(Id); It != Sessions.end()) {
       It->second.CallsInFlight -= Copy && It->second.CallsInFlight;
       recordAnswer(It->second, R.Verdict, DueAt);
@@ -230,6 +243,8 @@
   if (S.SyncFailures >= 2)
     Shared.log(411, {{"worker", Id}, {"runs", S.Runs.size()}});
   S.SyncFailures = 0;
+  if (S.SyncLeaseUntilMs >= 0)
+    S.HeldLeaseEndsAt = S.SyncLeaseEndsAt;
   S.KnownAliveAt = std::max(S.KnownAliveAt, S.SyncSentAt);
   if (!Copy)
     S.LastAcknowledgedEnd =
--- /dev/null
+++ b/packages/cluster/tests/CallBudgetTest.cpp
@@ -0,0 +1,105 @@
+#include "CallBudget.h"
+#include "heathersaddle/cluster/Node.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace heathersaddle::cluster;
+using heathersaddle::base::Millis;
+using Purpose = CallBudget::Purpose;
+
+namespace {
+
+constexpr Millis Now{1'000};
+
+CallLimits limitsOf(std::int64_t CpuMilli, std::size_t Descriptors,
+                    std::int64_t LinkBytesPerSecond) {
+  NodeSettings S;
+  S.CpuMilli = CpuMilli;
+  S.MaxDescriptors = Descriptors;
+  S.LinkBytesPerSecond = LinkBytesPerSecond;
+  return callLimits(S);
+}
+
+/// Sends calls until one is not allowed, but 100,000 at most.
+unsigned sendAll(CallBudget &B, Purpose P) {
+  unsigned Sent = 0;
+  for (; Sent < 100'000 && B.allows(P, 0, Now); ++Sent)
+    B.sent();
+  return Sent;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CallsToWorkers)
+
+BOOST_AUTO_TEST_SUITE(LimitsOfAHost)
+
+// Guards against a limit that leaves no descriptors to callers and the store,
+// or that no daemon of the platform could reach.
+BOOST_AUTO_TEST_CASE(FollowFromItsDescriptors) {
+  BOOST_TEST(limitsOf(500, 8'192, 25'000'000).InFlight == 3'996);
+  BOOST_TEST(limitsOf(500, 4'100, 25'000'000).InFlight == 1'950);
+  BOOST_TEST(limitsOf(500, 100, 25'000'000).InFlight == 0);
+}
+
+// Guards against calls that take the whole processor or the whole link.
+BOOST_AUTO_TEST_CASE(FollowFromTheScarcerOfProcessorAndLink) {
+  BOOST_TEST(limitsOf(500, 8'192, 25'000'000).PerSecond == 2'500);
+  BOOST_TEST(limitsOf(120, 8'192, 25'000'000).PerSecond == 600);
+  BOOST_TEST(limitsOf(120, 8'192, 1'250'000).PerSecond < 600);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Budget)
+
+// Guards against copies without limit when many workers are cut off at once.
+BOOST_AUTO_TEST_CASE(IsLimitedPerWorkerAndInAll) {
+  CallBudget B({.InFlight = 100, .ToWorker = 10, .PerSecond = 10'000});
+  BOOST_TEST(B.allows(Purpose::Order, 9, Now));
+  BOOST_TEST(!B.allows(Purpose::Order, 10, Now));
+  BOOST_TEST(!B.allows(Purpose::Renewal, 10, Now));
+  sendAll(B, Purpose::Renewal);
+  BOOST_TEST(B.inFlight() == 100);
+}
+
+// Guards against orders that take the place of the renewals of leases.
+BOOST_AUTO_TEST_CASE(KeepsAPartForRenewals) {
+  CallBudget B({.InFlight = 100, .ToWorker = 10, .PerSecond = 10'000});
+  BOOST_TEST(sendAll(B, Purpose::Order) == 75);
+  BOOST_TEST(sendAll(B, Purpose::Renewal) == 25);
+  CallBudget Rate({.InFlight = 1'000, .ToWorker = 10, .PerSecond = 100});
+  BOOST_TEST(sendAll(Rate, Purpose::Order) == 75);
+  BOOST_TEST(sendAll(Rate, Purpose::Renewal) == 25);
+}
+
+// Guards against a limit that stays reached after its calls have ended.
+BOOST_AUTO_TEST_CASE(RecoversAsCallsEndAndTimePasses) {
+  CallBudget B({.InFlight = 10, .ToWorker = 10, .PerSecond = 10});
+  sendAll(B, Purpose::Renewal);
+  BOOST_TEST(!B.allows(Purpose::Renewal, 0, Now));
+  for (unsigned N = 0; N < 10; ++N)
+    B.ended();
+  BOOST_TEST(!B.allows(Purpose::Renewal, 0, Now));
+  BOOST_TEST(B.allows(Purpose::Renewal, 0, Now + Millis(100)));
+  BOOST_TEST(!B.allows(Purpose::Order, 0, Now + Millis(100)));
+  BOOST_TEST(B.allows(Purpose::Order, 0, Now + Millis(1'000)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+// Guards against orders on which nothing depends that are sent before those
+// that free room or complete a gang.
+BOOST_AUTO_TEST_CASE(AreSortedByWhatDependsOnThem) {
+  using Need = OrderUrgency::Need;
+  OrderUrgency Stop{Need::FreesRoom, 0, Millis(50)};
+  OrderUrgency AlmostComplete{Need::CompletesGang, 1, Millis(40)};
+  OrderUrgency JustBegun{Need::CompletesGang, 30, Millis(10)};
+  OrderUrgency Early{Need::Other, 0, Millis(10)};
+  OrderUrgency Late{Need::Other, 0, Millis(20)};
+  BOOST_TEST((Stop < AlmostComplete));
+  BOOST_TEST((AlmostComplete < JustBegun));
+  BOOST_TEST((JustBegun < Early));
+  BOOST_TEST((Early < Late));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/packages/cluster/tests/LossyPathTest.cpp
+++ b/packages/cluster/tests/LossyPathTest.cpp
@@ -160,11 +160,4 @@
   BOOST_TEST((P.interval(20) == Millis(1'000)));
 }
 
-// Guards against copies without limit when many workers are cut off at once.
-BOOST_AUTO_TEST_CASE(AreLimitedPerWorkerAndInAll) {
-  BOOST_TEST(mayCopy(1, 1));
-  BOOST_TEST(!mayCopy(20, 20));
-  BOOST_TEST(!mayCopy(1, 1'000));
-}
-
 BOOST_AUTO_TEST_SUITE_END()
