Send as many copies of a call as the share of lost calls requires

Cause: copies were sent at one rate at any share of lost calls, and syncs got at most four. Each copy held its place among the calls in flight for a second although the workers answer within 10 ms.

Change: LossEstimate follows the share of calls without an answer, per worker and in all. The interval between copies and the number of copies of a sync follow from it. Copies but the first are waited for six times the worker's usual time. A worker that has answered any call within the last second is not silent: its lease is renewed and it stays in use after a failed sync. Syncs of workers with unanswered orders are copied sooner, others at the usual rate; they leave a part of the limits to orders.

--- a/packages/cluster/lib/CallBudget.cpp
+++ b/packages/cluster/lib/CallBudget.cpp
@@ -4,7 +4,8 @@
 // All calls count, also first copies of orders, so that work that begins cannot
 // take the copies from work that runs. A part of both limits is for renewals
 // only: a lease that ends loses the work of seconds, while an order that waits
-// costs its wait.
+// costs its wait. Another part is for renewals and orders: a report that waits
+// is made by the next sync.
 #include "CallBudget.h"
 #include <algorithm>
 
@@ -13,7 +14,9 @@
 using base::Millis;
 using base::MonoTime;
 
-static constexpr double RenewalShare = 0.25;
+/// The shares of the limits that calls of each purpose leave to the others.
+static constexpr double KeptByOrders = 0.25;
+static constexpr double KeptByReports = 0.5;
 /// A burst may use the allowance of this time at once.
 static constexpr double BurstSeconds = 1;
 
@@ -27,7 +30,9 @@
                              static_cast<double>((Now - UpdatedAt).count()) /
                              1'000);
   UpdatedAt = Now;
-  double Kept = P == Purpose::Renewal ? 0 : RenewalShare;
+  double Kept = P == Purpose::Renewal ? 0
+                : P == Purpose::Order ? KeptByOrders
+                                      : KeptByReports;
   return ToWorker < Limits.ToWorker &&
          InFlight < (1 - Kept) * Limits.InFlight &&
          Allowance >= 1 + Kept * Burst;
--- a/packages/cluster/lib/CallBudget.h
+++ b/packages/cluster/lib/CallBudget.h
@@ -12,8 +12,9 @@
 class CallBudget {
 public:
   enum class Purpose {
-    Order,  ///< A start, a stop, or a sync whose lease lasts for a while.
-    Renewal ///< A sync that renews a lease before it ends.
+    Renewal, ///< A sync that renews a lease before it ends.
+    Order,   ///< A start or a stop.
+    Report   ///< A sync whose lease lasts for a while.
   };
 
   explicit CallBudget(CallLimits Limits);
--- a/packages/cluster/lib/CopyPacing.cpp
+++ b/packages/cluster/lib/CopyPacing.cpp
@@ -1,8 +1,8 @@
-// Load pattern: half of the calls to workers get no answer, while the workers
-// answer the others within 10 ms. A gang needs the starts of all its members,
-// room for urgent work the stops of all that is in its way, and a lease its
-// renewal, so each order must be tried often within the second or two that they
-// have.
+// Load pattern: a share of the calls to workers gets no answer, while the
+// workers answer the others within 10 ms. A gang needs the starts of all its
+// members, room for urgent work the stops of all that is in its way, and a
+// lease its renewal, so each order must be tried often within the second or two
+// that they have, and more often the larger that share is.
 //
 // Calls to workers are idempotent, so another copy is sent while the earlier
 // ones may still be answered, and the first answer counts. A worker that
@@ -10,18 +10,39 @@
 // the time that it takes, so that it is not overloaded by them.
 #include "CopyPacing.h"
 #include <algorithm>
+#include <cmath>
 
 namespace heathersaddle::cluster {
 
 using base::Millis;
 
-static constexpr Millis MinInterval{150};
+/// The interval while nearly all calls are answered, and the shortest one.
+static constexpr Millis UsualInterval{150};
+static constexpr Millis MinInterval{60};
 static constexpr Millis MaxInterval{1'000};
-/// Copies of one call that are sent in quick succession: those of about two
-/// seconds. A worker that has answered none of them has failed.
-static constexpr unsigned MaxQuickCopies = 12;
+/// An order has this much time to be answered ...
+static constexpr Millis OrderTime{1'800};
+/// ... in all but this share of the cases. Gangs have dozens of members.
+static constexpr double OrderFailureShare = 0.001;
+/// Copies are sent in quick succession for this long. A worker that has
+/// answered none of them has failed.
+static constexpr Millis QuickCopiesTime{2'000};
 /// A late answer is remembered with this weight at the next answer.
 static constexpr double UsualTimeDecay = 0.9;
+/// An answer that takes this many times the usual time is unlikely.
+static constexpr int TimeLimitFactor = 6;
+static constexpr Millis MinTimeLimit{300};
+static constexpr Millis MaxTimeLimit{1'000};
+/// A sync has failed if it has no answer from so many copies that this happens
+/// in this share of the cases.
+static constexpr double SyncFailureShare = 0.01;
+static constexpr unsigned MinSyncCopies = 4;
+static constexpr unsigned MaxSyncCopies = 20;
+
+/// How many calls have no answer with a probability of \p FailureShare.
+static double copiesNeeded(double Loss, double FailureShare) {
+  return Loss > 0 ? std::log(FailureShare) / std::log(std::min(Loss, 0.99)) : 1;
+}
 
 void CopyPacing::answered(Millis Took) {
   auto Decayed = Millis(static_cast<std::int64_t>(
@@ -29,10 +50,24 @@
   UsualTime = std::max(Took, Decayed);
 }
 
-Millis CopyPacing::interval(unsigned Copies) const {
-  if (Copies >= MaxQuickCopies)
+Millis CopyPacing::interval(unsigned Copies, double Loss) const {
+  auto ForLoss =
+      Millis(static_cast<std::int64_t>(static_cast<double>(OrderTime.count()) /
+                                       copiesNeeded(Loss, OrderFailureShare)));
+  Millis Quick = std::clamp(ForLoss, MinInterval, UsualInterval);
+  if (Copies * Quick > QuickCopiesTime)
     return MaxInterval;
-  return std::clamp(2 * UsualTime, MinInterval, MaxInterval);
+  return std::clamp(2 * UsualTime, Quick, MaxInterval);
+}
+
+Millis CopyPacing::timeLimit() const {
+  return std::clamp(TimeLimitFactor * UsualTime, MinTimeLimit, MaxTimeLimit);
+}
+
+unsigned syncCopies(double Loss) {
+  return std::clamp(
+      static_cast<unsigned>(std::ceil(copiesNeeded(Loss, SyncFailureShare))),
+      MinSyncCopies, MaxSyncCopies);
 }
 
 } // namespace heathersaddle::cluster
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -4,6 +4,7 @@
 #include "CallBudget.h"
 #include "CopyPacing.h"
 #include "EntryVerdict.h"
+#include "LossEstimate.h"
 #include "Tail.h"
 #include "Writer.h"
 #include "heathersaddle/cluster/LeaseTerms.h"
@@ -144,8 +145,11 @@
   MonoTime SyncEndsAt{};        ///< When all its copies end.
   MonoTime NextSyncCopyAt{};
   std::int64_t SyncLeaseUntilMs = -1; ///< As in SyncAction.
+  unsigned MaxSyncCopies = 0;         ///< Of the sync in flight.
   unsigned SyncCopies = 0;            ///< Sent, and of these in flight.
   unsigned SyncCopiesInFlight = 0;
+  /// Orders had no answer when the sync in flight was first sent.
+  bool OrdersPending = false;
   bool SyncCopyHeldBack = false; ///< A limit holds back a copy that is due.
   /// The end of the lease that the sync in flight grants, and of the latest
   /// lease that the worker has confirmed.
@@ -153,7 +157,9 @@
   MonoTime HeldLeaseEndsAt{};
   unsigned CallsInFlight = 0; ///< Starts, stops and copies of syncs.
   CopyPacing Pacing;
-  MonoTime LatestLossAt{}; ///< When a call was last found to have no answer.
+  LossEstimate Losses{24};
+  MonoTime LatestAnswerAt{}; ///< To any call.
+  MonoTime LatestLossAt{};   ///< When a call was last found to have no answer.
   MonoTime NextSyncAt{};
   MonoTime ClockReadAt{};
   std::int64_t ClockMs = -1; ///< The worker's clock at ClockReadAt.
@@ -287,6 +293,8 @@
   /// The deadline, by the worker's clock, of a lease granted now.
   std::optional<std::int64_t> grantLease(Session &S);
   void sync(const std::string &Id, Session &S);
+  /// Whether the worker may be carrying out an order without an answer.
+  static bool hasPendingOrders(const Session &S);
   /// Sends another copy of the sync in flight, within the limits.
   void copySync(const std::string &Id, Session &S);
   void sendSync(const std::string &Id, Session &S, Millis Wait);
@@ -297,6 +305,10 @@
   /// worker has restarted.
   bool clockRestarted(const Session &S, const WorkerReply &R,
                       MonoTime SentAt) const;
+  /// The share of calls to the worker without an answer; 0 for a worker that
+  /// has not answered any of them lately.
+  double lossOf(const Session &S) const;
+  bool answeredLately(const Session &S) const;
   /// Takes note of whether a call was answered, and how long after \p DueAt,
   /// the earliest time at which its answer was due.
   void recordAnswer(Session &S, WorkerVerdict V, MonoTime DueAt);
@@ -472,7 +484,8 @@
   bool Stopping = false;
   bool Deposed = false;
   CallBudget Budget;
-  bool CallsDue = false; ///< A call to start or stop a run is due now.
+  LossEstimate Losses{512}; ///< Of calls to all workers that answer.
+  bool CallsDue = false;    ///< A call to start or stop a run is due now.
   MonoTime CallsCheckedAt{};
   unsigned OrdersHeldBack = 0; ///< Since the last report.
   unsigned SyncCopiesHeldBack = 0;
--- a/packages/cluster/lib/OwnerOrders.cpp
+++ b/packages/cluster/lib/OwnerOrders.cpp
@@ -7,12 +7,13 @@
 
 namespace heathersaddle::cluster {
 
-/// Further copies of a start or stop are sent long before the first one ends.
+/// Time limit of the first copy of a start or stop. It is long, so that a
+/// worker that has become slow is known as such.
 static constexpr Millis CallTimeout{1'000};
 static constexpr Millis CallRetryDelay{200};
 static constexpr Millis ConfirmedStopPeriod{1'000};
 /// How often runs are checked for calls that are due.
-static constexpr Millis CallCheckPeriod{50};
+static constexpr Millis CallCheckPeriod{20};
 /// A start without an answer is abandoned after this time, ...
 static constexpr Millis StartTimeout{1'800};
 /// ... or, if that is sooner, after this share of the time that gangs have to
@@ -98,7 +99,7 @@
     R.StartingSince = R.SentAt;
   else // The lists may show the run before another copy is answered.
     S.NextSyncAt = std::min(S.NextSyncAt, R.SentAt);
-  R.RetryAt = R.SentAt + S.Pacing.interval(R.StartAttempts);
+  R.RetryAt = R.SentAt + S.Pacing.interval(R.StartAttempts, lossOf(S));
   StartAction A;
   A.Worker = {S.Entry.Id, S.Entry.Address};
   A.Task = Id.Task;
@@ -108,7 +109,7 @@
   A.Epoch = Epoch;
   A.Checkpoint = J->task(Id.Task.Key).Checkpoint;
   A.Ticket = R.Ticket;
-  A.TimeLimit = CallTimeout;
+  A.TimeLimit = R.StartAttempts > 1 ? S.Pacing.timeLimit() : CallTimeout;
   Shared.count("starts");
   A.Done = trackOrder(Worker, Id, OrderKind::Start);
   Shared.Actions.push_back(std::move(A));
@@ -224,9 +225,9 @@
     return;
   case WorkerVerdict::NotDelivered:
     R.RetryAt = R.StartAttempts > 1 ? T + Shared.jitter(CallRetryDelay) : T;
+    CallsDue = true;
     [[fallthrough]];
   case WorkerVerdict::NoAnswer:
-    CallsDue = true;
     S.NextSyncAt = std::min(S.NextSyncAt, T);
     return;
   }
@@ -250,13 +251,13 @@
   RunState &R = S.Runs[Id];
   R.HeldBack = false;
   R.SentAt = Shared.mono();
-  R.RetryAt = R.SentAt + S.Pacing.interval(++R.StopAttempts);
+  R.RetryAt = R.SentAt + S.Pacing.interval(++R.StopAttempts, lossOf(S));
   StopAction A;
   A.Worker = {S.Entry.Id, S.Entry.Address};
   A.Task = Id.Task;
   A.Run = Id.Run;
   A.Epoch = Epoch;
-  A.TimeLimit = CallTimeout;
+  A.TimeLimit = R.StopAttempts > 1 ? S.Pacing.timeLimit() : CallTimeout;
   Shared.count("stops");
   A.Done = trackOrder(Worker, Id, OrderKind::Stop);
   Shared.Actions.push_back(std::move(A));
--- a/packages/cluster/lib/OwnerSyncs.cpp
+++ b/packages/cluster/lib/OwnerSyncs.cpp
@@ -2,6 +2,7 @@
 // lists all runs and ends, so that each answer corrects the owner's state.
 // Further copies of it are sent if it is not answered in time (CopyPacing.cpp).
 #include "Owner.h"
+#include <algorithm>
 
 namespace heathersaddle::cluster {
 
@@ -19,13 +20,14 @@
 /// Added to the wait of a sync for its timeout: covers two network round trips
 /// and a slow daemon.
 static constexpr Millis SyncTimeoutMargin{600};
-/// The copies of a sync are sent within that margin, so that one without an
-/// answer is evidence from several calls. A worker that has already failed a
-/// sync gets one more copy only.
-static constexpr unsigned MaxSyncCopies = 4;
-static constexpr unsigned MaxSyncCopiesAfterFailure = 2;
+/// A worker that has failed a sync and answers nothing else gets one more copy
+/// only, unless many workers leave calls unanswered.
+static constexpr unsigned MaxCopiesToSilentWorker = 2;
+static constexpr double LowLoss = 0.1;
 static constexpr Millis FirstSyncCopyDelay{600};
 static constexpr Millis MinSyncCopyTime{50};
+/// A worker that has answered no call for this long is silent.
+static constexpr Millis SilentAfter{1'000};
 /// A lease that ends within this time is renewed before other calls are made.
 static constexpr Millis RenewalMargin{3'000};
 /// A worker without runs needs no sync until a start is sent to it.
@@ -64,13 +66,12 @@
 
 void Owner::sync(const std::string &Id, Session &S) {
   MonoTime T = Shared.mono();
-  // The worker's clock is unknown before its first answer. A worker that did
-  // not answer the latest sync gets no longer lease: the call could arrive
-  // late, so each attempt would postpone the time at which its runs may run
-  // elsewhere.
+  // The worker's clock is unknown before its first answer. A silent worker gets
+  // no longer lease: the call could arrive late, so each attempt would postpone
+  // the time at which its runs may run elsewhere.
   bool First = !S.Synced || S.ClockMs < 0;
   S.SyncLeaseUntilMs = -1;
-  if (!First && !S.Runs.empty() && !S.SyncFailures) {
+  if (!First && !S.Runs.empty() && (!S.SyncFailures || answeredLately(S))) {
     S.SyncLeaseUntilMs = grantLease(S).value_or(-1);
     S.SyncLeaseEndsAt = S.LeaseEndsAt;
   }
@@ -83,30 +84,49 @@
   S.SyncInFlight = true;
   S.SyncNumber = ++LatestCall;
   S.SyncSentAt = T;
-  S.SyncEndsAt = T + (First ? FirstSyncTimeout : Wait + SyncTimeoutMargin);
+  double Loss = std::max(lossOf(S), Losses.share(0));
+  bool Silent = S.SyncFailures && !answeredLately(S) && Loss < LowLoss;
+  S.MaxSyncCopies = Silent ? MaxCopiesToSilentWorker : syncCopies(Loss);
+  Millis CopiesTime = S.MaxSyncCopies * S.Pacing.interval(1, Loss);
+  S.SyncEndsAt =
+      T + (First ? std::max(FirstSyncTimeout, FirstSyncCopyDelay + CopiesTime)
+                 : Wait + std::max(SyncTimeoutMargin, CopiesTime));
   S.SyncCopies = S.SyncCopiesInFlight = 0;
   sendSync(Id, S, Wait);
+  // Whether a sync of which the worker delays the answer is lost shows only
+  // later. If that is likely, a copy tells sooner what has become of orders.
+  S.OrdersPending = hasPendingOrders(S);
+  if (S.OrdersPending && Loss >= LowLoss)
+    Wait = Millis(0);
   S.NextSyncCopyAt =
-      T + Wait + (First ? FirstSyncCopyDelay : S.Pacing.interval(1));
+      T + Wait + (First ? FirstSyncCopyDelay : S.Pacing.interval(1, Loss));
+}
+
+bool Owner::hasPendingOrders(const Session &S) {
+  return std::any_of(S.Runs.begin(), S.Runs.end(), [](const auto &Run) {
+    return Run.second.Stage == RunStage::Starting ||
+           Run.second.Stage == RunStage::Stopping;
+  });
 }
 
 void Owner::copySync(const std::string &Id, Session &S) {
   MonoTime T = Shared.mono();
-  if (S.SyncCopies >=
-          (S.SyncFailures ? MaxSyncCopiesAfterFailure : MaxSyncCopies) ||
-      S.SyncEndsAt - T < MinSyncCopyTime) {
+  if (S.SyncCopies >= S.MaxSyncCopies || S.SyncEndsAt - T < MinSyncCopyTime) {
     S.NextSyncCopyAt = S.SyncEndsAt;
     return;
   }
   bool Renews =
       S.SyncLeaseUntilMs >= 0 && S.HeldLeaseEndsAt - T < RenewalMargin;
   if (!Budget.allows(Renews ? CallBudget::Purpose::Renewal
-                            : CallBudget::Purpose::Order,
+                            : CallBudget::Purpose::Report,
                      S.CallsInFlight, T))
     return noteHeldBack(S.SyncCopyHeldBack, "sync_copies_held_back",
                         SyncCopiesHeldBack);
   sendSync(Id, S, Millis(0));
-  S.NextSyncCopyAt = T + S.Pacing.interval(S.SyncCopies - 1);
+  // Copies that are not urgent are sent at the usual rate.
+  double Loss =
+      Renews || S.OrdersPending ? std::max(lossOf(S), Losses.share(0)) : 0;
+  S.NextSyncCopyAt = T + S.Pacing.interval(S.SyncCopies - 1, Loss);
 }
 
 /// Copies renew the lease up to the same time as the first one, so that the
@@ -130,6 +150,8 @@
   A.AcknowledgedTo = Copy ? 0 : S.SyncAcknowledgesTo;
   A.Wait = Wait;
   A.TimeLimit = S.SyncEndsAt - T;
+  if (Copy)
+    A.TimeLimit = std::min(A.TimeLimit, S.Pacing.timeLimit());
   Shared.count("worker_syncs");
   A.Done = [this, Alive = Alive, Id, Copy, Number = S.SyncNumber,
             DueAt = T + Wait](const WorkerReply &R) {
@@ -146,12 +168,30 @@
   Shared.Actions.push_back(std::move(A));
 }
 
+bool Owner::answeredLately(const Session &S) const {
+  return S.LatestAnswerAt.count() &&
+         Shared.mono() - S.LatestAnswerAt <= SilentAfter;
+}
+
+double Owner::lossOf(const Session &S) const {
+  return answeredLately(S) ? S.Losses.share(Losses.share(0)) : 0;
+}
+
 void Owner::recordAnswer(Session &S, WorkerVerdict V, MonoTime DueAt) {
+  if (V == WorkerVerdict::NotDelivered)
+    return;
   MonoTime T = Shared.mono();
-  if (V == WorkerVerdict::NoAnswer)
+  bool Lost = V == WorkerVerdict::NoAnswer;
+  S.Losses.record(Lost);
+  // Calls to workers that have failed tell nothing about the network.
+  if (!Lost || answeredLately(S))
+    Losses.record(Lost);
+  if (Lost) {
     S.LatestLossAt = T;
-  else if (V != WorkerVerdict::NotDelivered)
-    S.Pacing.answered(std::max(Millis(0), T - DueAt));
+    return;
+  }
+  S.LatestAnswerAt = T;
+  S.Pacing.answered(std::max(Millis(0), T - DueAt));
 }
 
 Millis Owner::syncWait(const Session &S) const {
@@ -232,7 +272,8 @@
   if (!Answered) {
     ++S.SyncFailures;
     S.NextSyncAt = T + Shared.jitter(SyncRetryDelay);
-    S.AvoidUntil = std::max(S.AvoidUntil, T + AvoidAfterNoAnswer);
+    if (!answeredLately(S))
+      S.AvoidUntil = std::max(S.AvoidUntil, T + AvoidAfterNoAnswer);
     if (S.SyncFailures == 2)
       Shared.log(407, {{"worker", Id}, {"runs", S.Runs.size()}});
     return;
--- a/packages/cluster/tests/CallBudgetTest.cpp
+++ b/packages/cluster/tests/CallBudgetTest.cpp
@@ -62,14 +62,16 @@
   BOOST_TEST(B.inFlight() == 100);
 }
 
-// Guards against orders that take the place of the renewals of leases.
-BOOST_AUTO_TEST_CASE(KeepsAPartForRenewals) {
+// Guards against orders that take the place of the renewals of leases, and
+// reports that take the place of orders.
+BOOST_AUTO_TEST_CASE(KeepsAPartForMoreUrgentCalls) {
   CallBudget B({.InFlight = 100, .ToWorker = 10, .PerSecond = 10'000});
-  BOOST_TEST(sendAll(B, Purpose::Order) == 75);
-  BOOST_TEST(sendAll(B, Purpose::Renewal) == 25);
   CallBudget Rate({.InFlight = 1'000, .ToWorker = 10, .PerSecond = 100});
-  BOOST_TEST(sendAll(Rate, Purpose::Order) == 75);
-  BOOST_TEST(sendAll(Rate, Purpose::Renewal) == 25);
+  for (CallBudget *Each : {&B, &Rate}) {
+    BOOST_TEST(sendAll(*Each, Purpose::Report) == 50);
+    BOOST_TEST(sendAll(*Each, Purpose::Order) == 25);
+    BOOST_TEST(sendAll(*Each, Purpose::Renewal) == 25);
+  }
 }
 
 // Guards against a limit that stays reached after its calls have ended.
--- a/packages/cluster/tests/LossyPathTest.cpp
+++ b/packages/cluster/tests/LossyPathTest.cpp
@@ -1,5 +1,6 @@
 #include "CopyPacing.h"
 #include "Deployment.h"
+#include "LossEstimate.h"
 
 using namespace heathersaddle;
 using namespace heathersaddle::cluster;
@@ -142,22 +143,81 @@
 // call.
 BOOST_AUTO_TEST_CASE(AreSentAtTheRateAtWhichTheWorkerAnswers) {
   CopyPacing P;
-  Millis Quick = P.interval(1);
+  Millis Quick = P.interval(1, 0);
   P.answered(Millis(10));
-  BOOST_TEST((P.interval(1) == Quick));
+  BOOST_TEST((P.interval(1, 0) == Quick));
   P.answered(Millis(400));
-  BOOST_TEST((P.interval(1) == Millis(800)));
+  BOOST_TEST((P.interval(1, 0) == Millis(800)));
+  BOOST_TEST((P.interval(1, 0.75) == Millis(800)));
   for (int N = 0; N < 50; ++N)
     P.answered(Millis(10));
-  BOOST_TEST((P.interval(1) == Quick));
+  BOOST_TEST((P.interval(1, 0) == Quick));
 }
 
 // Guards against a worker that has failed and is called seven times a second
 // for every run that is to be stopped there.
 BOOST_AUTO_TEST_CASE(BecomeRareIfNoneIsAnswered) {
   CopyPacing P;
-  BOOST_TEST((P.interval(1) < Millis(200)));
-  BOOST_TEST((P.interval(20) == Millis(1'000)));
+  for (double Loss : {0.0, 0.5, 0.75}) {
+    BOOST_TEST((P.interval(1, Loss) < Millis(200)));
+    BOOST_TEST((P.interval(40, Loss) == Millis(1'000)));
+  }
+  BOOST_TEST((P.interval(20, 0) == Millis(1'000)));
+}
+
+// Guards against a gang of which one member has no answer in time, at any share
+// of lost calls.
+BOOST_AUTO_TEST_CASE(SufficeForAllMembersOfAGang) {
+  CopyPacing P;
+  P.answered(Millis(10));
+  for (double Loss : {0.3, 0.5, 0.6, 0.75}) {
+    Millis Passed{};
+    double Unanswered = 1;
+    for (unsigned Copies = 1; Passed <= Millis(1'800); ++Copies) {
+      Unanswered *= Loss;
+      Passed += P.interval(Copies, Loss);
+    }
+    BOOST_TEST(Unanswered <= 0.002, Loss << ": " << Unanswered);
+  }
+}
+
+// Guards against copies that hold a place among the calls in flight although
+// they will not be answered, and against a slow worker whose answers all come
+// too late.
+BOOST_AUTO_TEST_CASE(AreWaitedForAsLongAsTheWorkerUsuallyTakes) {
+  CopyPacing P;
+  P.answered(Millis(10));
+  BOOST_TEST((P.timeLimit() <= Millis(300)));
+  P.answered(Millis(120));
+  BOOST_TEST((P.timeLimit() > Millis(600)));
+  P.answered(Millis(5'000));
+  BOOST_TEST((P.timeLimit() <= Millis(1'000)));
+}
+
+// Guards against syncs that fail, and leases that end, because each share of
+// lost calls gets the same few copies.
+BOOST_AUTO_TEST_CASE(OfASyncGrowWithTheShareOfLostCalls) {
+  BOOST_TEST(syncCopies(0) == syncCopies(0.1));
+  BOOST_TEST(syncCopies(0.5) > syncCopies(0.1));
+  BOOST_TEST(syncCopies(0.75) > syncCopies(0.5));
+  BOOST_TEST(syncCopies(1) < 30u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(ShareOfLostCalls)
+
+// Guards against copies at the rate of an outage long after it has ended.
+BOOST_AUTO_TEST_CASE(FollowsTheLatestCalls) {
+  LossEstimate E(24);
+  BOOST_TEST(E.share(0.5) == 0.5);
+  for (int N = 0; N < 60; ++N)
+    E.record(N % 4 != 0);
+  BOOST_TEST(E.share(0) > 0.6);
+  BOOST_TEST(E.share(0) < 0.85);
+  for (int N = 0; N < 60; ++N)
+    E.record(false);
+  BOOST_TEST(E.share(0) < 0.1);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
