Tell an idle worker from a silent one by its unanswered calls

Cause: a worker that had answered nothing for a second counted as silent, also if nothing had been sent to it, as workers without runs are synced every 30 s. Its first starts got copies at the usual interval, at any share of lost calls.

Change: a worker is silent if it has answered none of the calls of the last second, counted from the first call after its latest answer.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -158,8 +158,10 @@
   unsigned CallsInFlight = 0; ///< Starts, stops and copies of syncs.
   CopyPacing Pacing;
   LossEstimate Losses{24};
-  MonoTime LatestAnswerAt{}; ///< To any call.
-  MonoTime LatestLossAt{};   ///< When a call was last found to have no answer.
+  /// When the first call was sent, or its answer was due, that followed the
+  /// latest answer; 0: there is none.
+  MonoTime UnansweredSince{};
+  MonoTime LatestLossAt{}; ///< When a call was last found to have no answer.
   MonoTime NextSyncAt{};
   MonoTime ClockReadAt{};
   std::int64_t ClockMs = -1; ///< The worker's clock at ClockReadAt.
@@ -305,10 +307,13 @@
   /// worker has restarted.
   bool clockRestarted(const Session &S, const WorkerReply &R,
                       MonoTime SentAt) const;
-  /// The share of calls to the worker without an answer; 0 for a worker that
-  /// has not answered any of them lately.
+  /// Whether the worker has answered none of the calls of the latest time.
+  bool isSilent(const Session &S) const;
+  /// The share of calls to the worker without an answer; 0 if it is silent.
   double lossOf(const Session &S) const;
-  bool answeredLately(const Session &S) const;
+  /// Takes note of a call that is sent and answered at \p DueAt at the
+  /// earliest.
+  static void recordCall(Session &S, MonoTime DueAt);
   /// Takes note of whether a call was answered, and how long after \p DueAt,
   /// the earliest time at which its answer was due.
   void recordAnswer(Session &S, WorkerVerdict V, MonoTime DueAt);
--- a/packages/cluster/lib/OwnerOrders.cpp
+++ b/packages/cluster/lib/OwnerOrders.cpp
@@ -120,6 +120,7 @@
   Session &Receiver = Sessions.at(Worker);
   RunState &Ordered = Receiver.Runs.at(Id);
   Budget.sent();
+  recordCall(Receiver, Shared.mono());
   ++Receiver.CallsInFlight;
   ++(Kind == OrderKind::Start ? Ordered.StartsInFlight : Ordered.StopsInFlight);
   return [this, Alive = Alive, Worker, Id, Kind, SentAt = Shared.mono(),
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -299,7 +299,7 @@
     W.Capacity = S.Entry.Capacity;
     W.Free = S.Entry.Capacity;
     W.Usable = S.Listed && S.Described && S.Synced && S.ClockMs >= 0 &&
-               (!S.SyncFailures || answeredLately(S)) && !S.Entry.Draining &&
+               (!S.SyncFailures || !isSilent(S)) && !S.Entry.Draining &&
                !S.Entry.Address.empty();
     W.Avoided = T < S.AvoidUntil;
     if (S.Slowness.isSlow(T))
--- a/packages/cluster/lib/OwnerSyncs.cpp
+++ b/packages/cluster/lib/OwnerSyncs.cpp
@@ -26,7 +26,7 @@
 static constexpr double LowLoss = 0.1;
 static constexpr Millis FirstSyncCopyDelay{600};
 static constexpr Millis MinSyncCopyTime{50};
-/// A worker that has answered no call for this long is silent.
+/// A worker that has answered no call of this time is silent.
 static constexpr Millis SilentAfter{1'000};
 /// A lease that ends within this time is renewed before other calls are made.
 static constexpr Millis RenewalMargin{3'000};
@@ -71,7 +71,7 @@
   // the time at which its runs may run elsewhere.
   bool First = !S.Synced || S.ClockMs < 0;
   S.SyncLeaseUntilMs = -1;
-  if (!First && !S.Runs.empty() && (!S.SyncFailures || answeredLately(S))) {
+  if (!First && !S.Runs.empty() && (!S.SyncFailures || !isSilent(S))) {
     S.SyncLeaseUntilMs = grantLease(S).value_or(-1);
     S.SyncLeaseEndsAt = S.LeaseEndsAt;
   }
@@ -85,7 +85,7 @@
   S.SyncNumber = ++LatestCall;
   S.SyncSentAt = T;
   double Loss = std::max(lossOf(S), Losses.share(0));
-  bool Silent = S.SyncFailures && !answeredLately(S) && Loss < LowLoss;
+  bool Silent = S.SyncFailures && isSilent(S) && Loss < LowLoss;
   S.MaxSyncCopies = Silent ? MaxCopiesToSilentWorker : syncCopies(Loss);
   Millis CopiesTime = S.MaxSyncCopies * S.Pacing.interval(1, Loss);
   S.SyncEndsAt =
@@ -153,6 +153,7 @@
   if (Copy)
     A.TimeLimit = std::min(A.TimeLimit, S.Pacing.timeLimit());
   Shared.count("worker_syncs");
+  recordCall(S, T + Wait);
   A.Done = [this, Alive = Alive, Id, Copy, Number = S.SyncNumber,
             DueAt = T + Wait](const WorkerReply &R) {
     if (!*Alive)
@@ -168,13 +169,18 @@
   Shared.Actions.push_back(std::move(A));
 }
 
-bool Owner::answeredLately(const Session &S) const {
-  return S.LatestAnswerAt.count() &&
-         Shared.mono() - S.LatestAnswerAt <= SilentAfter;
+bool Owner::isSilent(const Session &S) const {
+  return S.UnansweredSince.count() &&
+         Shared.mono() - S.UnansweredSince > SilentAfter;
 }
 
 double Owner::lossOf(const Session &S) const {
-  return answeredLately(S) ? S.Losses.share(Losses.share(0)) : 0;
+  return isSilent(S) ? 0 : S.Losses.share(Losses.share(0));
+}
+
+void Owner::recordCall(Session &S, MonoTime DueAt) {
+  if (!S.UnansweredSince.count())
+    S.UnansweredSince = DueAt;
 }
 
 void Owner::recordAnswer(Session &S, WorkerVerdict V, MonoTime DueAt) {
@@ -184,13 +190,13 @@
   bool Lost = V == WorkerVerdict::NoAnswer;
   S.Losses.record(Lost);
   // Calls to workers that have failed tell nothing about the network.
-  if (!Lost || answeredLately(S))
+  if (!Lost || !isSilent(S))
     Losses.record(Lost);
   if (Lost) {
     S.LatestLossAt = T;
     return;
   }
-  S.LatestAnswerAt = T;
+  S.UnansweredSince = {};
   S.Pacing.answered(std::max(Millis(0), T - DueAt));
 }
 
@@ -272,7 +278,7 @@
   if (!Answered) {
     ++S.SyncFailures;
     S.NextSyncAt = T + Shared.jitter(SyncRetryDelay);
-    if (!answeredLately(S))
+    if (isSilent(S))
       S.AvoidUntil = std::max(S.AvoidUntil, T + AvoidAfterNoAnswer);
     if (S.SyncFailures == 2)
       Shared.log(407, {{"worker", Id}, {"runs", S.Runs.size()}});
