Bound the time of a sync with a worker that answers late

Cause: a sync lasted for all its copies at the worker's usual pace, up to 20 s after one late answer.

Change: the copies of a sync take 1.5 s at most, besides the worker's wait.

Result: OfASyncEndInTimeIfTheWorkerAnswersLate fails without the bound; all tests of the package cluster pass.

--- a/packages/cluster/lib/CopyPacing.cpp
+++ b/packages/cluster/lib/CopyPacing.cpp
@@ -36,6 +36,9 @@
 /// A sync has failed if it has no answer from so many copies that this happens
 /// in this share of the cases.
 static constexpr double SyncFailureShare = 0.01;
+/// A worker that answers late gets fewer copies, as stalled runs and expired
+/// leases are detected by the answers.
+static constexpr Millis MaxSyncTime{1'500};
 static constexpr unsigned MinSyncCopies = 4;
 static constexpr unsigned MaxSyncCopies = 20;
 
@@ -60,6 +63,10 @@
   return std::clamp(2 * UsualTime, Quick, MaxInterval);
 }
 
+Millis CopyPacing::syncTime(unsigned Copies, double Loss) const {
+  return std::min(MaxSyncTime, Copies * interval(1, Loss));
+}
+
 Millis CopyPacing::timeLimit() const {
   return std::clamp(TimeLimitFactor * UsualTime, MinTimeLimit, MaxTimeLimit);
 }
--- a/packages/cluster/lib/CopyPacing.h
+++ b/packages/cluster/lib/CopyPacing.h
@@ -15,6 +15,8 @@
   /// The time from the copy with the number \p Copies, counted from 1, to the
   /// next one.
   base::Millis interval(unsigned Copies, double Loss) const;
+  /// The time for \p Copies copies of a sync, after which it has failed.
+  base::Millis syncTime(unsigned Copies, double Loss) const;
   /// The time limit of a copy that is not the first. A later answer is
   /// unlikely.
   base::Millis timeLimit() const;
--- a/packages/cluster/lib/OwnerSyncs.cpp
+++ b/packages/cluster/lib/OwnerSyncs.cpp
@@ -87,7 +87,7 @@
   double Loss = std::max(lossOf(S), Losses.share(0));
   bool Silent = S.SyncFailures && isSilent(S) && Loss < LowLoss;
   S.MaxSyncCopies = Silent ? MaxCopiesToSilentWorker : syncCopies(Loss);
-  Millis CopiesTime = S.MaxSyncCopies * S.Pacing.interval(1, Loss);
+  Millis CopiesTime = S.Pacing.syncTime(S.MaxSyncCopies, Loss);
   S.SyncEndsAt =
       T + (First ? std::max(FirstSyncTimeout, FirstSyncCopyDelay + CopiesTime)
                  : Wait + std::max(SyncTimeoutMargin, CopiesTime));
--- a/packages/cluster/tests/LossyPathTest.cpp
+++ b/packages/cluster/tests/LossyPathTest.cpp
@@ -203,6 +203,14 @@
   BOOST_TEST(syncCopies(1) < 30u);
 }
 
+// Guards against runs stopped as stalled because a sync with a worker that
+// answers late lasted for many seconds before it had failed.
+BOOST_AUTO_TEST_CASE(OfASyncEndInTimeIfTheWorkerAnswersLate) {
+  CopyPacing P;
+  P.answered(Millis(400));
+  BOOST_TEST((P.syncTime(syncCopies(0.75), 0.75) <= Millis(2'000)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(ShareOfLostCalls)
