Judge workers by answered syncs, and hold no limit against them

A worker that answered any order counted as heard of, so that its lease was renewed and its silence not noticed although no report arrived. A start of which the limits of the owner had held back copies was held against its worker, which was then avoided. A lost first copy of a sync stayed open, beside those that followed it.

Change: while many calls are lost, a worker is heard of for 2.5 s after the latest answered sync, otherwise until a sync fails, as before. A sync fails when its last copy has ended. The first copy is waited for no longer than the worker's usual time requires. A start that is given up counts against the worker only if no copy was held back. Stops that are not confirmed go first, then starts of gangs and of urgent work. Due orders are sent before the release at a stop. Event 445 is repeated while orders are held back and gives all limits; event 417 gives the number of copies.

--- a/packages/cluster/include/heathersaddle/cluster/CallLimits.h
+++ b/packages/cluster/include/heathersaddle/cluster/CallLimits.h
@@ -5,12 +5,12 @@
 
 struct NodeSettings;
 
-/// A worker accepts 64 connections, and a former owner may hold as many as the
-/// current one.
+/// Workers of the platform accept 64 connections, and a former owner may hold
+/// as many as the current one.
 inline constexpr unsigned MaxCallsToWorker = 24;
 
 /// Limits of an owner's calls to workers: starts, stops and copies of syncs.
-/// The first copy of a sync is not limited; each worker has at most one in
+/// The first copy of a sync is not limited; each worker has about one in
 /// flight.
 struct CallLimits {
   unsigned InFlight = 0; ///< To all workers.
--- a/packages/cluster/lib/CallBudget.cpp
+++ b/packages/cluster/lib/CallBudget.cpp
@@ -1,7 +1,7 @@
 // Load pattern: many orders to hundreds of workers have no answer, so that more
 // calls are due than the host can make.
 //
-// All calls count, also first copies of orders, so that work that begins cannot
+// First copies of orders count, too, so that work that begins cannot
 // take the copies from work that runs. A part of both limits is for renewals
 // only: a lease that ends loses the work of seconds, while an order that waits
 // costs its wait. Another part is for renewals and orders: a report that waits
@@ -11,7 +11,6 @@
 
 namespace heathersaddle::cluster {
 
-using base::Millis;
 using base::MonoTime;
 
 /// The shares of the limits that calls of each purpose leave to the others.
--- a/packages/cluster/lib/CallBudget.h
+++ b/packages/cluster/lib/CallBudget.h
@@ -40,12 +40,13 @@
 /// orders are sent if not all can be.
 struct OrderUrgency {
   enum class Need {
-    FreesRoom,     ///< Stops a run whose room waiting work needs.
-    CompletesGang, ///< Starts a member of a gang, which may time out.
+    FreesRoom,     ///< A stop; the run holds its room until it has ended.
+    CompletesUnit, ///< A start of a gang, which may time out, or of urgent
+                   ///< work.
     Other
   };
   Need For = Need::Other;
-  unsigned MissingMembers = 0; ///< Of the gang.
+  unsigned UnconfirmedMembers = 0; ///< Of the gang.
   base::MonoTime DueAt{};
   auto operator<=>(const OrderUrgency &) const = default;
 };
--- a/packages/cluster/lib/CopyPacing.cpp
+++ b/packages/cluster/lib/CopyPacing.cpp
@@ -20,9 +20,8 @@
 static constexpr Millis UsualInterval{150};
 static constexpr Millis MinInterval{60};
 static constexpr Millis MaxInterval{1'000};
-/// An order has this much time to be answered ...
-static constexpr Millis OrderTime{1'800};
-/// ... in all but this share of the cases. Gangs have dozens of members.
+/// An order has no answer in time in this share of the cases. Gangs have dozens
+/// of members.
 static constexpr double OrderFailureShare = 0.001;
 /// Copies are sent in quick succession for this long. A worker that has
 /// answered none of them has failed.
--- a/packages/cluster/lib/CopyPacing.h
+++ b/packages/cluster/lib/CopyPacing.h
@@ -5,6 +5,9 @@
 
 namespace heathersaddle::cluster {
 
+/// A start or a stop has this much time to be answered.
+inline constexpr base::Millis OrderTime{1'800};
+
 /// Decides when a further copy of an unanswered call is sent to a worker, and
 /// how long each is waited for. \p Loss is the share of calls without an
 /// answer.
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -77,7 +77,8 @@
   unsigned StopsInFlight = 0;
   bool MayHaveArrived = false;
   bool StopConfirmed = false;
-  bool HeldBack = false; ///< A limit holds back a call that is due.
+  bool HeldBack = false;       ///< A limit holds back a call that is due.
+  bool CopiesHeldBack = false; ///< A limit has held back a copy of its start.
   /// Its worker crashed under it. It is stopped in the next incarnation, where
   /// its start may still arrive.
   bool Crashed = false;
@@ -307,6 +308,13 @@
   /// worker has restarted.
   bool clockRestarted(const Session &S, const WorkerReply &R,
                       MonoTime SentAt) const;
+  /// Whether another copy of the sync in flight may follow.
+  bool mayCopySync(const Session &S) const;
+  /// Called when no copy of the sync in flight can be answered any more.
+  void failSync(const std::string &Id, Session &S);
+  /// Whether reports of the worker arrive, so that its leases are renewed and
+  /// it is used.
+  bool isHeardOf(const Session &S) const;
   /// Whether the worker has answered none of the calls of the latest time.
   bool isSilent(const Session &S) const;
   /// The share of calls to the worker without an answer; 0 if it is silent.
@@ -376,8 +384,9 @@
   /// is sent.
   void noteHeldBack(bool &HeldBack, std::string_view Counter,
                     unsigned &SinceReport);
-  /// Logs the calls held back since the last report, at most once a second.
-  void reportHeldCalls();
+  /// Logs the calls held back, at most once a second; \p Waiting orders are
+  /// held back now.
+  void reportHeldCalls(std::size_t Waiting);
   /// Stops the run in an incarnation of the worker to which its start was not
   /// sent, but may still arrive.
   void barInThisIncarnation(Session &S, const RunId &Id);
--- a/packages/cluster/lib/OwnerOrders.cpp
+++ b/packages/cluster/lib/OwnerOrders.cpp
@@ -14,10 +14,9 @@
 static constexpr Millis ConfirmedStopPeriod{1'000};
 /// How often runs are checked for calls that are due.
 static constexpr Millis CallCheckPeriod{20};
-/// A start without an answer is abandoned after this time, ...
-static constexpr Millis StartTimeout{1'800};
-/// ... or, if that is sooner, after this share of the time that gangs have to
-/// assemble, so that the stops arrive before the other members time out.
+/// A start without an answer is abandoned after OrderTime or, if that is
+/// sooner, after this share of the time that gangs have to assemble, so that
+/// the stops arrive before the other members time out.
 static constexpr double GangStartTimeoutShare = 0.6;
 /// A worker that refuses a start, or does not answer it in time, gets no work
 /// for this long.
@@ -286,8 +285,18 @@
 void Owner::giveUpStart(const std::string &Worker, Session &S,
                         const RunId &Id) {
   const Job *J = Shared.Ledger.find(Id.Task.Job);
-  Shared.log(417, {{"worker", Worker}, {"job", Id.Task.Job}, {"run", Id.Run}});
-  S.AvoidUntil = std::max(S.AvoidUntil, Shared.mono() + AvoidAfterRefusal);
+  auto Run = S.Runs.find(Id);
+  // It may have been stopped with another member of its gang.
+  if (Run == S.Runs.end() || Run->second.Stage != RunStage::Starting)
+    return;
+  Shared.log(417, {{"worker", Worker},
+                   {"job", Id.Task.Job},
+                   {"run", Id.Run},
+                   {"copies", Run->second.StartAttempts},
+                   {"held_back", Run->second.CopiesHeldBack}});
+  // The limits of this daemon are no fault of the worker.
+  if (!Run->second.CopiesHeldBack)
+    S.AvoidUntil = std::max(S.AvoidUntil, Shared.mono() + AvoidAfterRefusal);
   if (J && J->Spec.has(Id.Task.Key) && J->Spec.Steps[Id.Task.Key.Step].Gang)
     stopUnit(unitOf(*J, Id.Task.Key), "a member did not start");
   else
@@ -301,14 +310,16 @@
   OrderUrgency U;
   U.DueAt = R.RetryAt;
   if (R.Stage == RunStage::Stopping) {
-    U.For = R.StopReason == RoomNeededReason ? Need::FreesRoom : Need::Other;
+    U.For = R.StopConfirmed ? Need::Other : Need::FreesRoom;
     return U;
   }
   const Job *J = Shared.Ledger.find(Id.Task.Job);
-  if (!J || !J->Spec.has(Id.Task.Key) || !J->Spec.Steps[Id.Task.Key.Step].Gang)
+  if (!J || !J->Spec.has(Id.Task.Key))
     return U;
-  U.For = Need::CompletesGang;
-  U.MissingMembers = Starting.at(unitOf(*J, Id.Task.Key));
+  bool Gang = J->Spec.Steps[Id.Task.Key.Step].Gang;
+  if (Gang || J->Spec.Priority == 0)
+    U.For = Need::CompletesUnit;
+  U.UnconfirmedMembers = Gang ? Starting.at(unitOf(*J, Id.Task.Key)) : 1;
   return U;
 }
 
@@ -357,7 +368,8 @@
   auto Assembly = Millis(static_cast<std::int64_t>(
       GangStartTimeoutShare *
       static_cast<double>(Shared.Settings.GangAssembly.count())));
-  for (const DueOrder &D : dueOrders(std::min(StartTimeout, Assembly))) {
+  std::size_t Waiting = 0;
+  for (const DueOrder &D : dueOrders(std::min(OrderTime, Assembly))) {
     auto It = Sessions.find(D.Worker);
     if (It == Sessions.end())
       continue;
@@ -367,12 +379,14 @@
       continue;
     if (!Budget.allows(CallBudget::Purpose::Order, S.CallsInFlight, T)) {
       noteHeldBack(Run->second.HeldBack, "orders_held_back", OrdersHeldBack);
+      Run->second.CopiesHeldBack = true;
+      ++Waiting;
       continue;
     }
     Run->second.Stage == RunStage::Stopping ? sendStop(D.Worker, D.Id)
                                             : sendStart(D.Worker, D.Id);
   }
-  reportHeldCalls();
+  reportHeldCalls(Waiting);
 }
 
 void Owner::noteHeldBack(bool &HeldBack, std::string_view Counter,
@@ -383,16 +397,18 @@
   Shared.count(Counter);
 }
 
-void Owner::reportHeldCalls() {
+void Owner::reportHeldCalls(std::size_t Waiting) {
   MonoTime T = Shared.mono();
-  if ((!OrdersHeldBack && !SyncCopiesHeldBack) ||
+  if ((!OrdersHeldBack && !SyncCopiesHeldBack && !Waiting) ||
       T - HeldCallsReportedAt < HeldCallsReportPeriod)
     return;
   HeldCallsReportedAt = T;
   Shared.log(445, {{"orders", std::exchange(OrdersHeldBack, 0)},
                    {"sync_copies", std::exchange(SyncCopiesHeldBack, 0)},
+                   {"orders_waiting", Waiting},
                    {"in_flight", Budget.inFlight()},
-                   {"limit", Budget.limits().InFlight}});
+                   {"limit", Budget.limits().InFlight},
+                   {"limit_per_s", Budget.limits().PerSecond}});
 }
 
 } // namespace heathersaddle::cluster
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -107,10 +107,11 @@
                                                          : MaxPlanInterval))
       schedule();
   }
-  if (!Deposed && !RecordWriter.released())
-    RecordWriter.tick();
+  // Before the writer releases ownership: no lease is granted after that.
   if (!Deposed && !RecordWriter.released() && MayGiveOrders)
     sendDueCalls();
+  if (!Deposed && !RecordWriter.released())
+    RecordWriter.tick();
   if (!Deposed && !Stopping && MayGiveOrders) {
     removeExpiredJobs();
     checkReachability();
@@ -299,8 +300,7 @@
     W.Capacity = S.Entry.Capacity;
     W.Free = S.Entry.Capacity;
     W.Usable = S.Listed && S.Described && S.Synced && S.ClockMs >= 0 &&
-               (!S.SyncFailures || !isSilent(S)) && !S.Entry.Draining &&
-               !S.Entry.Address.empty();
+               isHeardOf(S) && !S.Entry.Draining && !S.Entry.Address.empty();
     W.Avoided = T < S.AvoidUntil;
     if (S.Slowness.isSlow(T))
       W.Condition = dispatch::WorkerCondition::Slow;
@@ -483,7 +483,7 @@
   std::size_t Silent = 0;
   for (const auto &[Id, S] : Sessions) {
     Listed += S.Listed;
-    Silent += S.Listed && S.SyncFailures >= SilentSyncFailures;
+    Silent += S.Listed && S.SyncFailures >= SilentSyncFailures && !isHeardOf(S);
   }
   MonoTime T = Shared.mono();
   if (!MajorityAnsweredAt.count() || Silent * 2 <= Listed)
--- a/packages/cluster/lib/OwnerSyncs.cpp
+++ b/packages/cluster/lib/OwnerSyncs.cpp
@@ -26,10 +26,14 @@
 static constexpr double LowLoss = 0.1;
 static constexpr Millis FirstSyncCopyDelay{600};
 static constexpr Millis MinSyncCopyTime{50};
+/// While many workers leave calls unanswered, a worker of which a sync failed
+/// is still heard of for this long after the latest sync that it answered.
+static constexpr Millis MaxReportGap{2'500};
 /// A worker that has answered no call of this time is silent.
 static constexpr Millis SilentAfter{1'000};
-/// A lease that ends within this time is renewed before other calls are made.
-static constexpr Millis RenewalMargin{3'000};
+/// A lease that ends within one part in this many of its longest duration is
+/// renewed before other calls are made.
+static constexpr int RenewalMarginDivisor = 2;
 /// A worker without runs needs no sync until a start is sent to it.
 static constexpr Millis IdleSyncPeriod{30'000};
 /// While a lease cannot be renewed in full, a sync may take up to one part in
@@ -43,7 +47,7 @@
 static constexpr Millis MaxAckDelay{500};
 /// Size limit of a worker's list of ends; a full list may be incomplete.
 static constexpr std::size_t MaxListedEnds = 500;
-/// A worker that does not answer a sync gets no new work for this long.
+/// A worker that is not heard of any more gets no new work for this long.
 static constexpr Millis AvoidAfterNoAnswer{1'500};
 
 std::optional<MonoTime> Owner::leaseEnd() const {
@@ -66,12 +70,12 @@
 
 void Owner::sync(const std::string &Id, Session &S) {
   MonoTime T = Shared.mono();
-  // The worker's clock is unknown before its first answer. A silent worker gets
-  // no longer lease: the call could arrive late, so each attempt would postpone
-  // the time at which its runs may run elsewhere.
+  // The worker's clock is unknown before its first answer. A worker that is not
+  // heard of gets no longer lease: the call could arrive late, so each attempt
+  // would postpone the time at which its runs may run elsewhere.
   bool First = !S.Synced || S.ClockMs < 0;
   S.SyncLeaseUntilMs = -1;
-  if (!First && !S.Runs.empty() && (!S.SyncFailures || !isSilent(S))) {
+  if (!First && !S.Runs.empty() && isHeardOf(S)) {
     S.SyncLeaseUntilMs = grantLease(S).value_or(-1);
     S.SyncLeaseEndsAt = S.LeaseEndsAt;
   }
@@ -109,14 +113,21 @@
   });
 }
 
+bool Owner::mayCopySync(const Session &S) const {
+  return S.SyncCopies < S.MaxSyncCopies &&
+         S.SyncEndsAt - Shared.mono() >= MinSyncCopyTime;
+}
+
 void Owner::copySync(const std::string &Id, Session &S) {
   MonoTime T = Shared.mono();
-  if (S.SyncCopies >= S.MaxSyncCopies || S.SyncEndsAt - T < MinSyncCopyTime) {
-    S.NextSyncCopyAt = S.SyncEndsAt;
+  if (!mayCopySync(S)) {
+    // The last copy to end completes the sync.
+    if (!S.SyncCopiesInFlight)
+      failSync(Id, S);
     return;
   }
-  bool Renews =
-      S.SyncLeaseUntilMs >= 0 && S.HeldLeaseEndsAt - T < RenewalMargin;
+  bool Renews = S.SyncLeaseUntilMs >= 0 &&
+                S.HeldLeaseEndsAt - T < Leases.longest() / RenewalMarginDivisor;
   if (!Budget.allows(Renews ? CallBudget::Purpose::Renewal
                             : CallBudget::Purpose::Report,
                      S.CallsInFlight, T))
@@ -149,9 +160,10 @@
   A.LeaseUntilMs = S.SyncLeaseUntilMs;
   A.AcknowledgedTo = Copy ? 0 : S.SyncAcknowledgesTo;
   A.Wait = Wait;
-  A.TimeLimit = S.SyncEndsAt - T;
-  if (Copy)
-    A.TimeLimit = std::min(A.TimeLimit, S.Pacing.timeLimit());
+  A.TimeLimit =
+      std::min(S.SyncEndsAt - T,
+               Copy ? S.Pacing.timeLimit()
+                    : Wait + std::max(SyncTimeoutMargin, S.Pacing.timeLimit()));
   Shared.count("worker_syncs");
   recordCall(S, T + Wait);
   A.Done = [this, Alive = Alive, Id, Copy, Number = S.SyncNumber,
@@ -169,6 +181,11 @@
   Shared.Actions.push_back(std::move(A));
 }
 
+bool Owner::isHeardOf(const Session &S) const {
+  return !S.SyncFailures || (Losses.share(0) >= LowLoss &&
+                             Shared.mono() - S.KnownAliveAt <= MaxReportGap);
+}
+
 bool Owner::isSilent(const Session &S) const {
   return S.UnansweredSince.count() &&
          Shared.mono() - S.UnansweredSince > SilentAfter;
@@ -257,6 +274,18 @@
   return true;
 }
 
+void Owner::failSync(const std::string &Id, Session &S) {
+  MonoTime T = Shared.mono();
+  S.SyncInFlight = false;
+  S.SyncNumber = 0;
+  ++S.SyncFailures;
+  S.NextSyncAt = T + Shared.jitter(SyncRetryDelay);
+  if (!isHeardOf(S))
+    S.AvoidUntil = std::max(S.AvoidUntil, T + AvoidAfterNoAnswer);
+  if (S.SyncFailures == 2)
+    Shared.log(407, {{"worker", Id}, {"runs", S.Runs.size()}});
+}
+
 void Owner::onSynced(const std::string &Id, std::uint64_t Number, bool Copy,
                      const WorkerReply &R) {
   auto It = Sessions.find(Id);
@@ -266,24 +295,18 @@
   --S.SyncCopiesInFlight;
   // A worker always names its incarnation.
   bool Answered = R.Verdict == WorkerVerdict::Ok && R.ProcessStartMs > 0;
-  if (!Answered && S.SyncCopiesInFlight &&
-      (R.Verdict == WorkerVerdict::NoAnswer ||
-       R.Verdict == WorkerVerdict::NotDelivered))
+  if (R.Verdict == WorkerVerdict::NoAnswer &&
+      (S.SyncCopiesInFlight || mayCopySync(S)))
+    return;
+  if (R.Verdict == WorkerVerdict::NotDelivered && S.SyncCopiesInFlight)
     return;
   S.SyncInFlight = false;
   S.SyncNumber = 0;
-  MonoTime T = Shared.mono();
   if (endsSession(S, R.Verdict, S.Entry.Address))
     return;
-  if (!Answered) {
-    ++S.SyncFailures;
-    S.NextSyncAt = T + Shared.jitter(SyncRetryDelay);
-    if (isSilent(S))
-      S.AvoidUntil = std::max(S.AvoidUntil, T + AvoidAfterNoAnswer);
-    if (S.SyncFailures == 2)
-      Shared.log(407, {{"worker", Id}, {"runs", S.Runs.size()}});
-    return;
-  }
+  if (!Answered)
+    return failSync(Id, S);
+  MonoTime T = Shared.mono();
   std::string Address = S.Entry.Address;
   settleIncarnation(S, R.ProcessStartMs, Address, Number);
   S.Confirmed = S.Entry.Address == Address;
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -169,6 +169,7 @@
   S.LastHandledEnd = S.LastStoredEnd = S.LastAcknowledgedEnd =
       S.SyncAcknowledgesTo = 0;
   S.ClockMs = -1;
+  S.HeldLeaseEndsAt = {};
   S.FailedJobs.clear();
   S.LeavesAt = {};
   // The worker gets no work before its clock is known.
