Wait less for the usual answer the more calls are lost

Cause: a copy waited for twice the worker's usual time to answer, which includes the owner's own delays, also where three of four calls have no answer.

Change: that wait is weighted with the share of calls that are answered.

Result: SufficeForAllMembersOfAGang, now with a worker that takes 100 ms, fails without the change. All tests of the package cluster pass.

--- a/packages/cluster/lib/CopyPacing.cpp
+++ b/packages/cluster/lib/CopyPacing.cpp
@@ -7,7 +7,8 @@
 // Calls to workers are idempotent, so another copy is sent while the earlier
 // ones may still be answered, and the first answer counts. A worker that
 // answers late, behind a slow link or on a slow host, gets copies after twice
-// the time that it takes, so that it is not overloaded by them.
+// the time that it takes, so that it is not overloaded by them. The more calls
+// are lost, the less a copy waits for that answer.
 #include "CopyPacing.h"
 #include <algorithm>
 #include <cmath>
@@ -28,6 +29,7 @@
 static constexpr Millis QuickCopiesTime{2'000};
 /// A late answer is remembered with this weight at the next answer.
 static constexpr double UsualTimeDecay = 0.9;
+static constexpr double UsualTimeFactor = 2;
 /// An answer that takes this many times the usual time is unlikely.
 static constexpr int TimeLimitFactor = 6;
 static constexpr Millis MinTimeLimit{300};
@@ -59,7 +61,9 @@
   Millis Quick = std::clamp(ForLoss, MinInterval, UsualInterval);
   if (Copies * Quick > QuickCopiesTime)
     return MaxInterval;
-  return std::clamp(2 * UsualTime, Quick, MaxInterval);
+  auto Expected = Millis(static_cast<std::int64_t>(
+      UsualTimeFactor * (1 - Loss) * static_cast<double>(UsualTime.count())));
+  return std::clamp(Expected, Quick, MaxInterval);
 }
 
 Millis CopyPacing::syncTime(unsigned Copies, double Loss) const {
--- a/packages/cluster/tests/LossyPathTest.cpp
+++ b/packages/cluster/tests/LossyPathTest.cpp
@@ -148,7 +148,7 @@
   BOOST_TEST((P.interval(1, 0) == Quick));
   P.answered(Millis(400));
   BOOST_TEST((P.interval(1, 0) == Millis(800)));
-  BOOST_TEST((P.interval(1, 0.75) == Millis(800)));
+  BOOST_TEST((P.interval(1, 0.75) == Millis(200)));
   for (int N = 0; N < 50; ++N)
     P.answered(Millis(10));
   BOOST_TEST((P.interval(1, 0) == Quick));
@@ -168,9 +168,10 @@
 // Guards against a gang of which one member has no answer in time, at any share
 // of lost calls.
 BOOST_AUTO_TEST_CASE(SufficeForAllMembersOfAGang) {
-  CopyPacing P;
-  P.answered(Millis(10));
   for (double Loss : {0.3, 0.5, 0.6, 0.75}) {
+    CopyPacing P;
+    // The owner has other work, too.
+    P.answered(Millis(100));
     Millis Passed{};
     double Unanswered = 1;
     for (unsigned Copies = 1; Passed <= Millis(1'800); ++Copies) {
