Count lost calls once their worker has answered again

A longer time would have let workers that have failed raise the estimated share of lost calls of all others.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -159,6 +159,7 @@
   unsigned CallsInFlight = 0; ///< Starts, stops and copies of syncs.
   CopyPacing Pacing;
   LossEstimate Losses{24};
+  unsigned LossesSinceAnswer = 0;
   /// When the first call was sent, or its answer was due, that followed the
   /// latest answer; 0: there is none.
   MonoTime UnansweredSince{};
--- a/packages/cluster/lib/OwnerSyncs.cpp
+++ b/packages/cluster/lib/OwnerSyncs.cpp
@@ -29,8 +29,9 @@
 /// While many workers leave calls unanswered, a worker of which a sync failed
 /// is still heard of for this long after the latest sync that it answered.
 static constexpr Millis MaxReportGap{2'500};
-/// A worker that has answered no call of this time is silent.
-static constexpr Millis SilentAfter{1'000};
+/// A worker that has answered no call of this time is silent. If it only leaves
+/// a share of the calls unanswered, this hardly happens.
+static constexpr Millis SilentAfter = OrderTime;
 /// A lease that ends within one part in this many of its longest duration is
 /// renewed before other calls are made.
 static constexpr int RenewalMarginDivisor = 2;
@@ -206,13 +207,17 @@
   MonoTime T = Shared.mono();
   bool Lost = V == WorkerVerdict::NoAnswer;
   S.Losses.record(Lost);
-  // Calls to workers that have failed tell nothing about the network.
-  if (!Lost || !isSilent(S))
-    Losses.record(Lost);
   if (Lost) {
+    ++S.LossesSinceAnswer;
     S.LatestLossAt = T;
     return;
   }
+  // Calls to workers that have failed tell nothing about the others, so lost
+  // calls count once the worker has answered again soon.
+  unsigned Lately = std::exchange(S.LossesSinceAnswer, 0);
+  for (; Lately && !isSilent(S); --Lately)
+    Losses.record(true);
+  Losses.record(false);
   S.UnansweredSince = {};
   S.Pacing.answered(std::max(Millis(0), T - DueAt));
 }
