Let calls to workers use three quarters of the processor

Change: the shares of descriptors, processor and link are separate, and that of the processor is 0.75.

All tests of the package cluster pass.

--- a/packages/cluster/lib/CallLimits.cpp
+++ b/packages/cluster/lib/CallLimits.cpp
@@ -6,9 +6,11 @@
 
 /// Descriptors that are not for connections.
 static constexpr std::size_t FileDescriptors = 200;
-/// The share of a resource for these calls; the rest is for first syncs, idle
-/// connections, callers and the store.
-static constexpr double Share = 0.5;
+/// The shares of the descriptors, the processor and the link for these calls.
+/// The rest is for first syncs, idle connections, callers, the store and plans.
+static constexpr double DescriptorShare = 0.5;
+static constexpr double CpuShare = 0.75;
+static constexpr double LinkShare = 0.5;
 /// Enough for a few workers on any host.
 static constexpr unsigned MinInFlight = 32;
 static constexpr double MinPerSecond = 50;
@@ -20,15 +22,16 @@
   std::size_t Connections =
       S.MaxDescriptors - std::min(S.MaxDescriptors, FileDescriptors);
   CallLimits L;
-  L.InFlight =
-      std::max(MinInFlight,
-               static_cast<unsigned>(Share * static_cast<double>(Connections)));
+  L.InFlight = std::max(
+      MinInFlight, static_cast<unsigned>(DescriptorShare *
+                                         static_cast<double>(Connections)));
   L.ToWorker = MaxCallsToWorker;
-  L.PerSecond = std::max(
-      MinPerSecond,
-      Share *
-          std::min(static_cast<double>(S.CpuMilli) / 1'000 / CpuSecondsPerCall,
-                   static_cast<double>(S.LinkBytesPerSecond) / BytesPerCall));
+  L.PerSecond =
+      std::max(MinPerSecond,
+               std::min(CpuShare * static_cast<double>(S.CpuMilli) / 1'000 /
+                            CpuSecondsPerCall,
+                        LinkShare * static_cast<double>(S.LinkBytesPerSecond) /
+                            BytesPerCall));
   return L;
 }
 
