Report reached limits of the HTTP clients and servers

Cause: a request that waited for a connection to its address, that was rejected since the queue was full or the circuit breaker open, and a connection that a server answered with 503, left no trace in the metrics of the daemon. For the breaker and the queue only the log of the caller named a fault, for peers not even that.

What the limits decide does not change.

--- a/packages/net/include/heathersaddle/net/HttpClient.h
+++ b/packages/net/include/heathersaddle/net/HttpClient.h
@@ -50,6 +50,7 @@
   /// Bytes received and sent, headers included.
   std::uint64_t bytesIn() const;
   std::uint64_t bytesOut() const;
+  ClientCounts counts() const;
 
 private:
   struct Impl;
--- a/packages/net/include/heathersaddle/net/HttpServer.h
+++ b/packages/net/include/heathersaddle/net/HttpServer.h
@@ -55,6 +55,8 @@
   std::uint64_t bytesIn() const;
   std::uint64_t bytesOut() const;
   std::size_t connections() const;
+  /// Connections that got 503 since MaxConnections were open.
+  std::uint64_t rejectedConnections() const;
 
 private:
   std::shared_ptr<ServerCore> Core;
--- a/packages/net/include/heathersaddle/net/Message.h
+++ b/packages/net/include/heathersaddle/net/Message.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -87,6 +88,14 @@
   std::function<std::chrono::steady_clock::time_point()> Clock;
 };
 
+/// How often requests reached a limit of a client, since its construction.
+struct ClientCounts {
+  std::uint64_t RequestsQueued = 0; ///< All connections were in use.
+  std::uint64_t QueueTimeouts = 0;  ///< No connection was free in time.
+  std::uint64_t QueueFullRejections = 0;
+  std::uint64_t BreakerRejections = 0;
+};
+
 } // namespace heathersaddle::net
 
 #endif
--- a/packages/net/lib/HttpClient.cpp
+++ b/packages/net/lib/HttpClient.cpp
@@ -145,6 +145,10 @@
   bool Closed = false;
   std::atomic<std::uint64_t> BytesReceived{0};
   std::atomic<std::uint64_t> BytesSent{0};
+  std::atomic<std::uint64_t> RequestsQueued{0};
+  std::atomic<std::uint64_t> QueueTimeouts{0};
+  std::atomic<std::uint64_t> QueueFullRejections{0};
+  std::atomic<std::uint64_t> BreakerRejections{0};
 };
 
 void HttpClient::Impl::complete(const ExchangePtr &E,
@@ -175,12 +179,16 @@
   if (Closed)
     return completeWithError(Remote, E, ErrorCode::Unavailable,
                              "the client is closed");
-  if (Remote.Queue.size() >= Limits.MaxQueuedRequests)
+  if (Remote.Queue.size() >= Limits.MaxQueuedRequests) {
+    ++QueueFullRejections;
     return completeWithError(Remote, E, ErrorCode::Unavailable,
                              "too many requests are queued");
-  if (!Remote.Breaker.allow(now()))
+  }
+  if (!Remote.Breaker.allow(now())) {
+    ++BreakerRejections;
     return completeWithError(Remote, E, ErrorCode::Unavailable,
                              "the circuit breaker is open");
+  }
   E->Timer.expires_after(E->Request.TimeLimit);
   E->Timer.async_wait([Self = shared_from_this(), &Remote, E](error_code Ec) {
     if (!Ec && E->Done)
@@ -188,6 +196,8 @@
   });
   Remote.Queue.push_back(E);
   startQueued(Remote);
+  if (!Remote.Queue.empty()) // E is the last.
+    ++RequestsQueued;
 }
 
 void HttpClient::Impl::startQueued(Endpoint &Remote) {
@@ -383,6 +393,7 @@
   if (Waiting != Remote.Queue.end()) {
     Remote.Queue.erase(Waiting);
     Remote.Breaker.abandoned();
+    ++QueueTimeouts;
     return completeWithError(Remote, E, ErrorCode::Unavailable,
                              "no connection was free in time");
   }
@@ -439,6 +450,12 @@
 
 std::uint64_t HttpClient::bytesIn() const { return Pimpl->BytesReceived; }
 std::uint64_t HttpClient::bytesOut() const { return Pimpl->BytesSent; }
+ClientCounts HttpClient::counts() const {
+  return {.RequestsQueued = Pimpl->RequestsQueued,
+          .QueueTimeouts = Pimpl->QueueTimeouts,
+          .QueueFullRejections = Pimpl->QueueFullRejections,
+          .BreakerRejections = Pimpl->BreakerRejections};
+}
 
 struct BlockingClient::Impl {
   explicit Impl(ClientLimits Limits) : Client(Context, std::move(Limits)) {}
--- a/packages/net/lib/HttpServer.cpp
+++ b/packages/net/lib/HttpServer.cpp
@@ -57,6 +57,7 @@
   Handler OnRequest;
   std::atomic<std::uint64_t> BytesReceived{0};
   std::atomic<std::uint64_t> BytesSent{0};
+  std::atomic<std::uint64_t> RejectedConnections{0};
   std::atomic<bool> Draining{false};
 
   std::mutex Mutex; ///< Guards the members below.
@@ -333,6 +334,7 @@
 void ServerCore::admit(tcp::socket Socket) {
   std::unique_lock Lock(Mutex);
   if (Sessions.size() >= Limits.MaxConnections) {
+    ++RejectedConnections;
     static constexpr std::string_view Busy =
         "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
         "Connection: close\r\nContent-Length: 0\r\n\r\n";
@@ -439,6 +441,9 @@
 
 std::uint64_t HttpServer::bytesIn() const { return Core->BytesReceived; }
 std::uint64_t HttpServer::bytesOut() const { return Core->BytesSent; }
+std::uint64_t HttpServer::rejectedConnections() const {
+  return Core->RejectedConnections;
+}
 std::size_t HttpServer::connections() const {
   std::lock_guard Lock(Core->Mutex);
   return Core->Sessions.size();
--- a/packages/net/tests/ClientTest.cpp
+++ b/packages/net/tests/ClientTest.cpp
@@ -139,6 +139,7 @@
   auto Third = send(C, Port);
   BOOST_REQUIRE(!Third);
   BOOST_TEST((Third.error().Code == ErrorCode::Unavailable));
+  BOOST_TEST(C.counts().QueueFullRejections == 1u);
   RawSocket Connection(Peer.acceptOne());
   Connection.readUntil("\r\n\r\n");
   Connection.send(OkResponse);
@@ -148,6 +149,28 @@
   BOOST_TEST(Second.get().has_value());
 }
 
+// Guards against requests that wait for a connection, also until their time
+// limit, without a trace in the metrics.
+BOOST_AUTO_TEST_CASE(RequestsThatWaitForAConnectionAreCounted) {
+  Executor Threads(1);
+  HttpClient C(Threads.context(), {.MaxConnections = 1});
+  RawSocket Peer;
+  auto Port = Peer.bindFreePort();
+  Peer.startListening();
+  auto First = start(C, Port, {.Target = "/1"});
+  RawSocket Connection(Peer.acceptOne());
+  Connection.readUntil("\r\n\r\n");
+  BOOST_TEST(C.counts().RequestsQueued == 0u);
+  auto Second = send(C, Port, {.TimeLimit = std::chrono::milliseconds(30)});
+  BOOST_REQUIRE(!Second);
+  BOOST_TEST((Second.error().Code == ErrorCode::Unavailable));
+  BOOST_TEST(C.counts().RequestsQueued == 1u);
+  BOOST_TEST(C.counts().QueueTimeouts == 1u);
+  Connection.send(OkResponse);
+  BOOST_TEST(First.get().has_value());
+  BOOST_TEST(C.counts().QueueTimeouts == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against sending every request to a server that is down, and against
@@ -170,7 +193,9 @@
   };
   for (int N = 0; N < 3; ++N)
     BOOST_TEST(!RejectedByBreaker());
+  BOOST_TEST(C.counts().BreakerRejections == 0u);
   BOOST_TEST(RejectedByBreaker());
+  BOOST_TEST(C.counts().BreakerRejections == 1u);
   NowMs += 1'000;
   BOOST_TEST(!RejectedByBreaker()); // The trial fails.
   BOOST_TEST(RejectedByBreaker());
--- a/packages/net/tests/ServerTest.cpp
+++ b/packages/net/tests/ServerTest.cpp
@@ -105,7 +105,9 @@
   RawSocket First = RawSocket::connected(S.Port);
   First.send(getRequest("/one", false));
   BOOST_TEST(hasStatus(First.readUntil("/one"), "200"));
+  BOOST_TEST(S.Server.rejectedConnections() == 0u);
   BOOST_TEST(hasStatus(RawSocket::connected(S.Port).readAll(), "503"));
+  BOOST_TEST(S.Server.rejectedConnections() == 1u);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
