Report full appends and held back calls to the advisor

Cause: a step whose call to the advisor is held back since 8 are in flight, and an append that leaves records to a later one since its jobs, records or bytes are at the limit, left no trace in the metrics.

Change: counters advice_calls_held_back (each call once until it is sent) and appends_full (owner and followers). What the limits decide does not change.

--- a/packages/cluster/lib/Intake.cpp
+++ b/packages/cluster/lib/Intake.cpp
@@ -46,6 +46,8 @@
       std::make_move_iterator(PendingSubmissions.begin()),
       std::make_move_iterator(End));
   PendingSubmissions.erase(PendingSubmissions.begin(), End);
+  if (!PendingSubmissions.empty())
+    Shared.count("appends_full");
   AttemptsLeft = Shared.storeIsSlow() ? 1 : MaxStoreAttempts;
   EarlierAttemptUnanswered = false;
   send();
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -207,6 +207,7 @@
   std::map<std::string, std::string> Tickets;
   std::set<std::string> AskedWorkers;
   bool InFlight = false;
+  bool HeldBack = false; ///< The limit holds back a call that is due.
   MonoTime ValidUntil{};
   MonoTime NextAskAt{};
 };
--- a/packages/cluster/lib/OwnerAdvice.cpp
+++ b/packages/cluster/lib/OwnerAdvice.cpp
@@ -33,13 +33,17 @@
   }
   const workload::Step &S = J.Spec.Steps[Step];
   std::size_t RequiredTickets = S.Gang ? S.Count : 1;
-  if (A.Tickets.size() < RequiredTickets && !A.InFlight && T >= A.NextAskAt &&
-      AdviceCalls < MaxAdviceCalls)
-    requestAdvice(Id, J, A);
+  if (A.Tickets.size() < RequiredTickets && !A.InFlight && T >= A.NextAskAt) {
+    if (AdviceCalls < MaxAdviceCalls)
+      requestAdvice(Id, J, A);
+    else if (!std::exchange(A.HeldBack, true))
+      Shared.count("advice_calls_held_back");
+  }
   return A.Tickets.empty() ? nullptr : &A.Tickets;
 }
 
 void Owner::requestAdvice(const UnitId &Step, const Job &J, Advice &A) {
+  A.HeldBack = false;
   const workload::Step &S = J.Spec.Steps[Step.Step];
   std::vector<std::pair<std::int64_t, std::string>> Candidates;
   for (const auto &[Id, Worker] : Sessions) {
--- a/packages/cluster/lib/Writer.cpp
+++ b/packages/cluster/lib/Writer.cpp
@@ -66,6 +66,9 @@
     InFlightSubmissions.push_back(std::move(PendingSubmissions.front()));
     PendingSubmissions.erase(PendingSubmissions.begin());
   }
+  if (!ChangedJobs.empty() || !RemovedJobs.empty() ||
+      !PendingSubmissions.empty())
+    Shared.count("appends_full");
   // Callbacks may depend on jobs of a later batch only if this batch did not
   // hold all changed jobs; they then wait for a later one.
   if (ChangedJobs.empty())
--- a/packages/cluster/tests/NormalOperationTest.cpp
+++ b/packages/cluster/tests/NormalOperationTest.cpp
@@ -107,6 +107,27 @@
   BOOST_TEST(TicketsRefused == 0u);
 }
 
+// Guards against jobs that wait for the advisor without a trace in the metrics.
+BOOST_AUTO_TEST_CASE(CallsAboveTheAdvisorsLimitAreCounted) {
+  AllowedWorkers = {"w1", "w2", "w3"};
+  auto Submit = [&](const std::string &Prefix, int Count) {
+    for (int N = 0; N < Count; ++N) {
+      auto J = job(Prefix + std::to_string(N), 1, 1, 100);
+      J.NeedsAdvice = true;
+      JobsNeedingTicket.insert(J.Id);
+      Daemons[owner()]->submit(J, [](const std::optional<Refusal> &) {});
+    }
+    run(2'000);
+    for (int N = 0; N < Count; ++N)
+      BOOST_TEST(allShow(Prefix + std::to_string(N), JobState::Completed));
+    const auto &Counts = Daemons[owner()]->stats().Counts;
+    auto It = Counts.find("advice_calls_held_back");
+    return It == Counts.end() ? 0U : It->second;
+  };
+  BOOST_TEST(Submit("few", 8) == 0u);
+  BOOST_TEST(Submit("many", 12) == 4u);
+}
+
 // Guards against an owner that ends by itself when the tickets of an urgent
 // task expire while work is stopped for it, and the new ones name another
 // worker.
--- a/packages/cluster/tests/StoreFailureTest.cpp
+++ b/packages/cluster/tests/StoreFailureTest.cpp
@@ -67,7 +67,9 @@
   for (int N = 0; N < 60; ++N)
     Daemons["a"]->submit(job(longJobId(N), 16, 1, 300),
                          [](const std::optional<Refusal> &) {});
+  BOOST_TEST(!Daemons["a"]->stats().Counts.contains("appends_full"));
   run(4'000);
+  BOOST_TEST(Daemons["a"]->stats().Counts.contains("appends_full"));
   for (int N = 0; N < 60; ++N)
     BOOST_TEST(isCompleted(longJobId(N)));
   BOOST_TEST(LargestAppend <= AppendBytes);
@@ -139,6 +141,26 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// Guards against jobs that wait for a second append of their daemon, since the
+// first was full, without a trace in the metrics.
+BOOST_AUTO_TEST_CASE(FullAppendOfAFollowerIsCounted) {
+  Node &Follower = follower();
+  unsigned Stored = 0;
+  auto Submit = [&](const std::string &Prefix, int Count) {
+    for (int N = 0; N < Count; ++N)
+      Follower.submit(job(Prefix + std::to_string(N), 1, 1, 10),
+                      [&](const std::optional<Refusal> &R) { Stored += !R; });
+    run(500);
+  };
+  AppendDurationMs = 20;
+  Submit("few", 101); // One, then 100 in one append.
+  BOOST_TEST(Stored == 101u);
+  BOOST_TEST(!Follower.stats().Counts.contains("appends_full"));
+  Submit("many", 102);
+  BOOST_TEST(Stored == 203u);
+  BOOST_TEST(Follower.stats().Counts.find("appends_full")->second == 1u);
+}
+
 BOOST_AUTO_TEST_SUITE(RecoveryAfterStoreOutage)
 
 // Guards against callers that are refused for seconds after an outage, because
