--- a/packages/cluster/lib/CallLimits.cpp
+++ b/packages/cluster/lib/CallLimits.cpp
@@ -11,6 +11,9 @@
 static constexpr double DescriptorShare = 0.5;
 static constexpr double CpuShare = 0.75;
 static constexpr double LinkShare = 0.5;
+/// The share of the descriptors for connections to workers. It exceeds that of
+/// the limited calls, since first syncs and probes are not among these.
+static constexpr double WorkerConnectionsShare = 0.7;
 /// Enough for a few workers on any host.
 static constexpr unsigned MinInFlight = 32;
 static constexpr double MinPerSecond = 50;
@@ -18,13 +21,17 @@
 /// Larger of the two directions, with the connection's own packets.
 static constexpr double BytesPerCall = 1'500;
 
+static double connectionDescriptors(std::size_t MaxDescriptors) {
+  return static_cast<double>(MaxDescriptors -
+                             std::min(MaxDescriptors, FileDescriptors));
+}
+
 CallLimits callLimits(const NodeSettings &S) {
-  std::size_t Connections =
-      S.MaxDescriptors - std::min(S.MaxDescriptors, FileDescriptors);
   CallLimits L;
-  L.InFlight = std::max(
-      MinInFlight, static_cast<unsigned>(DescriptorShare *
-                                         static_cast<double>(Connections)));
+  L.InFlight =
+      std::max(MinInFlight,
+               static_cast<unsigned>(DescriptorShare *
+                                     connectionDescriptors(S.MaxDescriptors)));
   L.ToWorker = MaxCallsToWorker;
   L.PerSecond =
       std::max(MinPerSecond,
@@ -35,4 +42,11 @@
   return L;
 }
 
+std::size_t maxWorkerConnections(std::size_t MaxDescriptors) {
+  return std::max<std::size_t>(
+      MinInFlight,
+      static_cast<std::size_t>(WorkerConnectionsShare *
+                               connectionDescriptors(MaxDescriptors)));
+}
+
 } // namespace heathersaddle::cluster
--- a/packages/net/tests/ClientTest.cpp
+++ b/packages/net/tests/ClientTest.cpp
@@ -3,6 +3,7 @@
 #include "heathersaddle/net/HttpClient.h"
 #include "heathersaddle/net/HttpServer.h"
 #include <atomic>
+#include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <thread>
@@ -139,6 +140,7 @@
   auto Third = send(C, Port);
   BOOST_REQUIRE(!Third);
   BOOST_TEST((Third.error().Code == ErrorCode::Unavailable));
+  BOOST_TEST(C.counts().QueueFullRejections == 1u);
   RawSocket Connection(Peer.acceptOne());
   Connection.readUntil("\r\n\r\n");
   Connection.send(OkResponse);
@@ -148,6 +150,103 @@
   BOOST_TEST(Second.get().has_value());
 }
 
+// Guards against requests that wait for a connection, also until their time
+// limit, without a trace in the metrics.
+BOOST_AUTO_TEST_CASE(RequestsThatWaitForAConnectionAreCounted) {
+  Executor Threads(1);
+  HttpClient C(Threads.context(), {.MaxConnections = 1});
+  RawSocket Peer;
+  auto Port = Peer.bindFreePort();
+  Peer.startListening();
+  auto First = start(C, Port, {.Target = "/1"});
+  RawSocket Connection(Peer.acceptOne());
+  Connection.readUntil("\r\n\r\n");
+  BOOST_TEST(C.counts().RequestsQueued == 0u);
+  auto Second = send(C, Port, {.TimeLimit = std::chrono::milliseconds(30)});
+  BOOST_REQUIRE(!Second);
+  BOOST_TEST((Second.error().Code == ErrorCode::Unavailable));
+  BOOST_TEST(C.counts().RequestsQueued == 1u);
+  BOOST_TEST(C.counts().QueueTimeouts == 1u);
+  Connection.send(OkResponse);
+  BOOST_TEST(First.get().has_value());
+  BOOST_TEST(C.counts().QueueTimeouts == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(TotalConnections)
+
+namespace {
+
+/// A server that keeps the reply to /held and counts its open connections.
+struct CountingServer {
+  explicit CountingServer(boost::asio::io_context &Context)
+      : Server(Context, {}, [this](const Request &R, const Respond &Reply) {
+          if (R.Path == "/held")
+            return HeldReply.set_value(Reply);
+          Reply({.Body = "ok"});
+        }) {
+    Port = Server.listen("127.0.0.1", 0).value();
+  }
+  bool reaches(std::size_t Connections) const {
+    for (int N = 0; N < 1'000 && Server.connections() != Connections; ++N)
+      std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    return Server.connections() == Connections;
+  }
+
+  std::promise<Respond> HeldReply;
+  HttpServer Server;
+  std::uint16_t Port = 0;
+};
+
+} // namespace
+
+// Guards against idle connections to many addresses that use up the
+// descriptors of the process: only the longest idle one must be closed.
+BOOST_AUTO_TEST_CASE(LongestIdleOneIsClosedForANewOne) {
+  Executor Threads(1);
+  Executor ServerThreads(2);
+  CountingServer A(ServerThreads.context());
+  CountingServer B(ServerThreads.context());
+  CountingServer D(ServerThreads.context());
+  HttpClient C(Threads.context(), {.MaxTotalConnections = 2});
+  for (CountingServer *S : {&A, &B, &A})
+    BOOST_REQUIRE(send(C, S->Port));
+  BOOST_TEST(C.counts().IdleConnectionsClosed == 0u);
+  BOOST_REQUIRE(send(C, D.Port));
+  BOOST_TEST(C.counts().IdleConnectionsClosed == 1u);
+  BOOST_TEST(B.reaches(0));
+  BOOST_TEST(A.reaches(1));
+  BOOST_REQUIRE(send(C, A.Port));
+  BOOST_TEST(C.counts().IdleConnectionsClosed == 1u);
+  BOOST_TEST(C.counts().ConnectionsAboveLimit == 0u);
+}
+
+// Guards against a limit that fails or closes requests in progress, and against
+// exceeding it without a trace in the metrics.
+BOOST_AUTO_TEST_CASE(BusyOnesAreKeptAndTheExcessIsCounted) {
+  Executor Threads(1);
+  Executor ServerThreads(2);
+  CountingServer A(ServerThreads.context());
+  CountingServer B(ServerThreads.context());
+  HttpClient C(Threads.context(), {.MaxTotalConnections = 1});
+  auto Held = start(C, A.Port, {.Target = "/held"});
+  auto Reply = A.HeldReply.get_future().get();
+  BOOST_REQUIRE(send(C, B.Port));
+  BOOST_TEST(C.counts().ConnectionsAboveLimit == 1u);
+  BOOST_TEST(C.counts().IdleConnectionsClosed == 0u);
+  Reply({.Body = "held"});
+  auto R = Held.get();
+  BOOST_REQUIRE(R);
+  BOOST_TEST(R->Body == "held");
+  CountingServer D(ServerThreads.context());
+  BOOST_REQUIRE(send(C, D.Port));
+  BOOST_TEST(C.counts().IdleConnectionsClosed == 2u);
+  BOOST_TEST(C.counts().ConnectionsAboveLimit == 1u);
+  BOOST_TEST(A.reaches(0));
+  BOOST_TEST(B.reaches(0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against sending every request to a server that is down, and against
@@ -170,7 +269,9 @@
   };
   for (int N = 0; N < 3; ++N)
     BOOST_TEST(!RejectedByBreaker());
+  BOOST_TEST(C.counts().BreakerRejections == 0u);
   BOOST_TEST(RejectedByBreaker());
+  BOOST_TEST(C.counts().BreakerRejections == 1u);
   NowMs += 1'000;
   BOOST_TEST(!RejectedByBreaker()); // The trial fails.
   BOOST_TEST(RejectedByBreaker());
