Count the crash of a worker whose replacement answers after the lease

Cause: a worker that comes back under a new id was compared with the workers formerly at its address when its registry entry was read, and the lease of a former worker that expired was compared with workers that had already answered. If the entry was read before the lease expired and the new worker answered after that, neither check saw it, and the crash was never counted.

Change: the comparison is repeated when a worker first answers at the address of its entry.

IsGivenUpIfReplacementsAnswerAfterTheLease fails without the change with 6 starts, of which 5 are allowed.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -410,6 +410,9 @@
   static std::set<RunId> runsPresent(const Session &S);
   /// Whether another worker has answered this owner at the worker's address.
   bool isReplaced(const Session &S) const;
+  /// Counts the crashes of other workers at the worker's address under runs
+  /// whose lease has expired.
+  void recordCrashesOfFormerWorkers(const Session &S);
   /// Records the runs that the worker may have had when their lease expired, so
   /// that a later owner, too, counts a crash that shows only then.
   void recordLapsedRuns(Session &S);
--- a/packages/cluster/lib/OwnerCrashes.cpp
+++ b/packages/cluster/lib/OwnerCrashes.cpp
@@ -26,6 +26,13 @@
   });
 }
 
+void Owner::recordCrashesOfFormerWorkers(const Session &S) {
+  for (auto &[Id, Former] : Sessions)
+    if (&Former != &S && !Former.LapsedRuns.empty() &&
+        Former.Entry.Address == S.Entry.Address)
+      recordCrash(Former, {});
+}
+
 void Owner::recordLapsedRuns(Session &S) {
   S.LapsedAt = Shared.mono();
   for (const RunId &Id : runsPresent(S)) {
--- a/packages/cluster/lib/OwnerRegistry.cpp
+++ b/packages/cluster/lib/OwnerRegistry.cpp
@@ -34,13 +34,11 @@
     WorkerEntry Nothing;
     if (judgeEntry(E, {Nothing}, ServiceInUse) == EntryVerdict::Ignored)
       return;
-    for (auto &[Id, Former] : Sessions)
-      if (Former.Entry.Address == E.Address && !Former.LapsedRuns.empty())
-        recordCrash(Former, {});
     Session &S = Sessions[E.Id];
     S.Entry = std::move(E);
     S.LeaseEndsAt = FormerLeasesEnd;
     adoptRecordedRuns(S);
+    recordCrashesOfFormerWorkers(S);
     PlanNeeded = true;
     return;
   }
--- a/packages/cluster/lib/OwnerSyncs.cpp
+++ b/packages/cluster/lib/OwnerSyncs.cpp
@@ -285,6 +285,7 @@
     return;
   }
   std::string Address = S.Entry.Address;
+  bool AnsweredBefore = S.Synced && S.Confirmed;
   settleIncarnation(S, R.ProcessStartMs, Address, Number);
   S.Confirmed = S.Entry.Address == Address;
   if (S.SyncFailures >= 2)
@@ -305,6 +306,9 @@
   S.LeaseEndsAt = std::min(S.LeaseEndsAt, T + Leases.longest());
   if (First)
     findRunsOfEarlierIncarnation(S, R);
+  // When its entry was read, the leases may not have expired yet.
+  if (S.Confirmed && !AnsweredBefore)
+    recordCrashesOfFormerWorkers(S);
   for (const EndedTask &E : R.Ended)
     if (E.Number > S.LastHandledEnd) {
       onEndReported(S, E);
--- a/packages/cluster/tests/CrashingTaskTest.cpp
+++ b/packages/cluster/tests/CrashingTaskTest.cpp
@@ -191,6 +191,28 @@
   BOOST_TEST(Starts[Bad] <= MaxStartsOfCrashingTask);
 }
 
+// Guards against crashes that are not counted because the worker that comes
+// back is listed before the lease of the run expires and answers after that.
+BOOST_AUTO_TEST_CASE(IsGivenUpIfReplacementsAnswerAfterTheLease) {
+  NewIdAfterCrash = true;
+  TaskName Bad = crashes("bad");
+  BOOST_TEST(!submit(anyDaemon(), job("bad", 1, 1, 2'000)));
+  auto Failed = [&] { return allShow("bad", JobState::Failed); };
+  for (unsigned N = 1; N <= MaxStartsOfCrashingTask + 1 && !Failed(); ++N) {
+    BOOST_REQUIRE(
+        runUntil([&] { return Starts[Bad] >= N || Failed(); }, 20'000));
+    for (const auto &[Id, W] : Workers)
+      if (!W.Runs.empty())
+        for (const auto &[Name, D] : Daemons)
+          UnreachableWorkers[Name] = {Id + "+"};
+    // The task runs again once the lease has expired.
+    runUntil([&] { return Starts[Bad] > N || Failed(); }, 20'000);
+    UnreachableWorkers.clear();
+  }
+  BOOST_TEST(runUntil(Failed, 40'000));
+  BOOST_TEST(Starts[Bad] <= MaxStartsOfCrashingTask);
+}
+
 // Guards against gangs that crash the workers of one member after the other.
 BOOST_AUTO_TEST_CASE(IsGivenUpWithItsGang) {
   TaskName Bad = crashes("gang", 2);
