Keep the limit on connections to workers without a floor

Cause: the merge of both limits gave maxWorkerConnections() the floor of the calls in flight. A connection is opened above that limit in any case, so the floor has no use, and LeaveDescriptorsBesideTheConnectionsToWorkers failed.

Change: the floor applies to calls only.

--- a/packages/cluster/lib/CallLimits.cpp
+++ b/packages/cluster/lib/CallLimits.cpp
@@ -43,10 +43,8 @@
 }
 
 std::size_t maxWorkerConnections(std::size_t MaxDescriptors) {
-  return std::max<std::size_t>(
-      MinInFlight,
-      static_cast<std::size_t>(WorkerConnectionsShare *
-                               connectionDescriptors(MaxDescriptors)));
+  return static_cast<std::size_t>(WorkerConnectionsShare *
+                                  connectionDescriptors(MaxDescriptors));
 }
 
 } // namespace heathersaddle::cluster
