Find the members of a simulated gang without a scan of all workers

Cause: World looked at the runs of all workers for each gang member in each millisecond, and at all workers for each call, which takes too long with hundreds of workers.

Change: World keeps, for each job, the workers that have ever begun a run of it, and the worker that the latest call to an address reached. Events are moved out of the queue, not copied. A member that has not finished decides for its gang. Behaviour does not change.

--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -247,28 +247,39 @@
 }
 
 bool World::isGangIncomplete(const FakeWorker::Run &Run) const {
+  if (GangSizes.empty())
+    return false;
   auto Gang = GangSizes.find(Run.Task.Job);
   if (Gang == GangSizes.end())
     return false;
   unsigned Present = 0;
-  for (const auto &[Id, W] : Workers)
-    for (const auto &Other : W.Runs)
-      Present += Other.Task.Job == Run.Task.Job && Other.Number == Run.Number;
+  for (const FakeWorker *W : workersOf(Run.Task.Job))
+    for (const auto &Other : W->Runs)
+      Present += Other.Number == Run.Number && Other.Task.Job == Run.Task.Job;
   return Present < Gang->second;
 }
 
+const std::set<FakeWorker *> &World::workersOf(const std::string &Job) const {
+  static const std::set<FakeWorker *> None;
+  auto It = WorkersByJob.find(Job);
+  return It == WorkersByJob.end() ? None : It->second;
+}
+
 bool World::isFinished(const FakeWorker &W, const FakeWorker::Run &Run) const {
   return !W.StallsAtPercent && Clock >= Run.StartedMs + Run.WorkMs;
 }
 
 bool World::isUnitFinished(const FakeWorker &W,
                            const FakeWorker::Run &Run) const {
+  // A member that has not finished decides for its gang.
+  if (!isFinished(W, Run))
+    return false;
   if (!GangSizes.contains(Run.Task.Job))
-    return isFinished(W, Run);
-  for (const auto &[Id, On] : Workers)
-    for (const auto &Member : On.Runs)
-      if (Member.Task.Job == Run.Task.Job && Member.Number == Run.Number &&
-          !isFinished(On, Member))
+    return true;
+  for (const FakeWorker *On : workersOf(Run.Task.Job))
+    for (const auto &Member : On->Runs)
+      if (Member.Number == Run.Number && Member.Task.Job == Run.Task.Job &&
+          !isFinished(*On, Member))
         return false;
   return true;
 }
@@ -299,11 +310,11 @@
     else if (W.FailsEveryRun || W.FailRunsAtMs == Clock)
       endRun(W, N, EndReason::Failed);
     else if (R.GangFinished || isUnitFinished(W, R)) {
-      for (auto &[Id, On] : Workers)
-        for (auto &Member : On.Runs)
-          Member.GangFinished |= GangSizes.contains(R.Task.Job) &&
-                                 Member.Task.Job == R.Task.Job &&
-                                 Member.Number == R.Number;
+      if (GangSizes.contains(R.Task.Job))
+        for (FakeWorker *On : workersOf(R.Task.Job))
+          for (auto &Member : On->Runs)
+            Member.GangFinished |=
+                Member.Task.Job == R.Task.Job && Member.Number == R.Number;
       endRun(W, N, EndReason::Done);
     }
   }
@@ -356,8 +367,8 @@
     R.Verdict = WorkerVerdict::NoRoom;
     return R;
   }
-  for (const auto &[Id, Other] : Workers)
-    for (const auto &Run : Other.Runs)
+  for (const FakeWorker *Other : workersOf(A.Task.Job))
+    for (const auto &Run : Other->Runs)
       RunsOverlapped |= Run.Task == A.Task;
   StartedAfterAcknowledgedEnd |= AcknowledgedTasks.contains(A.Task);
   W.Disconnected = W.Disconnected || W.DisconnectAfterStart;
@@ -365,6 +376,7 @@
   if (CrashesUnder.contains(A.Task) && CrashesUnder[A.Task] >= 3)
     ++StartsAfterThreeCrashes[A.Task];
   StartedAtMs[A.Task] = Clock;
+  WorkersByJob[A.Task.Job].insert(&W);
   W.Runs.push_back(
       {A.Task, A.Run, Clock, -1, W.SlowdownFactor * WorkMsByJob[A.Task.Job]});
   R.Verdict = WorkerVerdict::Ok;
@@ -378,9 +390,13 @@
 }
 
 FakeWorker *World::workerAt(const std::string &Address) {
+  auto [Known, New] = WorkerByAddress.try_emplace(Address);
+  FakeWorker *&At = Known->second;
+  if (At && At->Entry.Address == Address && !At->Replaced)
+    return At;
   for (auto &[Id, W] : Workers)
     if (W.Entry.Address == Address && !W.Replaced)
-      return &W;
+      return At = &W;
   return nullptr;
 }
 
@@ -594,7 +610,8 @@
   while (Clock < Until) {
     ++Clock;
     while (!Events.empty() && Events.top().AtMs <= Clock) {
-      auto Callback = Events.top().Callback;
+      // The callback does not affect the order.
+      auto Callback = std::move(const_cast<Event &>(Events.top()).Callback);
       Events.pop();
       Callback();
     }
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -203,6 +203,8 @@
   std::int64_t drawCallDelay();
   /// Ends the runs whose end is due.
   void updateRuns(FakeWorker &W);
+  /// All workers that have ever begun a run of the job.
+  const std::set<FakeWorker *> &workersOf(const std::string &Job) const;
   /// Whether the run belongs to a job in GangSizes of which not all members
   /// run.
   bool isGangIncomplete(const FakeWorker::Run &Run) const;
@@ -238,6 +240,9 @@
   std::uint64_t NextOrder = 0;
   std::int64_t AppendsBusyUntil = 0;
   std::map<std::string, std::int64_t> WorkMsByJob;
+  std::map<std::string, std::set<FakeWorker *>> WorkersByJob;
+  /// Where the latest call to the address arrived.
+  std::map<std::string, FakeWorker *> WorkerByAddress;
   std::set<TaskName> AcknowledgedTasks;
   std::map<TaskName, std::int64_t> StartedAtMs;
   std::map<std::string, std::int64_t> TicketIssuedMs;
