Wait for the outcome of an expired lease before a task's last start

After the third crash, start 4 was stopped for urgent work, start 5 crashed its worker, and start 6 was sent when the lease had expired, 3 ms before the fourth crash was known and the job was given up.

Change: a task that would be given up at its next crash is not placed while it is not known whether the worker of its latest expired lease has crashed.

IsNotStartedWhileItsLastCrashMayStillShow fails without the change with 3 starts after the third crash. cluster_test passes.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -428,6 +428,10 @@
   /// Handles the recorded runs that an earlier incarnation of the worker had,
   /// when the worker answers this owner for the first time.
   void findRunsOfEarlierIncarnation(Session &S, const WorkerReply &Reply);
+  /// Whether the task is to be given up if a worker on which its lease expired
+  /// turns out to have crashed.
+  bool mayHaveCrashedTooOften(const TaskName &Task,
+                              const workload::TaskProgress &T) const;
   void checkSuspendedUnits();
 
   // OwnerAdvice.cpp: queues for which an advisor chooses the workers.
--- a/packages/cluster/lib/OwnerCrashes.cpp
+++ b/packages/cluster/lib/OwnerCrashes.cpp
@@ -176,6 +176,16 @@
   recordCrash(S, Earlier);
 }
 
+bool Owner::mayHaveCrashedTooOften(const TaskName &Task,
+                                   const TaskProgress &T) const {
+  if (!T.Lapsed.Run || dispatch::judgeCrash(T.Crashes + 1, false) !=
+                           dispatch::CrashVerdict::GiveUp)
+    return false;
+  auto On = Sessions.find(T.Lapsed.Worker);
+  return On != Sessions.end() &&
+         On->second.LapsedRuns.contains({Task, T.Lapsed.Run});
+}
+
 void Owner::checkSuspendedUnits() {
   MonoTime T = Shared.mono();
   std::vector<UnitId> GivenUp;
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -170,6 +170,8 @@
             continue;
           if (!Suspended.empty() && Suspended.contains(unitOf(J, {K, S, N})))
             continue;
+          if (!New && mayHaveCrashedTooOften({Id, {K, S, N}}, It->second))
+            continue;
           FreeEntriesAfter -= New;
           if (!New && It->second.Crashes && !Step.Gang) {
             Suspects.push_back(N);
--- a/packages/cluster/tests/CrashingTaskTest.cpp
+++ b/packages/cluster/tests/CrashingTaskTest.cpp
@@ -213,6 +213,26 @@
   BOOST_TEST(Starts[Bad] <= MaxStartsOfCrashingTask);
 }
 
+// Guards against one more start before the fourth crash is known, if a start in
+// between ended without a crash.
+BOOST_AUTO_TEST_CASE(IsNotStartedWhileItsLastCrashMayStillShow) {
+  RestartMs = 9'000;
+  TaskName Bad = crashes("bad");
+  BOOST_TEST(!submit(anyDaemon(), job("bad", 1, 1, 2'000)));
+  BOOST_REQUIRE(runUntil([&] { return Starts[Bad] == 4; }, 60'000));
+  BOOST_REQUIRE(CrashesUnder[Bad] == 3u);
+  CrashingTasks.erase(Bad);
+  for (auto &[Id, W] : Workers)
+    if (!W.Runs.empty())
+      W.FailRunsAtMs = Clock + 20;
+  run(30);
+  CrashingTasks.insert(Bad);
+  BOOST_TEST(
+      runUntil([&] { return allShow("bad", JobState::Failed); }, 60'000));
+  BOOST_TEST(CrashesUnder[Bad] == 4u);
+  BOOST_TEST(StartsAfterThreeCrashes[Bad] < 3);
+}
+
 // Guards against gangs that crash the workers of one member after the other.
 BOOST_AUTO_TEST_CASE(IsGivenUpWithItsGang) {
   TaskName Bad = crashes("gang", 2);
