Count 700 bytes for a call to a worker

Cause: callLimits() assumed 1,500 bytes a call, 416 calls a second on a link of 10 Mbit/s.

Change: 700 bytes a call.

--- a/packages/cluster/lib/CallLimits.cpp
+++ b/packages/cluster/lib/CallLimits.cpp
@@ -19,7 +19,7 @@
 static constexpr double MinPerSecond = 50;
 static constexpr double CpuSecondsPerCall = 100e-6;
 /// Larger of the two directions, with the connection's own packets.
-static constexpr double BytesPerCall = 1'500;
+static constexpr double BytesPerCall = 700;
 
 static double connectionDescriptors(std::size_t MaxDescriptors) {
   return static_cast<double>(MaxDescriptors -
