Let an end that is acknowledged after the lease lapsed not count in World

Cause: StartedAfterAcknowledgedEnd took any acknowledged end for one that is taken note of. An end does not count for the rule if the worker's lease lapsed between the end and its acknowledgement.

An end whose lease did not lapse is checked as before.

--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -129,7 +129,8 @@
   /// A worker that restarts gets another id at the same address.
   bool NewIdAfterCrash = false;
   bool RunsOverlapped = false; ///< A task ran twice at the same time.
-  /// A task was started after the acknowledgement of its successful end.
+  /// A task was started after the acknowledgement of its successful end by a
+  /// worker that had held its lease in between.
   bool StartedAfterAcknowledgedEnd = false;
   /// A task was started after its successful end, and that end was acknowledged
   /// later although the worker had held its lease in between.
