--- a/packages/cluster/lib/CallBudget.h
+++ b/packages/cluster/lib/CallBudget.h
@@ -3,7 +3,7 @@
 
 #include "heathersaddle/base/Time.h"
 #include "heathersaddle/cluster/CallLimits.h"
-#include <compare>
+#include <tuple>
 
 namespace heathersaddle::cluster {
 
@@ -48,7 +48,10 @@
   Need For = Need::Other;
   unsigned UnconfirmedMembers = 0; ///< Of the gang.
   base::MonoTime DueAt{};
-  auto operator<=>(const OrderUrgency &) const = default;
+  bool operator<(const OrderUrgency &O) const {
+    return std::tie(For, UnconfirmedMembers, DueAt) <
+           std::tie(O.For, O.UnconfirmedMembers, O.DueAt);
+  }
 };
 
 } // namespace heathersaddle::cluster
