Pause after a connection could not be accepted

Cause: HttpServer tried again at once if accept() failed. Without a free descriptor that is a busy loop on the only thread of the daemon, which nothing told: a limit that takes away the service when it is reached.

--- a/packages/net/include/heathersaddle/net/HttpServer.h
+++ b/packages/net/include/heathersaddle/net/HttpServer.h
@@ -57,6 +57,9 @@
   std::size_t connections() const;
   /// Connections that got 503 since MaxConnections were open.
   std::uint64_t rejectedConnections() const;
+  /// Attempts to accept a connection that failed, as the process had no free
+  /// descriptor or the connection was reset.
+  std::uint64_t acceptFailures() const;
 
 private:
   std::shared_ptr<ServerCore> Core;
--- a/packages/net/lib/HttpServer.cpp
+++ b/packages/net/lib/HttpServer.cpp
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -33,6 +34,9 @@
 /// closed.
 static constexpr std::size_t MaxLingerBytes = 1024UL * 1024;
 static constexpr std::size_t ReadChunkBytes = 4096;
+/// Pause after a connection could not be accepted. If the process has no free
+/// descriptor, the next attempt would fail at once.
+static constexpr std::chrono::milliseconds AcceptRetryDelay{100};
 
 namespace {
 class Session;
@@ -40,7 +44,8 @@
 
 struct ServerCore : std::enable_shared_from_this<ServerCore> {
   ServerCore(asio::io_context &Context, ServerLimits Limits, Handler OnRequest)
-      : Context(Context), Acceptor(asio::make_strand(Context)), Limits(Limits),
+      : Context(Context), Acceptor(asio::make_strand(Context)),
+        AcceptTimer(Acceptor.get_executor()), Limits(Limits),
         OnRequest(std::move(OnRequest)) {}
 
   void accept();
@@ -53,11 +58,13 @@
 
   asio::io_context &Context;
   tcp::acceptor Acceptor;
+  asio::steady_timer AcceptTimer;
   ServerLimits Limits;
   Handler OnRequest;
   std::atomic<std::uint64_t> BytesReceived{0};
   std::atomic<std::uint64_t> BytesSent{0};
   std::atomic<std::uint64_t> RejectedConnections{0};
+  std::atomic<std::uint64_t> AcceptFailures{0};
   std::atomic<bool> Draining{false};
 
   std::mutex Mutex; ///< Guards the members below.
@@ -325,9 +332,16 @@
       [Self = shared_from_this()](error_code Ec, tcp::socket Socket) {
         if (!Self->Acceptor.is_open())
           return;
-        if (!Ec)
+        if (!Ec) {
           Self->admit(std::move(Socket));
-        Self->accept();
+          return Self->accept();
+        }
+        ++Self->AcceptFailures;
+        Self->AcceptTimer.expires_after(AcceptRetryDelay);
+        Self->AcceptTimer.async_wait([Self](error_code) {
+          if (Self->Acceptor.is_open())
+            Self->accept();
+        });
       });
 }
 
@@ -444,6 +458,9 @@
 std::uint64_t HttpServer::rejectedConnections() const {
   return Core->RejectedConnections;
 }
+std::uint64_t HttpServer::acceptFailures() const {
+  return Core->AcceptFailures;
+}
 std::size_t HttpServer::connections() const {
   std::lock_guard Lock(Core->Mutex);
   return Core->Sessions.size();
--- a/packages/net/tests/Raw.h
+++ b/packages/net/tests/Raw.h
@@ -21,11 +21,14 @@
   RawSocket(const RawSocket &) = delete;
   RawSocket &operator=(const RawSocket &) = delete;
 
-  static RawSocket connected(std::uint16_t Port) {
-    RawSocket R;
+  void connectTo(std::uint16_t Port) const {
     sockaddr_in A = address(Port);
-    if (connect(R.Fd, reinterpret_cast<sockaddr *>(&A), sizeof A))
+    if (connect(Fd, reinterpret_cast<sockaddr *>(&A), sizeof A))
       throw std::runtime_error("connect");
+  }
+  static RawSocket connected(std::uint16_t Port) {
+    RawSocket R;
+    R.connectTo(Port);
     return RawSocket(std::exchange(R.Fd, -1));
   }
   /// Binds a free port without listening, so that connections are refused.
--- a/packages/net/tests/ServerTest.cpp
+++ b/packages/net/tests/ServerTest.cpp
@@ -5,8 +5,12 @@
 #include "heathersaddle/net/HttpServer.h"
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <fcntl.h>
 #include <future>
 #include <optional>
+#include <sys/resource.h>
+#include <vector>
 
 using namespace heathersaddle::net;
 using test::RawSocket;
@@ -110,6 +114,41 @@
   BOOST_TEST(S.Server.rejectedConnections() == 1u);
 }
 
+// Guards against a daemon that uses its processor up on attempts to accept a
+// connection while it has no free descriptor.
+BOOST_AUTO_TEST_CASE(WaitsForAFreeDescriptorWithoutABusyLoop) {
+  ServerFixture S;
+  RawSocket Kept = RawSocket::connected(S.Port);
+  Kept.send(getRequest("/kept", false));
+  BOOST_TEST(hasStatus(Kept.readUntil("/kept"), "200"));
+  rlimit Usual{};
+  BOOST_REQUIRE(getrlimit(RLIMIT_NOFILE, &Usual) == 0);
+  // The descriptors below the limit are all in use.
+  RawSocket Waiting;
+  std::vector<int> Used;
+  rlimit Low = Usual;
+  Low.rlim_cur = 256;
+  BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &Low) == 0);
+  for (int Fd; (Fd = open("/dev/null", O_RDONLY | O_CLOEXEC)) >= 0;)
+    Used.push_back(Fd);
+  Waiting.connectTo(S.Port);
+  Waiting.send(getRequest("/waiting"));
+  // Each request takes far longer than an attempt to accept a connection.
+  auto Until = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+  while (S.Server.acceptFailures() < 3 &&
+         std::chrono::steady_clock::now() < Until) {
+    Kept.send(getRequest("/kept", false));
+    BOOST_TEST(hasStatus(Kept.readUntil("/kept"), "200"));
+  }
+  std::uint64_t Failures = S.Server.acceptFailures();
+  for (int Fd : Used)
+    close(Fd);
+  BOOST_REQUIRE(setrlimit(RLIMIT_NOFILE, &Usual) == 0);
+  BOOST_TEST(Failures >= 1u);
+  BOOST_TEST(Failures <= 20u);
+  BOOST_TEST(Waiting.readAll().ends_with("/waiting"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Exchanges)
