Name the memory of the loss estimates and remove a single-use constant

Cause: read-through of the change: two bare numbers, a constant for one use, and a test that polls with a sleep.

Change: names; the literal is back; the test yields until its deadline.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -36,9 +36,10 @@
 /// start still arrives in time.
 inline constexpr Millis TicketMargin{500};
 
-/// Why a run is stopped whose room waiting work needs.
-inline constexpr std::string_view RoomNeededReason =
-    "urgent work needs its resources";
+/// How many calls the estimates of the share of lost calls remember: to one
+/// worker, and to all.
+inline constexpr double WorkerLossMemory = 24;
+inline constexpr double PoolLossMemory = 512;
 
 using dispatch::UnitId;
 using workload::Job;
@@ -158,7 +159,7 @@
   MonoTime HeldLeaseEndsAt{};
   unsigned CallsInFlight = 0; ///< Starts, stops and copies of syncs.
   CopyPacing Pacing;
-  LossEstimate Losses{24};
+  LossEstimate Losses{WorkerLossMemory};
   unsigned LossesSinceAnswer = 0;
   /// When the first call was sent, or its answer was due, that followed the
   /// latest answer; 0: there is none.
@@ -507,8 +508,8 @@
   bool Stopping = false;
   bool Deposed = false;
   CallBudget Budget;
-  LossEstimate Losses{512}; ///< Of calls to all workers that answer.
-  bool CallsDue = false;    ///< A call to start or stop a run is due now.
+  LossEstimate Losses{PoolLossMemory}; ///< Of workers that answer.
+  bool CallsDue = false; ///< A call to start or stop a run is due now.
   MonoTime CallsCheckedAt{};
   unsigned OrdersHeldBack = 0; ///< Since the last report.
   unsigned SyncCopiesHeldBack = 0;
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -441,7 +441,7 @@
                      {"waited_ms", Shared.wall() - W.Work->DueMs},
                      {"reason", dispatch::name(W.Reason)}});
   for (const UnitId &Unit : Plan.Stops)
-    stopUnit(Unit, RoomNeededReason);
+    stopUnit(Unit, "urgent work needs its resources");
 }
 
 void Owner::publishLoad(workload::Ownership &O) const {
--- a/packages/net/tests/ClientTest.cpp
+++ b/packages/net/tests/ClientTest.cpp
@@ -189,9 +189,13 @@
     Port = Server.listen("127.0.0.1", 0).value();
   }
   bool reaches(std::size_t Connections) const {
-    for (int N = 0; N < 1'000 && Server.connections() != Connections; ++N)
-      std::this_thread::sleep_for(std::chrono::milliseconds(5));
-    return Server.connections() == Connections;
+    auto Until = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+    while (Server.connections() != Connections)
+      if (std::chrono::steady_clock::now() >= Until)
+        return false;
+      else
+        std::this_thread::yield();
+    return true;
   }
 
   std::promise<Respond> HeldReply;
