Let random crashing tasks crash before their work ends

Change: the draws are made one by one, and the work of a task that crashes its workers lasts longer than its delay until the crash. The checks are as strict as before: each such job has to fail.

--- a/packages/cluster/tests/CrashingTaskTest.cpp
+++ b/packages/cluster/tests/CrashingTaskTest.cpp
@@ -61,12 +61,21 @@
     for (unsigned N = 0; N < 10; ++N) {
       std::string Id = std::to_string(N);
       auto Tasks = static_cast<unsigned>(1 + Below(4));
-      auto J = D.job(Id, Tasks, 1 + Below(8), 1'000 + Below(4'000));
-      J.Steps[0].Gang = Tasks > 1 && !Below(3);
+      // Drawn one by one: compilers evaluate arguments in different orders.
+      std::int64_t Gpus = 1 + Below(8);
+      std::int64_t WorkMs = 1'000 + Below(4'000);
+      bool IsGang = Tasks > 1 && !Below(3);
+      auto Priority = static_cast<unsigned>(Below(3));
+      bool IsBad = Below(3) == 0;
+      // A task that ended before it crashed its worker would be done.
+      if (IsBad)
+        WorkMs += D.CrashDelayMs;
+      auto J = D.job(Id, Tasks, Gpus, WorkMs);
+      J.Steps[0].Gang = IsGang;
       if (J.Steps[0].Gang)
         D.GangSizes[Id] = Tasks;
-      J.Priority = static_cast<unsigned>(Below(3));
-      if (Below(3) == 0) {
+      J.Priority = Priority;
+      if (IsBad) {
         D.crashes(Id, static_cast<unsigned>(Below(Tasks)));
         Bad.insert(Id);
       }
