Start no work in a data centre that the operator has drained

Workers of a drained data centre get no placements, no starts and no advice. Nothing is planned before the topic was read to its end once. Events 446 to 449. The simulation of the tests compacts the operator's topic.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -81,6 +81,10 @@
     {443, "orders_paused", Warning},
     {444, "orders_resumed", Info},
     {445, "calls_held_back", Warning},
+    {446, "drain_requested", Info},
+    {447, "drain_withdrawn", Info},
+    {448, "starts_wait_for_operator", Warning},
+    {449, "drain_begun", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -31,6 +31,9 @@
   base::Millis StatusRetention{120'000};
   /// Longest time that a worker takes to stop a run.
   base::Millis MaxStopTime{1'000};
+  /// From this time after a request to drain a data centre was stored on, no
+  /// work may be started there.
+  base::Millis DrainNotice{5'000};
   /// All members of a gang must have started within this time.
   base::Millis GangAssembly{3'000};
   /// Size limits, in bytes, of one record and of all records of one append.
@@ -138,6 +141,8 @@
 
   /// The current configuration; null until one has been read.
   std::shared_ptr<const Configuration> configuration() const;
+  /// Number of data centres in which the operator wants no work started.
+  std::size_t drainedDataCentres() const;
   /// Whether this daemon's state is recent enough to serve callers.
   bool ready() const;
   bool isOwner() const;
--- a/packages/cluster/include/heathersaddle/cluster/Ports.h
+++ b/packages/cluster/include/heathersaddle/cluster/Ports.h
@@ -73,10 +73,16 @@
   bool Unreadable = false;
 };
 
-/// A change to the operator's topic; null if it does not concern the
-/// configuration.
+/// The operator's request to start no work in a data centre, or its withdrawal.
+struct DrainChange {
+  std::string DataCentre;
+  bool Requested = false;
+};
+
+/// A change to the operator's topic; both are empty if it concerns neither.
 struct OperatorChange {
-  std::shared_ptr<const Configuration> Config;
+  std::shared_ptr<const Configuration> Config{};
+  std::optional<DrainChange> Drain{};
 };
 
 /// Records from an offset onwards.
--- a/packages/cluster/lib/Core.h
+++ b/packages/cluster/lib/Core.h
@@ -1,6 +1,7 @@
 #ifndef HEATHERSADDLE_CLUSTER_CORE_H
 #define HEATHERSADDLE_CLUSTER_CORE_H
 
+#include "DrainedDataCentres.h"
 #include "heathersaddle/cluster/Node.h"
 #include <random>
 
@@ -30,6 +31,11 @@
   std::vector<Action> Actions;
   workload::Ledger Ledger;
   std::shared_ptr<const Configuration> Config;
+  DrainedDataCentres Drained;
+  /// Whether the operator's topic has been read to its end since the process
+  /// started, and the age of what is known of it.
+  bool OperatorTopicRead = false;
+  Millis OperatorTopicAge{};
   NodeStats Stats;
 
   /// Duration of the latest successful append.
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -34,9 +34,14 @@
   ControlTopic.OnEntry = [this](KeyValue &&R) {
     onControlRecord(std::move(R));
   };
+  OperatorTopic.OnReset = [this] { Shared.Drained.beginPages(); };
   OperatorTopic.OnEntry = [this](OperatorChange &&Change) {
     onOperatorChange(std::move(Change));
   };
+  OperatorTopic.OnComplete = [this] {
+    for (const std::string &DataCentre : Shared.Drained.endPages())
+      onDrainChanged({DataCentre, false});
+  };
 }
 
 void Node::Impl::onControlRecord(KeyValue &&Record) {
@@ -58,7 +63,18 @@
     ActiveOwner->jobChanged(std::string_view(Record.Key).substr(2));
 }
 
+void Node::Impl::onDrainChanged(const DrainChange &Change) {
+  Shared.count(Change.Requested ? "drains_requested" : "drains_withdrawn");
+  Shared.log(Change.Requested ? 446 : 447, {{"data_centre", Change.DataCentre},
+                                            {"drained", Shared.Drained.size()},
+                                            {"owner", ActiveOwner != nullptr}});
+  if (ActiveOwner)
+    ActiveOwner->drainChanged(Change);
+}
+
 void Node::Impl::onOperatorChange(OperatorChange &&Change) {
+  if (Change.Drain && Shared.Drained.apply(*Change.Drain))
+    onDrainChanged(*Change.Drain);
   if (!Change.Config)
     return;
   // A running process never replaces a configuration by an older version.
@@ -86,6 +102,8 @@
 void Node::Impl::tick() {
   ControlTopic.tick();
   OperatorTopic.tick();
+  Shared.OperatorTopicRead |= OperatorTopic.caughtUp();
+  Shared.OperatorTopicAge = OperatorTopic.age();
   updateStoreState();
   resolveCancels();
   elect();
@@ -117,6 +135,9 @@
          Pimpl->ControlTopic.fresh(MaxServedStateAge) &&
          Pimpl->OperatorTopic.fresh(MaxServedStateAge);
 }
+std::size_t Node::drainedDataCentres() const {
+  return Pimpl->Shared.Drained.size();
+}
 bool Node::isOwner() const { return Pimpl->ActiveOwner != nullptr; }
 void Node::submit(workload::JobSpec Spec,
                   std::function<void(std::optional<Refusal>)> Done,
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -15,6 +15,8 @@
   void tick();
   void onControlRecord(KeyValue &&Record);
   void onOperatorChange(OperatorChange &&Change);
+  /// The set of drained data centres has changed.
+  void onDrainChanged(const DrainChange &Change);
   void updateStoreState();
 
   // Election.cpp: election of the owner.
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -232,6 +232,8 @@
   void tick();
   /// Called after a record that a caller wrote about this job was read.
   void jobChanged(std::string_view Job);
+  /// Called after the set of drained data centres has changed.
+  void drainChanged(const DrainChange &Change);
   /// Stores a submission together with the owner's own records.
   void store(Submission S) { RecordWriter.add(std::move(S)); }
   AppendState appendState() const { return RecordWriter.appendState(); }
@@ -394,6 +396,14 @@
   /// sent, but may still arrive.
   void barInThisIncarnation(Session &S, const RunId &Id);
 
+  // OwnerDrains.cpp: data centres that the operator wants drained.
+  bool isDrained(const Session &S) const;
+  /// Why the worker must not get a start because of its data centre; empty if
+  /// it may.
+  std::string_view drainFault(const Session &S) const;
+  /// Whether starts have to wait until more is known of the requests.
+  bool startsWaitForDrains(const Session &S);
+
   // OwnerRuns.cpp: the stages and ends of runs.
   /// The worker has confirmed the run.
   void onConfirmed(RunState &R, const RunId &Id);
@@ -514,6 +524,7 @@
   unsigned OrdersHeldBack = 0; ///< Since the last report.
   unsigned SyncCopiesHeldBack = 0;
   MonoTime HeldCallsReportedAt{};
+  MonoTime HeldStartsReportedAt{}; ///< Of starts that wait for drains.
   MonoTime RunsCheckedAt{};
   MonoTime MajorityAnsweredAt{}; ///< Last time that most workers answered.
   MonoTime PlannedAt{};
--- a/packages/cluster/lib/OwnerAdvice.cpp
+++ b/packages/cluster/lib/OwnerAdvice.cpp
@@ -49,8 +49,8 @@
   for (const auto &[Id, Worker] : Sessions) {
     const auto &Labels = Worker.Entry.Labels;
     if (!Worker.Listed || !Worker.Described || !Worker.Synced ||
-        Worker.Entry.Draining || Worker.Entry.Service != J.Spec.Service ||
-        A.AskedWorkers.contains(Id) ||
+        Worker.Entry.Draining || isDrained(Worker) ||
+        Worker.Entry.Service != J.Spec.Service || A.AskedWorkers.contains(Id) ||
         !S.room().fitsIn(Worker.Entry.Capacity) ||
         (!S.RequiredLabel.empty() &&
          std::find(Labels.begin(), Labels.end(), S.RequiredLabel) ==
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -121,6 +121,9 @@
 void Owner::schedule() {
   PlannedAt = Shared.mono();
   PlanNeeded = false;
+  // What is planned before could be placed in a drained data centre.
+  if (!Shared.OperatorTopicRead)
+    return;
   std::int64_t NowMs = Shared.wall();
   auto Queue = buildQueue(NowMs);
   PlanDuration = {};
@@ -302,7 +305,8 @@
     W.Capacity = S.Entry.Capacity;
     W.Free = S.Entry.Capacity;
     W.Usable = S.Listed && S.Described && S.Synced && S.ClockMs >= 0 &&
-               isHeardOf(S) && !S.Entry.Draining && !S.Entry.Address.empty();
+               isHeardOf(S) && !S.Entry.Draining && drainFault(S).empty() &&
+               !S.Entry.Address.empty();
     W.Avoided = T < S.AvoidUntil;
     if (S.Slowness.isSlow(T))
       W.Condition = dispatch::WorkerCondition::Slow;
@@ -448,7 +452,8 @@
   std::int64_t Workers = 0;
   workload::Resources Sum;
   for (const auto &[Id, S] : Sessions)
-    if (S.Listed && S.Described && S.Synced && !S.Entry.Draining) {
+    if (S.Listed && S.Described && S.Synced && !S.Entry.Draining &&
+        !isDrained(S)) {
       ++Workers;
       Sum += S.Entry.Capacity;
     }
--- a/packages/cluster/lib/Tail.h
+++ b/packages/cluster/lib/Tail.h
@@ -66,6 +66,11 @@
   std::uint64_t next() const { return From; }
   /// Whether everything appended before \p Time has been read.
   bool covers(MonoTime Time) const { return CaughtUp && EndReadSentAt > Time; }
+  /// Whether the topic was read to its end after the pages.
+  bool caughtUp() const { return CaughtUp; }
+  /// All records that were stored this long ago have been read; meaningful once
+  /// caught up.
+  Millis age() const { return Shared.mono() - EndReadSentAt; }
   /// Whether the topic was read to its end within \p Age.
   bool fresh(Millis Age) const {
     return CaughtUp && Shared.mono() - EndReadAt <= Age;
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -28,12 +28,13 @@
 }
 
 FakeWorker &World::addWorker(const std::string &Id, const std::string &Rack,
-                             std::int64_t Gpus) {
+                             std::int64_t Gpus, const std::string &DataCentre) {
   FakeWorker &W = Workers[Id];
   W = {};
   W.Entry.Id = Id;
   W.Entry.Address = Id + ":1";
   W.Entry.Service = "service";
+  W.Entry.DataCentre = DataCentre;
   W.Entry.Rack = Rack;
   W.Entry.Labels = {"a", Rack};
   W.Entry.Capacity = {64'000, 256'000, Gpus};
@@ -208,8 +209,13 @@
                         const std::vector<Entry> &Changes, std::int64_t Until) {
   if (!Daemons.contains(Daemon) || DaemonsWithoutStore.contains(Daemon))
     return;
-  if (A.From < Changes.size() || Clock >= Until) {
-    Batch<Entry> B;
+  Batch<Entry> B;
+  if constexpr (std::is_same_v<Entry, OperatorChange>) {
+    if (DaemonsWithoutOperatorTopic.contains(Daemon))
+      return;
+    B.Trimmed = A.From < OperatorOldestOffset;
+  }
+  if (B.Trimmed || A.From < Changes.size() || Clock >= Until) {
     B.Next = B.End = Changes.size();
     B.Entries.assign(Changes.begin() + static_cast<std::ptrdiff_t>(A.From),
                      Changes.end());
@@ -220,6 +226,22 @@
   });
 }
 
+Page<OperatorChange> World::newestOperatorRecords() const {
+  Page<OperatorChange> P;
+  std::map<std::string, DrainChange> Drains;
+  for (const OperatorChange &C : OperatorTopic) {
+    if (C.Config)
+      P.Entries = {C};
+    if (C.Drain)
+      Drains[C.Drain->DataCentre] = *C.Drain;
+  }
+  for (const auto &[DataCentre, Drain] : Drains)
+    if (Drain.Requested)
+      P.Entries.push_back({nullptr, Drain});
+  P.End = OperatorTopic.size();
+  return P;
+}
+
 /// Returns a callback that completes a call without an answer with \p R.
 template <class Done, class Result>
 static std::function<void()> makeFailure(Done D, Result R) {
@@ -373,6 +395,7 @@
   StartedAfterAcknowledgedEnd |= AcknowledgedTasks.contains(A.Task);
   W.Disconnected = W.Disconnected || W.DisconnectAfterStart;
   ++Starts[A.Task];
+  ++StartsOn[W.Entry.Id];
   if (CrashesUnder.contains(A.Task) && CrashesUnder[A.Task] >= 3)
     ++StartsAfterThreeCrashes[A.Task];
   StartedAtMs[A.Task] = Clock;
@@ -554,10 +577,8 @@
             reply(Daemon, [Copy, P] { Copy.Done(P); });
           } else if constexpr (std::is_same_v<
                                    T, ReadNewestAction<OperatorChange>>) {
-            Page<OperatorChange> P;
-            P.Entries.push_back(OperatorTopic.back());
-            P.End = OperatorTopic.size();
-            reply(Daemon, [Copy, P] { Copy.Done(P); });
+            reply(Daemon,
+                  [Copy, P = newestOperatorRecords()] { Copy.Done(P); });
           } else if constexpr (std::is_same_v<T, AdviceAction>) {
             std::map<std::string, std::string> Tickets;
             for (const std::string &Worker : Copy.Workers)
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -85,7 +85,8 @@
   /// Adds a worker and its registry entry; under an existing id, a new
   /// incarnation of that worker.
   FakeWorker &addWorker(const std::string &Id, const std::string &Rack,
-                        std::int64_t Gpus = 8);
+                        std::int64_t Gpus = 8,
+                        const std::string &DataCentre = "dc1");
   /// Restarts the worker as a new incarnation under the same id, whose clock
   /// begins at zero; the registry still lists the former one.
   void restartWithoutRegistryChange(const std::string &Worker);
@@ -114,8 +115,9 @@
   /// Jobs whose runs make progress only while all members run, and end
   /// together, with the number of members.
   std::map<std::string, unsigned> GangSizes;
-  /// How often a run of each task was started.
+  /// How often a run of each task was started, and of any task on each worker.
   std::map<TaskName, unsigned> Starts;
+  std::map<std::string, unsigned> StartsOn;
   /// Starts that a worker refused because its resources were in use.
   unsigned StartsRefusedForRoom = 0;
   /// Tasks that crash each worker that starts them, after CrashDelayMs.
@@ -147,6 +149,9 @@
   FakeTopic ControlTopic;
   std::vector<RegistryChange> Registry;
   std::vector<OperatorChange> OperatorTopic;
+  std::uint64_t OperatorOldestOffset = 0; ///< Earlier records are deleted.
+  /// Daemons whose reads of the operator's topic get lost, except for pages.
+  std::set<std::string> DaemonsWithoutOperatorTopic;
   /// Workers that the advisor allows.
   std::set<std::string> AllowedWorkers;
   /// Jobs whose starts need a ticket.
@@ -232,6 +237,8 @@
   template <class Entry>
   void pollChanges(const std::string &Daemon, const ReadAction<Entry> &A,
                    const std::vector<Entry> &Changes, std::int64_t Until);
+  /// All newest records of the operator's topic, without withdrawn requests.
+  Page<OperatorChange> newestOperatorRecords() const;
   /// Answers a sync once there are ends or the time is \p Until.
   void sync(const std::string &Daemon, const SyncAction &A, std::int64_t Until);
 
