Test that the planner uses nothing of workers that cannot be used

Cause: a drained data centre makes a third of the workers unusable at once, and no test showed that holds, reservations, racks for urgent work and the measure of free room leave such workers out.

--- a/packages/dispatch/tests/PlannerTest.cpp
+++ b/packages/dispatch/tests/PlannerTest.cpp
@@ -361,6 +361,78 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A worker becomes unusable when its data centre is drained.
+BOOST_AUTO_TEST_SUITE(WhenWorkersBecomeUnusable)
+
+// Guards against an urgent unit that is placed on a worker held for it, once
+// its data centre is drained, and against a hold that stays there.
+BOOST_AUTO_TEST_CASE(TheirHoldsEnd) {
+  addRack("r1", 1);
+  addRack("r2", 1);
+  occupy(0, "x", 8);
+  occupy(1, "y", 8);
+  CurrentFleet.Workers[1].Allocations[0].LostIfStoppedMs = 9'000;
+  wait(addJob("a", 0, 1, 8, true));
+  auto First = plan();
+  BOOST_REQUIRE(First.Stops.size() == 1u);
+  BOOST_TEST(First.Stops.begin()->Job == "x");
+  Worker &Held = CurrentFleet.Workers[0];
+  Held.Usable = false;
+  Held.Allocations.clear();
+  Held.Free = Held.Capacity;
+  auto Next = plan();
+  BOOST_TEST(Next.Placements.empty());
+  BOOST_REQUIRE(Next.Stops.size() == 1u);
+  BOOST_TEST(Next.Stops.begin()->Job == "y");
+}
+
+// Guards against a gang that waits for a reserved rack in a drained data centre
+// although one elsewhere becomes free later.
+BOOST_AUTO_TEST_CASE(NothingIsReservedOnThem) {
+  addRack("r1", 1);
+  addRack("r2", 1);
+  occupy(0, "soon", 8);
+  occupy(1, "later", 8);
+  CurrentFleet.Workers[0].Usable = false;
+  CurrentFleet.Workers[1].Allocations[0].EndEstimateMs = NowMs + 9'000;
+  wait(addJob("gang", 1, 1, 8, true));
+  // The reservation keeps long work off the worker on which the gang fits.
+  CurrentFleet.Workers[1].Free.Gpus = 1;
+  auto &Long = addJob("long", 2, 1, 1, false);
+  Long.Spec.Steps[0].EstimateMs = 15'000;
+  wait(Long);
+  BOOST_TEST(plan().Placements.empty());
+}
+
+// Guards against racks kept for urgent work in a drained data centre, where
+// they are of no use to it.
+BOOST_AUTO_TEST_CASE(TheirRacksAreNotKeptForUrgentWork) {
+  for (const char *Rack : {"r1", "r2", "r3", "r4"})
+    addRack(Rack, 1);
+  CurrentFleet.Workers[0].Usable = false;
+  UrgentGpus = 6;
+  wait(addJob("1", 1, 3, 8, false));
+  auto Next = plan();
+  BOOST_REQUIRE(Next.Placements.size() == 1u);
+  // r2 is kept in the place of r1.
+  BOOST_TEST(Next.Placements[0].Workers.size() == 2u);
+}
+
+// Guards against a pool that counts as mostly free because of workers that
+// cannot be used.
+BOOST_AUTO_TEST_CASE(TheirRoomDoesNotCountAsFree) {
+  for (const char *Rack : {"r1", "r2", "r3", "r4"})
+    addRack(Rack, 1);
+  CurrentFleet.Workers[0].Usable = CurrentFleet.Workers[1].Usable = false;
+  occupy(3, "x", 8);
+  UrgentGpus = 8;
+  // r3 is kept; 8 of 16 usable GPUs are free, 24 of 32 with the others.
+  wait(addJob("1", 1, 1, 8, false)).DueMs -= 10'000;
+  BOOST_TEST(plan().Placements.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenUrgentGangsArriveAllDay)
 
 // Guards against urgent gangs that always have to stop other work first: with
