Test the failures while a data centre is drained

Change: cases for placements that are not stored, starts without an answer, gangs, held room, a change of the owner, a restart of all daemons, a topic that cannot be read or is read again, a withdrawal half-way and cold workers. A worker that only a record names gets no start while a data centre is drained; its starts are given up like others without an answer, so that the separate fault for them is not needed.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -41,6 +41,10 @@
 inline constexpr double WorkerLossMemory = 24;
 inline constexpr double PoolLossMemory = 512;
 
+/// Why a start on a worker that isDrained() is revoked.
+inline constexpr std::string_view DataCentreDrained =
+    "its data centre is drained";
+
 using dispatch::UnitId;
 using workload::Job;
 using workload::JobState;
@@ -398,9 +402,6 @@
 
   // OwnerDrains.cpp: data centres that the operator wants drained.
   bool isDrained(const Session &S) const;
-  /// Why the worker must not get a start because of its data centre; empty if
-  /// it may.
-  std::string_view drainFault(const Session &S) const;
   /// Whether starts have to wait until more is known of the requests.
   bool startsWaitForDrains(const Session &S);
 
--- a/packages/cluster/lib/OwnerDrains.cpp
+++ b/packages/cluster/lib/OwnerDrains.cpp
@@ -10,7 +10,6 @@
 
 namespace heathersaddle::cluster {
 
-static constexpr std::string_view DrainedReason = "its data centre is drained";
 /// The part of the notice that a call needs to arrive.
 static constexpr Millis StartDeliveryTime{1'000};
 /// What is known of the operator's topic is up to 2.2 s old while the store is
@@ -22,19 +21,12 @@
   return Shared.Drained.contains(S.Entry.DataCentre);
 }
 
-std::string_view Owner::drainFault(const Session &S) const {
-  if (isDrained(S))
-    return DrainedReason;
-  // A worker that only a record names. If the registry does not list it, its
-  // data centre cannot be learned.
-  if (S.Entry.DataCentre.empty() && !Shared.Drained.empty() &&
-      Registry.following())
-    return "its data centre is not known while one is drained";
-  return {};
-}
-
 /// Where no request has ever been read, starts are sent even if the operator's
 /// topic cannot be read: operators of such deployments may never drain any.
+///
+/// A worker that only a record names may be in a drained data centre until the
+/// registry lists it. If it never does, the starts are given up like others
+/// that have no answer.
 bool Owner::startsWaitForDrains(const Session &S) {
   Millis MaxAge = std::max(Shared.Settings.DrainNotice - StartDeliveryTime,
                            MinDrainStateAge);
@@ -76,12 +68,12 @@
       if (!Starts || !isCurrentRun(Run) || (R.MayHaveArrived && !S.Synced))
         continue;
       ++(R.MayHaveArrived ? Unconfirmed : Unsent);
-      R.StopReason = DrainedReason;
+      R.StopReason = DataCentreDrained;
       Units.push_back(unitOf(*Shared.Ledger.find(Run.Task.Job), Run.Task.Key));
     }
   }
   for (const UnitId &Unit : Units)
-    stopUnit(Unit, DrainedReason);
+    stopUnit(Unit, DataCentreDrained);
   Shared.count("placements_revoked", Unsent + Unconfirmed);
   Shared.log(449, {{"data_centre", Change.DataCentre},
                    {"unsent", Unsent},
--- a/packages/cluster/lib/OwnerOrders.cpp
+++ b/packages/cluster/lib/OwnerOrders.cpp
@@ -45,8 +45,8 @@
 std::string_view Owner::startFault(const Session &S, const RunState &R) const {
   if (S.Entry.Draining)
     return "the worker is draining";
-  if (auto Fault = drainFault(S); !Fault.empty())
-    return Fault;
+  if (isDrained(S))
+    return DataCentreDrained;
   // The worker may have begun the run.
   if (R.MayHaveArrived)
     return {};
@@ -85,7 +85,7 @@
     return stopRun(S, Id, "its job has ended");
   if (auto Fault = startFault(S, R); !Fault.empty()) {
     R.StopReason = Fault;
-    if (!drainFault(S).empty())
+    if (isDrained(S))
       Shared.count("placements_revoked");
     return R.MayHaveArrived ? stopUnit(unitOf(*J, Id.Task.Key), Fault)
                             : finishRun(Id, EndReason::Stopped, "", S);
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -305,7 +305,7 @@
     W.Capacity = S.Entry.Capacity;
     W.Free = S.Entry.Capacity;
     W.Usable = S.Listed && S.Described && S.Synced && S.ClockMs >= 0 &&
-               isHeardOf(S) && !S.Entry.Draining && drainFault(S).empty() &&
+               isHeardOf(S) && !S.Entry.Draining && !isDrained(S) &&
                !S.Entry.Address.empty();
     W.Avoided = T < S.AvoidUntil;
     if (S.Slowness.isSlow(T))
--- a/packages/cluster/tests/DrainTest.cpp
+++ b/packages/cluster/tests/DrainTest.cpp
@@ -105,4 +105,357 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(WorkThatIsAboutToStartThere)
+
+// Guards against placements that wait for a slow store and then start in a data
+// centre that was drained meanwhile.
+BOOST_AUTO_TEST_CASE(IsRevokedWhileItsPlacementIsBeingStored) {
+  AppendDurationMs = 700;
+  BOOST_TEST(!submit(anyDaemon(), job("1", 32, 1, 1'000)));
+  run(40);
+  BOOST_REQUIRE(Starts.empty());
+  drain("dc1");
+  run(200);
+  BOOST_REQUIRE(Starts.empty());
+  BOOST_TEST(counted(owner(), "placements_revoked") == 16u);
+  AppendDurationMs = 0;
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 8'000));
+  BOOST_TEST(startsIn("dc1") == 0u);
+  BOOST_TEST(startsIn("dc2") == 32u);
+}
+
+// Guards against a start that arrives late in a drained data centre, and
+// against further copies of it.
+BOOST_AUTO_TEST_CASE(IsBarredIfItsStartHadNoAnswer) {
+  for (const char *Id : {"w1", "w2"})
+    Workers[Id].StartDelayMs = 2'500;
+  BOOST_TEST(!submit(anyDaemon(), job("1", 32, 1, 9'000)));
+  run(100);
+  BOOST_REQUIRE(runsIn("dc2") == 16u);
+  drain("dc1");
+  BOOST_REQUIRE(runUntil(
+      [&] { return Daemons[owner()]->drainedDataCentres() == 1; }, 300));
+  auto Sent = counted(owner(), "starts");
+  run(5'000);
+  BOOST_TEST(counted(owner(), "starts") == Sent);
+  BOOST_TEST(startsIn("dc1") == 0u);
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 20'000));
+  BOOST_TEST(startsIn("dc1") == 0u);
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == 1u);
+}
+
+// Guards against a gang of which only the members outside start: they would
+// wait for the others until they time out.
+BOOST_AUTO_TEST_CASE(IsRevokedTogetherWithItsGang) {
+  AppendDurationMs = 700;
+  BOOST_TEST(!submit(anyDaemon(), gang("1", 3, 500)));
+  run(40);
+  drain("dc1");
+  run(60);
+  AppendDurationMs = 0;
+  run(4'000);
+  BOOST_TEST(Starts.empty());
+  drain("dc1", false);
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 3'000));
+}
+
+// Guards against room in a drained data centre that stays held for urgent work.
+BOOST_AUTO_TEST_CASE(DoesNotWaitForRoomThatIsHeldThere) {
+  for (auto &[Id, W] : Workers)
+    W.StopDurationMs = 150;
+  BOOST_TEST(!submit(anyDaemon(), job("1", 32, 1, 60'000)));
+  run(1'000);
+  BOOST_REQUIRE(runsIn("dc1") + runsIn("dc2") == 32u);
+  auto Urgent = job("2", 1, 8, 500);
+  Urgent.Priority = 0;
+  BOOST_TEST(!submit(anyDaemon(), Urgent));
+  auto IsStopping = [&](const std::string &Id) {
+    const auto &Runs = Workers[Id].Runs;
+    return std::any_of(Runs.begin(), Runs.end(),
+                       [](const auto &R) { return R.StopAtMs >= 0; });
+  };
+  std::string On;
+  BOOST_REQUIRE(runUntil(
+      [&] {
+        for (const char *Id : {"w1", "w2", "w3", "w4"})
+          if (IsStopping(Id))
+            On = Id;
+        return !On.empty();
+      },
+      500));
+  std::string Drained = Workers[On].Entry.DataCentre;
+  drain(Drained);
+  auto Before = startsIn(Drained);
+  BOOST_TEST(
+      runUntil([&] { return allShow("2", JobState::Completed); }, 2'500));
+  BOOST_TEST(startsIn(Drained) == Before);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheOwnerChanges)
+
+// Guards against a new owner that stops, or starts again elsewhere, what it
+// takes over in a drained data centre.
+BOOST_AUTO_TEST_CASE(RunsThatTheWorkersListGoOn) {
+  BOOST_TEST(!submit(anyDaemon(), job("1", 32, 1, 9'000)));
+  run(500);
+  drain("dc1");
+  run(5);
+  kill(owner());
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 14'000));
+  BOOST_TEST(Starts.size() == 32u);
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == 1u);
+}
+
+// Guards against the same if the owner reads the request before the first
+// lists of these workers.
+BOOST_AUTO_TEST_CASE(RunsThatTheWorkersListLaterGoOn) {
+  BOOST_TEST(!submit(anyDaemon(), job("1", 32, 1, 9'000)));
+  run(500);
+  for (const char *Id : {"w1", "w2"})
+    Workers[Id].AnswersLost = true;
+  kill(owner());
+  BOOST_REQUIRE(runUntil([this] { return !owner().empty(); }, 5'000));
+  run(100);
+  drain("dc1");
+  run(200);
+  for (const char *Id : {"w1", "w2"})
+    Workers[Id].AnswersLost = false;
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 14'000));
+  BOOST_TEST(Starts.size() == 32u);
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(Count == 1u);
+}
+
+// Guards against starts that a new owner sends again for placements that it
+// takes over from the records.
+BOOST_AUTO_TEST_CASE(PlacementsThatDidNotBeginAreGivenUp) {
+  UnreachableWorkers[owner()] = {"w1", "w2"};
+  BOOST_TEST(!submit(anyDaemon(), job("1", 32, 1, 2'000)));
+  run(500);
+  BOOST_REQUIRE(runsIn("dc1") == 0u);
+  BOOST_REQUIRE(runsIn("dc2") == 16u);
+  drain("dc1");
+  run(5);
+  kill(owner());
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 14'000));
+  BOOST_TEST(startsIn("dc1") == 0u);
+}
+
+// Guards against starts on a worker that only the records name: it may be in
+// the drained data centre.
+BOOST_AUTO_TEST_CASE(PlacementsOnUnlistedWorkersAreGivenUp) {
+  UnreachableWorkers[owner()] = {"w1", "w2"};
+  BOOST_TEST(!submit(anyDaemon(), job("1", 32, 1, 2'000)));
+  run(500);
+  for (const char *Id : {"w1", "w2"})
+    Registry.push_back({Id, std::nullopt});
+  drain("dc1");
+  run(5);
+  kill(owner());
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 14'000));
+  BOOST_TEST(startsIn("dc1") == 0u);
+}
+
+// Guards against a request that is forgotten when all daemons restart.
+BOOST_AUTO_TEST_CASE(TheRequestOutlastsARestartOfAllDaemons) {
+  drain("dc1");
+  run(300);
+  for (const char *Name : {"a", "b", "c"})
+    kill(Name);
+  run(100);
+  for (const char *Name : {"a", "b", "c"})
+    addDaemon(Name);
+  BOOST_REQUIRE(runUntil([this] { return !owner().empty(); }, 5'000));
+  run(1'000);
+  BOOST_TEST(!submit(anyDaemon(), job("1", 30, 1, 500)));
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 5'000));
+  BOOST_TEST(startsIn("dc1") == 0u);
+}
+
+// Guards against an owner that plans before it has read the operator's topic to
+// its end, after the pages.
+BOOST_AUTO_TEST_CASE(NothingStartsBeforeTheTopicIsRead) {
+  for (const char *Name : {"a", "b", "c"})
+    kill(Name);
+  run(100);
+  DaemonsWithoutOperatorTopic = {"d"};
+  addDaemon("d");
+  BOOST_REQUIRE(runUntil([this] { return !owner().empty(); }, 5'000));
+  drain("dc1");
+  Daemons["d"]->submit(job("1", 16, 1, 500),
+                       [](const std::optional<Refusal> &) {});
+  run(7'000);
+  BOOST_TEST(Starts.empty());
+  BOOST_TEST(std::none_of(ControlTopic.Records.begin(),
+                          ControlTopic.Records.end(),
+                          [](const KeyValue &R) { return R.Key == "p/1"; }));
+  DaemonsWithoutOperatorTopic.clear();
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 4'000));
+  BOOST_TEST(startsIn("dc1") == 0u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheTopicCannotBeRead)
+
+// Guards against starts in a data centre whose request the owner could not
+// read: it was stored more than 5 s ago.
+BOOST_AUTO_TEST_CASE(StartsWaitOnceARequestWasRead) {
+  drain("dc1");
+  run(300);
+  drain("dc1", false);
+  run(300);
+  for (auto &[Name, N] : Daemons)
+    DaemonsWithoutOperatorTopic.insert(Name);
+  drain("dc1");
+  run(5'000);
+  Node &Owner = *Daemons[owner()];
+  Owner.submit(job("1", 32, 1, 500), [](const std::optional<Refusal> &) {});
+  run(2'000);
+  BOOST_TEST(Starts.empty());
+  BOOST_TEST(counted(owner(), "starts_held_for_drains") > 0u);
+  DaemonsWithoutOperatorTopic.clear();
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 5'000));
+  BOOST_TEST(startsIn("dc1") == 0u);
+}
+
+// Guards against starts that wait in a deployment whose operator has never
+// drained a data centre.
+BOOST_AUTO_TEST_CASE(StartsGoOnIfNoRequestWasEverRead) {
+  for (auto &[Name, N] : Daemons)
+    DaemonsWithoutOperatorTopic.insert(Name);
+  run(7'000);
+  Daemons[owner()]->submit(job("1", 32, 1, 500),
+                           [](const std::optional<Refusal> &) {});
+  run(400);
+  BOOST_TEST(Starts.size() == 32u);
+}
+
+// Guards against a request that stays in force because the record of its
+// withdrawal was deleted before it was read, and against one that is missed.
+BOOST_AUTO_TEST_CASE(RequestsAreThoseOfThePagesThatAreReadAgain) {
+  drain("dc1");
+  run(300);
+  for (auto &[Name, N] : Daemons)
+    DaemonsWithoutOperatorTopic.insert(Name);
+  drain("dc1", false);
+  drain("dc2");
+  configure(7);
+  OperatorOldestOffset = OperatorTopic.size();
+  run(300);
+  DaemonsWithoutOperatorTopic.clear();
+  run(3'000);
+  for (auto &[Name, N] : Daemons) {
+    BOOST_TEST(N->drainedDataCentres() == 1u);
+    BOOST_TEST(N->configuration()->Version == 7u);
+  }
+  BOOST_TEST(!submit(anyDaemon(), job("1", 16, 1, 500)));
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 3'000));
+  BOOST_TEST(startsIn("dc1") == 16u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WhenTheRequestIsWithdrawn)
+
+// Guards against tasks that are lost or run twice if that happens while the
+// request is being carried out.
+BOOST_AUTO_TEST_CASE(StartsThatAreBeingBarredRunOnceElsewhereOrThere) {
+  for (std::int64_t WithdrawnAfterMs : {5, 30, 200, 1'000}) {
+    std::string Id = std::to_string(WithdrawnAfterMs);
+    for (const char *Worker : {"w1", "w2"})
+      Workers[Worker].StartDelayMs = 400;
+    BOOST_TEST(!submit(anyDaemon(), job(Id, 32, 1, 1'000)));
+    run(60);
+    drain("dc1");
+    run(WithdrawnAfterMs);
+    drain("dc1", false);
+    for (const char *Worker : {"w1", "w2"})
+      Workers[Worker].StartDelayMs = 0;
+    BOOST_TEST(
+        runUntil([&] { return allShow(Id, JobState::Completed); }, 10'000));
+  }
+  BOOST_TEST(!RunsOverlapped);
+  BOOST_TEST(!StartedAfterAcknowledgedEnd);
+}
+
+// Guards against work that goes to workers which have just started again while
+// others have room.
+BOOST_AUTO_TEST_CASE(ColdWorkersAreUsedLast) {
+  drain("dc1");
+  run(300);
+  for (const char *Id : {"w1", "w2"}) {
+    Workers[Id].Entry.WarmupLeftMs = 20'000;
+    Registry.push_back({Id, Workers[Id].Entry});
+  }
+  drain("dc1", false);
+  run(300);
+  BOOST_TEST(!submit(anyDaemon(), job("1", 20, 1, 3'000)));
+  run(300);
+  BOOST_TEST(startsIn("dc2") == 16u);
+  BOOST_TEST(startsIn("dc1") == 4u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(SetOfDrainedDataCentres)
+
+// Guards against a request that is dropped while the pages are read again.
+BOOST_AUTO_TEST_CASE(KeepsRequestsUntilAllPagesAreRead) {
+  DrainedDataCentres Set;
+  BOOST_TEST(!Set.everRequested());
+  Set.beginPages();
+  BOOST_TEST(Set.apply({"a", true}));
+  BOOST_TEST(Set.endPages().empty());
+  BOOST_TEST(Set.apply({"b", true}));
+  Set.beginPages();
+  BOOST_TEST(!Set.apply({"b", true}));
+  BOOST_TEST(Set.contains("a"));
+  BOOST_TEST((Set.endPages() == std::vector<std::string>{"a"}));
+  BOOST_TEST(!Set.contains("a"));
+  BOOST_TEST(Set.contains("b"));
+}
+
+// Guards against events and revocations for a record that is read twice.
+BOOST_AUTO_TEST_CASE(TellsWhetherARecordChangesIt) {
+  DrainedDataCentres Set;
+  BOOST_TEST(!Set.apply({"a", false}));
+  BOOST_TEST(!Set.everRequested());
+  BOOST_TEST(Set.apply({"a", true}));
+  BOOST_TEST(!Set.apply({"a", true}));
+  BOOST_TEST(Set.apply({"a", false}));
+  BOOST_TEST(!Set.apply({"a", false}));
+  BOOST_TEST(Set.empty());
+  BOOST_TEST(Set.everRequested());
+}
+
+// Guards against a page that lists a withdrawal, and against one that lists a
+// request which a later page of the same reread withdraws.
+BOOST_AUTO_TEST_CASE(LeavesOutWhatThePagesWithdraw) {
+  DrainedDataCentres Set;
+  Set.apply({"a", true});
+  Set.beginPages();
+  Set.apply({"a", true});
+  BOOST_TEST(Set.apply({"a", false}));
+  BOOST_TEST(Set.endPages().empty());
+  BOOST_TEST(Set.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
