Count no crash against a run that no worker has begun

Callers saw: LOST, a job shown as failed although no task of it had failed so often. Cause: a start that has no answer counts as present on its worker. If the worker turns out to have restarted, this counted as a crash under the task. Starts are sent to workers that have lost power unnoticed, the more the later the owner learns of it, so a healthy job collected four such crashes when many workers lost power and came back. Change: a crash counts only against runs that the worker has confirmed or listed, or that an earlier owner placed for a job that has begun. Runs without that still keep others from being blamed alone. Evidence: IsNotGivenUpForStartsThatNoWorkerReceived failed before (the job was given up at the fourth restart); all tests of tasks that crash their workers pass as before, 175 cases and this one.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -81,6 +81,9 @@
   unsigned StartsInFlight = 0;
   unsigned StopsInFlight = 0;
   bool MayHaveArrived = false;
+  /// The worker has shown that it began the run, or may have shown it to an
+  /// earlier owner.
+  bool MayHaveBegun = false;
   bool StopConfirmed = false;
   bool HeldBack = false;       ///< A limit holds back a call that is due.
   bool CopiesHeldBack = false; ///< A limit has held back a copy of its start.
@@ -443,9 +446,13 @@
   void forgetLapsedRuns(Session &S);
   /// Takes over the runs whose lease expired under earlier owners.
   void adoptLapsedRuns();
-  /// Counts the crash of the worker against the tasks of \p Runs and of the
-  /// runs whose lease expired before it was known.
+  /// Counts the crash of the worker against the tasks of those of \p Runs that
+  /// may have begun, and of the runs whose lease expired before it was known.
   void recordCrash(Session &S, const std::set<RunId> &Runs);
+  /// Whether the worker may have begun the run, so that a crash may be due to
+  /// it: a start without an answer may have been sent to a worker that had
+  /// lost power before.
+  static bool mayHaveBegun(const Session &S, const RunId &Id);
   void countCrash(const UnitId &Unit, unsigned Run, const Session &S,
                   bool Alone, bool Late);
   /// Handles the recorded runs that an earlier incarnation of the worker had,
--- a/packages/cluster/lib/OwnerCrashes.cpp
+++ b/packages/cluster/lib/OwnerCrashes.cpp
@@ -3,8 +3,10 @@
 //
 // A worker has crashed if another incarnation has taken its place, under its id
 // or at its address, and it was not about to leave. A lease that expires is no
-// sign of a crash. The count is kept in the job's record, so that later owners
-// continue it; dispatch/lib/Crashes.cpp decides what follows from it.
+// sign of a crash. Only runs that may have begun count: work is also placed on
+// workers that have lost power unnoticed, which is no fault of its own. The
+// count is kept in the job's record, so that later owners continue it;
+// dispatch/lib/Crashes.cpp decides what follows from it.
 #include "Owner.h"
 #include <algorithm>
 
@@ -18,6 +20,11 @@
   return Present;
 }
 
+bool Owner::mayHaveBegun(const Session &S, const RunId &Id) {
+  auto It = S.Runs.find(Id);
+  return It != S.Runs.end() && It->second.MayHaveBegun;
+}
+
 bool Owner::isReplaced(const Session &S) const {
   return std::any_of(Sessions.begin(), Sessions.end(), [&S](const auto &Other) {
     return &Other.second != &S && Other.second.Synced &&
@@ -36,6 +43,8 @@
 void Owner::recordLapsedRuns(Session &S) {
   S.LapsedAt = Shared.mono();
   for (const RunId &Id : runsPresent(S)) {
+    if (!mayHaveBegun(S, Id))
+      continue;
     S.LapsedRuns.insert(Id);
     Job *J = Shared.Ledger.find(Id.Task.Job);
     if (!J || !isCurrentRun(Id))
@@ -89,8 +98,13 @@
     unsigned &Run = To[unitOf(*J, Id.Task.Key)];
     Run = std::max(Run, Id.Run);
   };
-  for (const RunId &Id : Runs)
+  std::set<UnitId> Begun;
+  for (const RunId &Id : Runs) {
     Add(Id, Units);
+    if (const Job *J = Shared.Ledger.find(Id.Task.Job);
+        J && J->Spec.has(Id.Task.Key) && mayHaveBegun(S, Id))
+      Begun.insert(unitOf(*J, Id.Task.Key));
+  }
   for (const RunId &Id : Lapsed)
     Add(Id, LapsedUnits);
   dispatch::WorkerCrash Crash{S.Entry.Id, T, {}};
@@ -103,7 +117,8 @@
   });
   RecentCrashes.push_back(std::move(Crash));
   for (const auto &[Unit, Run] : Units)
-    countCrash(Unit, Run, S, Alone, false);
+    if (Begun.contains(Unit))
+      countCrash(Unit, Run, S, Alone, false);
   for (const auto &[Unit, Run] : LapsedUnits)
     countCrash(Unit, Run, S, false, true);
 }
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -47,6 +47,7 @@
 void Owner::onConfirmed(RunState &R, const RunId &Id) {
   MonoTime T = Shared.mono();
   R.Stage = RunStage::Confirmed;
+  R.MayHaveBegun = true;
   R.ConfirmedAt = R.ProgressAt = T;
   const Job *J = Shared.Ledger.find(Id.Task.Job);
   if (!J || !J->Spec.has(Id.Task.Key))
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -97,6 +97,7 @@
       R.WorkerStartMs = T.WorkerStartMs;
       R.Stage = J.ended() ? RunStage::Stopping : RunStage::Starting;
       R.MayHaveArrived = true;
+      R.MayHaveBegun = J.State != JobState::Queued;
       R.StartAttempts = 1;
       R.PlacedAt = R.StartingSince = Shared.mono();
       // Waits for the worker's first list before the start is sent again.
@@ -301,7 +302,9 @@
         T > silentRunsEndAt(S) + LeaseMargin) {
       // The registry has not listed it since this owner began. Whether it ran
       // other work is not known.
-      S.LapsedRuns.merge(runsPresent(S));
+      for (const RunId &Id : runsPresent(S))
+        if (mayHaveBegun(S, Id))
+          S.LapsedRuns.insert(Id);
       recordCrash(S, {});
       markRunsLost(S, "the worker is gone");
     }
--- a/packages/cluster/tests/CrashingTaskTest.cpp
+++ b/packages/cluster/tests/CrashingTaskTest.cpp
@@ -303,6 +303,38 @@
 
 BOOST_AUTO_TEST_SUITE(HealthyTask)
 
+// Guards against healthy jobs that are shown as failed although no task of
+// theirs has run: their starts went to workers that had lost power unnoticed,
+// and the restarts of these workers counted as crashes under the tasks.
+BOOST_AUTO_TEST_CASE(IsNotGivenUpForStartsThatNoWorkerReceived) {
+  for (auto &[Id, W] : Workers)
+    W.StartsToLose = 100;
+  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 8, 1'000)));
+  for (unsigned N = 0; N < 6; ++N) {
+    std::string Receiver;
+    BOOST_REQUIRE(runUntil(
+        [&] {
+          for (const auto &[Id, W] : Workers)
+            if (W.StartsToLose < 100)
+              Receiver = Id;
+          return !Receiver.empty();
+        },
+        10'000));
+    // The worker is back before the start has been given up.
+    run(300);
+    restartWithoutRegistryChange(Receiver);
+    Registry.push_back({Receiver, Workers[Receiver].Entry});
+    for (auto &[Id, W] : Workers)
+      W.StartsToLose = 100;
+    run(1'500);
+  }
+  BOOST_TEST(Starts.empty());
+  for (auto &[Id, W] : Workers)
+    W.StartsToLose = 0;
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 20'000));
+}
+
 // Guards against healthy jobs that are given up because their workers lose
 // power together.
 BOOST_AUTO_TEST_CASE(IsNotGivenUpAfterCrashesOfManyWorkers) {
