Drop submissions whose callers have closed the connection

Callers could see: a request to submit a job reaches a daemon that is frozen. Its caller gives up, sends the request to another daemon and is refused with 503, which says that the job never runs. The first daemon resumes, reads its copy, stores the job, and it runs.

Cause: a daemon carried out what it read, whether or not anybody still waited for the answer. No other daemon knows of such a copy, so none can take it into account when it refuses another one.

Change: a request of net::HttpServer tells whether its caller has closed the connection or its sending side (POLLRDHUP, which is seen behind unread input, too). Node::submit() asks when the request arrives, and Intake and Writer ask again when they compose an append, so a job that waits behind an append of another one is dropped as well. Dropped jobs were not sent to the store. A caller that has closed only its sending side cannot be told from one that has gone; it gets a 503 that says why. A copy of which an earlier one may be stored still gets 504.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -81,6 +81,7 @@
     {443, "orders_paused", Warning},
     {444, "orders_resumed", Info},
     {445, "calls_held_back", Warning},
+    {450, "submission_dropped", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -50,6 +50,7 @@
     Unavailable, ///< Certainly not run; another daemon may accept it.
     Unresolved,  ///< The store did not answer; retry with the same id.
     Cancelled,   ///< Was cancelled before it was submitted; never runs.
+    Abandoned,   ///< Certainly not run; its caller has gone or may have gone.
     Invalid      ///< Can never run.
   };
   Kind Why = Unavailable;
@@ -143,10 +144,13 @@
   bool isOwner() const;
 
   /// Completes without a refusal once the job is stored or if it was known
-  /// already, and before its caller has waited for \p CallerWaits.
+  /// already, and before its caller has waited for \p CallerWaits from now on.
+  /// A job is refused if, before it is sent to the store, that time is over or
+  /// \p IsCallerConnected says that its caller has gone; if empty, it has not.
   void submit(workload::JobSpec Spec,
               std::function<void(std::optional<Refusal>)> Done,
-              base::Millis CallerWaits = DefaultCallerWait);
+              base::Millis CallerWaits = DefaultCallerWait,
+              std::function<bool()> IsCallerConnected = {});
   StatusResult status(std::string_view Job) const;
   /// Completes with Found or Unknown once the cancellation is stored.
   void cancel(std::string_view Job, std::function<void(Lookup)> Done);
--- a/packages/cluster/lib/Intake.cpp
+++ b/packages/cluster/lib/Intake.cpp
@@ -4,7 +4,15 @@
 // An append without an answer is repeated once, which is harmless because the
 // records are the same. Submissions that were waiting behind an append without
 // an answer are refused, as they have certainly not been sent.
+//
+// Load pattern: a daemon is frozen for longer than callers wait. They give up
+// and send their requests to other daemons, which may refuse them. A refusal
+// says that the job never runs, so the copies that the frozen daemon reads when
+// it resumes, or that were waiting in it, must not be stored. They are dropped
+// if their callers have closed the connection: a caller that has sent the
+// request elsewhere has stopped waiting here.
 #include "Intake.h"
+#include <algorithm>
 
 namespace heathersaddle::cluster {
 
@@ -30,8 +38,37 @@
   return Store;
 }
 
+void logDropped(Core &C, std::string_view Job, std::string_view Queue,
+                std::string_view Reason) {
+  C.count("submissions_dropped");
+  C.log(450, {{"job", Job}, {"queue", Queue}, {"reason", Reason}});
+}
+
+Refusal abandonedRefusal() {
+  return {Refusal::Abandoned, StoreRetryAfter,
+          "the caller closed its side of the connection, or may have stopped "
+          "waiting"};
+}
+
+void dropAbandoned(Core &C, std::vector<Submission> &Pending) {
+  auto Gone = std::stable_partition(
+      Pending.begin(), Pending.end(), [](const Submission &S) {
+        return !S.IsCallerConnected || S.IsCallerConnected();
+      });
+  std::vector<Submission> Dropped(std::make_move_iterator(Gone),
+                                  std::make_move_iterator(Pending.end()));
+  Pending.erase(Gone, Pending.end());
+  for (const Submission &S : Dropped) {
+    logDropped(C, S.Job, S.Queue, "caller_closed");
+    S.Done(abandonedRefusal());
+  }
+}
+
 void Intake::flush() {
-  if (!InFlightSubmissions.empty() || PendingSubmissions.empty())
+  if (!InFlightSubmissions.empty())
+    return;
+  dropAbandoned(Shared, PendingSubmissions);
+  if (PendingSubmissions.empty())
     return;
   std::size_t Bytes = 0;
   std::size_t Count = 0;
--- a/packages/cluster/lib/Intake.h
+++ b/packages/cluster/lib/Intake.h
@@ -17,8 +17,19 @@
   KeyValue Record;
   std::function<void(std::optional<Refusal>)> Done;
   bool Cancels = false; ///< The record cancels the job.
+  /// Whether its caller can still be answered; always if empty.
+  std::function<bool()> IsCallerConnected;
 };
 
+/// Counts and logs that the job is not stored because its caller has gone.
+void logDropped(Core &C, std::string_view Job, std::string_view Queue,
+                std::string_view Reason);
+/// The answer to a caller that was assumed to have gone.
+Refusal abandonedRefusal();
+/// Removes the submissions whose callers have closed their connections, and
+/// refuses them. They were not sent to the store.
+void dropAbandoned(Core &C, std::vector<Submission> &Pending);
+
 /// Logs that the record was not stored and answers the caller accordingly.
 void refuse(Core &C, const Submission &S, bool CertainlyNotStored);
 
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -120,8 +120,9 @@
 bool Node::isOwner() const { return Pimpl->ActiveOwner != nullptr; }
 void Node::submit(workload::JobSpec Spec,
                   std::function<void(std::optional<Refusal>)> Done,
-                  Millis CallerWaits) {
-  Pimpl->submit(std::move(Spec), std::move(Done), CallerWaits);
+                  Millis CallerWaits, std::function<bool()> IsCallerConnected) {
+  Pimpl->submit(std::move(Spec), std::move(Done), CallerWaits,
+                std::move(IsCallerConnected));
 }
 StatusResult Node::status(std::string_view Job) const {
   return Pimpl->status(Job);
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -32,7 +32,7 @@
   // Requests.cpp: callers' requests.
   void submit(workload::JobSpec Spec,
               std::function<void(std::optional<Refusal>)> Done,
-              Millis CallerWaits);
+              Millis CallerWaits, std::function<bool()> IsCallerConnected);
   /// Returns \p Done, which also keeps account of whether the submission is
   /// answered, for mayBeStored().
   std::function<void(std::optional<Refusal>)>
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -50,7 +50,8 @@
 
 void Node::Impl::submit(workload::JobSpec Spec,
                         std::function<void(std::optional<Refusal>)> Done,
-                        Millis CallerWaits) {
+                        Millis CallerWaits,
+                        std::function<bool()> IsCallerConnected) {
   if (Shared.Ledger.find(Spec.Id)) {
     Shared.count("submissions_repeated");
     return Done(std::nullopt);
@@ -76,6 +77,12 @@
     }
     Done(std::move(R));
   };
+  bool HasGone = IsCallerConnected && !IsCallerConnected();
+  if (HasGone || CallerWaits <= Millis(0)) {
+    logDropped(Shared, Spec.Id, Spec.Queue,
+               HasGone ? "caller_closed" : "waited_too_long");
+    return Refuse(abandonedRefusal());
+  }
   // Load pattern: the store rejects calls of some daemons and serves the
   // others. Callers must learn at once that nothing was done here, so that they
   // can use a daemon that is served. A daemon that is stopping still serves the
@@ -154,7 +161,9 @@
                T,
                T + std::max(Millis(0), CallerWaits - AnswerMargin),
                workload::Ledger::submission(Spec),
-               trackSubmission(Spec.Id, std::move(Done))};
+               trackSubmission(Spec.Id, std::move(Done)),
+               false,
+               std::move(IsCallerConnected)};
   // The owner sends one append at a time: two would only wait for each other.
   if (ActiveOwner && !Stopping)
     ActiveOwner->store(std::move(S));
--- a/packages/cluster/lib/Writer.cpp
+++ b/packages/cluster/lib/Writer.cpp
@@ -33,6 +33,7 @@
 void Writer::release() { Releasing = true; }
 
 void Writer::composeAppend() {
+  dropAbandoned(Shared, PendingSubmissions);
   Records.clear();
   InFlightSubmissions.clear();
   std::size_t Left = Shared.Settings.AppendBytes - ReservedAppendBytes;
--- a/packages/net/include/heathersaddle/net/Message.h
+++ b/packages/net/include/heathersaddle/net/Message.h
@@ -20,6 +20,10 @@
   std::string Body;
   std::string RemoteAddress; ///< The caller's "ADDRESS:PORT".
   std::size_t WireBytes = 0; ///< Size with headers as received.
+  /// Whether the caller has closed neither the connection nor its sending side;
+  /// empty if the request did not come from a server. May be called in the
+  /// handler, and later if a single thread runs the server's io_context.
+  std::function<bool()> IsCallerConnected;
 };
 
 struct Response {
--- a/packages/net/lib/HttpServer.cpp
+++ b/packages/net/lib/HttpServer.cpp
@@ -19,6 +19,7 @@
 #include <boost/beast/http.hpp>
 #include <mutex>
 #include <optional>
+#include <poll.h>
 #include <set>
 #include <vector>
 
@@ -137,6 +138,16 @@
                });
   }
 
+  /// The kernel does not tell whether a caller that has closed its sending side
+  /// has also closed the other one.
+  bool isCallerConnected() {
+    if (!Stream.socket().is_open())
+      return false;
+    // Unlike a read, POLLRDHUP is also seen behind input that was not read yet.
+    pollfd Poll{Stream.socket().native_handle(), POLLRDHUP, 0};
+    return poll(&Poll, 1, 0) <= 0;
+  }
+
 private:
   void awaitRequest() {
     if (Buffer.size() > 0)
@@ -317,6 +328,10 @@
   R.Body = std::move(Message.body());
   R.RemoteAddress = RemoteAddress;
   R.WireBytes = RequestBytes;
+  R.IsCallerConnected = [Weak = weak_from_this()] {
+    auto Self = Weak.lock();
+    return Self && Self->isCallerConnected();
+  };
   Stream.expires_never();
   auto SharedResponder = std::make_shared<Responder>(shared_from_this());
   Core->OnRequest(std::move(R), [SharedResponder](Response Reply) {
--- a/packages/net/tests/ServerTest.cpp
+++ b/packages/net/tests/ServerTest.cpp
@@ -3,6 +3,7 @@
 #include "Target.h"
 #include "heathersaddle/net/Executor.h"
 #include "heathersaddle/net/HttpServer.h"
+#include <algorithm>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
@@ -198,6 +199,47 @@
   BOOST_TEST(R.readAll().ends_with("/up"));
 }
 
+// Guards against carrying out a request whose caller has given up, as one that
+// a daemon reads after it was frozen: its caller may have been refused
+// elsewhere.
+BOOST_AUTO_TEST_CASE(HandlerSeesThatTheCallerHasClosedTheConnection) {
+  Executor Threads{1};
+  std::promise<void> MayHandle;
+  std::vector<bool> Seen;
+  HttpServer Server(Threads.context(), {},
+                    [&](const Request &R, const Respond &Reply) {
+                      if (R.Path == "/wait")
+                        MayHandle.get_future().wait();
+                      Seen.push_back(R.IsCallerConnected());
+                      Reply({.Body = R.Path});
+                    });
+  auto Port = Server.listen("127.0.0.1", 0).value();
+  RawSocket Waiting = RawSocket::connected(Port);
+  Waiting.send(getRequest("/wait", false));
+  // While the only thread is blocked, one caller closes the connection, one
+  // its sending side, one closes behind two requests, and one stays.
+  RawSocket Closed = RawSocket::connected(Port);
+  Closed.send(getRequest("/closed"));
+  Closed.close();
+  RawSocket Half = RawSocket::connected(Port);
+  Half.send(getRequest("/half"));
+  Half.shutdownSend();
+  RawSocket Behind = RawSocket::connected(Port);
+  Behind.send(getRequest("/behind", false) + getRequest("/behind"));
+  Behind.shutdownSend();
+  RawSocket Staying = RawSocket::connected(Port);
+  Staying.send(getRequest("/staying"));
+  MayHandle.set_value();
+  BOOST_TEST(Waiting.readUntil("/wait").ends_with("/wait"));
+  // A caller that has closed only its sending side still gets an answer.
+  BOOST_TEST(Half.readAll().ends_with("/half"));
+  BOOST_TEST(Behind.readAll().ends_with("/behind"));
+  BOOST_TEST(Staying.readAll().ends_with("/staying"));
+  Threads.stop();
+  BOOST_TEST(std::count(Seen.begin(), Seen.end(), true) == 2);
+  BOOST_TEST(std::count(Seen.begin(), Seen.end(), false) == 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against a graceful stop that interrupts requests in progress.
