--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -143,6 +143,12 @@
   bool ready() const;
   bool isOwner() const;
 
+  /// The time by this daemon's clock.
+  base::MonoTime now() const;
+  /// When the caller of a request that was just read stops waiting, if it waits
+  /// for \p CallerWaits.
+  base::MonoTime waitsUntil(base::Millis CallerWaits);
+
   /// Completes without a refusal once the job is stored or if it was known
   /// already, and before its caller has waited for \p CallerWaits from now on.
   /// A job is refused if, before it is sent to the store, that time is over or
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -117,6 +117,10 @@
          Pimpl->ControlTopic.fresh(MaxServedStateAge) &&
          Pimpl->OperatorTopic.fresh(MaxServedStateAge);
 }
+base::MonoTime Node::now() const { return Pimpl->Shared.mono(); }
+base::MonoTime Node::waitsUntil(Millis CallerWaits) {
+  return now() + CallerWaits;
+}
 bool Node::isOwner() const { return Pimpl->ActiveOwner != nullptr; }
 void Node::submit(workload::JobSpec Spec,
                   std::function<void(std::optional<Refusal>)> Done,
