Detect pauses of the process and refuse requests that waited too long

Callers could see: a job that was refused by one daemon runs, as another daemon that was frozen for longer than the caller waits reads an earlier copy of its request and stores the job. The connection need not show that the caller has gone: a balancer or a cut link may keep it open.

Cause: a request counted as new when it was read, however long it had been in the kernel's buffers.

Change: PauseDetector notes when the process last ran, by a clock that also advances while the process is stopped or the host suspended. Without a pause nothing changes, also if the loop is never idle. Wall clocks are not used, so a clock jump refuses nobody.

Event 451 and process_pauses report pauses.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -82,6 +82,7 @@
     {444, "orders_resumed", Info},
     {445, "calls_held_back", Warning},
     {450, "submission_dropped", Info},
+    {451, "process_paused", Warning},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -146,8 +146,15 @@
   /// The time by this daemon's clock.
   base::MonoTime now() const;
   /// When the caller of a request that was just read stops waiting, if it waits
-  /// for \p CallerWaits.
+  /// for \p CallerWaits. If the process was paused, the request may have waited
+  /// in it since before the pause.
   base::MonoTime waitsUntil(base::Millis CallerWaits);
+  /// Whether the process was paused and requests that arrived before its end
+  /// may not have been read yet.
+  bool inputMayHaveWaited() const;
+  /// To be called when all connections and requests that had arrived have been
+  /// read.
+  void allInputRead();
 
   /// Completes without a refusal once the job is stored or if it was known
   /// already, and before its caller has waited for \p CallerWaits from now on.
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -17,6 +17,7 @@
     : Shared(std::move(Settings), std::move(Clock), Log),
       ControlTopic(Shared, FollowerReadInterval, MaxControlReadWait),
       Incoming(Shared), OperatorTopic(Shared, OperatorReadInterval),
+      Pauses(Shared.mono()),
       FormerLeases(LeaseTerms(Shared.Settings.MaxLease)) {
   Incoming.OnStored = [this](const Submission &S, std::uint64_t Offset) {
     onSubmissionStored(S, Offset);
@@ -83,7 +84,15 @@
     Shared.log(403, {{"next", ControlTopic.next()}});
 }
 
+void Node::Impl::notePause(std::optional<Millis> Pause) {
+  if (!Pause)
+    return;
+  Shared.count("process_pauses");
+  Shared.log(451, {{"pause_ms", Pause->count()}});
+}
+
 void Node::Impl::tick() {
+  notePause(Pauses.processRuns(Shared.mono()));
   ControlTopic.tick();
   OperatorTopic.tick();
   updateStoreState();
@@ -119,7 +128,13 @@
 }
 base::MonoTime Node::now() const { return Pimpl->Shared.mono(); }
 base::MonoTime Node::waitsUntil(Millis CallerWaits) {
-  return now() + CallerWaits;
+  return Pimpl->waitsUntil(CallerWaits);
+}
+bool Node::inputMayHaveWaited() const {
+  return Pimpl->Pauses.inputMayHaveWaited();
+}
+void Node::allInputRead() {
+  Pimpl->notePause(Pimpl->Pauses.allInputRead(Pimpl->Shared.mono()));
 }
 bool Node::isOwner() const { return Pimpl->ActiveOwner != nullptr; }
 void Node::submit(workload::JobSpec Spec,
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -3,6 +3,7 @@
 
 #include "Intake.h"
 #include "Owner.h"
+#include "PauseDetector.h"
 #include "heathersaddle/cluster/Admission.h"
 
 namespace heathersaddle::cluster {
@@ -16,6 +17,8 @@
   void onControlRecord(KeyValue &&Record);
   void onOperatorChange(OperatorChange &&Change);
   void updateStoreState();
+  /// Counts and logs a pause of the process, if there was one.
+  void notePause(std::optional<Millis> Pause);
 
   // Election.cpp: election of the owner.
   void elect();
@@ -30,6 +33,7 @@
   void stepDownUnreachable();
 
   // Requests.cpp: callers' requests.
+  MonoTime waitsUntil(Millis CallerWaits);
   void submit(workload::JobSpec Spec,
               std::function<void(std::optional<Refusal>)> Done,
               Millis CallerWaits, std::function<bool()> IsCallerConnected);
@@ -68,6 +72,7 @@
   Tail<KeyValue> ControlTopic;
   Intake Incoming; ///< Submissions that this daemon stores by itself.
   Tail<OperatorChange> OperatorTopic;
+  PauseDetector Pauses;
   std::unique_ptr<Owner> ActiveOwner;
   bool StoreUp = false;
   bool Stopping = false;
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -48,6 +48,13 @@
 /// jobs accepted here is added to it, for this long.
 static constexpr Millis RecentSubmissionAge{1'500};
 
+MonoTime Node::Impl::waitsUntil(Millis CallerWaits) {
+  MonoTime T = Shared.mono();
+  // Requests may be read before the first tick after a pause.
+  notePause(Pauses.processRuns(T));
+  return T - Pauses.maxWaited(T) + CallerWaits;
+}
+
 void Node::Impl::submit(workload::JobSpec Spec,
                         std::function<void(std::optional<Refusal>)> Done,
                         Millis CallerWaits,
--- a/packages/cluster/tests/OutlivedRequestTest.cpp
+++ b/packages/cluster/tests/OutlivedRequestTest.cpp
@@ -1,4 +1,5 @@
 #include "Deployment.h"
+#include "PauseDetector.h"
 
 using namespace heathersaddle;
 using namespace heathersaddle::cluster;
@@ -98,3 +99,80 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(PauseOfTheProcess)
+
+using base::Millis;
+
+// Guards against taking a request for new that was sent to the daemon while it
+// was frozen.
+BOOST_AUTO_TEST_CASE(RequestsMayHaveWaitedSinceBeforeIt) {
+  PauseDetector P(Millis(1'000));
+  for (std::int64_t Ms = 1'000; Ms <= 2'000; Ms += 50)
+    BOOST_TEST(!P.processRuns(Millis(Ms)));
+  BOOST_TEST(P.maxWaited(Millis(2'000)).count() == 0);
+  auto Pause = P.processRuns(Millis(6'000));
+  BOOST_REQUIRE(Pause);
+  BOOST_TEST(Pause->count() == 4'000);
+  BOOST_TEST(P.maxWaited(Millis(6'000)).count() == 4'000);
+  // Connections are accepted and read one after the other.
+  BOOST_TEST(!P.processRuns(Millis(6'040)));
+  BOOST_TEST(P.maxWaited(Millis(6'040)).count() == 4'040);
+  BOOST_TEST(!P.allInputRead(Millis(6'050)));
+  BOOST_TEST(P.maxWaited(Millis(6'060)).count() == 0);
+}
+
+// Guards against the same if the process is frozen again, or right after it has
+// looked for input.
+BOOST_AUTO_TEST_CASE(RequestsMayHaveWaitedThroughSeveral) {
+  PauseDetector P(Millis(0));
+  BOOST_TEST(P.processRuns(Millis(2'000)).has_value());
+  BOOST_TEST(P.processRuns(Millis(4'000)).has_value());
+  BOOST_TEST(P.maxWaited(Millis(4'000)).count() == 4'000);
+  BOOST_TEST(P.allInputRead(Millis(8'000)).has_value());
+  BOOST_TEST(P.inputMayHaveWaited());
+  BOOST_TEST(P.maxWaited(Millis(8'000)).count() == 8'000);
+}
+
+// Guards against a daemon that refuses all requests because it is never idle.
+BOOST_AUTO_TEST_CASE(IsNotSeenUnderLoad) {
+  PauseDetector P(Millis(0));
+  for (std::int64_t Ms = 0; Ms <= 60'000; Ms += 200)
+    BOOST_TEST(!P.processRuns(Millis(Ms)));
+  BOOST_TEST(!P.inputMayHaveWaited());
+}
+
+// Guards against a job that runs after its caller was told by another daemon
+// that it never runs, although its connection does not show that it has gone.
+BOOST_FIXTURE_TEST_CASE(JobsThatWaitedThroughItAreNotStored, Deployment) {
+  Node &Frozen = follower();
+  std::string Name;
+  for (auto &[N, D] : Daemons)
+    if (D.get() == &Frozen)
+      Name = N;
+  SuspendedDaemons.insert(Name);
+  run(4'000);
+  // The request is the first that the daemon reads when it resumes.
+  Caller Late;
+  auto Remaining = [&] {
+    return (Frozen.waitsUntil(DefaultCallerWait) - Frozen.now()).count();
+  };
+  Late.submit(Frozen, job("1", 1, 1, 300), Remaining());
+  resume(Name);
+  Caller AlsoLate;
+  AlsoLate.submit(Frozen, job("2", 1, 1, 300), Remaining());
+  Frozen.allInputRead();
+  run(500);
+  Caller New;
+  BOOST_TEST(Remaining() == DefaultCallerWait.count());
+  New.submit(Frozen, job("3", 1, 1, 300), Remaining());
+  run(500);
+  BOOST_TEST(Late.isRefused(Refusal::Abandoned));
+  BOOST_TEST(AlsoLate.isRefused(Refusal::Abandoned));
+  BOOST_TEST((New.Answered && !New.Answer));
+  BOOST_TEST(!isStored(*this, "1"));
+  BOOST_TEST(!isStored(*this, "2"));
+  BOOST_TEST(Frozen.stats().Counts.at("process_pauses") == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
