Deliver no request after its time limit

Callers could see: a job that was refused by one daemon runs, as an earlier copy, forwarded to the owner or on its way to the store, was delivered after the daemon that sent it had given up.

Cause, two ways: after a pause of the process the event loop handles a connection that has become ready before the timer of the request that waits for it, so the request was written seconds late. And when a request timed out, its connection was closed, but the kernel goes on delivering the bytes that the server has not acknowledged, whenever the path is back.

Change: HttpClient checks the time limit, by a clock that also advances while the host is suspended, before it writes a request; one that is late ends as "certainly not delivered", so that a local attempt or the caller's refusal is based on that. If the server has not acknowledged all bytes when a request times out, they are discarded with the connection (linger 0); a delivered request is followed by an ordinary end, which the server sees as a caller that has gone.

Evidence: RequestIsNotSentAfterItsTimeLimit fails without the check, RequestIsNotDeliveredAfterItsTimeLimit without the discarding (200,000 bytes were delivered after the time limit of 100 ms).

--- a/packages/net/lib/HttpClient.cpp
+++ b/packages/net/lib/HttpClient.cpp
@@ -5,6 +5,13 @@
 // for its socket to become readable, which means that the server has closed it,
 // and is then discarded. If MaxTotalConnections are open, a new Connection
 // takes the place of the one that has been idle longest.
+//
+// A request whose time limit has passed must not reach the server any more, as
+// it would be handled for a caller that has given up. After a pause of the
+// process the timer of an Exchange may run after its Connection is ready, so
+// the time is checked again before a request is written. Bytes that the server
+// has not acknowledged by the time limit are discarded with the connection;
+// otherwise the kernel would deliver them when the path to the server is back.
 #include "heathersaddle/net/HttpClient.h"
 #include "CircuitBreaker.h"
 #include "Target.h"
@@ -18,9 +25,12 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <deque>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <optional>
 #include <set>
+#include <sys/ioctl.h>
+#include <time.h>
 
 namespace heathersaddle::net {
 
@@ -52,6 +62,7 @@
   ClientRequest Request;
   HttpClient::Callback Done; ///< Empty once the exchange is complete.
   asio::steady_timer Timer;
+  std::chrono::nanoseconds SendBy{}; ///< By bootTime().
   std::weak_ptr<Connection> AssignedConnection;
   bool Retried = false;
 };
@@ -96,6 +107,23 @@
              sizeof(unsigned));
 }
 
+/// Unlike the steady clock, it also advances while the host is suspended.
+std::chrono::nanoseconds bootTime() {
+  timespec T{};
+  clock_gettime(CLOCK_BOOTTIME, &T);
+  return std::chrono::seconds(T.tv_sec) + std::chrono::nanoseconds(T.tv_nsec);
+}
+
+/// Lets close() discard the bytes that the other side has not acknowledged, if
+/// there are any.
+void discardUndelivered(tcp::socket &Socket) {
+  int Bytes = 0;
+  if (ioctl(Socket.native_handle(), SIOCOUTQ, &Bytes) || !Bytes)
+    return;
+  error_code Ec;
+  Socket.set_option(asio::socket_base::linger(true, 0), Ec);
+}
+
 ClientResponse toClientResponse(http::response<http::string_body> &&From) {
   ClientResponse R;
   R.Status = From.result_int();
@@ -123,6 +151,9 @@
 
   void enqueue(const std::string &Address, const ExchangePtr &E);
   void startQueued(Endpoint &Remote);
+  /// Completes a request that was not sent within its time limit; returns
+  /// whether it is one.
+  bool expire(Endpoint &Remote, const ExchangePtr &E);
   void connect(const ConnectionPtr &C);
   void resolve(const ConnectionPtr &C);
   void connectTo(const ConnectionPtr &C, const tcp::endpoint &Destination);
@@ -199,6 +230,7 @@
     return completeWithError(Remote, E, ErrorCode::Unavailable,
                              "the circuit breaker is open");
   }
+  E->SendBy = bootTime() + E->Request.TimeLimit;
   E->Timer.expires_after(E->Request.TimeLimit);
   E->Timer.async_wait([Self = shared_from_this(), &Remote, E](error_code Ec) {
     if (!Ec && E->Done)
@@ -210,8 +242,23 @@
     ++RequestsQueued;
 }
 
+bool HttpClient::Impl::expire(Endpoint &Remote, const ExchangePtr &E) {
+  // A request that is repeated may have been delivered; its timer ends it.
+  if (bootTime() < E->SendBy || E->Retried)
+    return false;
+  Remote.Breaker.abandoned();
+  ++QueueTimeouts;
+  completeWithError(Remote, E, ErrorCode::Unavailable,
+                    "no connection was free in time");
+  return true;
+}
+
 void HttpClient::Impl::startQueued(Endpoint &Remote) {
   while (!Remote.Queue.empty() && !Closed) {
+    if (ExchangePtr First = Remote.Queue.front(); expire(Remote, First)) {
+      Remote.Queue.pop_front();
+      continue;
+    }
     auto Idle = std::find_if(
         Remote.Connections.begin(), Remote.Connections.end(),
         [](const ConnectionPtr &C) { return !C->CurrentExchange; });
@@ -291,7 +338,12 @@
                             C->Socket.set_option(tcp::no_delay(true), Ec);
                             if (Self->Limits.TcpKeepAlive)
                               setKeepAlive(C->Socket);
-                            Self->sendRequest(C);
+                            Endpoint &Remote = C->Remote;
+                            if (!Self->expire(Remote, C->CurrentExchange))
+                              return Self->sendRequest(C);
+                            C->CurrentExchange = nullptr;
+                            Self->keepIdle(C);
+                            Self->startQueued(Remote);
                           });
 }
 
@@ -435,6 +487,8 @@
   bool WriteStarted = C && C->WriteStarted;
   if (C && C->CurrentExchange == E) {
     C->CurrentExchange = nullptr;
+    if (WriteStarted)
+      discardUndelivered(C->Socket);
     closeConnection(C);
   }
   Remote.Breaker.failed(now(), Limits, Random);
--- a/packages/net/tests/ClientTest.cpp
+++ b/packages/net/tests/ClientTest.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <thread>
+#include <vector>
 
 using namespace heathersaddle;
 using namespace heathersaddle::net;
@@ -86,6 +87,60 @@
   BOOST_TEST((R.error().Code == ErrorCode::Timeout));
 }
 
+// Guards against a request that is sent when its caller has given up: the
+// process was paused while it was connecting, or while the request waited for a
+// connection.
+BOOST_AUTO_TEST_CASE(RequestIsNotSentAfterItsTimeLimit) {
+  boost::asio::io_context Context;
+  HttpClient C(Context, {.MaxConnections = 1});
+  RawSocket Peer;
+  auto Port = Peer.bindFreePort();
+  Peer.startListening();
+  std::vector<Result> Results;
+  for (int N = 0; N < 2; ++N)
+    C.send(test::loopbackAddress(Port),
+           {.Method = "POST",
+            .Target = "/",
+            .TimeLimit = std::chrono::milliseconds(20)},
+           [&](Result R) { Results.push_back(std::move(R)); });
+  // The requests are queued and a connection is begun.
+  Context.run_one();
+  Context.run_one();
+  std::this_thread::sleep_for(std::chrono::milliseconds(40));
+  while (Results.size() < 2)
+    Context.run_one();
+  for (const Result &R : Results)
+    BOOST_TEST((!R && R.error().Code == ErrorCode::Unavailable));
+  // The server gets no byte of them, and the connection can still be used.
+  C.send(test::loopbackAddress(Port), {.Target = "/next"},
+         [&](Result R) { Results.push_back(std::move(R)); });
+  RawSocket Connection(Peer.acceptOne());
+  for (int N = 0; N < 3; ++N)
+    Context.poll();
+  BOOST_TEST(Connection.readUntil("\r\n").starts_with("GET /next "));
+}
+
+// Guards against a request that the kernel delivers, when the server reads
+// again, after its caller was told that there is no answer.
+BOOST_AUTO_TEST_CASE(RequestIsNotDeliveredAfterItsTimeLimit) {
+  Executor Threads(1);
+  HttpClient C(Threads.context(), {});
+  RawSocket Peer;
+  Peer.limitReceiveBuffer(4'096);
+  auto Port = Peer.bindFreePort();
+  Peer.startListening();
+  std::string Body(200'000, 'x');
+  auto R = send(C, Port,
+                {.Method = "POST",
+                 .Target = "/",
+                 .Body = Body,
+                 .TimeLimit = std::chrono::milliseconds(100)});
+  BOOST_REQUIRE(!R);
+  BOOST_TEST((R.error().Code == ErrorCode::Timeout));
+  RawSocket Connection(Peer.acceptOne());
+  BOOST_TEST(Connection.readAll().size() < Body.size());
+}
+
 // Guards against reporting a request as not delivered that the server may have
 // handled.
 BOOST_AUTO_TEST_CASE(LostResponseIsUnresolved) {
--- a/packages/net/tests/Raw.h
+++ b/packages/net/tests/Raw.h
@@ -40,6 +40,10 @@
       throw std::runtime_error("bind");
     return ntohs(A.sin_port);
   }
+  void limitReceiveBuffer(int Bytes) const {
+    if (setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof Bytes))
+      throw std::runtime_error("setsockopt");
+  }
   void startListening() const {
     if (listen(Fd, 16))
       throw std::runtime_error("listen");
