Do not tell "not run" about a request that was not answered

Callers could see: a 500 whose body says "run": "not_run" for a request that the handler had begun to carry out before its reply was dropped, as on an exception or at the end of the process. The command-line tool takes that field for certain (packages/tool/lib/Caller.cpp).

Cause: the server used the same body for requests that it could not read, which no handler has seen.

Change: only those say "not_run"; a reply that the handler dropped says "unresolved", which the daemon's own errors use.

Evidence: TellsNotRunOnlyIfTheHandlerWasNotCalled fails with the former value.

--- a/packages/net/lib/HttpServer.cpp
+++ b/packages/net/lib/HttpServer.cpp
@@ -76,12 +76,14 @@
 namespace {
 
 Response errorResponse(unsigned Status, std::string_view Code,
-                       std::string_view Message) {
+                       std::string_view Message,
+                       std::string_view Run = "not_run") {
   Response R;
   R.Status = Status;
   R.Body = R"({"error":{"code":")" + std::string(Code) +
            R"(","field":"","message":")" + std::string(Message) +
-           R"(","step":"read_request","peer":"","run":"not_run"}})";
+           R"(","step":"read_request","peer":"","run":")" + std::string(Run) +
+           R"("}})";
   return R;
 }
 
@@ -292,7 +294,9 @@
   explicit Responder(std::shared_ptr<Session> ReplySession)
       : ReplySession(std::move(ReplySession)) {}
   ~Responder() {
-    send(errorResponse(500, "internal", "the request was not answered"));
+    // The handler may have carried it out.
+    send(errorResponse(500, "internal", "the request was not answered",
+                       "unresolved"));
   }
   Responder(const Responder &) = delete;
   Responder &operator=(const Responder &) = delete;
--- a/packages/net/tests/ServerTest.cpp
+++ b/packages/net/tests/ServerTest.cpp
@@ -188,6 +188,18 @@
   BOOST_TEST(hasStatus(S.exchange(getRequest("/dropped")), "500"));
 }
 
+// Guards against telling that a job has not run although the handler had begun
+// to carry out the request before it dropped the reply.
+BOOST_AUTO_TEST_CASE(TellsNotRunOnlyIfTheHandlerWasNotCalled) {
+  ServerFixture S;
+  BOOST_TEST(S.exchange(getRequest("/dropped")).find("not_run") ==
+             std::string::npos);
+  BOOST_TEST(S.HandledCount == 1);
+  BOOST_TEST(S.exchange(getRequest("/%zz")).find("not_run") !=
+             std::string::npos);
+  BOOST_TEST(S.HandledCount == 1);
+}
+
 // Guards against uploads that stall because the client waits for 100 Continue.
 BOOST_AUTO_TEST_CASE(AnswersExpectHeaderWith100) {
   ServerFixture S;
