Let an unexpected exception cost only its event

Callers could see: connections that break and a daemon that is gone, with all requests and calls it was handling, because the handling of one event threw: a request, an answer, a timer, or reading the settings again on SIGHUP.

Cause: nothing between the event loop and main() caught exceptions.

The node knows whether a call that modifies its state has ended by an exception.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -83,6 +83,8 @@
     {445, "calls_held_back", Warning},
     {450, "submission_dropped", Info},
     {451, "process_paused", Warning},
+    {452, "event_failed", Error},
+    {453, "process_ends", Error},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -136,6 +136,11 @@
   void start();
   void tick();
   std::vector<Action> takeActions();
+  /// Runs \p Result, which passes a result to the Done of an action.
+  void deliver(const std::function<void()> &Result);
+  /// False once a call that modifies the state has ended by an exception: the
+  /// state may be partly modified, and no further call may be made.
+  bool isStateSound() const;
 
   /// The current configuration; null until one has been read.
   std::shared_ptr<const Configuration> configuration() const;
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -113,8 +113,14 @@
           std::make_unique<Impl>(std::move(Settings), std::move(Clock), Log)) {}
 Node::~Node() = default;
 
-void Node::start() { Pimpl->tick(); }
-void Node::tick() { Pimpl->tick(); }
+void Node::start() { tick(); }
+void Node::tick() {
+  Pimpl->modify([this] { Pimpl->tick(); });
+}
+void Node::deliver(const std::function<void()> &Result) {
+  Pimpl->modify(Result);
+}
+bool Node::isStateSound() const { return !Pimpl->OpenChanges; }
 std::vector<Action> Node::takeActions() {
   return std::exchange(Pimpl->Shared.Actions, {});
 }
@@ -128,26 +134,30 @@
 }
 base::MonoTime Node::now() const { return Pimpl->Shared.mono(); }
 base::MonoTime Node::waitsUntil(Millis CallerWaits) {
-  return Pimpl->waitsUntil(CallerWaits);
+  return Pimpl->modify([&] { return Pimpl->waitsUntil(CallerWaits); });
 }
 bool Node::inputMayHaveWaited() const {
   return Pimpl->Pauses.inputMayHaveWaited();
 }
 void Node::allInputRead() {
-  Pimpl->notePause(Pimpl->Pauses.allInputRead(Pimpl->Shared.mono()));
+  Pimpl->modify([this] {
+    Pimpl->notePause(Pimpl->Pauses.allInputRead(Pimpl->Shared.mono()));
+  });
 }
 bool Node::isOwner() const { return Pimpl->ActiveOwner != nullptr; }
 void Node::submit(workload::JobSpec Spec,
                   std::function<void(std::optional<Refusal>)> Done,
                   Millis CallerWaits, std::function<bool()> IsCallerConnected) {
-  Pimpl->submit(std::move(Spec), std::move(Done), CallerWaits,
-                std::move(IsCallerConnected));
+  Pimpl->modify([&] {
+    Pimpl->submit(std::move(Spec), std::move(Done), CallerWaits,
+                  std::move(IsCallerConnected));
+  });
 }
 StatusResult Node::status(std::string_view Job) const {
   return Pimpl->status(Job);
 }
 void Node::cancel(std::string_view Job, std::function<void(Lookup)> Done) {
-  Pimpl->cancel(Job, std::move(Done));
+  Pimpl->modify([&] { Pimpl->cancel(Job, std::move(Done)); });
 }
 std::optional<std::size_t> Node::waiting(std::string_view Queue) const {
   return Pimpl->waiting(Queue);
@@ -159,12 +169,14 @@
 }
 void Node::recordForwarded(std::string_view Path, std::string_view Peer,
                            PeerAnswer How, base::Millis Took) {
-  Pimpl->recordForwarded(Path, Peer, How, Took);
+  Pimpl->modify([&] { Pimpl->recordForwarded(Path, Peer, How, Took); });
 }
 void Node::beginStop() {
-  Pimpl->Stopping = true;
-  if (Pimpl->ActiveOwner)
-    Pimpl->ActiveOwner->beginStop();
+  Pimpl->modify([this] {
+    Pimpl->Stopping = true;
+    if (Pimpl->ActiveOwner)
+      Pimpl->ActiveOwner->beginStop();
+  });
 }
 bool Node::stopped() const {
   return !Pimpl->ActiveOwner || Pimpl->ActiveOwner->released();
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -13,6 +13,19 @@
        base::StructuredLog &Log);
   ~Impl() { *Alive = false; }
 
+  /// Runs \p Change, which modifies the state, or callbacks of callers that
+  /// depend on it.
+  template <class F> auto modify(F &&Change) {
+    ++OpenChanges;
+    if constexpr (std::is_void_v<decltype(Change())>) {
+      Change();
+      --OpenChanges;
+    } else {
+      auto Result = Change();
+      --OpenChanges;
+      return Result;
+    }
+  }
   void tick();
   void onControlRecord(KeyValue &&Record);
   void onOperatorChange(OperatorChange &&Change);
@@ -73,6 +86,8 @@
   Intake Incoming; ///< Submissions that this daemon stores by itself.
   Tail<OperatorChange> OperatorTopic;
   PauseDetector Pauses;
+  /// Changes that have begun and not ended, or ended by an exception.
+  unsigned OpenChanges = 0;
   std::unique_ptr<Owner> ActiveOwner;
   bool StoreUp = false;
   bool Stopping = false;
--- a/packages/cluster/tests/OutlivedRequestTest.cpp
+++ b/packages/cluster/tests/OutlivedRequestTest.cpp
@@ -1,8 +1,10 @@
 #include "Deployment.h"
 #include "PauseDetector.h"
+#include <stdexcept>
 
 using namespace heathersaddle;
 using namespace heathersaddle::cluster;
+using base::Millis;
 
 namespace {
 
@@ -102,8 +104,6 @@
 
 BOOST_AUTO_TEST_SUITE(PauseOfTheProcess)
 
-using base::Millis;
-
 // Guards against taking a request for new that was sent to the daemon while it
 // was frozen.
 BOOST_AUTO_TEST_CASE(RequestsMayHaveWaitedSinceBeforeIt) {
@@ -176,3 +176,27 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(ExceptionOutOfANode, Deployment)
+
+// Guards against going on with state that is partly modified, and against
+// ending the process for an exception that modified nothing.
+BOOST_AUTO_TEST_CASE(MakesItsStateUnsound) {
+  auto Throw = [](const auto &) { throw std::runtime_error("fault"); };
+  Node &Submitting = anyDaemon();
+  BOOST_CHECK_THROW(Submitting.submit(job("1", 1, 1, 300), Throw, Millis(0)),
+                    std::runtime_error);
+  BOOST_TEST(!Submitting.isStateSound());
+  Node &Completing = *std::next(Daemons.begin())->second;
+  BOOST_TEST(Completing.isStateSound());
+  BOOST_CHECK_THROW(
+      Completing.deliver([] { throw std::runtime_error("fault"); }),
+      std::runtime_error);
+  BOOST_TEST(!Completing.isStateSound());
+  Node &Healthy = *std::next(Daemons.begin(), 2)->second;
+  run(500);
+  BOOST_TEST(!submit(Healthy, job("2", 1, 1, 300)));
+  BOOST_TEST(Healthy.isStateSound());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
