--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -85,6 +85,10 @@
     {447, "drain_withdrawn", Info},
     {448, "starts_wait_for_operator", Warning},
     {449, "drain_begun", Info},
+    {450, "submission_dropped", Info},
+    {451, "process_paused", Warning},
+    {452, "event_failed", Error},
+    {453, "process_ends", Error},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -53,6 +53,7 @@
     Unavailable, ///< Certainly not run; another daemon may accept it.
     Unresolved,  ///< The store did not answer; retry with the same id.
     Cancelled,   ///< Was cancelled before it was submitted; never runs.
+    Abandoned,   ///< Certainly not run; its caller has gone or may have gone.
     Invalid      ///< Can never run.
   };
   Kind Why = Unavailable;
@@ -138,6 +139,11 @@
   void start();
   void tick();
   std::vector<Action> takeActions();
+  /// Runs \p Result, which passes a result to the Done of an action.
+  void deliver(const std::function<void()> &Result);
+  /// False once a call that modifies the state has ended by an exception: the
+  /// state may be partly modified, and no further call may be made.
+  bool isStateSound() const;
 
   /// The current configuration; null until one has been read.
   std::shared_ptr<const Configuration> configuration() const;
@@ -147,11 +153,27 @@
   bool ready() const;
   bool isOwner() const;
 
+  /// The time by this daemon's clock.
+  base::MonoTime now() const;
+  /// When the caller of a request that was just read stops waiting, if it waits
+  /// for \p CallerWaits. If the process was paused, the request may have waited
+  /// in it since before the pause.
+  base::MonoTime waitsUntil(base::Millis CallerWaits);
+  /// Whether the process was paused and requests that arrived before its end
+  /// may not have been read yet.
+  bool inputMayHaveWaited() const;
+  /// To be called when all connections and requests that had arrived have been
+  /// read.
+  void allInputRead();
+
   /// Completes without a refusal once the job is stored or if it was known
-  /// already, and before its caller has waited for \p CallerWaits.
+  /// already, and before its caller has waited for \p CallerWaits from now on.
+  /// A job is refused if, before it is sent to the store, that time is over or
+  /// \p IsCallerConnected says that its caller has gone; if empty, it has not.
   void submit(workload::JobSpec Spec,
               std::function<void(std::optional<Refusal>)> Done,
-              base::Millis CallerWaits = DefaultCallerWait);
+              base::Millis CallerWaits = DefaultCallerWait,
+              std::function<bool()> IsCallerConnected = {});
   StatusResult status(std::string_view Job) const;
   /// Completes with Found or Unknown once the cancellation is stored.
   void cancel(std::string_view Job, std::function<void(Lookup)> Done);
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -17,6 +17,7 @@
     : Shared(std::move(Settings), std::move(Clock), Log),
       ControlTopic(Shared, FollowerReadInterval, MaxControlReadWait),
       Incoming(Shared), OperatorTopic(Shared, OperatorReadInterval),
+      Pauses(Shared.mono()),
       FormerLeases(LeaseTerms(Shared.Settings.MaxLease)) {
   Incoming.OnStored = [this](const Submission &S, std::uint64_t Offset) {
     onSubmissionStored(S, Offset);
@@ -99,7 +100,15 @@
     Shared.log(403, {{"next", ControlTopic.next()}});
 }
 
+void Node::Impl::notePause(std::optional<Millis> Pause) {
+  if (!Pause)
+    return;
+  Shared.count("process_pauses");
+  Shared.log(451, {{"pause_ms", Pause->count()}});
+}
+
 void Node::Impl::tick() {
+  notePause(Pauses.processRuns(Shared.mono()));
   ControlTopic.tick();
   OperatorTopic.tick();
   Shared.OperatorTopicRead |= OperatorTopic.caughtUp();
@@ -123,8 +132,14 @@
           std::make_unique<Impl>(std::move(Settings), std::move(Clock), Log)) {}
 Node::~Node() = default;
 
-void Node::start() { Pimpl->tick(); }
-void Node::tick() { Pimpl->tick(); }
+void Node::start() { tick(); }
+void Node::tick() {
+  Pimpl->modify([this] { Pimpl->tick(); });
+}
+void Node::deliver(const std::function<void()> &Result) {
+  Pimpl->modify(Result);
+}
+bool Node::isStateSound() const { return !Pimpl->OpenChanges; }
 std::vector<Action> Node::takeActions() {
   return std::exchange(Pimpl->Shared.Actions, {});
 }
@@ -139,17 +154,32 @@
 std::size_t Node::drainedDataCentres() const {
   return Pimpl->Shared.Drained.size();
 }
+base::MonoTime Node::now() const { return Pimpl->Shared.mono(); }
+base::MonoTime Node::waitsUntil(Millis CallerWaits) {
+  return Pimpl->modify([&] { return Pimpl->waitsUntil(CallerWaits); });
+}
+bool Node::inputMayHaveWaited() const {
+  return Pimpl->Pauses.inputMayHaveWaited();
+}
+void Node::allInputRead() {
+  Pimpl->modify([this] {
+    Pimpl->notePause(Pimpl->Pauses.allInputRead(Pimpl->Shared.mono()));
+  });
+}
 bool Node::isOwner() const { return Pimpl->ActiveOwner != nullptr; }
 void Node::submit(workload::JobSpec Spec,
                   std::function<void(std::optional<Refusal>)> Done,
-                  Millis CallerWaits) {
-  Pimpl->submit(std::move(Spec), std::move(Done), CallerWaits);
+                  Millis CallerWaits, std::function<bool()> IsCallerConnected) {
+  Pimpl->modify([&] {
+    Pimpl->submit(std::move(Spec), std::move(Done), CallerWaits,
+                  std::move(IsCallerConnected));
+  });
 }
 StatusResult Node::status(std::string_view Job) const {
   return Pimpl->status(Job);
 }
 void Node::cancel(std::string_view Job, std::function<void(Lookup)> Done) {
-  Pimpl->cancel(Job, std::move(Done));
+  Pimpl->modify([&] { Pimpl->cancel(Job, std::move(Done)); });
 }
 std::optional<std::size_t> Node::waiting(std::string_view Queue) const {
   return Pimpl->waiting(Queue);
@@ -161,12 +191,14 @@
 }
 void Node::recordForwarded(std::string_view Path, std::string_view Peer,
                            PeerAnswer How, base::Millis Took) {
-  Pimpl->recordForwarded(Path, Peer, How, Took);
+  Pimpl->modify([&] { Pimpl->recordForwarded(Path, Peer, How, Took); });
 }
 void Node::beginStop() {
-  Pimpl->Stopping = true;
-  if (Pimpl->ActiveOwner)
-    Pimpl->ActiveOwner->beginStop();
+  Pimpl->modify([this] {
+    Pimpl->Stopping = true;
+    if (Pimpl->ActiveOwner)
+      Pimpl->ActiveOwner->beginStop();
+  });
 }
 bool Node::stopped() const {
   return !Pimpl->ActiveOwner || Pimpl->ActiveOwner->released();
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -3,6 +3,7 @@
 
 #include "Intake.h"
 #include "Owner.h"
+#include "PauseDetector.h"
 #include "heathersaddle/cluster/Admission.h"
 
 namespace heathersaddle::cluster {
@@ -12,12 +13,27 @@
        base::StructuredLog &Log);
   ~Impl() { *Alive = false; }
 
+  /// Runs \p Change, which modifies the state, or callbacks of callers that
+  /// depend on it.
+  template <class F> auto modify(F &&Change) {
+    ++OpenChanges;
+    if constexpr (std::is_void_v<decltype(Change())>) {
+      Change();
+      --OpenChanges;
+    } else {
+      auto Result = Change();
+      --OpenChanges;
+      return Result;
+    }
+  }
   void tick();
   void onControlRecord(KeyValue &&Record);
   void onOperatorChange(OperatorChange &&Change);
   /// The set of drained data centres has changed.
   void onDrainChanged(const DrainChange &Change);
   void updateStoreState();
+  /// Counts and logs a pause of the process, if there was one.
+  void notePause(std::optional<Millis> Pause);
 
   // Election.cpp: election of the owner.
   void elect();
@@ -32,9 +48,10 @@
   void stepDownUnreachable();
 
   // Requests.cpp: callers' requests.
+  MonoTime waitsUntil(Millis CallerWaits);
   void submit(workload::JobSpec Spec,
               std::function<void(std::optional<Refusal>)> Done,
-              Millis CallerWaits);
+              Millis CallerWaits, std::function<bool()> IsCallerConnected);
   /// Returns \p Done, which also keeps account of whether the submission is
   /// answered, for mayBeStored().
   std::function<void(std::optional<Refusal>)>
@@ -73,6 +90,9 @@
   Tail<KeyValue> ControlTopic;
   Intake Incoming; ///< Submissions that this daemon stores by itself.
   Tail<OperatorChange> OperatorTopic;
+  PauseDetector Pauses;
+  /// Changes that have begun and not ended, or ended by an exception.
+  unsigned OpenChanges = 0;
   std::unique_ptr<Owner> ActiveOwner;
   bool StoreUp = false;
   bool Stopping = false;
--- a/packages/net/lib/HttpServer.cpp
+++ b/packages/net/lib/HttpServer.cpp
@@ -19,6 +19,7 @@
 #include <boost/beast/http.hpp>
 #include <mutex>
 #include <optional>
+#include <poll.h>
 #include <set>
 #include <vector>
 
@@ -75,12 +76,14 @@
 namespace {
 
 Response errorResponse(unsigned Status, std::string_view Code,
-                       std::string_view Message) {
+                       std::string_view Message,
+                       std::string_view Run = "not_run") {
   Response R;
   R.Status = Status;
   R.Body = R"({"error":{"code":")" + std::string(Code) +
            R"(","field":"","message":")" + std::string(Message) +
-           R"(","step":"read_request","peer":"","run":"not_run"}})";
+           R"(","step":"read_request","peer":"","run":")" + std::string(Run) +
+           R"("}})";
   return R;
 }
 
@@ -137,6 +140,16 @@
                });
   }
 
+  /// The kernel does not tell whether a caller that has closed its sending side
+  /// has also closed the other one.
+  bool isCallerConnected() {
+    if (!Stream.socket().is_open())
+      return false;
+    // Unlike a read, POLLRDHUP is also seen behind input that was not read yet.
+    pollfd Poll{Stream.socket().native_handle(), POLLRDHUP, 0};
+    return poll(&Poll, 1, 0) <= 0;
+  }
+
 private:
   void awaitRequest() {
     if (Buffer.size() > 0)
@@ -281,7 +294,9 @@
   explicit Responder(std::shared_ptr<Session> ReplySession)
       : ReplySession(std::move(ReplySession)) {}
   ~Responder() {
-    send(errorResponse(500, "internal", "the request was not answered"));
+    // The handler may have carried it out.
+    send(errorResponse(500, "internal", "the request was not answered",
+                       "unresolved"));
   }
   Responder(const Responder &) = delete;
   Responder &operator=(const Responder &) = delete;
@@ -317,6 +332,10 @@
   R.Body = std::move(Message.body());
   R.RemoteAddress = RemoteAddress;
   R.WireBytes = RequestBytes;
+  R.IsCallerConnected = [Weak = weak_from_this()] {
+    auto Self = Weak.lock();
+    return Self && Self->isCallerConnected();
+  };
   Stream.expires_never();
   auto SharedResponder = std::make_shared<Responder>(shared_from_this());
   Core->OnRequest(std::move(R), [SharedResponder](Response Reply) {
