Estimate the speed of each worker from its runs

Placement knew only workers at a third of the usual rate or less, so workers that run permanently at 0.6 or 1.6 of the usual speed counted as alike.

--- a/packages/dispatch/include/heathersaddle/dispatch/Fleet.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Fleet.h
@@ -56,6 +56,18 @@
   Slow     ///< Work on it takes several times as long.
 };
 
+/// Speeds are compared in classes of this width, in the logarithm of the factor
+/// against the usual speed: about a quarter.
+inline constexpr double SpeedClassWidth = 0.25;
+
+/// How fast a worker is; by default as fast as usual.
+struct SpeedEstimate {
+  double LogFactor = 0; ///< Logarithm of the factor against the usual speed.
+  double Error = 0;     ///< Standard deviation of LogFactor.
+  int Class = 0;        ///< LogFactor in units of SpeedClassWidth, rounded.
+  bool Known = true;    ///< Error is small enough to rely on the class.
+};
+
 struct Worker {
   std::string Id;
   std::string Service;
@@ -67,6 +79,7 @@
   /// Failed or refused runs lately; gets work only if that has waited for long.
   bool Avoided = false;
   WorkerCondition Condition = WorkerCondition::Healthy;
+  SpeedEstimate Speed;
   std::vector<Allocation> Allocations;
   bool Occupied = false; ///< Work runs on it or room on it is held.
   /// The highest number of crashes counted against a task that runs on it.
--- a/packages/dispatch/include/heathersaddle/dispatch/Planner.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Planner.h
@@ -25,6 +25,8 @@
   /// Workers on which a task of the step failed; avoided while others fit.
   std::set<std::string> AvoidedWorkers;
   unsigned Crashes = 0; ///< Workers that crashed under its tasks.
+  /// How many times its estimate work of its queue takes at the usual speed.
+  double RunTimeRatio = 1;
 
   /// The workers that may run it, with their tickets; null: any worker.
   const std::map<std::string, std::string> *AllowedWorkers = nullptr;
--- /dev/null
+++ b/packages/dispatch/lib/SpeedChoice.cpp
@@ -0,0 +1,88 @@
+// Load pattern: urgent gangs with a stretch of 1.5 next to work with a stretch
+// of 3, on a pool of which a third each runs at 0.6, 1.0 and 1.6.
+//
+// An urgent gang is late on a worker at 0.6 however early it starts, while the
+// other work is in time there. So urgent work takes the fastest workers, and
+// other work the slowest with which it should still end in time. A gang ends
+// with its slowest member, so its members are placed on workers of the same
+// class as the slowest one as far as possible.
+#include "SpeedChoice.h"
+#include <algorithm>
+#include <cmath>
+
+namespace heathersaddle::dispatch {
+
+/// Standard deviation of the logarithm of the run times of the tasks of a step.
+static constexpr double TaskSpread = 0.3;
+/// From the plan to the start of a task: the placement is stored, then sent.
+static constexpr std::int64_t StartMs = 100;
+/// Run times of other work than urgent work count as at most this multiple of
+/// the estimates: an account that understates them gets no faster workers.
+static constexpr double MaxRunTimeRatio = 1.2;
+
+SpeedRange speedRange(const Fleet &F) {
+  SpeedRange Range;
+  for (const Worker &On : F.Workers) {
+    Range.Slowest = std::min(Range.Slowest, On.Speed.Class);
+    Range.Fastest = std::max(Range.Fastest, On.Speed.Class);
+    Range.Differ |= On.Speed.Class != 0 || !On.Speed.Known;
+  }
+  return Range;
+}
+
+int speedClass(const Worker &On, const WaitingTasks &W) {
+  bool Urgent = W.Job->Spec.Priority == 0;
+  return On.Speed.Class - (Urgent && !On.Speed.Known ? 1 : 0);
+}
+
+/// By which factor the longest of \p Tasks run times is above the median,
+/// approximately.
+static double unevenness(std::size_t Tasks) {
+  auto N = static_cast<double>(Tasks);
+  return std::exp(TaskSpread * 0.62 * std::sqrt(2 * std::log(N + 1)));
+}
+
+int neededSpeedClass(const WaitingTasks &W, const SpeedRange &Range,
+                     std::int64_t NowMs) {
+  bool Urgent = W.Job->Spec.Priority == 0;
+  double Ratio =
+      Urgent ? W.RunTimeRatio : std::min(W.RunTimeRatio, MaxRunTimeRatio);
+  double Needed = static_cast<double>(W.RemainingMs) * Ratio *
+                  unevenness(W.Tasks.size());
+  auto Left = static_cast<double>(W.ObjectiveMs - NowMs - StartMs);
+  if (Left <= 0)
+    return Range.Fastest;
+  double Class = std::round(std::log(std::max(1.0, Needed) / Left) /
+                            SpeedClassWidth);
+  return static_cast<int>(std::clamp<double>(Class, Range.Slowest,
+                                             Range.Fastest));
+}
+
+SpeedOrder SpeedOrder::forTasks(const WaitingTasks &W) {
+  if (!W.SpeedMatters)
+    return {};
+  if (W.Job->Spec.Priority == 0)
+    return {Kind::FastestFirst, 0, false};
+  // Work that would be in time on a worker of usual speed finds out how fast
+  // the others are.
+  return {Kind::FromClass, W.NeededSpeed, W.NeededSpeed < 0};
+}
+
+SpeedOrder SpeedOrder::forGang(int Slowest) {
+  return {Kind::FromClass, Slowest, false};
+}
+
+int SpeedOrder::rank(const Worker &On, const WaitingTasks &W) const {
+  // Above any difference of classes.
+  constexpr int TooSlow = 1'000;
+  if (Order == Kind::Alike)
+    return 0;
+  int Class = speedClass(On, W);
+  if (Order == Kind::FastestFirst)
+    return -Class;
+  if (Explore && !On.Speed.Known)
+    return -1;
+  return Class >= From ? Class - From : TooSlow + From - Class;
+}
+
+} // namespace heathersaddle::dispatch
