Place work by the speed that it needs, and learn speeds from all runs

A gang ends with its slowest member, but placement knew no speeds: with a third of the workers each at 0.6, 1.0 and 1.6, four in ten urgent gangs were late on a pool with free capacity.

Urgent work takes the fastest workers, with all members of a gang from a like class; other work takes the slowest class with which it ends by its objective. Room is kept for urgent work on workers that are fast enough. The owner feeds the estimates from progress and ends; event 458 and 459 and two gauges show them. Without a spread all placements are the same as without estimates.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -81,6 +81,8 @@
     {443, "orders_paused", Warning},
     {444, "orders_resumed", Info},
     {445, "calls_held_back", Warning},
+    {458, "worker_speed_changed", Info},
+    {459, "worker_speeds_differ", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -105,6 +105,7 @@
 struct NodeStats {
   std::map<std::string, std::uint64_t, std::less<>> Counts;
   std::map<LatencyKey, LatencyHistogram> Latencies;
+  std::map<std::string, double, std::less<>> Gauges; ///< Latest values.
 };
 
 /// How long callers wait for an answer if they do not say.
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -12,6 +12,7 @@
 #include "heathersaddle/dispatch/Pace.h"
 #include "heathersaddle/dispatch/Planner.h"
 #include "heathersaddle/dispatch/Stall.h"
+#include "heathersaddle/dispatch/WorkerSpeed.h"
 #include <set>
 #include <tuple>
 
@@ -96,6 +97,8 @@
   MonoTime RetryAt{};
   MonoTime ConfirmedAt{}; ///< When the start or, later, the stop was confirmed.
   dispatch::Pace Speed;
+  /// It was an observation of its worker's speed, or can't be one.
+  bool SpeedObserved = false;
   /// All members of its gang run; always set with the confirmation if it has no
   /// gang.
   bool AllMembersConfirmed = false;
@@ -187,6 +190,8 @@
   MonoTime LeavesAt{};
   MonoTime AvoidUntil{};
   dispatch::SlowWorkerDetector Slowness;
+  dispatch::WorkerSpeed Speed; ///< Of the current incarnation.
+  int SpeedClass = 0;          ///< As of the latest event about it.
   /// Jobs that failed here since the last success.
   std::set<std::string> FailedJobs;
   /// When the current incarnation was first seen.
@@ -336,7 +341,18 @@
   void onRunReported(Session &S, const RunningTask &T);
   void onEndReported(Session &S, const EndedTask &T);
 
-  // OwnerPace.cpp: detection of slow workers.
+  // OwnerPace.cpp: the speeds of workers, and detection of slow workers.
+  /// Adds the run to those of its step from which speeds are learned, if it
+  /// tells something about its worker's speed.
+  void addRunTime(Session &S, const RunId &Id, RunState &R,
+                  std::vector<dispatch::RunProgressTime> &Runs);
+  /// Learns from a run that has ended successfully.
+  void observeEnd(Session &S, const RunId &Id);
+  /// Learns from the progress of all runs.
+  void updateSpeeds();
+  /// The factor of the worker's speed by which its rates are corrected before
+  /// they are compared with others.
+  double rateFactor(const Session &S) const;
   struct RunRate {
     const Job *RunJob = nullptr;
     const workload::Step *Step = nullptr;
@@ -484,6 +500,8 @@
   bool UnusedServiceListed = false;
   dispatch::Planner Planner;
   dispatch::UsualRates Rates;
+  dispatch::SpeedModel Speeds;
+  bool SpeedsDiffer = false; ///< As of the latest event about it.
   std::set<std::string, std::less<>> UnfinishedJobs;
   std::set<std::string, std::less<>> GuaranteedJobs;
   /// When this owner first read each cancellation of an unknown job.
--- a/packages/cluster/lib/OwnerPace.cpp
+++ b/packages/cluster/lib/OwnerPace.cpp
@@ -1,12 +1,18 @@
-// Detects slow workers and moves those of their runs that would end sooner
-// elsewhere. dispatch/Pace decides what counts as slow.
+// Learns how fast workers are (dispatch/WorkerSpeed). Detects workers that have
+// become slow and moves those of their runs that would end sooner elsewhere;
+// dispatch/Pace decides what counts as slow.
 #include "Owner.h"
+#include <cmath>
 
 namespace heathersaddle::cluster {
 
 /// A unit whose run number is higher than this is not moved off slow workers
 /// again.
 static constexpr unsigned MaxRunNumberToMove = 6;
+/// A worker that always runs at this share of the usual speed or more does not
+/// count as slow for that; urgent work avoids it by its class. What runs on
+/// slower ones is better moved.
+static constexpr double MinRateFactor = 0.5;
 
 bool Owner::hasRemotePlacement(const Session &S, const workload::Step &Step,
                                const Job &J, const RunId &Id) const {
@@ -23,6 +29,91 @@
   return false;
 }
 
+void Owner::addRunTime(Session &S, const RunId &Id, RunState &R,
+                       std::vector<dispatch::RunProgressTime> &Runs) {
+  auto Whole = R.Speed.wholeMs();
+  if (R.SpeedObserved || !R.AllMembersConfirmed || !Whole)
+    return;
+  const Job *J = Shared.Ledger.find(Id.Task.Job);
+  if (!J || !J->Spec.has(Id.Task.Key))
+    return;
+  const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
+  // What a percentage stands for in a run that has resumed is not known.
+  if (Step.LongRunning || S.Entry.WarmupLeftMs > 0 ||
+      !J->task(Id.Task.Key).Checkpoint.empty() ||
+      hasRemotePlacement(S, Step, *J, Id)) {
+    R.SpeedObserved = true;
+    return;
+  }
+  R.SpeedObserved = R.Speed.isPrecise();
+  Runs.push_back({&S.Speed, *Whole, R.SpeedObserved});
+}
+
+void Owner::observeEnd(Session &S, const RunId &Id) {
+  const Job *J = Shared.Ledger.find(Id.Task.Job);
+  auto It = S.Runs.find(Id);
+  // A gang's member may have waited for the others before its end.
+  if (It == S.Runs.end() || !J || !J->Spec.has(Id.Task.Key) ||
+      J->Spec.Steps[Id.Task.Key.Step].Gang)
+    return;
+  It->second.Speed.finish(Shared.mono());
+  std::vector<dispatch::RunProgressTime> Runs;
+  addRunTime(S, Id, It->second, Runs);
+  if (It->second.SpeedObserved && !Runs.empty())
+    Speeds.observeStep(
+        stepOf(Id.Task), J->Spec.Queue,
+        static_cast<double>(J->Spec.Steps[Id.Task.Key.Step].EstimateMs), Runs);
+}
+
+void Owner::updateSpeeds() {
+  std::map<UnitId, std::vector<dispatch::RunProgressTime>> ByStep;
+  std::vector<dispatch::WorkerSpeed *> Workers;
+  for (auto &[Worker, S] : Sessions) {
+    Workers.push_back(&S.Speed);
+    for (auto &[Id, R] : S.Runs)
+      if (R.Stage == RunStage::Confirmed && !R.SpeedObserved)
+        addRunTime(S, Id, R, ByStep[stepOf(Id.Task)]);
+  }
+  for (const auto &[Step, Runs] : ByStep) {
+    const Job *J = Shared.Ledger.find(Step.Job);
+    if (J && std::any_of(Runs.begin(), Runs.end(),
+                         [](const auto &R) { return R.Observe; }))
+      Speeds.observeStep(
+          Step, J->Spec.Queue,
+          static_cast<double>(J->Spec.Steps[Step.Step].EstimateMs), Runs);
+  }
+  Speeds.refresh(Workers);
+  std::size_t Known = 0;
+  for (auto &[Worker, S] : Sessions) {
+    dispatch::SpeedEstimate E = Speeds.estimate(S.Speed);
+    Known += E.Known;
+    if (E.Class == S.SpeedClass)
+      continue;
+    Shared.count("worker_speed_changes");
+    Shared.log(458, {{"worker", Worker},
+                     {"class", E.Class},
+                     {"former_class", S.SpeedClass},
+                     {"factor", std::exp(E.LogFactor)},
+                     {"error", E.Error},
+                     {"runs", S.Speed.observations()}});
+    S.SpeedClass = E.Class;
+  }
+  if (Speeds.workersDiffer() !=
+      std::exchange(SpeedsDiffer, Speeds.workersDiffer()))
+    Shared.log(459, {{"differ", SpeedsDiffer},
+                     {"spread", Speeds.spread()},
+                     {"known", Known},
+                     {"workers", Sessions.size()}});
+  Shared.Stats.Gauges["worker_speed_spread"] = Speeds.spread();
+  Shared.Stats.Gauges["worker_speeds_known"] =
+      SpeedsDiffer ? static_cast<double>(Known) : 0;
+}
+
+double Owner::rateFactor(const Session &S) const {
+  return std::exp(
+      std::max(Speeds.estimate(S.Speed).LogFactor, std::log(MinRateFactor)));
+}
+
 std::optional<Owner::RunRate> Owner::rateOf(const Session &S, const RunId &Id,
                                             const RunState &R) const {
   const Job *J = Shared.Ledger.find(Id.Task.Job);
@@ -33,7 +124,7 @@
   const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
   if (Step.LongRunning || hasRemotePlacement(S, Step, *J, Id))
     return std::nullopt;
-  return RunRate{J, &Step, *Rate};
+  return RunRate{J, &Step, *Rate / rateFactor(S)};
 }
 
 void Owner::updateRates() {
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -284,6 +284,7 @@
       Ended->EndUnstored = false;
   });
   UnfinishedJobs.erase(J.Spec.Id);
+  Speeds.forgetJob(J.Spec.Id);
   Shared.count(State == JobState::Completed ? "jobs_completed"
                : State == JobState::Failed  ? "jobs_failed"
                                             : "jobs_cancelled");
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -66,10 +66,12 @@
     UnsubmittedCancelsSince.erase(std::string(Id));
     // Its records were removed, by whomever. Nobody waits for it any more.
     UnfinishedJobs.erase(std::string(Id));
+    Speeds.forgetJob(Id);
     return stopJob(std::string(Id), "its records were removed");
   }
   if (J->ended()) {
     UnfinishedJobs.erase(std::string(Id));
+    Speeds.forgetJob(Id);
     return;
   }
   UnfinishedJobs.emplace(Id);
@@ -203,6 +205,7 @@
         W.SeenWaitingMs = (Shared.mono() - Since).count();
         W.ObjectiveMs = W.DueMs + J.Spec.objectiveMs();
         W.RemainingMs = LongestChain - ChainBefore[S];
+        W.RunTimeRatio = Speeds.runTimeRatio(J.Spec.Queue);
         if (auto It = FailedWorkers.find({Id, K, S, 0});
             It != FailedWorkers.end())
           W.AvoidedWorkers = It->second;
@@ -304,6 +307,7 @@
     W.Usable = S.Listed && S.Described && S.Synced && S.ClockMs >= 0 &&
                isHeardOf(S) && !S.Entry.Draining && !S.Entry.Address.empty();
     W.Avoided = T < S.AvoidUntil;
+    W.Speed = Speeds.estimate(S.Speed);
     if (S.Slowness.isSlow(T))
       W.Condition = dispatch::WorkerCondition::Slow;
     else if (S.FailedJobs.size() >= FailingWorkerJobs ||
--- a/packages/cluster/lib/OwnerSyncs.cpp
+++ b/packages/cluster/lib/OwnerSyncs.cpp
@@ -443,10 +443,12 @@
 void Owner::onEndReported(Session &S, const EndedTask &T) {
   RunId Id{T.Task, T.Run};
   S.LastHandledEnd = std::max(S.LastHandledEnd, T.Number);
-  if (T.Reason == EndReason::Done)
+  if (T.Reason == EndReason::Done) {
     S.FailedJobs.clear();
-  else if (T.Reason == EndReason::Failed)
+    observeEnd(S, Id);
+  } else if (T.Reason == EndReason::Failed) {
     S.FailedJobs.insert(T.Task.Job);
+  }
   markBegun(T.Task.Job);
   finishRun(Id, T.Reason, T.Checkpoint, S);
 }
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -171,6 +171,7 @@
   S.ClockMs = -1;
   S.HeldLeaseEndsAt = {};
   S.FailedJobs.clear();
+  S.Speed = {};
   S.LeavesAt = {};
   // The worker gets no work before its clock is known.
   abandonSync(S);
@@ -283,6 +284,7 @@
   bool CheckRuns = T - RunsCheckedAt >= RunCheckPeriod;
   if (CheckRuns) {
     RunsCheckedAt = T;
+    updateSpeeds();
     updateRates();
   }
   for (auto It = Sessions.begin(); It != Sessions.end();) {
--- a/packages/dispatch/include/heathersaddle/dispatch/Pace.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Pace.h
@@ -25,6 +25,13 @@
   void sample(unsigned Percent, base::MonoTime Now, Rate UsualRate);
   /// The latest measured rate; none if there is none or it is too old.
   std::optional<Rate> latest(base::MonoTime Now) const;
+  /// The run has ended successfully at \p Now.
+  void finish(base::MonoTime Now);
+  /// How long the whole run takes at its mean rate so far, or took; none while
+  /// too little of it has been measured.
+  std::optional<double> wholeMs() const;
+  /// Whether wholeMs() is precise enough to tell how fast the worker is.
+  bool isPrecise() const;
 
 private:
   bool Started = false;
@@ -32,6 +39,14 @@
   base::MonoTime WindowStart{};
   std::optional<Rate> LatestRate;
   base::MonoTime LatestRateAt{};
+  // From the start of the measurement to the latest percentage below 100, and
+  // to the first of 100.
+  bool FromZero = false;
+  unsigned StartPercent = 0;
+  base::MonoTime StartAt{};
+  unsigned LatestPercent = 0;
+  base::MonoTime LatestAt{};
+  std::optional<base::MonoTime> CompleteAt;
 };
 
 /// The usual rates of steps and of queues. The rate of the queue is used for
--- a/packages/dispatch/include/heathersaddle/dispatch/Planner.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Planner.h
@@ -36,6 +36,10 @@
   bool MayUseKeptRoom = false;
   /// May also use workers that are avoided, and racks that do not suit it.
   bool MayUseAnyRoom = false;
+  // Set by the planner; see SpeedChoice.cpp.
+  bool SpeedMatters = false; ///< The workers differ in speed.
+  /// The lowest class of speed with which it should end by its objective.
+  int NeededSpeed = 0;
 
   const workload::Step &step() const { return Job->Spec.Steps[Step]; }
 };
@@ -85,8 +89,8 @@
 ///   Plan Next = P.plan(Fleet, Queue, NowMs);
 /// \endcode
 ///
-/// Its only state is the holds for urgent units. Losing them costs time but
-/// breaks nothing.
+/// Its only state is the holds for urgent units, and the speed that urgent work
+/// has needed lately. Losing them costs time but breaks nothing.
 class Planner {
 public:
   /// \p UrgentGpus is the expected need of urgent work; see UrgentRacks.cpp.
@@ -96,6 +100,8 @@
 private:
   std::map<UnitId, Hold> Holds;
   std::int64_t WaitsExplainedMs = 0;
+  /// Mean of the classes of speed that urgent work needs.
+  double UrgentSpeed = 0;
 };
 
 /// Sorts waiting work into the order in which it is placed; see Order.cpp.
--- a/packages/dispatch/include/heathersaddle/dispatch/WorkerSpeed.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/WorkerSpeed.h
@@ -78,8 +78,16 @@
 
 private:
   struct StepLevel {
-    double SumOfWeights = 0;
-    double WeightedSum = 0; ///< Of the logarithms of run times.
+    struct Part {
+      double SumOfWeights = 0;
+      double WeightedSum = 0; ///< Of the logarithms of run times.
+      void add(double Weight, double LogTime) {
+        SumOfWeights += Weight;
+        WeightedSum += Weight * LogTime;
+      }
+    };
+    Part All;
+    std::map<const WorkerSpeed *, Part> ByWorker;
     bool CountedForQueue = false;
   };
   struct QueueLevel {
--- a/packages/dispatch/lib/Pace.cpp
+++ b/packages/dispatch/lib/Pace.cpp
@@ -23,6 +23,12 @@
 static constexpr double MinGainPercent = 4;
 /// Older measurements say little about the current rate and are ignored.
 static constexpr Millis RateValidity{3'000};
+/// A run is extrapolated once it has gained this much, and is precise enough to
+/// tell its worker's speed after this gain and time: percentages are whole
+/// numbers, and the time of a start is known to within some 20 ms.
+static constexpr unsigned MinGainToExtrapolate = 10;
+static constexpr unsigned MinPreciseGain = 20;
+static constexpr Millis MinPreciseTime{400};
 /// Below this share of the usual rate a run is slow. Tasks of a step differ by
 /// a third; slow workers take at least four times as long.
 static constexpr double SlowRateShare = 0.35;
@@ -40,6 +46,9 @@
 
 void Pace::begin(MonoTime Now) {
   Started = true;
+  FromZero = true;
+  StartPercent = LatestPercent = 0;
+  StartAt = LatestAt = Now;
   WindowStartPercent = 0;
   WindowStart = Now;
 }
@@ -47,13 +56,20 @@
 void Pace::sample(unsigned Percent, MonoTime Now, Rate UsualRate) {
   if (Percent >= 100) {
     LatestRate.reset();
+    if (Started && !CompleteAt)
+      CompleteAt = Now;
     return;
   }
   if (!Started) {
     begin(Now);
-    WindowStartPercent = Percent;
+    FromZero = false;
+    WindowStartPercent = StartPercent = LatestPercent = Percent;
     return;
   }
+  if (Percent > LatestPercent) {
+    LatestPercent = Percent;
+    LatestAt = Now;
+  }
   auto ElapsedSeconds =
       static_cast<double>((Now - WindowStart).count()) / 1'000;
   double GainedPercent = Percent - std::min(Percent, WindowStartPercent);
@@ -73,6 +89,30 @@
                                                           : std::nullopt;
 }
 
+void Pace::finish(MonoTime Now) {
+  if (!CompleteAt && Started)
+    CompleteAt = Now;
+}
+
+std::optional<double> Pace::wholeMs() const {
+  unsigned Gain = LatestPercent - StartPercent;
+  // The first report of 100 percent may come late, so a gain below it is
+  // preferred.
+  if (Gain >= MinGainToExtrapolate)
+    // A percentage is rounded down, by half a percent on average.
+    return static_cast<double>((LatestAt - StartAt).count()) * 100 /
+           (Gain + (FromZero ? 0.5 : 0));
+  if (CompleteAt && FromZero)
+    return static_cast<double>((*CompleteAt - StartAt).count());
+  return std::nullopt;
+}
+
+bool Pace::isPrecise() const {
+  if (LatestPercent - StartPercent >= MinPreciseGain)
+    return LatestAt - StartAt >= MinPreciseTime;
+  return CompleteAt && FromZero && *CompleteAt - StartAt >= MinPreciseTime;
+}
+
 void UsualRates::aggregate(const std::map<UnitId, std::string> &QueueOf) {
   for (auto &[Step, Rates] : StepRates) {
     // The upper median, so that the faster of two gang members sets the usual
--- a/packages/dispatch/lib/Packing.cpp
+++ b/packages/dispatch/lib/Packing.cpp
@@ -1,6 +1,7 @@
 // Tightest fit: of the workers that have room for a task, the one with the
 // least room left afterwards is used, comparing GPUs first. This keeps empty
-// workers free for tasks that need all GPUs of a worker.
+// workers free for tasks that need all GPUs of a worker. Where workers differ
+// in speed, that holds within each class of speed (SpeedChoice.cpp).
 #include "Packing.h"
 #include "heathersaddle/dispatch/Crashes.h"
 #include <algorithm>
@@ -47,6 +48,13 @@
 std::vector<std::size_t> pack(const Fleet &F, FreeResources &Free,
                               std::span<const std::size_t> Candidates,
                               const WaitingTasks &W, std::size_t Count) {
+  return pack(F, Free, Candidates, W, Count, SpeedOrder::forTasks(W));
+}
+
+std::vector<std::size_t> pack(const Fleet &F, FreeResources &Free,
+                              std::span<const std::size_t> Candidates,
+                              const WaitingTasks &W, std::size_t Count,
+                              const SpeedOrder &Speeds) {
   const workload::Step &S = W.step();
   Resources Need = S.room();
   std::map<std::size_t, unsigned> TasksOnWorker;
@@ -61,7 +69,7 @@
   std::vector<std::size_t> Where;
   while (Where.size() < Count) {
     const std::size_t *Best = nullptr;
-    std::tuple<int, std::int64_t, std::int64_t, std::int64_t> BestKey;
+    std::tuple<int, int, std::int64_t, std::int64_t, std::int64_t> BestKey;
     for (const std::size_t &C : Candidates) {
       const Worker &On = F.Workers[C];
       if (!Need.fitsIn(Free[C]) || !mayShare(On, W) ||
@@ -69,10 +77,11 @@
         continue;
       // A task that may crash the worker goes where the least work is lost.
       std::int64_t Sign = W.Crashes ? -1 : 1;
-      auto Key = std::make_tuple(penalty(On, W) + companyPenalty(On, W),
-                                 Sign * (Free[C].Gpus - Need.Gpus),
-                                 Sign * (Free[C].CpuMilli - Need.CpuMilli),
-                                 Sign * (Free[C].MemoryMb - Need.MemoryMb));
+      auto Key =
+          std::make_tuple(penalty(On, W) + companyPenalty(On, W),
+                          Speeds.rank(On, W), Sign * (Free[C].Gpus - Need.Gpus),
+                          Sign * (Free[C].CpuMilli - Need.CpuMilli),
+                          Sign * (Free[C].MemoryMb - Need.MemoryMb));
       if (!Best || Key < BestKey) {
         Best = &C;
         BestKey = Key;
@@ -122,10 +131,71 @@
   return kind(W).All;
 }
 
+/// How many tasks of \p W a worker with \p Room can hold.
+static std::int64_t maxTasks(const Resources &Room, const WaitingTasks &W) {
+  Resources Need = W.step().room();
+  std::int64_t Limit = std::numeric_limits<std::int64_t>::max();
+  if (Need.CpuMilli)
+    Limit = std::min(Limit, Room.CpuMilli / Need.CpuMilli);
+  if (Need.MemoryMb)
+    Limit = std::min(Limit, Room.MemoryMb / Need.MemoryMb);
+  if (Need.Gpus)
+    Limit = std::min(Limit, Room.Gpus / Need.Gpus);
+  if (W.step().MaxPerWorker)
+    Limit = std::min<std::int64_t>(Limit, W.step().MaxPerWorker);
+  return std::max<std::int64_t>(0, Limit);
+}
+
+namespace {
+
+/// The classes of the slowest and the fastest member of a gang.
+struct GangSpeed {
+  int Slowest = 0;
+  int Fastest = 0;
+};
+
+} // namespace
+
+/// The speeds that gang \p W would get on \p Candidates: for urgent work the
+/// slowest member is as fast as possible, for other work only as fast as it
+/// needs to be. None if the gang does not fit.
+static std::optional<GangSpeed>
+speedOfGang(const Fleet &F, const FreeResources &Free,
+            std::span<const std::size_t> Candidates, const WaitingTasks &W) {
+  std::map<int, std::int64_t> Room;
+  for (std::size_t C : Candidates)
+    if (W.step().room().fitsIn(Free[C]) && mayShare(F.Workers[C], W))
+      Room[speedClass(F.Workers[C], W)] += std::min(
+          maxTasks(Free[C], W), static_cast<std::int64_t>(W.Tasks.size()));
+  auto Wanted = static_cast<std::int64_t>(W.Tasks.size());
+  std::int64_t Left = Wanted;
+  auto Slowest = Room.end();
+  while (Left > 0) {
+    if (Slowest == Room.begin())
+      return std::nullopt;
+    Left -= (--Slowest)->second;
+  }
+  if (W.Job->Spec.Priority != 0)
+    while (Slowest != Room.begin() &&
+           std::prev(Slowest)->first >= W.NeededSpeed)
+      --Slowest;
+  auto Fastest = Slowest;
+  for (Left = Wanted - Fastest->second; Left > 0; Left -= Fastest->second)
+    ++Fastest;
+  return GangSpeed{Slowest->first, Fastest->first};
+}
+
 static std::vector<std::size_t> tryPack(const Fleet &F, FreeResources &Free,
                                         std::span<const std::size_t> On,
                                         const WaitingTasks &W) {
-  auto Where = pack(F, Free, On, W, W.Tasks.size());
+  SpeedOrder Speeds;
+  if (W.SpeedMatters) {
+    auto Gang = speedOfGang(F, Free, On, W);
+    if (!Gang)
+      return {};
+    Speeds = SpeedOrder::forGang(Gang->Slowest);
+  }
+  auto Where = pack(F, Free, On, W, W.Tasks.size(), Speeds);
   if (Where.size() == W.Tasks.size())
     return Where;
   Resources Need = W.step().room();
@@ -134,6 +204,22 @@
   return {};
 }
 
+namespace {
+
+/// A rack that may hold a gang. Racks with lower values are tried first.
+struct RackChoice {
+  int TooSlow = 0; ///< By how many classes it is slower than wanted.
+  int Fastest = 0; ///< The class of the fastest worker that it would use.
+  std::int64_t FreeGpus = 0;
+  const Rack *On = nullptr;
+  bool operator<(const RackChoice &O) const {
+    return std::tie(TooSlow, Fastest, FreeGpus, On->Name) <
+           std::tie(O.TooSlow, O.Fastest, O.FreeGpus, O.On->Name);
+  }
+};
+
+} // namespace
+
 std::vector<std::size_t> packGang(const Fleet &F, Racks &R, FreeResources &Free,
                                   const WaitingTasks &W, bool MaySpread) {
   const auto &ByRack = R.racksFor(W);
@@ -144,23 +230,30 @@
         if (auto Where = tryPack(F, Free, One.Members, W); !Where.empty())
           return Where;
   if (S.SameRack) {
-    // Uses the rack with the least free GPUs that can hold the gang.
     std::int64_t Wanted =
         S.Need.Gpus * static_cast<std::int64_t>(W.Tasks.size());
-    std::vector<std::pair<std::int64_t, const Rack *>> Order;
+    std::vector<RackChoice> Order;
     for (const Rack &One : ByRack) {
       std::int64_t Gpus = 0;
       for (std::size_t N : One.Members)
         Gpus += std::max<std::int64_t>(0, Free[N].Gpus);
-      if (Gpus >= Wanted)
-        Order.emplace_back(Gpus, &One);
+      if (Gpus < Wanted)
+        continue;
+      RackChoice Choice{0, 0, Gpus, &One};
+      if (W.SpeedMatters) {
+        auto Gang = speedOfGang(F, Free, One.Members, W);
+        if (!Gang)
+          continue;
+        Choice.Fastest = Gang->Fastest;
+        Choice.TooSlow = W.Job->Spec.Priority == 0
+                             ? -Gang->Slowest
+                             : std::max(0, W.NeededSpeed - Gang->Slowest);
+      }
+      Order.push_back(Choice);
     }
-    std::sort(Order.begin(), Order.end(), [](const auto &A, const auto &B) {
-      return std::tie(A.first, A.second->Name) <
-             std::tie(B.first, B.second->Name);
-    });
-    for (const auto &[Gpus, One] : Order)
-      if (auto Where = tryPack(F, Free, One->Members, W); !Where.empty())
+    std::sort(Order.begin(), Order.end());
+    for (const RackChoice &Choice : Order)
+      if (auto Where = tryPack(F, Free, Choice.On->Members, W); !Where.empty())
         return Where;
     if (!MaySpread)
       return {};
@@ -171,24 +264,11 @@
 bool fitsOneEmptyRack(const Fleet &F, Racks &R, const WaitingTasks &W) {
   // Workers differ little, so the tasks that each could hold are added up
   // instead of packing them.
-  Resources Need = W.step().room();
-  auto MaxTasksOn = [&](const Resources &Room) {
-    std::int64_t Limit = std::numeric_limits<std::int64_t>::max();
-    if (Need.CpuMilli)
-      Limit = std::min(Limit, Room.CpuMilli / Need.CpuMilli);
-    if (Need.MemoryMb)
-      Limit = std::min(Limit, Room.MemoryMb / Need.MemoryMb);
-    if (Need.Gpus)
-      Limit = std::min(Limit, Room.Gpus / Need.Gpus);
-    if (W.step().MaxPerWorker)
-      Limit = std::min<std::int64_t>(Limit, W.step().MaxPerWorker);
-    return Limit;
-  };
   auto Wanted = static_cast<std::int64_t>(W.Tasks.size());
   for (const Rack &One : R.racksFor(W)) {
     std::int64_t Left = Wanted;
     for (std::size_t N : One.Members) {
-      Left -= std::min(Left, MaxTasksOn(F.Workers[N].Capacity));
+      Left -= std::min(Left, maxTasks(F.Workers[N].Capacity, W));
       if (!Left)
         return true;
     }
--- a/packages/dispatch/lib/Packing.h
+++ b/packages/dispatch/lib/Packing.h
@@ -1,7 +1,7 @@
 #ifndef HEATHERSADDLE_DISPATCH_PACKING_H
 #define HEATHERSADDLE_DISPATCH_PACKING_H
 
-#include "heathersaddle/dispatch/Planner.h"
+#include "SpeedChoice.h"
 
 namespace heathersaddle::dispatch {
 
@@ -20,8 +20,13 @@
 bool isDegraded(const Worker &On, const WaitingTasks &W);
 
 /// Places up to \p Count tasks on \p Candidates, or fewer if no more fit.
-/// Workers with a lower penalty come first, then the tightest fit. Subtracts
-/// the resources of the tasks from \p Free.
+/// Workers with a lower penalty come first, then \p Speeds decides, then the
+/// tightest fit. Subtracts the resources of the tasks from \p Free.
+std::vector<std::size_t> pack(const Fleet &F, FreeResources &Free,
+                              std::span<const std::size_t> Candidates,
+                              const WaitingTasks &W, std::size_t Count,
+                              const SpeedOrder &Speeds);
+/// As above, with the order of speeds for single tasks of \p W.
 std::vector<std::size_t> pack(const Fleet &F, FreeResources &Free,
                               std::span<const std::size_t> Candidates,
                               const WaitingTasks &W, std::size_t Count);
@@ -54,7 +59,8 @@
 
 /// Places a whole gang; empty if it does not fit. The rack with its data is
 /// tried first. A gang that prefers one rack is spread over several only if it
-/// fits on no single one and \p MaySpread is set.
+/// fits on no single one and \p MaySpread is set. Of several racks, the one
+/// that gives the gang the speed it needs comes first, then the tightest fit.
 std::vector<std::size_t> packGang(const Fleet &F, Racks &R, FreeResources &Free,
                                   const WaitingTasks &W, bool MaySpread);
 
--- a/packages/dispatch/lib/Planner.cpp
+++ b/packages/dispatch/lib/Planner.cpp
@@ -12,6 +12,7 @@
 #include "Waits.h"
 #include "heathersaddle/dispatch/Crashes.h"
 #include <algorithm>
+#include <cmath>
 
 namespace heathersaddle::dispatch {
 
@@ -28,6 +29,10 @@
 /// estimate, as it takes three times as long elsewhere.
 static constexpr double DataRackWaitFactor = 1.5;
 
+/// Weight of one waiting unit in the moving average of the speed that urgent
+/// work needs.
+static constexpr double UrgentSpeedWeight = 0.05;
+
 /// Waits are explained from this age on, in one pass per period, for so many
 /// units at most.
 static constexpr std::int64_t MinExplainedWaitMs = 5'000;
@@ -39,10 +44,12 @@
 class Pass {
 public:
   Pass(Fleet &F, std::map<UnitId, Hold> &Holds, std::int64_t NowMs,
-       std::vector<bool> InUrgentRack, bool ExplainsWaits)
+       std::vector<bool> InUrgentRack, const SpeedRange &Speeds,
+       bool ExplainsWaits)
       : CurrentFleet(F), Holds(Holds), NowMs(NowMs),
-        InUrgentRack(std::move(InUrgentRack)), ExplainsWaits(ExplainsWaits),
-        RackIndex(F), Free(CurrentFleet.Workers.size()),
+        InUrgentRack(std::move(InUrgentRack)), Speeds(Speeds),
+        ExplainsWaits(ExplainsWaits), RackIndex(F),
+        Free(CurrentFleet.Workers.size()),
         ReservedFrom(CurrentFleet.Workers.size(), 0) {
     for (std::size_t N = 0; N < CurrentFleet.Workers.size(); ++N)
       Free[N] = CurrentFleet.Workers[N].Free;
@@ -52,6 +59,8 @@
     bool Urgent = W.Job->Spec.Priority == 0;
     std::size_t PlacedBefore = Result.Placements.size();
     limitKeptRoom(CurrentFleet, Free, W, NowMs);
+    W.SpeedMatters = Speeds.Differ;
+    W.NeededSpeed = Speeds.Differ ? neededSpeedClass(W, Speeds, NowMs) : 0;
     if (W.step().Gang)
       placeGang(W, Urgent);
     else
@@ -330,6 +339,7 @@
   std::int64_t NowMs;
   /// Per worker: whether its rack is kept for urgent work.
   std::vector<bool> InUrgentRack;
+  SpeedRange Speeds;
   bool ExplainsWaits;
   Racks RackIndex;
   FreeResources Free;
@@ -377,7 +387,17 @@
   bool ExplainsWaits = NowMs - WaitsExplainedMs >= WaitExplanationPeriodMs;
   if (ExplainsWaits)
     WaitsExplainedMs = NowMs;
-  Pass P(F, Holds, NowMs, workersInUrgentRacks(F, UrgentGpus), ExplainsWaits);
+  SpeedRange Speeds = speedRange(F);
+  std::optional<int> KeptSpeed;
+  if (Speeds.Differ) {
+    for (const auto &[Unit, W] : Urgent)
+      UrgentSpeed += UrgentSpeedWeight *
+                     (neededSpeedClass(*W, Speeds, W->DueMs) - UrgentSpeed);
+    KeptSpeed =
+        std::min(static_cast<int>(std::lround(UrgentSpeed)), Speeds.Fastest);
+  }
+  Pass P(F, Holds, NowMs, workersInUrgentRacks(F, UrgentGpus, KeptSpeed),
+         Speeds, ExplainsWaits);
   for (const auto &[Unit, H] : Holds)
     P.subtractHeldRoom(H, Urgent[Unit]->step().room());
   for (WaitingTasks &W : Queue)
--- a/packages/dispatch/lib/SpeedChoice.cpp
+++ b/packages/dispatch/lib/SpeedChoice.cpp
@@ -47,15 +47,15 @@
   bool Urgent = W.Job->Spec.Priority == 0;
   double Ratio =
       Urgent ? W.RunTimeRatio : std::min(W.RunTimeRatio, MaxRunTimeRatio);
-  double Needed = static_cast<double>(W.RemainingMs) * Ratio *
-                  unevenness(W.Tasks.size());
+  double Needed =
+      static_cast<double>(W.RemainingMs) * Ratio * unevenness(W.Tasks.size());
   auto Left = static_cast<double>(W.ObjectiveMs - NowMs - StartMs);
   if (Left <= 0)
     return Range.Fastest;
-  double Class = std::round(std::log(std::max(1.0, Needed) / Left) /
-                            SpeedClassWidth);
-  return static_cast<int>(std::clamp<double>(Class, Range.Slowest,
-                                             Range.Fastest));
+  double Class =
+      std::round(std::log(std::max(1.0, Needed) / Left) / SpeedClassWidth);
+  return static_cast<int>(
+      std::clamp<double>(Class, Range.Slowest, Range.Fastest));
 }
 
 SpeedOrder SpeedOrder::forTasks(const WaitingTasks &W) {
--- a/packages/dispatch/lib/WorkerSpeed.cpp
+++ b/packages/dispatch/lib/WorkerSpeed.cpp
@@ -169,13 +169,13 @@
   std::vector<double> Sorted;
   for (const Element &E : Elements)
     Sorted.push_back(E.LogTime);
-  if (Level.SumOfWeights > 0)
-    Sorted.push_back(Level.WeightedSum / Level.SumOfWeights);
+  if (Level.All.SumOfWeights > 0)
+    Sorted.push_back(Level.All.WeightedSum / Level.All.SumOfWeights);
   auto Middle = Sorted.begin() + static_cast<std::ptrdiff_t>(Sorted.size() / 2);
   std::nth_element(Sorted.begin(), Middle, Sorted.end());
   double Median = Sorted.size() > 2 ? *Middle : Prior;
-  double SumOfWeights = Level.SumOfWeights;
-  double WeightedSum = Level.WeightedSum;
+  double SumOfWeights = Level.All.SumOfWeights;
+  double WeightedSum = Level.All.WeightedSum;
   for (Element &E : Elements) {
     double Variance =
         1 / E.Weight + (Sorted.size() > 2 ? TaskVariance : Q.Variance);
@@ -192,16 +192,25 @@
     Q.Variance = std::max(Q.Variance, MinQueueVariance);
     ++Q.Steps;
   }
+  std::map<const WorkerSpeed *, StepLevel::Part> ByWorker;
+  for (std::size_t N = 0; N < Runs.size(); ++N) {
+    auto [It, New] = ByWorker.try_emplace(Runs[N].On);
+    if (auto Before = Level.ByWorker.find(Runs[N].On);
+        New && Before != Level.ByWorker.end())
+      It->second = Before->second;
+    It->second.add(Elements[N].Weight, Elements[N].LogTime);
+  }
   std::size_t StepNumber = std::hash<std::string>()(Step.Job) + 31 * Step.Step +
                            1'009 * Step.Occurrence;
   for (std::size_t N = 0; N < Runs.size(); ++N) {
     if (!Runs[N].Observe)
       continue;
-    // Without the run itself.
+    // Runs on the same worker tell nothing about how it compares with others.
     const Element &E = Elements[N];
-    double OtherWeights = SumOfWeights - E.Weight + PriorWeight;
-    double Others = (WeightedSum - E.Weight * E.LogTime + PriorWeight * Prior) /
-                    OtherWeights;
+    const StepLevel::Part &Own = ByWorker[Runs[N].On];
+    double OtherWeights = SumOfWeights - Own.SumOfWeights + PriorWeight;
+    double Others =
+        (WeightedSum - Own.WeightedSum + PriorWeight * Prior) / OtherWeights;
     double LogTime = std::log(std::max(1.0, Runs[N].WholeMs));
     WorkerSpeed &On = *Runs[N].On;
     double Variance = TaskVariance + 1 / OtherWeights;
@@ -212,8 +221,8 @@
       ObservedNoise += NoiseWeight * (Scale - ObservedNoise);
     }
     On.observe(Others - LogTime, Variance, StepNumber);
-    Level.SumOfWeights += E.Weight;
-    Level.WeightedSum += E.Weight * E.LogTime;
+    Level.All.add(E.Weight, E.LogTime);
+    Level.ByWorker[Runs[N].On].add(E.Weight, E.LogTime);
   }
 }
 
