Rely on speeds only within their error, and notice changes at once

Urgent gangs ran on workers that had never been observed, stops were made on workers too slow for the urgent job, and a change of speed showed only in runs that began after it.

Urgent work expects a worker to be slower by the error of its estimate; other work explores unknown workers first; stops are searched on workers that are fast enough before the others. A run whose own rate changes shows that its worker has changed, whose estimate then starts again.

--- a/packages/cluster/lib/OwnerPace.cpp
+++ b/packages/cluster/lib/OwnerPace.cpp
@@ -70,6 +70,17 @@
   std::vector<dispatch::WorkerSpeed *> Workers;
   for (auto &[Worker, S] : Sessions) {
     Workers.push_back(&S.Speed);
+    bool Changed = false;
+    for (auto &[Id, R] : S.Runs)
+      Changed |= R.Speed.takeChange();
+    // What runs there is measured again, so that the new speed is soon known.
+    if (Changed) {
+      S.Speed.forget();
+      for (auto &[Id, R] : S.Runs) {
+        R.Speed.restart();
+        R.SpeedObserved = false;
+      }
+    }
     for (auto &[Id, R] : S.Runs)
       if (R.Stage == RunStage::Confirmed && !R.SpeedObserved)
         addRunTime(S, Id, R, ByStep[stepOf(Id.Task)]);
--- a/packages/dispatch/include/heathersaddle/dispatch/Pace.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Pace.h
@@ -5,6 +5,7 @@
 #include "heathersaddle/dispatch/Fleet.h"
 #include <optional>
 #include <span>
+#include <utility>
 
 namespace heathersaddle::dispatch {
 
@@ -32,8 +33,14 @@
   std::optional<double> wholeMs() const;
   /// Whether wholeMs() is precise enough to tell how fast the worker is.
   bool isPrecise() const;
+  /// Whether the rate has changed in the middle of the run since the latest
+  /// call, which only its worker can be the cause of.
+  bool takeChange() { return std::exchange(Changed, false); }
+  /// Starts the measurement of wholeMs() again at the latest percentage.
+  void restart();
 
 private:
+  void comparePart(unsigned Percent, base::MonoTime Now);
   bool Started = false;
   unsigned WindowStartPercent = 0;
   base::MonoTime WindowStart{};
@@ -47,6 +54,11 @@
   unsigned LatestPercent = 0;
   base::MonoTime LatestAt{};
   std::optional<base::MonoTime> CompleteAt;
+  // The rates of consecutive parts of the run.
+  unsigned PartStartPercent = 0;
+  base::MonoTime PartStart{};
+  std::optional<Rate> PartRate;
+  bool Changed = false;
 };
 
 /// The usual rates of steps and of queues. The rate of the queue is used for
--- a/packages/dispatch/include/heathersaddle/dispatch/WorkerSpeed.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/WorkerSpeed.h
@@ -14,6 +14,8 @@
   /// the usual speed, with its variance. \p Step is the same value for runs of
   /// one step.
   void observe(double LogFactor, double Variance, std::size_t Step);
+  /// The speed has changed: earlier observations hardly count any more.
+  void forget();
   /// The mean of the observations; 0 if there are none.
   double mean() const;
   /// How much the observations tell: the inverse of the variance of the mean.
--- a/packages/dispatch/lib/Pace.cpp
+++ b/packages/dispatch/lib/Pace.cpp
@@ -9,6 +9,7 @@
 // no rate.
 #include "heathersaddle/dispatch/Pace.h"
 #include <algorithm>
+#include <cmath>
 
 namespace heathersaddle::dispatch {
 
@@ -29,6 +30,14 @@
 static constexpr unsigned MinGainToExtrapolate = 10;
 static constexpr unsigned MinPreciseGain = 20;
 static constexpr Millis MinPreciseTime{400};
+/// The rates of consecutive parts of a run are compared; a part ends after this
+/// gain and time. Rounding of percentages then changes a rate by 0.05.
+static constexpr double PartGainPercent = 20;
+static constexpr Millis MinPartTime{600};
+/// Parts with less gain tell that the run stands still, not how fast it is.
+static constexpr double MinPartGainPercent = 4;
+/// The rate has changed if its logarithm differs by more than this.
+static constexpr double MinRateChange = 0.25;
 /// Below this share of the usual rate a run is slow. Tasks of a step differ by
 /// a third; slow workers take at least four times as long.
 static constexpr double SlowRateShare = 0.35;
@@ -49,6 +58,8 @@
   FromZero = true;
   StartPercent = LatestPercent = 0;
   StartAt = LatestAt = Now;
+  PartStartPercent = 0;
+  PartStart = Now;
   WindowStartPercent = 0;
   WindowStart = Now;
 }
@@ -63,9 +74,11 @@
   if (!Started) {
     begin(Now);
     FromZero = false;
-    WindowStartPercent = StartPercent = LatestPercent = Percent;
+    WindowStartPercent = StartPercent = LatestPercent = PartStartPercent =
+        Percent;
     return;
   }
+  comparePart(Percent, Now);
   if (Percent > LatestPercent) {
     LatestPercent = Percent;
     LatestAt = Now;
@@ -89,6 +102,31 @@
                                                           : std::nullopt;
 }
 
+void Pace::comparePart(unsigned Percent, MonoTime Now) {
+  double Seconds = static_cast<double>((Now - PartStart).count()) / 1'000;
+  double Gain = Percent - std::min(Percent, PartStartPercent);
+  if (Now - PartStart < MinPartTime ||
+      (Gain < PartGainPercent &&
+       PartRate.value_or(0) * Seconds < PartGainPercent))
+    return;
+  std::optional<Rate> Before = PartRate;
+  PartRate.reset();
+  if (Gain >= MinPartGainPercent)
+    PartRate = Gain / Seconds;
+  Changed |= Before && PartRate &&
+             std::abs(std::log(*PartRate / *Before)) > MinRateChange;
+  PartStartPercent = Percent;
+  PartStart = Now;
+}
+
+void Pace::restart() {
+  if (!Started || CompleteAt)
+    return;
+  FromZero = false;
+  StartPercent = LatestPercent;
+  StartAt = LatestAt;
+}
+
 void Pace::finish(MonoTime Now) {
   if (!CompleteAt && Started)
     CompleteAt = Now;
--- a/packages/dispatch/lib/Planner.cpp
+++ b/packages/dispatch/lib/Planner.cpp
@@ -206,17 +206,36 @@
     ++EvictionSearches;
     if (UnitCost.empty())
       UnitCost = unitCosts(CurrentFleet);
+    auto Best = findEvictionOn(W, MaySpread, true);
+    // A job that ends a little late is better than one that begins late.
+    if (!Best && Speeds.Differ)
+      Best = findEvictionOn(W, MaySpread, false);
+    return Best;
+  }
+
+  /// As above; with \p FastEnough, only on workers on which \p W should end in
+  /// time if there are any. Otherwise the stops would gain nothing.
+  std::optional<Eviction> findEvictionOn(const WaitingTasks &W, bool MaySpread,
+                                         bool FastEnough) {
     std::optional<Eviction> Best;
-    if (W.step().SameRack && !MaySpread)
-      for (const Rack &One : RackIndex.racksFor(W)) {
-        auto E = findEviction(CurrentFleet, UnitCost, Free, One.Members, W);
-        if (E && (!Best || E->Cost < Best->Cost))
-          Best = std::move(E);
+    auto Search = [&](std::span<const std::size_t> Candidates) {
+      std::vector<std::size_t> Fast;
+      if (FastEnough && Speeds.Differ && W.NeededSpeed <= Speeds.Fastest) {
+        for (std::size_t C : Candidates)
+          if (speedClass(CurrentFleet.Workers[C], W) >= W.NeededSpeed)
+            Fast.push_back(C);
+        Candidates = Fast;
       }
+      auto E = findEviction(CurrentFleet, UnitCost, Free, Candidates, W);
+      if (E && (!Best || E->Cost < Best->Cost))
+        Best = std::move(E);
+    };
+    if (W.step().SameRack && !MaySpread)
+      for (const Rack &One : RackIndex.racksFor(W))
+        Search(One.Members);
     // A guaranteed gang may spread over racks, so that it starts in time.
     if (!Best && (MaySpread || W.Guaranteed))
-      Best = findEviction(CurrentFleet, UnitCost, Free, RackIndex.workersFor(W),
-                          W);
+      Search(RackIndex.workersFor(W));
     return Best;
   }
 
--- a/packages/dispatch/lib/SpeedChoice.cpp
+++ b/packages/dispatch/lib/SpeedChoice.cpp
@@ -14,6 +14,12 @@
 
 /// Standard deviation of the logarithm of the run times of the tasks of a step.
 static constexpr double TaskSpread = 0.3;
+/// Urgent work expects workers to be slower than estimated by this many times
+/// the error of the estimate.
+static constexpr double UrgentErrors = 1;
+/// A worker of unknown speed is explored by this many runs at a time: about as
+/// many observations make it known.
+static constexpr std::size_t RunsToExplore = 3;
 /// From the plan to the start of a task: the placement is stored, then sent.
 static constexpr std::int64_t StartMs = 100;
 /// Run times of other work than urgent work count as at most this multiple of
@@ -30,9 +36,21 @@
   return Range;
 }
 
+/// Whether work that can tolerate it is to find out how fast the worker is.
+static bool isUnexplored(const Worker &On) {
+  return !On.Speed.Known && On.Allocations.size() < RunsToExplore;
+}
+
 int speedClass(const Worker &On, const WaitingTasks &W) {
-  bool Urgent = W.Job->Spec.Priority == 0;
-  return On.Speed.Class - (Urgent && !On.Speed.Known ? 1 : 0);
+  if (W.Job->Spec.Priority == 0)
+    return static_cast<int>(
+        std::lround((On.Speed.LogFactor - UrgentErrors * On.Speed.Error) /
+                    SpeedClassWidth));
+  // Work that would be in time on a worker of usual speed takes one that is not
+  // known for one of the slowest that suffice.
+  if (W.NeededSpeed < 0 && isUnexplored(On))
+    return W.NeededSpeed;
+  return On.Speed.Class;
 }
 
 /// By which factor the longest of \p Tasks run times is above the median,
@@ -51,25 +69,23 @@
       static_cast<double>(W.RemainingMs) * Ratio * unevenness(W.Tasks.size());
   auto Left = static_cast<double>(W.ObjectiveMs - NowMs - StartMs);
   if (Left <= 0)
-    return Range.Fastest;
+    return Range.Fastest + 1;
   double Class =
       std::round(std::log(std::max(1.0, Needed) / Left) / SpeedClassWidth);
   return static_cast<int>(
-      std::clamp<double>(Class, Range.Slowest, Range.Fastest));
+      std::clamp<double>(Class, Range.Slowest, Range.Fastest + 1));
 }
 
 SpeedOrder SpeedOrder::forTasks(const WaitingTasks &W) {
   if (!W.SpeedMatters)
     return {};
   if (W.Job->Spec.Priority == 0)
-    return {Kind::FastestFirst, 0, false};
-  // Work that would be in time on a worker of usual speed finds out how fast
-  // the others are.
-  return {Kind::FromClass, W.NeededSpeed, W.NeededSpeed < 0};
+    return {Kind::FastestFirst, 0};
+  return {Kind::FromClass, W.NeededSpeed};
 }
 
 SpeedOrder SpeedOrder::forGang(int Slowest) {
-  return {Kind::FromClass, Slowest, false};
+  return {Kind::FromClass, Slowest};
 }
 
 int SpeedOrder::rank(const Worker &On, const WaitingTasks &W) const {
@@ -80,7 +96,8 @@
   int Class = speedClass(On, W);
   if (Order == Kind::FastestFirst)
     return -Class;
-  if (Explore && !On.Speed.Known)
+  // A slower worker of the class that is known need not be used again.
+  if (W.Job->Spec.Priority != 0 && W.NeededSpeed < 0 && isUnexplored(On))
     return -1;
   return Class >= From ? Class - From : TooSlow + From - Class;
 }
--- a/packages/dispatch/lib/SpeedChoice.h
+++ b/packages/dispatch/lib/SpeedChoice.h
@@ -13,12 +13,13 @@
 };
 SpeedRange speedRange(const Fleet &F);
 
-/// The class that a worker counts as for \p W: urgent work relies on no worker
-/// of unknown speed.
+/// The class that a worker counts as for \p W: urgent work expects it to be
+/// slower by the error of its estimate, and other work explores workers of
+/// unknown speed.
 int speedClass(const Worker &On, const WaitingTasks &W);
 
 /// The lowest class with which \p W should end by its objective, if it starts
-/// now; within \p Range.
+/// now; above that of all workers if none is fast enough.
 int neededSpeedClass(const WaitingTasks &W, const SpeedRange &Range,
                      std::int64_t NowMs);
 
@@ -36,11 +37,9 @@
 
 private:
   enum class Kind { Alike, FastestFirst, FromClass };
-  SpeedOrder(Kind Order, int From, bool Explore)
-      : Order(Order), From(From), Explore(Explore) {}
+  SpeedOrder(Kind Order, int From) : Order(Order), From(From) {}
   Kind Order = Kind::Alike;
   int From = 0;
-  bool Explore = false;
 };
 
 } // namespace heathersaddle::dispatch
--- a/packages/dispatch/lib/WorkerSpeed.cpp
+++ b/packages/dispatch/lib/WorkerSpeed.cpp
@@ -101,17 +101,21 @@
                                      -MaxDriftPart, MaxDriftPart) -
                           Drift);
   if (std::abs(Drift) > MaxDrift) {
-    // Both halves take the new speed from the next observations. Their means
-    // stay independent.
-    for (Half &Each : Halves)
-      Each.Information = std::min(Each.Information, InformationAfterChange);
-    Drift = 0;
+    forget();
   }
   double Added = Weight / Variance;
   H.Information = std::min(H.Information + Added, MaxInformation);
   H.Mean += std::min(1.0, Added / H.Information) * Deviation;
 }
 
+void WorkerSpeed::forget() {
+  // Both halves take the new speed from the next observations. Their means stay
+  // independent.
+  for (Half &H : Halves)
+    H.Information = std::min(H.Information, InformationAfterChange);
+  Drift = 0;
+}
+
 double SpeedModel::spread() const {
   return Differ ? std::sqrt(SpreadVariance) : 0;
 }
--- a/packages/dispatch/tests/PaceTest.cpp
+++ b/packages/dispatch/tests/PaceTest.cpp
@@ -1,6 +1,7 @@
 #include "heathersaddle/dispatch/Pace.h"
 #include <array>
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 
 using namespace heathersaddle;
 using namespace heathersaddle::dispatch;
@@ -164,4 +165,61 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(TimeOfTheWholeRun)
+
+// Guards against speeds that are learned from the first percents, or from the
+// time in which a gang's member waits for the others at 100 percent.
+BOOST_AUTO_TEST_CASE(IsKnownOnceEnoughIsMeasured) {
+  Pace P;
+  P.begin(Millis(1'000));
+  P.sample(5, Millis(1'100), 0);
+  BOOST_TEST(!P.wholeMs().has_value());
+  P.sample(12, Millis(1'250), 0);
+  BOOST_TEST(std::abs(*P.wholeMs() - 2'000) < 1);
+  BOOST_TEST(!P.isPrecise());
+  P.sample(25, Millis(1'510), 0);
+  BOOST_TEST(std::abs(*P.wholeMs() - 2'000) < 1);
+  BOOST_TEST(P.isPrecise());
+  for (std::int64_t Ms = 3'100; Ms < 6'000; Ms += 200)
+    P.sample(100, Millis(Ms), 0);
+  BOOST_TEST(std::abs(*P.wholeMs() - 2'000) < 1);
+}
+
+// Guards against a run that an earlier owner started, whose time is counted
+// from when this owner first read its percentage.
+BOOST_AUTO_TEST_CASE(IsCountedFromTheFirstPercentage) {
+  Pace P;
+  P.sample(50, Millis(1'000), 0);
+  P.sample(75, Millis(2'000), 0);
+  BOOST_TEST(std::abs(*P.wholeMs() - 4'000) < 1);
+}
+
+// Guards against short tasks that end between two reports and tell nothing.
+BOOST_AUTO_TEST_CASE(IsKnownAtTheEnd) {
+  Pace P;
+  P.begin(Millis(1'000));
+  P.finish(Millis(1'700));
+  BOOST_TEST(*P.wholeMs() == 700);
+  BOOST_TEST(P.isPrecise());
+}
+
+// Guards against a worker whose change of speed shows only in later runs.
+BOOST_AUTO_TEST_CASE(ChangeOfTheRateIsNoticed) {
+  Pace P;
+  P.begin(Millis(0));
+  for (unsigned N = 1; N <= 25; ++N)
+    P.sample(2 * N, Millis(80 * N), 0);
+  BOOST_TEST(!P.takeChange());
+  for (unsigned N = 1; N <= 25; ++N)
+    P.sample(50 + N, Millis(2'000 + 80 * N), 0);
+  BOOST_TEST(P.takeChange());
+  BOOST_TEST(!P.takeChange());
+  P.restart();
+  BOOST_TEST(!P.wholeMs().has_value());
+  P.sample(99, Millis(5'920), 0);
+  BOOST_TEST(std::abs(*P.wholeMs() - 8'000) < 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/packages/dispatch/tests/Replay.cpp
+++ b/packages/dispatch/tests/Replay.cpp
@@ -125,9 +125,19 @@
   for (Run &R : U.Runs)
     R.Progress.finish(base::MonoTime(NowMs));
   A.Left -= static_cast<unsigned>(U.Tasks.size());
-  if (!A.Left)
-    Result.Kinds[A.Job.Spec.Priority].InTime +=
-        NowMs <= A.AtMs + A.Job.Spec.objectiveMs();
+  if (A.Left)
+    return true;
+  bool InTime = NowMs <= A.AtMs + A.Job.Spec.objectiveMs();
+  Result.Kinds[A.Job.Spec.Priority].InTime += InTime;
+  if (!InTime && A.Job.Spec.Priority == 0) {
+    double Slowest = 10;
+    for (const Run &R : U.Runs)
+      Slowest =
+          std::min(Slowest, SpeedOf(static_cast<unsigned>(R.Worker), NowMs));
+    Result.LateUrgent.push_back(
+        {A.AtMs, U.StartedAt - A.AtMs, Slowest, U.Slowdown,
+         A.WorkMs[0] / static_cast<double>(S.EstimateMs)});
+  }
   return true;
 }
 
@@ -158,13 +168,27 @@
 /// As cluster/lib/OwnerPace.cpp does.
 void Replay::observe() {
   std::map<std::int64_t, std::vector<Run *>> ByJob;
+  std::vector<bool> Changed(Speeds.size());
+  for (Unit &U : Running)
+    for (Run &R : U.Runs) {
+      auto Percent =
+          static_cast<unsigned>(std::min(100.0, 100 * R.DoneMs / R.WorkMs));
+      if (NowMs >= U.StartedAt)
+        R.Progress.sample(Percent, base::MonoTime(NowMs), 0);
+      if (R.Progress.takeChange())
+        Changed[R.Worker] = true;
+    }
+  for (std::size_t N = 0; N < Speeds.size(); ++N)
+    if (Changed[N])
+      Speeds[N].forget();
   for (Unit &U : Running) {
     if (NowMs < U.StartedAt || U.Slowdown > 1)
       continue;
     for (Run &R : U.Runs) {
-      auto Percent =
-          static_cast<unsigned>(std::min(100.0, 100 * R.DoneMs / R.WorkMs));
-      R.Progress.sample(Percent, base::MonoTime(NowMs), 0);
+      if (Changed[R.Worker]) {
+        R.Progress.restart();
+        R.Observed = false;
+      }
       if (!R.Observed && R.Progress.wholeMs())
         ByJob[U.JobNumber].push_back(&R);
     }
--- a/packages/dispatch/tests/Replay.h
+++ b/packages/dispatch/tests/Replay.h
@@ -28,7 +28,17 @@
     unsigned InTime = 0;
     unsigned Evictions = 0; ///< Units stopped.
   };
+  /// Why an urgent job was late.
+  struct Late {
+    std::int64_t AtMs = 0;
+    std::int64_t WaitedMs = 0;
+    double SlowestSpeed = 0; ///< Of its workers.
+    double Slowdown = 1;     ///< Because it is spread over racks.
+    double WorkToEstimate = 1;
+    bool operator==(const Late &) const = default;
+  };
   std::array<Kind, 3> Kinds;
+  std::vector<Late> LateUrgent; ///< Those that have ended.
   std::size_t Placements = 0;
   std::size_t PlacementHash = 0; ///< Of all placements in their order.
   double LostCoreSeconds = 0;
