Start all estimates again when many workers change their speed at once

Workers without work do not show that they have changed, so urgent gangs went on to workers that had been the fastest and were now the slowest.

Once 8 in 100 workers (4 at least) have shown a change within about 3 s, all estimates start again.

--- a/packages/cluster/lib/OwnerPace.cpp
+++ b/packages/cluster/lib/OwnerPace.cpp
@@ -75,7 +75,7 @@
       Changed |= R.Speed.takeChange();
     // What runs there is measured again, so that the new speed is soon known.
     if (Changed) {
-      S.Speed.forget();
+      S.Speed.noteChange();
       for (auto &[Id, R] : S.Runs) {
         R.Speed.restart();
         R.SpeedObserved = false;
--- a/packages/dispatch/include/heathersaddle/dispatch/WorkerSpeed.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/WorkerSpeed.h
@@ -14,8 +14,9 @@
   /// the usual speed, with its variance. \p Step is the same value for runs of
   /// one step.
   void observe(double LogFactor, double Variance, std::size_t Step);
-  /// The speed has changed: earlier observations hardly count any more.
-  void forget();
+  /// A run shows that the speed has changed: earlier observations hardly count
+  /// any more.
+  void noteChange();
   /// The mean of the observations; 0 if there are none.
   double mean() const;
   /// How much the observations tell: the inverse of the variance of the mean.
@@ -24,6 +25,7 @@
 
 private:
   friend class SpeedModel;
+  void forget();
   struct Half {
     double Mean = 0;
     double Information = 0;
@@ -36,6 +38,7 @@
   unsigned Observations = 0;
   /// Mean of the latest deviations from the means, in standard deviations.
   double Drift = 0;
+  bool Changed = false; ///< Since the latest SpeedModel::refresh().
   int Class = 0; ///< As of the latest SpeedModel::refresh().
 };
 
@@ -107,6 +110,7 @@
   double NoiseScale = 1;
   double ObservedNoise = 1; ///< The same, from the latest observations.
   bool Differ = false;
+  double RecentChanges = 0; ///< Decays exponentially.
 };
 
 } // namespace heathersaddle::dispatch
--- a/packages/dispatch/lib/WorkerSpeed.cpp
+++ b/packages/dispatch/lib/WorkerSpeed.cpp
@@ -16,6 +16,7 @@
 #include "heathersaddle/dispatch/WorkerSpeed.h"
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace heathersaddle::dispatch {
 
@@ -47,6 +48,13 @@
 /// What is left per half once the speed has changed: less than one usual
 /// observation.
 static constexpr double InformationAfterChange = 2.5;
+/// Once this many workers, and this share of them, have changed at about the
+/// same time, the others may have changed, too: those on which nothing runs
+/// don't show it. Of these changes, this share is remembered at each refresh,
+/// so for about 3 s.
+static constexpr double MinCommonChanges = 4;
+static constexpr double MinCommonShare = 0.08;
+static constexpr double ChangesThatRemain = 0.94;
 /// Variance of the speed of a worker without observations, as long as nothing
 /// is known of the others: a factor of 1.5.
 static constexpr double UnknownSpeedVariance = 0.16;
@@ -108,6 +116,11 @@
   H.Mean += std::min(1.0, Added / H.Information) * Deviation;
 }
 
+void WorkerSpeed::noteChange() {
+  Changed = true;
+  forget();
+}
+
 void WorkerSpeed::forget() {
   // Both halves take the new speed from the next observations. Their means stay
   // independent.
@@ -239,6 +252,16 @@
 }
 
 std::size_t SpeedModel::refresh(std::span<WorkerSpeed *const> Workers) {
+  RecentChanges *= ChangesThatRemain;
+  for (WorkerSpeed *W : Workers)
+    RecentChanges += std::exchange(W->Changed, false);
+  if (RecentChanges >=
+      std::max(MinCommonChanges,
+               MinCommonShare * static_cast<double>(Workers.size()))) {
+    RecentChanges = 0;
+    for (WorkerSpeed *W : Workers)
+      W->forget();
+  }
   double Sum = 0;
   double MeanSum = 0;
   std::size_t Compared = 0;
--- a/packages/dispatch/tests/Replay.cpp
+++ b/packages/dispatch/tests/Replay.cpp
@@ -180,7 +180,7 @@
     }
   for (std::size_t N = 0; N < Speeds.size(); ++N)
     if (Changed[N])
-      Speeds[N].forget();
+      Speeds[N].noteChange();
   for (Unit &U : Running) {
     if (NowMs < U.StartedAt || U.Slowdown > 1)
       continue;
