--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -172,6 +172,7 @@
   S.ClockMs = -1;
   S.HeldLeaseEndsAt = {};
   S.FailedJobs.clear();
+  S.Speed = {};
   S.LeavesAt = {};
   // The worker gets no work before its clock is known.
   abandonSync(S);
@@ -284,6 +285,7 @@
   bool CheckRuns = T - RunsCheckedAt >= RunCheckPeriod;
   if (CheckRuns) {
     RunsCheckedAt = T;
+    updateSpeeds();
     updateRates();
   }
   for (auto It = Sessions.begin(); It != Sessions.end();) {
--- a/packages/dispatch/include/heathersaddle/dispatch/Pace.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Pace.h
@@ -5,6 +5,7 @@
 #include "heathersaddle/dispatch/Fleet.h"
 #include <optional>
 #include <span>
+#include <utility>
 
 namespace heathersaddle::dispatch {
 
@@ -25,13 +26,39 @@
   void sample(unsigned Percent, base::MonoTime Now, Rate UsualRate);
   /// The latest measured rate; none if there is none or it is too old.
   std::optional<Rate> latest(base::MonoTime Now) const;
+  /// The run has ended successfully at \p Now.
+  void finish(base::MonoTime Now);
+  /// How long the whole run takes at its mean rate so far, or took; none while
+  /// too little of it has been measured.
+  std::optional<double> wholeMs() const;
+  /// Whether wholeMs() is precise enough to tell how fast the worker is.
+  bool isPrecise() const;
+  /// Whether the rate has changed in the middle of the run since the latest
+  /// call, which only its worker can be the cause of.
+  bool takeChange() { return std::exchange(Changed, false); }
+  /// Starts the measurement of wholeMs() again at the latest percentage.
+  void restart();
 
 private:
+  void comparePart(unsigned Percent, base::MonoTime Now);
   bool Started = false;
   unsigned WindowStartPercent = 0;
   base::MonoTime WindowStart{};
   std::optional<Rate> LatestRate;
   base::MonoTime LatestRateAt{};
+  // From the start of the measurement to the latest percentage below 100, and
+  // to the first of 100.
+  bool FromZero = false;
+  unsigned StartPercent = 0;
+  base::MonoTime StartAt{};
+  unsigned LatestPercent = 0;
+  base::MonoTime LatestAt{};
+  std::optional<base::MonoTime> CompleteAt;
+  // The rates of consecutive parts of the run.
+  unsigned PartStartPercent = 0;
+  base::MonoTime PartStart{};
+  std::optional<Rate> PartRate;
+  bool Changed = false;
 };
 
 /// The usual rates of steps and of queues. The rate of the queue is used for
--- a/packages/dispatch/include/heathersaddle/dispatch/Planner.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/Planner.h
@@ -25,6 +25,8 @@
   /// Workers on which a task of the step failed; avoided while others fit.
   std::set<std::string> AvoidedWorkers;
   unsigned Crashes = 0; ///< Workers that crashed under its tasks.
+  /// How many times its estimate work of its queue takes at the usual speed.
+  double RunTimeRatio = 1;
 
   /// The workers that may run it, with their tickets; null: any worker.
   const std::map<std::string, std::string> *AllowedWorkers = nullptr;
@@ -34,6 +36,10 @@
   bool MayUseKeptRoom = false;
   /// May also use workers that are avoided, and racks that do not suit it.
   bool MayUseAnyRoom = false;
+  // Set by the planner; see SpeedChoice.cpp.
+  bool SpeedMatters = false; ///< The workers differ in speed.
+  /// The lowest class of speed with which it should end by its objective.
+  int NeededSpeed = 0;
 
   const workload::Step &step() const { return Job->Spec.Steps[Step]; }
 };
@@ -83,8 +89,8 @@
 ///   Plan Next = P.plan(Fleet, Queue, NowMs);
 /// \endcode
 ///
-/// Its only state is the holds for urgent units. Losing them costs time but
-/// breaks nothing.
+/// Its only state is the holds for urgent units, and the speed that urgent work
+/// has needed lately. Losing them costs time but breaks nothing.
 class Planner {
 public:
   /// \p UrgentGpus is the expected need of urgent work; see UrgentRacks.cpp.
@@ -94,6 +100,8 @@
 private:
   std::map<UnitId, Hold> Holds;
   std::int64_t WaitsExplainedMs = 0;
+  /// Mean of the classes of speed that urgent work needs.
+  double UrgentSpeed = 0;
 };
 
 /// Sorts waiting work into the order in which it is placed; see Order.cpp.
--- a/packages/dispatch/lib/Pace.cpp
+++ b/packages/dispatch/lib/Pace.cpp
@@ -9,6 +9,7 @@
 // no rate.
 #include "heathersaddle/dispatch/Pace.h"
 #include <algorithm>
+#include <cmath>
 
 namespace heathersaddle::dispatch {
 
@@ -23,6 +24,20 @@
 static constexpr double MinGainPercent = 4;
 /// Older measurements say little about the current rate and are ignored.
 static constexpr Millis RateValidity{3'000};
+/// A run is extrapolated once it has gained this much, and is precise enough to
+/// tell its worker's speed after this gain and time: percentages are whole
+/// numbers, and the time of a start is known to within some 20 ms.
+static constexpr unsigned MinGainToExtrapolate = 10;
+static constexpr unsigned MinPreciseGain = 20;
+static constexpr Millis MinPreciseTime{400};
+/// The rates of consecutive parts of a run are compared; a part ends after this
+/// gain and time. Rounding of percentages then changes a rate by 0.05.
+static constexpr double PartGainPercent = 20;
+static constexpr Millis MinPartTime{600};
+/// Parts with less gain tell that the run stands still, not how fast it is.
+static constexpr double MinPartGainPercent = 4;
+/// The rate has changed if its logarithm differs by more than this.
+static constexpr double MinRateChange = 0.25;
 /// Below this share of the usual rate a run is slow. Tasks of a step differ by
 /// a third; slow workers take at least four times as long.
 static constexpr double SlowRateShare = 0.35;
@@ -40,6 +55,11 @@
 
 void Pace::begin(MonoTime Now) {
   Started = true;
+  FromZero = true;
+  StartPercent = LatestPercent = 0;
+  StartAt = LatestAt = Now;
+  PartStartPercent = 0;
+  PartStart = Now;
   WindowStartPercent = 0;
   WindowStart = Now;
 }
@@ -47,13 +67,22 @@
 void Pace::sample(unsigned Percent, MonoTime Now, Rate UsualRate) {
   if (Percent >= 100) {
     LatestRate.reset();
+    if (Started && !CompleteAt)
+      CompleteAt = Now;
     return;
   }
   if (!Started) {
     begin(Now);
-    WindowStartPercent = Percent;
+    FromZero = false;
+    WindowStartPercent = StartPercent = LatestPercent = PartStartPercent =
+        Percent;
     return;
   }
+  comparePart(Percent, Now);
+  if (Percent > LatestPercent) {
+    LatestPercent = Percent;
+    LatestAt = Now;
+  }
   auto ElapsedSeconds =
       static_cast<double>((Now - WindowStart).count()) / 1'000;
   double GainedPercent = Percent - std::min(Percent, WindowStartPercent);
@@ -73,6 +102,55 @@
                                                           : std::nullopt;
 }
 
+void Pace::comparePart(unsigned Percent, MonoTime Now) {
+  double Seconds = static_cast<double>((Now - PartStart).count()) / 1'000;
+  double Gain = Percent - std::min(Percent, PartStartPercent);
+  if (Now - PartStart < MinPartTime ||
+      (Gain < PartGainPercent &&
+       PartRate.value_or(0) * Seconds < PartGainPercent))
+    return;
+  std::optional<Rate> Before = PartRate;
+  PartRate.reset();
+  if (Gain >= MinPartGainPercent)
+    PartRate = Gain / Seconds;
+  Changed |= Before && PartRate &&
+             std::abs(std::log(*PartRate / *Before)) > MinRateChange;
+  PartStartPercent = Percent;
+  PartStart = Now;
+}
+
+void Pace::restart() {
+  if (!Started || CompleteAt)
+    return;
+  FromZero = false;
+  StartPercent = LatestPercent;
+  StartAt = LatestAt;
+}
+
+void Pace::finish(MonoTime Now) {
+  if (!CompleteAt && Started)
+    CompleteAt = Now;
+}
+
+std::optional<double> Pace::wholeMs() const {
+  unsigned Gain = LatestPercent - StartPercent;
+  // The first report of 100 percent may come late, so a gain below it is
+  // preferred.
+  if (Gain >= MinGainToExtrapolate)
+    // A percentage is rounded down, by half a percent on average.
+    return static_cast<double>((LatestAt - StartAt).count()) * 100 /
+           (Gain + (FromZero ? 0.5 : 0));
+  if (CompleteAt && FromZero)
+    return static_cast<double>((*CompleteAt - StartAt).count());
+  return std::nullopt;
+}
+
+bool Pace::isPrecise() const {
+  if (LatestPercent - StartPercent >= MinPreciseGain)
+    return LatestAt - StartAt >= MinPreciseTime;
+  return CompleteAt && FromZero && *CompleteAt - StartAt >= MinPreciseTime;
+}
+
 void UsualRates::aggregate(const std::map<UnitId, std::string> &QueueOf) {
   for (auto &[Step, Rates] : StepRates) {
     // The upper median, so that the faster of two gang members sets the usual
