Bound what clients can occupy at HTTP servers

Cause: a server reserved the whole announced body, kept every header field and query parameter, read routes and keys only after the body, and knew no limit but 2,048 connections and 10 s for a request. 1,500 bodies that stop one byte short made a daemon of 260 MB use 387 MB. Change: sessions report to an optional ClientBudget, which refuses requests and connections with 503 or closes slow ones for others; an optional check answers when the headers are read; bodies grow as they are received; fields, parameters and the overhead of chunks are limited; receiving and sending need a minimum rate; sizes of socket buffers can be set before listen(). The session and the parser have files of their own.

--- a/packages/net/include/heathersaddle/net/ClientBudget.h
+++ b/packages/net/include/heathersaddle/net/ClientBudget.h
@@ -78,6 +78,9 @@
   bool hold(Id Connection, std::size_t Bytes);
   /// Like hold(), but exceeds the limits: for responses that must be sent.
   void holdRequired(Id Connection, std::size_t Bytes);
+  /// Closes the connection that gives way first to one of \p Class, if any: the
+  /// process has fewer descriptors than the budget was given.
+  void closeOne(ClientClass Class);
   void enter(Id Connection, Phase NewPhase);
   /// Bytes were transferred in the current phase.
   void progress(Id Connection, std::size_t Bytes);
@@ -124,6 +127,7 @@
                     Resource Kind) const;
   static bool isSlow(const Entry &E, TimePoint Now);
   Entries::iterator victim(const Claim &C);
+  void close(Entries::iterator It);
   void add(ClientClass Class, const std::string &Address, Usage Amount);
   void remove(ClientClass Class, const std::string &Address, Usage Amount);
   std::size_t &usedOf(ClientClass Class, Resource Kind) {
--- a/packages/net/include/heathersaddle/net/HttpServer.h
+++ b/packages/net/include/heathersaddle/net/HttpServer.h
@@ -29,10 +29,13 @@
 /// Malformed or oversized requests get 400, 413 or 431 with a JSON error of the
 /// API's form; connections above the limit get 503 without a body. The handler
 /// is not called for either. The io_context may run on several threads.
+///
+/// With a budget, requests and connections for which there is no room get 503
+/// with Retry-After and a JSON error, and connections may be closed for others.
 class HttpServer {
 public:
   HttpServer(boost::asio::io_context &Context, ServerLimits Limits,
-             Handler OnRequest);
+             Handler OnRequest, ServerProtection Protection = {});
   /// Closes all connections at once; see drain() for a graceful stop.
   ~HttpServer();
   HttpServer(const HttpServer &) = delete;
@@ -60,6 +63,7 @@
   /// Attempts to accept a connection that failed, as the process had no free
   /// descriptor or the connection was reset.
   std::uint64_t acceptFailures() const;
+  ServerCounts counts() const;
 
 private:
   std::shared_ptr<ServerCore> Core;
--- a/packages/net/include/heathersaddle/net/Message.h
+++ b/packages/net/include/heathersaddle/net/Message.h
@@ -7,6 +7,8 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 
 namespace heathersaddle::net {
@@ -36,15 +38,60 @@
 /// Runs on a thread of the server's io_context.
 using Handler = std::function<void(Request, Respond)>;
 
+/// What is decided about a request when its headers have been received.
+struct HeaderVerdict {
+  /// Sent at once; the handler is not called. If the body has not been received
+  /// yet, the connection is closed.
+  std::optional<Response> Answer;
+  bool NeedsBody = true; ///< Otherwise the handler gets an empty body.
+};
+/// Called with a request that has no body yet.
+using HeaderCheck = std::function<HeaderVerdict(const Request &)>;
+
 struct ServerLimits {
   std::size_t MaxBodyBytes = 256UL * 1024;
   std::size_t MaxHeaderBytes = 16UL * 1024;
+  std::size_t MaxHeaderFields = 100;
   std::size_t MaxConnections = 2048;
   /// For receiving one whole request, from its first byte. Limits how long a
   /// slow sender holds a connection.
   std::chrono::milliseconds ReadTimeLimit{10'000};
+  /// For receiving the headers, from the first byte.
+  std::chrono::milliseconds HeaderTimeLimit{5'000};
   /// For the idle time between two requests, and for writing one response.
   std::chrono::milliseconds IdleTimeLimit{120'000};
+  /// A request must be received, and a response be read, at this rate after
+  /// ProgressGrace.
+  std::size_t MinBytesPerSecond = 4'096;
+  std::chrono::milliseconds ProgressGrace{5'000};
+};
+
+class ClientBudget;
+enum class ClientClass : std::uint8_t;
+
+/// Protection of a server against clients that its operator doesn't control.
+struct ServerProtection {
+  /// Shared by servers that run on one thread; null: only ServerLimits apply.
+  std::shared_ptr<ClientBudget> Budget;
+  ClientClass Class{};
+  HeaderCheck CheckHeaders; ///< May be empty.
+  /// Fields of every response to a request that did not reach the handler.
+  std::map<std::string, std::string> RefusalHeaders;
+  /// Sizes of the kernel's receive and send buffer of each connection; 0: the
+  /// system's defaults, which grow to megabytes. The kernel doubles the values.
+  int SocketBufferBytes = 0;
+  /// Connections that wait to be accepted; 0: the system's maximum.
+  int Backlog = 0;
+};
+
+/// Requests and connections that a server ended because of its limits.
+struct ServerCounts {
+  /// Requests received, or responses read, too slowly.
+  std::uint64_t SlowConnections = 0;
+  /// Requests with too large a body, or too large or too many header fields.
+  std::uint64_t OversizedRequests = 0;
+  /// Requests that the header check answered.
+  std::uint64_t AnsweredByHeaders = 0;
 };
 
 struct ClientRequest {
--- a/packages/net/lib/ClientBudget.cpp
+++ b/packages/net/lib/ClientBudget.cpp
@@ -208,14 +208,24 @@
     auto It = victim(C);
     if (It == Open.end())
       return false;
-    ++ByClass[static_cast<std::size_t>(It->second.Class)].ConnectionsClosed;
-    auto Close = std::move(It->second.Close);
-    release(It->first);
-    Close();
+    close(It);
   }
   return true;
 }
 
+void ClientBudget::close(Entries::iterator It) {
+  ++ByClass[static_cast<std::size_t>(It->second.Class)].ConnectionsClosed;
+  auto Close = std::move(It->second.Close);
+  release(It->first);
+  Close();
+}
+
+void ClientBudget::closeOne(ClientClass Class) {
+  auto It = victim({Class, {}, &Usage::Connections, 1, false, 0});
+  if (It != Open.end())
+    close(It);
+}
+
 std::optional<ClientBudget::Id>
 ClientBudget::open(ClientClass Class, std::string_view Address,
                    std::function<void()> Close) {
--- a/packages/net/lib/HttpServer.cpp
+++ b/packages/net/lib/HttpServer.cpp
@@ -1,330 +1,15 @@
-// Each connection has a Session on its own strand. A session waits for a first
-// byte within IdleTimeLimit, reads one whole request within ReadTimeLimit,
-// calls the handler, writes the response and starts again. Beast's stream
-// closes the socket when a time limit expires. A malformed or oversized request
-// gets an error response, and the rest of the input is discarded up to
-// MaxLingerBytes, because closing a socket with unread input resets the
-// connection and the caller would lose the response.
 #include "heathersaddle/net/HttpServer.h"
-#include "Target.h"
-#include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
+#include "ServerSession.h"
+#include <array>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/strand.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http.hpp>
-#include <mutex>
-#include <optional>
-#include <set>
-#include <vector>
 
 namespace heathersaddle::net {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
-namespace http = boost::beast::http;
-using asio::ip::tcp;
-using boost::system::error_code;
-
-/// Input bytes discarded after an error response before the connection is
-/// closed.
-static constexpr std::size_t MaxLingerBytes = 1024UL * 1024;
-static constexpr std::size_t ReadChunkBytes = 4096;
 /// Pause after a connection could not be accepted. If the process has no free
 /// descriptor, the next attempt would fail at once.
 static constexpr std::chrono::milliseconds AcceptRetryDelay{100};
-
-namespace {
-class Session;
-} // namespace
-
-struct ServerCore : std::enable_shared_from_this<ServerCore> {
-  ServerCore(asio::io_context &Context, ServerLimits Limits, Handler OnRequest)
-      : Context(Context), Acceptor(asio::make_strand(Context)),
-        AcceptTimer(Acceptor.get_executor()), Limits(Limits),
-        OnRequest(std::move(OnRequest)) {}
-
-  void accept();
-  void admit(tcp::socket Socket);
-  void removeSession(Session *S);
-  void finishDrain();
-  /// The sessions that still have owners. The caller must release them without
-  /// holding Mutex, since the destructor of a session locks it.
-  std::vector<std::shared_ptr<Session>> sessions();
-
-  asio::io_context &Context;
-  tcp::acceptor Acceptor;
-  asio::steady_timer AcceptTimer;
-  ServerLimits Limits;
-  Handler OnRequest;
-  std::atomic<std::uint64_t> BytesReceived{0};
-  std::atomic<std::uint64_t> BytesSent{0};
-  std::atomic<std::uint64_t> RejectedConnections{0};
-  std::atomic<std::uint64_t> AcceptFailures{0};
-  std::atomic<bool> Draining{false};
-
-  std::mutex Mutex; ///< Guards the members below.
-  std::set<Session *> Sessions;
-  std::function<void()> OnDrained;
-};
-
-namespace {
-
-Response errorResponse(unsigned Status, std::string_view Code,
-                       std::string_view Message) {
-  Response R;
-  R.Status = Status;
-  R.Body = R"({"error":{"code":")" + std::string(Code) +
-           R"(","field":"","message":")" + std::string(Message) +
-           R"(","step":"read_request","peer":"","run":"not_run"}})";
-  return R;
-}
-
-/// The response to a request that could not be read; empty if the connection
-/// has ended and no response is due.
-std::optional<Response> errorResponseFor(const error_code &Ec) {
-  if (Ec == http::error::body_limit)
-    return errorResponse(413, "too_large", "the body is too large");
-  if (Ec == http::error::header_limit || Ec == http::error::buffer_overflow)
-    return errorResponse(431, "too_large", "the headers are too large");
-  if (Ec == http::error::end_of_stream || Ec == http::error::partial_message ||
-      Ec.category() != make_error_code(http::error::bad_method).category())
-    return std::nullopt;
-  return errorResponse(400, "invalid_argument", "the request is not HTTP/1.1");
-}
-
-class Session : public std::enable_shared_from_this<Session> {
-public:
-  Session(tcp::socket Socket, std::shared_ptr<ServerCore> Core)
-      : Stream(std::move(Socket)),
-        Buffer(Core->Limits.MaxHeaderBytes + ReadChunkBytes),
-        Core(std::move(Core)) {
-    error_code Ec;
-    Stream.socket().set_option(tcp::no_delay(true), Ec);
-    auto Remote = Stream.socket().remote_endpoint(Ec);
-    if (!Ec)
-      RemoteAddress =
-          Remote.address().to_string() + ":" + std::to_string(Remote.port());
-  }
-  ~Session() { Core->removeSession(this); }
-  Session(const Session &) = delete;
-  Session &operator=(const Session &) = delete;
-
-  void start() {
-    asio::dispatch(Stream.get_executor(),
-                   [Self = shared_from_this()] { Self->awaitRequest(); });
-  }
-  /// Closes the connection if no request is in progress on it.
-  void closeIfIdle() {
-    asio::post(Stream.get_executor(), [Self = shared_from_this()] {
-      error_code Ec;
-      if (Self->Idle && Self->Stream.socket().available(Ec) == 0)
-        Self->close();
-    });
-  }
-  void closeNow() {
-    asio::post(Stream.get_executor(),
-               [Self = shared_from_this()] { Self->close(); });
-  }
-  void respond(Response R) {
-    asio::post(Stream.get_executor(),
-               [Self = shared_from_this(), R = std::move(R)]() mutable {
-                 Self->write(std::move(R));
-               });
-  }
-
-private:
-  void awaitRequest() {
-    if (Buffer.size() > 0)
-      return readHeader();
-    if (Core->Draining)
-      return close();
-    Idle = true;
-    Stream.expires_after(Core->Limits.IdleTimeLimit);
-    Stream.async_read_some(
-        Buffer.prepare(ReadChunkBytes),
-        [Self = shared_from_this()](error_code Ec, std::size_t Bytes) {
-          Self->Idle = false;
-          if (Ec)
-            return Self->close();
-          Self->Buffer.commit(Bytes);
-          Self->readHeader();
-        });
-  }
-
-  void readHeader() {
-    Parser.emplace();
-    Parser->body_limit(Core->Limits.MaxBodyBytes);
-    Parser->header_limit(
-        static_cast<std::uint32_t>(Core->Limits.MaxHeaderBytes));
-    Stream.expires_after(Core->Limits.ReadTimeLimit);
-    http::async_read_header(
-        Stream, Buffer, *Parser,
-        [Self = shared_from_this()](error_code Ec, std::size_t Bytes) {
-          Self->Core->BytesReceived += Bytes;
-          Self->RequestBytes = Bytes;
-          if (Ec)
-            return Self->handleReadError(Ec);
-          if (beast::iequals(Self->Parser->get()[http::field::expect],
-                             "100-continue"))
-            return Self->writeContinue();
-          Self->readBody();
-        });
-  }
-
-  void writeContinue() {
-    static constexpr std::string_view Text = "HTTP/1.1 100 Continue\r\n\r\n";
-    asio::async_write(
-        Stream, asio::buffer(Text),
-        [Self = shared_from_this()](error_code Ec, std::size_t Bytes) {
-          Self->Core->BytesSent += Bytes;
-          if (Ec)
-            return Self->close();
-          Self->readBody();
-        });
-  }
-
-  void readBody() {
-    http::async_read(
-        Stream, Buffer, *Parser,
-        [Self = shared_from_this()](error_code Ec, std::size_t Bytes) {
-          Self->Core->BytesReceived += Bytes;
-          Self->RequestBytes += Bytes;
-          if (Ec)
-            return Self->handleReadError(Ec);
-          Self->handle();
-        });
-  }
-
-  void handle();
-
-  void handleReadError(error_code Ec) {
-    auto Answer = errorResponseFor(Ec);
-    if (!Answer)
-      return close();
-    CloseAfter = Linger = true;
-    write(std::move(*Answer));
-  }
-
-  void write(Response R) {
-    CloseAfter = CloseAfter || Core->Draining;
-    Message = {};
-    Message.version(11);
-    Message.result(R.Status);
-    if (!R.ContentType.empty())
-      Message.set(http::field::content_type, R.ContentType);
-    for (const auto &[Name, Value] : R.Headers)
-      Message.set(Name, Value);
-    Message.body() = std::move(R.Body);
-    Message.keep_alive(!CloseAfter);
-    Message.prepare_payload();
-    Stream.expires_after(Core->Limits.IdleTimeLimit);
-    http::async_write(
-        Stream, Message,
-        [Self = shared_from_this()](error_code Ec, std::size_t Bytes) {
-          Self->Core->BytesSent += Bytes;
-          if (Ec)
-            return Self->close();
-          if (!Self->CloseAfter)
-            return Self->awaitRequest();
-          Self->finish();
-        });
-  }
-
-  /// Closes the connection such that the caller still receives the response.
-  void finish() {
-    error_code Ec;
-    Stream.socket().shutdown(tcp::socket::shutdown_send, Ec);
-    if (Ec || !Linger)
-      return close();
-    Stream.expires_after(Core->Limits.ReadTimeLimit);
-    discard(0);
-  }
-
-  void discard(std::size_t Discarded) {
-    Buffer.clear();
-    Stream.async_read_some(Buffer.prepare(ReadChunkBytes),
-                           [Self = shared_from_this(),
-                            Discarded](error_code Ec, std::size_t Bytes) {
-                             if (Ec || Discarded + Bytes > MaxLingerBytes)
-                               return Self->close();
-                             Self->discard(Discarded + Bytes);
-                           });
-  }
-
-  void close() {
-    error_code Ec;
-    Stream.socket().shutdown(tcp::socket::shutdown_both, Ec);
-    Stream.close();
-  }
-
-  beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
-  std::optional<http::request_parser<http::string_body>> Parser;
-  http::response<http::string_body> Message;
-  std::string RemoteAddress;
-  std::size_t RequestBytes = 0; ///< Received of the current request.
-  bool Idle = false;
-  bool CloseAfter = false;
-  bool Linger = false;
-  std::shared_ptr<ServerCore> Core;
-};
-
-/// Sends exactly one response: that of the first send(), or 500 if it is
-/// destroyed before any.
-class Responder {
-public:
-  explicit Responder(std::shared_ptr<Session> ReplySession)
-      : ReplySession(std::move(ReplySession)) {}
-  ~Responder() {
-    send(errorResponse(500, "internal", "the request was not answered"));
-  }
-  Responder(const Responder &) = delete;
-  Responder &operator=(const Responder &) = delete;
-
-  void send(Response R) {
-    if (!Answered.exchange(true))
-      std::exchange(ReplySession, nullptr)->respond(std::move(R));
-  }
-
-private:
-  std::atomic<bool> Answered{false};
-  std::shared_ptr<Session> ReplySession;
-};
-
-void Session::handle() {
-  auto Message = Parser->release();
-  CloseAfter = !Message.keep_alive();
-  std::string_view Text(Message.target().data(), Message.target().size());
-  auto ParsedTarget = parseTarget(Text);
-  if (!ParsedTarget)
-    return write(errorResponse(400, "invalid_argument",
-                               "the request target is malformed"));
-  Request R;
-  R.Method = std::string(Message.method_string());
-  R.Path = std::move(ParsedTarget->Path);
-  R.Query = std::move(ParsedTarget->Query);
-  for (const auto &Field : Message) {
-    std::string Name(Field.name_string());
-    for (char &C : Name)
-      C = static_cast<char>(std::tolower(static_cast<unsigned char>(C)));
-    R.Headers[Name] = std::string(Field.value());
-  }
-  R.Body = std::move(Message.body());
-  R.RemoteAddress = RemoteAddress;
-  R.WireBytes = RequestBytes;
-  Stream.expires_never();
-  auto SharedResponder = std::make_shared<Responder>(shared_from_this());
-  Core->OnRequest(std::move(R), [SharedResponder](Response Reply) {
-    SharedResponder->send(std::move(Reply));
-  });
-}
-
-} // namespace
+/// Input of a refused connection that is read and discarded at most.
+static constexpr std::size_t MaxDiscardedBytes = 32UL * 1024;
 
 void ServerCore::accept() {
   Acceptor.async_accept(
@@ -337,6 +22,8 @@
           return Self->accept();
         }
         ++Self->AcceptFailures;
+        if (Ec == asio::error::no_descriptors && Self->Protection.Budget)
+          Self->Protection.Budget->closeOne(Self->Protection.Class);
         Self->AcceptTimer.expires_after(AcceptRetryDelay);
         Self->AcceptTimer.async_wait([Self](error_code) {
           if (Self->Acceptor.is_open())
@@ -345,6 +32,32 @@
       });
 }
 
+/// Sends \p Text without waiting, and closes the connection. What has arrived
+/// is read first, as closing with unread input would discard the response.
+static void refuseConnection(tcp::socket &Socket, std::string_view Text) {
+  std::array<char, 4096> Scratch{};
+  error_code Ec;
+  Socket.non_blocking(true, Ec);
+  Socket.write_some(asio::buffer(Text), Ec);
+  Socket.shutdown(tcp::socket::shutdown_send, Ec);
+  for (std::size_t Discarded = 0; Discarded < MaxDiscardedBytes && !Ec;)
+    Discarded += Socket.read_some(asio::buffer(Scratch), Ec);
+}
+
+std::string ServerCore::noRoomText() const {
+  Response R = noRoomResponse();
+  R.Headers.insert(Protection.RefusalHeaders.begin(),
+                   Protection.RefusalHeaders.end());
+  std::string Text = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\n"
+                     "Content-Type: " +
+                     R.ContentType +
+                     "\r\nContent-Length: " + std::to_string(R.Body.size()) +
+                     "\r\n";
+  for (const auto &[Name, Value] : R.Headers)
+    Text.append(Name).append(": ").append(Value).append("\r\n");
+  return Text + "\r\n" + R.Body;
+}
+
 void ServerCore::admit(tcp::socket Socket) {
   std::unique_lock Lock(Mutex);
   if (Sessions.size() >= Limits.MaxConnections) {
@@ -352,13 +65,29 @@
     static constexpr std::string_view Busy =
         "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n"
         "Connection: close\r\nContent-Length: 0\r\n\r\n";
-    error_code Ec;
-    Socket.non_blocking(true, Ec);
-    Socket.write_some(asio::buffer(Busy), Ec);
-    Socket.shutdown(tcp::socket::shutdown_send, Ec);
-    return;
+    return refuseConnection(Socket, Busy);
   }
-  auto S = std::make_shared<Session>(std::move(Socket), shared_from_this());
+  Lock.unlock();
+  auto Admitted = std::make_shared<std::weak_ptr<Session>>();
+  ClientBudget::Id Id = 0;
+  if (Protection.Budget) {
+    error_code Ec;
+    auto Granted = Protection.Budget->open(
+        Protection.Class, Socket.remote_endpoint(Ec).address().to_string(),
+        [Admitted] {
+          if (auto S = Admitted->lock())
+            S->giveWay();
+        });
+    if (!Granted) {
+      ++RejectedConnections;
+      return refuseConnection(Socket, NoRoomText);
+    }
+    Id = *Granted;
+  }
+  auto S = std::make_shared<Session>(std::move(Socket), shared_from_this(),
+                                     BudgetTicket(Protection.Budget, Id));
+  *Admitted = S;
+  Lock.lock();
   Sessions.insert(S.get());
   Lock.unlock();
   S->start();
@@ -393,9 +122,9 @@
 }
 
 HttpServer::HttpServer(asio::io_context &Context, ServerLimits Limits,
-                       Handler OnRequest)
-    : Core(std::make_shared<ServerCore>(Context, Limits,
-                                        std::move(OnRequest))) {}
+                       Handler OnRequest, ServerProtection Protection)
+    : Core(std::make_shared<ServerCore>(Context, Limits, std::move(OnRequest),
+                                        std::move(Protection))) {}
 
 HttpServer::~HttpServer() {
   Core->Draining = true;
@@ -428,10 +157,18 @@
     Core->Acceptor.open(LocalEndpoint.protocol(), Ec);
   if (!Ec)
     Core->Acceptor.set_option(tcp::acceptor::reuse_address(true), Ec);
+  // Accepted connections inherit the sizes; after listen() it would be too late
+  // for the window that the first segments announce.
+  if (int Size = Core->Protection.SocketBufferBytes; !Ec && Size) {
+    Core->Acceptor.set_option(asio::socket_base::receive_buffer_size(Size), Ec);
+    if (!Ec)
+      Core->Acceptor.set_option(asio::socket_base::send_buffer_size(Size), Ec);
+  }
   if (!Ec)
     Core->Acceptor.bind(LocalEndpoint, Ec);
-  if (!Ec)
-    Core->Acceptor.listen(asio::socket_base::max_listen_connections, Ec);
+  if (int Backlog = Core->Protection.Backlog; !Ec)
+    Core->Acceptor.listen(
+        Backlog ? Backlog : asio::socket_base::max_listen_connections, Ec);
   if (Ec)
     return base::makeError(base::ErrorCode::Unavailable, "listen", Ec.message(),
                            std::string(Address) + ":" + std::to_string(Port));
@@ -461,6 +198,10 @@
 std::uint64_t HttpServer::acceptFailures() const {
   return Core->AcceptFailures;
 }
+ServerCounts HttpServer::counts() const {
+  return {Core->SlowConnections, Core->OversizedRequests,
+          Core->AnsweredByHeaders};
+}
 std::size_t HttpServer::connections() const {
   std::lock_guard Lock(Core->Mutex);
   return Core->Sessions.size();
--- a/packages/net/lib/Target.cpp
+++ b/packages/net/lib/Target.cpp
@@ -3,6 +3,9 @@
 
 namespace heathersaddle::net {
 
+/// A parameter of three bytes costs over 100 bytes of memory.
+static constexpr std::size_t MaxQueryParameters = 64;
+
 static int hexDigit(char C) {
   if (C >= '0' && C <= '9')
     return C - '0';
@@ -56,7 +59,8 @@
     auto Name = percentDecode(Pair.substr(0, Equals), true);
     auto Value = percentDecode(
         Equals == std::string_view::npos ? "" : Pair.substr(Equals + 1), true);
-    if (!Name || !Value || !Result.Query.emplace(*Name, *Value).second)
+    if (!Name || !Value || !Result.Query.emplace(*Name, *Value).second ||
+        Result.Query.size() > MaxQueryParameters)
       return std::nullopt;
   }
   return Result;
--- a/packages/net/lib/Target.h
+++ b/packages/net/lib/Target.h
@@ -16,7 +16,7 @@
 };
 
 /// Splits and percent-decodes \p Text. Empty if it is malformed, contains a
-/// control character or has a query parameter twice.
+/// control character, a query parameter twice or more than 64 of them.
 std::optional<Target> parseTarget(std::string_view Text);
 
 } // namespace heathersaddle::net
--- a/packages/net/tests/ServerTest.cpp
+++ b/packages/net/tests/ServerTest.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE net
 #include "Raw.h"
 #include "Target.h"
+#include "heathersaddle/net/ClientBudget.h"
 #include "heathersaddle/net/Executor.h"
 #include "heathersaddle/net/HttpServer.h"
 #include <atomic>
@@ -10,6 +11,7 @@
 #include <future>
 #include <optional>
 #include <sys/resource.h>
+#include <thread>
 #include <vector>
 
 using namespace heathersaddle::net;
@@ -20,16 +22,25 @@
 /// A server whose handler responds with the path, drops the reply to /dropped
 /// and keeps the reply to /held.
 struct ServerFixture {
-  explicit ServerFixture(ServerLimits Limits = {})
-      : Server(Threads.context(), Limits,
-               [this](const Request &R, const Respond &Reply) {
-                 ++HandledCount;
-                 if (R.Path == "/dropped")
-                   return;
-                 if (R.Path == "/held")
-                   return HeldReply.set_value(Reply);
-                 Reply({.Body = R.Path});
-               }) {
+  explicit ServerFixture(ServerLimits Limits = {},
+                         ServerProtection Protection = {},
+                         unsigned ThreadCount = 2)
+      : Threads(ThreadCount),
+        Server(
+            Threads.context(), Limits,
+            [this](const Request &R, const Respond &Reply) {
+              ++HandledCount;
+              if (R.Path == "/dropped")
+                return;
+              if (R.Path == "/held")
+                return HeldReply.set_value(Reply);
+              if (R.Path == "/large")
+                return Reply({.Body = std::string(32'000'000, 'x')});
+              if (R.Path == "/size")
+                return Reply({.Body = std::to_string(R.Body.size())});
+              Reply({.Body = R.Path});
+            },
+            std::move(Protection)) {
     Port = Server.listen("127.0.0.1", 0).value();
   }
   std::string exchange(const std::string &Text) const {
@@ -38,7 +49,7 @@
     return R.readAll();
   }
 
-  Executor Threads{2};
+  Executor Threads;
   std::atomic<int> HandledCount{0};
   std::promise<Respond> HeldReply;
   HttpServer Server;
@@ -103,6 +114,63 @@
   BOOST_TEST(S.HandledCount == 0);
 }
 
+// Guards against requests of legal size whose parsed headers, parameters or
+// chunks cost many times their bytes.
+BOOST_AUTO_TEST_CASE(BoundsTheNumberOfFieldsParametersAndChunks) {
+  ServerFixture S;
+  auto Repeated = [](const std::string &Text, unsigned Times) {
+    std::string Out;
+    for (unsigned N = 0; N < Times; ++N)
+      Out += Text;
+    return Out;
+  };
+  BOOST_TEST(hasStatus(S.exchange("GET /f HTTP/1.1\r\nConnection: close\r\n" +
+                                  Repeated("a:\r\n", 99) + "\r\n"),
+                       "200"));
+  BOOST_TEST(hasStatus(
+      S.exchange("GET / HTTP/1.1\r\n" + Repeated("a:\r\n", 101) + "\r\n"),
+      "431"));
+  BOOST_TEST(S.Server.counts().OversizedRequests == 1u);
+  std::string Query = "/?";
+  for (unsigned N = 0; N < 65; ++N)
+    Query += std::to_string(N) + "&";
+  BOOST_TEST(hasStatus(S.exchange(getRequest(Query)), "400"));
+  std::string Chunked = "POST /size HTTP/1.1\r\nConnection: close\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n";
+  BOOST_TEST(S.exchange(Chunked + Repeated("1\r\nx\r\n", 1'000) + "0\r\n\r\n")
+                 .ends_with("1000"));
+  BOOST_TEST(hasStatus(
+      S.exchange(Chunked +
+                 Repeated("1;" + std::string(1'000, 'e') + "\r\nx\r\n", 300)),
+      "413"));
+  BOOST_TEST(S.HandledCount == 2);
+}
+
+// Guards against a sender that keeps within every time limit by a byte now and
+// then, and a reader that does the same or nothing.
+BOOST_AUTO_TEST_CASE(ClosesConnectionsBelowTheMinimumRate) {
+  ServerFixture S({.ReadTimeLimit = std::chrono::milliseconds(60'000),
+                   .HeaderTimeLimit = std::chrono::milliseconds(60'000),
+                   .MinBytesPerSecond = 10'000'000,
+                   .ProgressGrace = std::chrono::milliseconds(50)});
+  RawSocket Sender = RawSocket::connected(S.Port);
+  Sender.send("POST /size HTTP/1.1\r\nContent-Length: 100000\r\n\r\n");
+  auto Until = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (!S.Server.counts().SlowConnections &&
+         std::chrono::steady_clock::now() < Until) {
+    Sender.send("x");
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  BOOST_TEST(S.Server.counts().SlowConnections == 1u);
+  RawSocket Reader = RawSocket::connected(S.Port);
+  Reader.send(getRequest("/large", false));
+  while (S.Server.counts().SlowConnections < 2u &&
+         std::chrono::steady_clock::now() < Until)
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  BOOST_TEST(S.Server.counts().SlowConnections == 2u);
+  BOOST_TEST(S.exchange(getRequest("/usual")).ends_with("/usual"));
+}
+
 // Guards against running out of file descriptors.
 BOOST_AUTO_TEST_CASE(RejectsConnectionsOverTheLimit) {
   ServerFixture S({.MaxConnections = 1});
@@ -151,6 +219,151 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(HeaderChecks)
+
+static ServerProtection withCheck(HeaderCheck Check) {
+  ServerProtection P;
+  P.CheckHeaders = std::move(Check);
+  P.RefusalHeaders["X-Refused"] = "yes";
+  return P;
+}
+
+// Guards against bodies that are kept although their request is refused.
+BOOST_AUTO_TEST_CASE(AnswerBeforeTheBodyArrives) {
+  ServerFixture S({}, withCheck([](const Request &R) {
+                    HeaderVerdict V;
+                    if (R.Path == "/unknown" || R.Headers.contains("x-bad"))
+                      V.Answer = Response{.Status = 404, .Body = "early"};
+                    return V;
+                  }));
+  RawSocket R = RawSocket::connected(S.Port);
+  R.send("POST /unknown HTTP/1.1\r\nContent-Length: 100000\r\n\r\nab");
+  std::string Text = R.readAll();
+  BOOST_TEST(hasStatus(Text, "404"));
+  BOOST_TEST(Text.find("Connection: close") != std::string::npos);
+  BOOST_TEST(Text.find("X-Refused: yes") != std::string::npos);
+  BOOST_TEST(Text.ends_with("early"));
+  // Not if the whole request has arrived: the next one follows.
+  Text = S.exchange("POST /unknown HTTP/1.1\r\nContent-Length: 2\r\n\r\nab" +
+                    getRequest("/known"));
+  BOOST_TEST(hasStatus(Text, "404"));
+  BOOST_TEST(Text.ends_with("/known"));
+  BOOST_TEST(S.Server.counts().AnsweredByHeaders == 2u);
+  BOOST_TEST(S.HandledCount == 1);
+}
+
+// Guards against a check that a field after the body evades.
+BOOST_AUTO_TEST_CASE(TrailersAreNotHeaders) {
+  std::atomic<int> Keys{0};
+  ServerFixture S({}, withCheck([&](const Request &R) {
+                    Keys += R.Headers.contains("x-key");
+                    return HeaderVerdict{};
+                  }));
+  BOOST_TEST(S.exchange("POST /size HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                        "Connection: close\r\n\r\n2\r\nab\r\n0\r\nx-key: a"
+                        "\r\n\r\n")
+                 .ends_with("\r\n\r\n2"));
+  BOOST_TEST(Keys == 0);
+}
+
+// Guards against memory for bodies that no handler reads.
+BOOST_AUTO_TEST_CASE(DropBodiesThatAreNotNeeded) {
+  ServerFixture S({}, withCheck([](const Request &) {
+                    return HeaderVerdict{.NeedsBody = false};
+                  }));
+  BOOST_TEST(S.exchange("POST /size HTTP/1.1\r\nContent-Length: 3\r\n"
+                        "Connection: close\r\n\r\nabc")
+                 .ends_with("\r\n\r\n0"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(WithABudget)
+
+static ServerProtection withBudget(BudgetLimits Limits) {
+  ServerProtection P;
+  P.Budget = std::make_shared<ClientBudget>(Limits);
+  P.Class = ClientClass::Callers;
+  P.RefusalHeaders["X-Refused"] = "yes";
+  P.SocketBufferBytes = 16'384;
+  P.Backlog = 64;
+  return P;
+}
+
+static bool isTruthfulRefusal(const std::string &Text) {
+  return hasStatus(Text, "503") &&
+         Text.find("Retry-After: 1\r\n") != std::string::npos &&
+         Text.find("X-Refused: yes\r\n") != std::string::npos &&
+         Text.find("Connection: close\r\n") != std::string::npos &&
+         Text.find("not_run") != std::string::npos;
+}
+
+// Guards against bodies that stop before their end and together use up the
+// memory of the host.
+BOOST_AUTO_TEST_CASE(RefusesBodiesWithoutRoom) {
+  // Callers may hold 1,120 KB, of which 840 KB in large requests.
+  ServerFixture S({}, withBudget({1'600UL * 1024, 1'000}), 1);
+  std::string Start = "POST /size HTTP/1.1\r\nContent-Length: 200001\r\n\r\n" +
+                      std::string(200'000, 'x');
+  std::vector<RawSocket> Kept(8);
+  unsigned Refused = 0;
+  for (RawSocket &R : Kept) {
+    R.connectTo(S.Port);
+    R.send(Start);
+  }
+  // Each gets its refusal, or is complete when its last byte arrives.
+  for (RawSocket &R : Kept) {
+    R.send("x");
+    R.shutdownSend();
+    std::string Text = R.readAll();
+    Refused += isTruthfulRefusal(Text);
+    BOOST_TEST((isTruthfulRefusal(Text) || Text.ends_with("200001")), Text);
+  }
+  BOOST_TEST(Refused >= 1u);
+  BOOST_TEST(S.HandledCount >= 1);
+  BOOST_TEST(static_cast<unsigned>(S.HandledCount) + Refused == Kept.size());
+  BOOST_TEST(S.exchange(getRequest("/usual")).ends_with("/usual"));
+}
+
+// Guards against a process without descriptors.
+BOOST_AUTO_TEST_CASE(ClosesIdleConnectionsForNewOnes) {
+  auto Protection = withBudget({64UL * 1024 * 1024, 20});
+  auto Budget = Protection.Budget;
+  ServerFixture S({}, std::move(Protection), 1);
+  std::vector<RawSocket> Kept(7);
+  for (RawSocket &R : Kept) {
+    R.connectTo(S.Port);
+    R.send(getRequest("/kept", false));
+    BOOST_TEST(R.readUntil("/kept").ends_with("/kept"));
+  }
+  // All are fresh, so the next one is refused.
+  std::string Text = S.exchange(getRequest("/new"));
+  BOOST_TEST((isTruthfulRefusal(Text) || Text.ends_with("/new")));
+  std::this_thread::sleep_for(std::chrono::milliseconds(150));
+  BOOST_TEST(S.exchange(getRequest("/new")).ends_with("/new"));
+  BOOST_TEST(Kept[0].readAll() == "");
+  Kept[6].send(getRequest("/kept"));
+  BOOST_TEST(Kept[6].readAll().ends_with("/kept"));
+}
+
+// Guards against socket buffers so small that legal requests take seconds.
+BOOST_AUTO_TEST_CASE(ReceivesLargeBodiesInReasonableTime) {
+  ServerFixture S({}, withBudget({64UL * 1024 * 1024, 100}), 1);
+  std::string Text = "POST /size HTTP/1.1\r\nContent-Length: 262144\r\n"
+                     "Connection: close\r\n\r\n" +
+                     std::string(262'144, 'x');
+  auto Start = std::chrono::steady_clock::now();
+  BOOST_TEST(S.exchange(Text).ends_with("262144"));
+  auto Took = std::chrono::steady_clock::now() - Start;
+  BOOST_TEST_MESSAGE(
+      "256 KB took "
+      << std::chrono::duration_cast<std::chrono::milliseconds>(Took).count()
+      << " ms");
+  BOOST_TEST((Took < std::chrono::seconds(3)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(Exchanges)
 
 // Guards against losing the response to a caller that has closed its sending
