Give the clients of a daemon one budget that follows from its host

Cause: the servers for callers, peers, readiness and metrics had 2,048 connections each, whatever limits.max_fds says; bodies were read before route and key were checked; a job of 256 KB with 130,000 values was parsed; the request was copied while it was forwarded.

--- a/packages/base/include/heathersaddle/base/Json.h
+++ b/packages/base/include/heathersaddle/base/Json.h
@@ -19,6 +19,10 @@
                                        std::string_view Step,
                                        JsonStrings Strings = JsonStrings::Utf8);
 
+/// The most values, names of members included, that \p Text can have if it is
+/// valid JSON. Costs one pass over the bytes and no memory.
+std::size_t maxJsonValues(std::string_view Text);
+
 /// Reads the fields of one JSON object and keeps the first error.
 ///
 /// \code
--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -81,6 +81,10 @@
     {443, "orders_paused", Warning},
     {444, "orders_resumed", Info},
     {445, "calls_held_back", Warning},
+    {454, "client_connections_limited", Warning},
+    {455, "client_memory_limited", Warning},
+    {456, "clients_slow", Info},
+    {457, "requests_oversized", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/base/lib/Json.cpp
+++ b/packages/base/lib/Json.cpp
@@ -19,6 +19,22 @@
   return Value;
 }
 
+std::size_t maxJsonValues(std::string_view Text) {
+  // Each value but the first follows one of these characters.
+  std::size_t Count = 1;
+  bool InString = false;
+  for (std::size_t N = 0; N < Text.size(); ++N) {
+    char C = Text[N];
+    if (InString && C == '\\')
+      ++N;
+    else if (C == '"')
+      InString = !InString;
+    else if (!InString && (C == ',' || C == ':' || C == '[' || C == '{'))
+      ++Count;
+  }
+  return Count;
+}
+
 JsonReader::JsonReader(const json::value &Value, std::string_view Step,
                        std::string_view Path)
     : Object(Value.if_object()), Step(Step), Path(Path) {
--- a/packages/cluster/include/heathersaddle/cluster/CallLimits.h
+++ b/packages/cluster/include/heathersaddle/cluster/CallLimits.h
@@ -27,6 +27,14 @@
 /// descriptors of the daemon's host to callers, peers and the store.
 std::size_t maxWorkerConnections(std::size_t MaxDescriptors);
 
+/// The connections to the store, and those to other daemons.
+inline constexpr std::size_t MaxStoreConnections = 16;
+inline constexpr std::size_t MaxPeerConnections = 16;
+
+/// The connections that callers, other daemons and operators may open: what the
+/// above leave.
+std::size_t maxClientConnections(std::size_t MaxDescriptors);
+
 } // namespace heathersaddle::cluster
 
 #endif
--- a/packages/cluster/lib/CallLimits.cpp
+++ b/packages/cluster/lib/CallLimits.cpp
@@ -14,6 +14,8 @@
 /// The share of the descriptors for connections to workers. It exceeds that of
 /// the limited calls, since first syncs and probes are not among these.
 static constexpr double WorkerConnectionsShare = 0.7;
+/// Enough for a few callers and other daemons on any host.
+static constexpr std::size_t MinClientConnections = 32;
 /// Enough for a few workers on any host.
 static constexpr unsigned MinInFlight = 32;
 static constexpr double MinPerSecond = 50;
@@ -47,4 +49,12 @@
                                   connectionDescriptors(MaxDescriptors));
 }
 
+std::size_t maxClientConnections(std::size_t MaxDescriptors) {
+  auto Left = static_cast<std::size_t>((1 - WorkerConnectionsShare) *
+                                       connectionDescriptors(MaxDescriptors));
+  return std::max(MinClientConnections,
+                  Left -
+                      std::min(Left, MaxStoreConnections + MaxPeerConnections));
+}
+
 } // namespace heathersaddle::cluster
--- a/packages/cluster/tests/CallBudgetTest.cpp
+++ b/packages/cluster/tests/CallBudgetTest.cpp
@@ -60,6 +60,18 @@
   BOOST_TEST(maxWorkerConnections(100) == 0u);
 }
 
+// Guards against totals over all servers and clients that exceed the
+// descriptors of the host, and against too few for usual callers.
+BOOST_AUTO_TEST_CASE(LeaveDescriptorsForClients) {
+  for (std::size_t Descriptors : {400U, 3'075U, 4'100U, 65'536U})
+    BOOST_TEST(maxWorkerConnections(Descriptors) +
+                   maxClientConnections(Descriptors) + MaxStoreConnections +
+                   MaxPeerConnections <=
+               Descriptors - 180);
+  BOOST_TEST(maxClientConnections(3'075) == 830u);
+  BOOST_TEST(maxClientConnections(1) == 32u);
+}
+
 // Guards against calls that take the whole processor or the whole link.
 BOOST_AUTO_TEST_CASE(FollowFromTheScarcerOfProcessorAndLink) {
   BOOST_TEST(std::lround(limitsOf(500, 8'192, 25'000'000).PerSecond) == 3'750);
--- a/packages/net/include/heathersaddle/net/ClientBudget.h
+++ b/packages/net/include/heathersaddle/net/ClientBudget.h
@@ -81,7 +81,8 @@
   /// Closes the connection that gives way first to one of \p Class, if any: the
   /// process has fewer descriptors than the budget was given.
   void closeOne(ClientClass Class);
-  void enter(Id Connection, Phase NewPhase);
+  /// False if the connection had to give way.
+  bool enter(Id Connection, Phase NewPhase);
   /// Bytes were transferred in the current phase.
   void progress(Id Connection, std::size_t Bytes);
   /// A request on this connection had a known route and key.
--- a/packages/net/lib/BudgetTicket.h
+++ b/packages/net/lib/BudgetTicket.h
@@ -38,10 +38,8 @@
     Budget->holdRequired(Id, Bytes);
     Held = Bytes;
   }
-  void enter(ClientBudget::Phase P) {
-    if (Budget)
-      Budget->enter(Id, P);
-  }
+  /// False if the connection had to give way.
+  bool enter(ClientBudget::Phase P) { return !Budget || Budget->enter(Id, P); }
   void progress(std::size_t Bytes) {
     if (Budget)
       Budget->progress(Id, Bytes);
--- a/packages/net/lib/ClientBudget.cpp
+++ b/packages/net/lib/ClientBudget.cpp
@@ -281,14 +281,15 @@
   E.Held = Bytes;
 }
 
-void ClientBudget::enter(Id Connection, Phase NewPhase) {
+bool ClientBudget::enter(Id Connection, Phase NewPhase) {
   auto It = Open.find(Connection);
   if (It == Open.end())
-    return;
+    return false;
   Entry &E = It->second;
   E.CurrentPhase = NewPhase;
   E.PhaseStart = E.LastProgress = Clock();
   E.PhaseBytes = 0;
+  return true;
 }
 
 void ClientBudget::progress(Id Connection, std::size_t Bytes) {
--- a/packages/net/lib/ServerSession.cpp
+++ b/packages/net/lib/ServerSession.cpp
@@ -370,8 +370,11 @@
   Request R = std::move(Parser->Parsed);
   CloseAfter = !Parser->keep_alive();
   R.WireBytes = RequestBytes;
+  // The connection may have given way while its last bytes arrived. What the
+  // handler has got must not be refused afterwards.
+  if (!Ticket.enter(Phase::Handling))
+    return refuse(noRoomResponse());
   Parser.reset();
-  Ticket.enter(Phase::Handling);
   Stream.expires_never();
   auto SharedResponder = std::make_shared<Responder>(shared_from_this());
   Core->OnRequest(std::move(R), [SharedResponder](Response Reply) {
--- a/packages/net/tests/ClientBudgetTest.cpp
+++ b/packages/net/tests/ClientBudgetTest.cpp
@@ -239,6 +239,7 @@
   while (Closed.empty())
     receiving(50 * Kilobyte);
   BOOST_TEST(!Budget.hold(First, 1));
+  BOOST_TEST(!Budget.enter(First, Phase::Handling));
   Budget.release(First);
   Budget.progress(First, 1);
   BOOST_TEST(Budget.used().Bytes == 650 * Kilobyte);
