--- a/packages/net/tests/ClientBudgetTest.cpp
+++ b/packages/net/tests/ClientBudgetTest.cpp
@@ -140,6 +140,22 @@
              boost::test_tools::per_element());
 }
 
+// Guards against a process that has fewer descriptors than it was told and
+// can't accept connections any more.
+BOOST_AUTO_TEST_CASE(OneIsClosedOnRequest) {
+  auto Busy = open();
+  Budget.enter(Busy, Phase::Handling);
+  open();
+  open(ClientClass::Peers);
+  Budget.closeOne(ClientClass::Callers);
+  BOOST_TEST(Closed.empty());
+  Now += milliseconds(100);
+  Budget.closeOne(ClientClass::Callers);
+  Budget.closeOne(ClientClass::Callers);
+  BOOST_TEST(Closed == std::vector<unsigned>{2},
+             boost::test_tools::per_element());
+}
+
 // Guards against one group of clients that keeps all connections busy.
 BOOST_AUTO_TEST_CASE(LargeAddressGivesWayToOthers) {
   while (auto Id = open()) {
--- a/packages/net/tests/ServerTest.cpp
+++ b/packages/net/tests/ServerTest.cpp
@@ -346,6 +346,22 @@
   BOOST_TEST(Kept[6].readAll().ends_with("/kept"));
 }
 
+// Guards against incomplete requests that keep all connections, and against
+// ending them without telling their clients that they were not run.
+BOOST_AUTO_TEST_CASE(RefusesStalledRequestsForNewOnes) {
+  ServerFixture S({}, withBudget({64UL * 1024 * 1024, 20}), 1);
+  std::vector<RawSocket> Kept(7);
+  for (RawSocket &R : Kept) {
+    R.connectTo(S.Port);
+    R.send("POST /size HTTP/1.1\r\nContent-Length: 2\r\n\r\na");
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'100));
+  BOOST_TEST(S.exchange(getRequest("/new")).ends_with("/new"));
+  BOOST_TEST(isTruthfulRefusal(Kept[0].readAll()));
+  Kept[6].send("b");
+  BOOST_TEST(Kept[6].readUntil("\r\n\r\n2").ends_with("\r\n\r\n2"));
+}
+
 // Guards against socket buffers so small that legal requests take seconds.
 BOOST_AUTO_TEST_CASE(ReceivesLargeBodiesInReasonableTime) {
   ServerFixture S({}, withBudget({64UL * 1024 * 1024, 100}), 1);
