--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -91,6 +91,10 @@
     {453, "process_ends", Error},
     {458, "worker_speed_changed", Info},
     {459, "worker_speeds_differ", Info},
+    {454, "client_connections_limited", Warning},
+    {455, "client_memory_limited", Warning},
+    {456, "clients_slow", Info},
+    {457, "requests_oversized", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
