Add tests of daemons with misbehaving clients

Cause: a crowd of clients that exceed what a daemon can hold makes it exceed its host's memory and descriptors (docs/hard-load.md, part 3); no test with real processes covered this.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SEEDS ?= 300
 
 .PHONY: all packages build check lint sanitize bench bench-control demo faults fuzz \
-  mutations soak deploy-build review
+  mutations soak abuse deploy-build review
 
 all: build
 
@@ -72,6 +72,12 @@
 	@python3 scripts/soak.py --binary $(BUILD)/platform/heathersaddle-node \
 	  --seeds $(SEEDS) $(if $(FIRST),--first $(FIRST))
 
+# Tests real daemons with crowds of misbehaving clients, one test at a time.
+# ABUSE_ARGS: see scripts/abuse.py --help. Run it apart from other load.
+abuse: build
+	@python3 scripts/abuse.py --binary $(BUILD)/platform/heathersaddle-node \
+	  $(ABUSE_ARGS)
+
 # Builds the daemon with the platform's build command from deploy/system.toml.
 deploy-build: packages
 	@sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)" >target.log 2>&1 || \
