Check refusals and unexpected answers in the abuse tests

Cause: an ordinary job was repeated on any answer, so that a wrong refusal (400, 404) or a job shown as failed only appeared as a wait; and a refusal of a job of the crowd was not compared with what runs.

Change: an ordinary job is repeated on 429, 503, 504 and closed connections (410 to a GET) only, any other answer is a fault; a job of the crowd whose first answer refuses it must not start on a worker. Crowds and limits are unchanged.

--- a/scripts/abuse.py
+++ b/scripts/abuse.py
@@ -4,11 +4,12 @@
 Each test is one shape (what the clients do) at one target (port, path and
 key), with daemons of its own on loopback beside a simulated store and simulated
 workers. While the crowd is connected and after it has left, the daemons must
-run, must be ready, and must accept a job that then completes. All the time
-their memory (resident, and bytes received and not read) and their descriptors
-must stay under the limits in their settings. No time and no share of served
-requests is checked. The tests run one at a time; run them apart from other
-load. The folder of a failed test is kept.
+run, must be ready, and must accept a job that then completes. A job of the
+crowd that was refused must not run. All the time the daemons' memory (resident,
+and bytes received and not read) and descriptors must stay under the limits in
+their settings. No time and no share of served requests is checked. The tests
+run one at a time; run them apart from other load. The folder of a failed test
+is kept.
 
 A test whose name is in a line of KNOWN-RED.txt runs, but its failure is only
 printed.
@@ -91,6 +92,7 @@
         await deployment.check_service("after the crowd")
         if self.target in ("metrics", EVERY_PORT):
             await deployment.check_metrics(victim, "after the crowd")
+        deployment.check_refused(crowd.refused_jobs())
         deployment.check_limits()
         return crowd
 
--- a/scripts/abuse/crowd.py
+++ b/scripts/abuse/crowd.py
@@ -27,16 +27,18 @@
 SLOW_DURATION_S = 1.0
 
 
+REFUSALS = (400, 401, 404, 413, 429, 431, 503)
+
+
 class Target:
-    def __init__(self, name, port, path, headers, method="POST"):
+    def __init__(self, name, port, path, headers):
         self.name, self.port, self.path = name, port, path
-        self.headers, self.method = headers, method
+        self.headers = headers
 
-    def head(self, rng, length, method=None, more=()):
-        """The request line and headers without the empty line at the end.
-        `length` is that of the body, None for a body in chunks."""
-        path = self.path.format(id=f"{rng.getrandbits(64):016x}")
-        lines = [f"{method or self.method} {path} HTTP/1.1", *self.headers]
+    def head(self, job, length, method, more):
+        """The request line and headers without the empty line at the end."""
+        lines = [f"{method} {self.path.format(id=job)} HTTP/1.1",
+                 *self.headers]
         if method != "GET":
             lines += ["Content-Type: application/json",
                       "Transfer-Encoding: chunked" if length is None
@@ -97,6 +99,8 @@
         self.reads = reads and rng.random() < 0.5
         self.sock = self.reader = self.writer = None
         self.background = []
+        # The job of the last request, and the status of the first answer.
+        self.job = self.status = None
         self.outcome = "open"  # Or "refused" or "closed", by the server.
 
     async def connect(self):
@@ -118,6 +122,12 @@
         else:
             self.writer.transport.pause_reading()
 
+    def head(self, length, method="POST", more=()):
+        """The headers of a request for a new job. `length` is that of the body,
+        None for a body in chunks."""
+        self.job = f"{self.rng.getrandbits(64):016x}"
+        return self.target.head(self.job, length, method, more)
+
     async def send(self, data, piece=WRITE_BYTES):
         view = memoryview(data)
         for start in range(0, len(view), piece):
@@ -128,8 +138,9 @@
 
     async def read_until_closed(self):
         """Reads answers, and closes the connection when the server does."""
-        while await self.reader.read(WRITE_BYTES):
-            pass
+        while answer := await self.reader.read(WRITE_BYTES):
+            if self.status is None and answer.startswith(b"HTTP/1.1 "):
+                self.status = int(answer[9:12])
         self.close("closed")
 
     async def run(self, action):
@@ -154,18 +165,18 @@
 
 async def unfinished_body(m, body=legal_body):
     data = body(m.rng)
-    await m.send(m.target.head(m.rng, len(data)) + b"\r\n" + data[:-1])
+    await m.send(m.head(len(data)) + b"\r\n" + data[:-1])
 
 
 async def unfinished_body_in_pieces(m):
     data = legal_body(m.rng)
-    await m.send(m.target.head(m.rng, len(data)) + b"\r\n")
+    await m.send(m.head(len(data)) + b"\r\n")
     await m.send(data[:-1], m.rng.randint(1000, 3000))
 
 
 async def unfinished_body_in_chunks(m):
     data = legal_body(m.rng)
-    await m.send(m.target.head(m.rng, None) + b"\r\n")
+    await m.send(m.head(None) + b"\r\n")
     size = m.rng.randint(500, 4000)
     chunks = [b"%x\r\n%b\r\n" % (len(part), part) for part in
               (data[i:i + size] for i in range(0, len(data), size))]
@@ -175,7 +186,7 @@
 async def last_chunk_in_pieces(m):
     """A complete request. Its last chunk arrives in pieces, which ended the
     process in an assertion of Boost.Beast's parser (d73ed52)."""
-    head = m.target.head(m.rng, None) + b"\r\n"
+    head = m.head(None) + b"\r\n"
     for piece in (head + b"2\r\n{}\r\n0\r\n", b"\r", b"\n",
                   head + b"0\r\n", b"\r", b"\n"):
         await m.send(piece)
@@ -184,7 +195,7 @@
 
 async def complete_body(m, body=legal_body):
     data = body(m.rng)
-    await m.send(m.target.head(m.rng, len(data)) + b"\r\n" + data)
+    await m.send(m.head(len(data)) + b"\r\n" + data)
 
 
 async def many_fields(m):
@@ -196,13 +207,13 @@
 
 
 async def large_body_with_length(m):
-    await m.send(m.target.head(m.rng, ANNOUNCED_BYTES) + b"\r\n")
+    await m.send(m.head(ANNOUNCED_BYTES) + b"\r\n")
     for _ in range(LARGE_BODY_BYTES // WRITE_BYTES):
         await m.send(b"x" * WRITE_BYTES)
 
 
 async def large_body_in_chunks(m):
-    await m.send(m.target.head(m.rng, None) + b"\r\n")
+    await m.send(m.head(None) + b"\r\n")
     chunk = b"%x\r\n%b\r\n" % (WRITE_BYTES, b"x" * WRITE_BYTES)
     for _ in range(LARGE_BODY_BYTES // WRITE_BYTES):
         await m.send(chunk)
@@ -215,23 +226,23 @@
     while size < LEGAL_HEADER_BYTES - 300:
         more.append(f"{len(more):x}:")
         size += len(more[-1]) + 2
-    await m.send(m.target.head(m.rng, 2, None, more) + b"\r\n{")
+    await m.send(m.head(2, "POST", more) + b"\r\n{")
 
 
 async def requests_ahead(m):
     """Sends many requests and reads no answer."""
     padding = f"X-Padding: {'x' * 1500}"
-    await m.send(b"".join(m.target.head(m.rng, 0, "GET", [padding]) + b"\r\n"
+    await m.send(b"".join(m.head(0, "GET", [padding]) + b"\r\n"
                           for _ in range(400)))
 
 
 async def small_requests_ahead(m):
-    await m.send(b"".join(m.target.head(m.rng, 0, "GET") + b"\r\n"
+    await m.send(b"".join(m.head(0, "GET") + b"\r\n"
                           for _ in range(200)))
 
 
 async def slow_sending(m):
-    head = m.target.head(m.rng, LEGAL_BODY_BYTES) + b"\r\n"
+    head = m.head(LEGAL_BODY_BYTES) + b"\r\n"
     # Some clients are slow within the headers, the others within the body.
     start = m.rng.choice([m.rng.randrange(len(head) - 5), len(head)])
     await m.send(head[:start])
@@ -247,7 +258,7 @@
 
 async def slow_reading(m):
     """Sends some requests and reads one byte of the answers at a time."""
-    await m.send(b"".join(m.target.head(m.rng, 0, "GET") + b"\r\n"
+    await m.send(b"".join(m.head(0, "GET") + b"\r\n"
                           for _ in range(20)))
     m.start(sip(m))
     await asyncio.sleep(SLOW_DURATION_S)
@@ -266,7 +277,7 @@
 
 async def half_requests(m):
     data = legal_body(m.rng)
-    head = m.target.head(m.rng, len(data)) + b"\r\n"
+    head = m.head(len(data)) + b"\r\n"
     await m.send(m.rng.choice([head[:len(head) // 2],
                                head + data[:len(data) // 2]]))
 
@@ -279,9 +290,11 @@
     """`binds` names what the crowd is to exceed: a limit, or what the daemon
     can read. `targets` are those to which the shape applies."""
 
-    def __init__(self, action, binds, targets=tuple(TARGETS), reads=True):
+    def __init__(self, action, binds, targets=tuple(TARGETS), reads=True,
+                 one_request=True):
         self.name = action.__name__.replace("_", "-")
         self.action, self.binds, self.reads = action, binds, reads
+        self.one_request = one_request
         self.targets = [*(t for t in targets if t != "peer-no-route"),
                         EVERY_PORT]
 
@@ -293,17 +306,20 @@
     Shape(unfinished_body, "memory"),
     Shape(unfinished_body_in_pieces, "memory"),
     Shape(unfinished_body_in_chunks, "memory"),
-    Shape(last_chunk_in_pieces, "input"),
+    Shape(last_chunk_in_pieces, "input", one_request=False),
     Shape(complete_body, "memory"),
     Shape(large_body_with_length, "descriptors"),
     Shape(large_body_in_chunks, "memory"),
     Shape(many_fields, "memory", JSON_TARGETS),
     Shape(deep_nesting, "memory", JSON_TARGETS),
     Shape(many_headers, "memory"),
-    Shape(requests_ahead, "unread_bytes", reads=False),
-    Shape(small_requests_ahead, "descriptors", reads=False),
+    Shape(requests_ahead, "unread_bytes", reads=False,
+          one_request=False),
+    Shape(small_requests_ahead, "descriptors", reads=False,
+          one_request=False),
     Shape(slow_sending, "descriptors"),
-    Shape(slow_reading, "descriptors", reads=False),
+    Shape(slow_reading, "descriptors", reads=False,
+          one_request=False),
     Shape(half_requests, "descriptors"),
     Shape(silence, "descriptors", PORTS)]
 
@@ -329,6 +345,12 @@
         if tasks:
             await asyncio.wait(tasks, timeout=SEND_TIMEOUT_S)
 
+    def refused_jobs(self):
+        """Jobs that were refused with a status that guarantees that they never
+        run."""
+        return {m.job for m in self.members
+                if self.shape.one_request and m.status in REFUSALS}
+
     def outcomes(self):
         return Counter(m.outcome for m in self.members)
 
--- a/scripts/abuse/deployment.py
+++ b/scripts/abuse/deployment.py
@@ -13,7 +13,7 @@
 import time
 from pathlib import Path
 
-from soak.platform import Job, Store, Worker, World
+from soak.platform import FINAL_STATES, Job, Store, Worker, World
 from soak.wire import Client
 
 WORKER_COUNT = 3
@@ -62,11 +62,13 @@
         super().__init__(seed)
         self.any_job = Job("", random.Random(seed))
         self.any_job.is_gang, self.any_job.gpus = False, 0
+        self.started_jobs = set()
 
     def job_of(self, task):
         return self.any_job
 
     def on_start(self, worker, run, call):
+        self.started_jobs.add(run.task.split(".")[0])
         run.seconds = TASK_DURATION_S
         run.done_at = time.monotonic() + TASK_DURATION_S
 
@@ -268,15 +270,26 @@
                 headers, b"" if accepted else body.encode())
             seen = answer and (answer[0], answer[2][:100])
             if answer and answer[0] == 200:
-                if accepted and json.loads(answer[2])["state"] == "completed":
+                state = json.loads(answer[2])["state"] if accepted else None
+                if state == "completed":
                     return
+                if state in FINAL_STATES:
+                    break
                 accepted = True
+            # A daemon that is not the owner may not know the job at once (410).
+            elif answer and answer[0] not in (
+                    (410, 503, 504) if accepted else (429, 503, 504)):
+                break
             await asyncio.sleep(0.05)
         self.faults.append(
             f"a job {when} on {daemon.name} was "
             + ("accepted but not completed" if accepted else "not accepted")
             + f"; last answer: {seen}")
 
+    def check_refused(self, jobs):
+        for job in sorted(jobs & self.world.started_jobs):
+            self.faults.append(f"job {job} was refused but runs")
+
     async def check_ready(self, daemon, when):
         if not await daemon.until_ready():
             self.faults.append(f"readiness of {daemon.name} {when}: no answer "
