Fuzz the readers of callers' requests

Cause: no test fed the HTTP server or the JSON of jobs with arbitrary bytes, or bounded what a single input may allocate.

Change: heathersaddle_input_fuzz, seeded.

--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,7 @@
 
 fuzz: build
 	@$(BUILD)/packages/fuzz/heathersaddle_fuzz --seeds $(SEEDS) --jobs $(JOBS)
+	@$(BUILD)/platform/heathersaddle_input_fuzz --seeds $(SEEDS)
 
 # Checks that the fuzzer finds a violation when any one safety rule is disabled.
 # Needs a separate build with switches for the safety rules.
