Accept the last chunk of a body in pieces

Change: the session gives the parser no fewer than five bytes of a chunked body; each body that is not complete lacks at least as many.

--- a/packages/net/lib/ServerSession.cpp
+++ b/packages/net/lib/ServerSession.cpp
@@ -21,6 +21,10 @@
 static constexpr std::size_t MaxLingerBytes = 1024UL * 1024;
 static constexpr std::chrono::milliseconds LingerTimeLimit{2'000};
 static constexpr std::size_t ReadChunkBytes = 4096;
+/// Boost.Beast 1.81 requires in an assertion that the parser gets no fewer
+/// bytes of the last chunk once it has seen its first line. A chunked body that
+/// is not complete lacks at least as many: "0", and two line ends.
+static constexpr std::size_t MinChunkInputBytes = 5;
 /// What a request costs while it is handled, besides its headers and two copies
 /// of its body: as received, or as a job, and as forwarded to another daemon.
 static constexpr std::size_t HandlingBytes = 4096;
@@ -163,12 +167,9 @@
 
 void Session::parse() {
   error_code Ec;
-  while (!Ec && !Parser->is_done() && Buffer.size() > 0) {
+  while (!Ec && canParse()) {
     bool HeaderWasDone = Parser->is_header_done();
-    std::size_t Used = Parser->put(Buffer.data(), Ec);
-    Buffer.consume(Used);
-    RequestBytes += Used;
-    Core->BytesReceived += Used;
+    parseSome(Ec);
     if (!HeaderWasDone && Parser->is_header_done() && !Ec) {
       if (!checkHeader())
         return;
@@ -188,6 +189,19 @@
   receive();
 }
 
+bool Session::canParse() const {
+  bool InChunks = Parser->is_header_done() && Parser->chunked();
+  return !Parser->is_done() &&
+         Buffer.size() >= (InChunks ? MinChunkInputBytes : 1);
+}
+
+void Session::parseSome(error_code &Ec) {
+  std::size_t Used = Parser->put(Buffer.data(), Ec);
+  Buffer.consume(Used);
+  RequestBytes += Used;
+  Core->BytesReceived += Used;
+}
+
 void Session::receive() {
   // Only a header, or that of a chunk, can fill the buffer.
   if (Buffer.size() == Buffer.max_size())
@@ -357,11 +371,8 @@
   // A body that has arrived with its header does not end the connection.
   Parser->dropBody();
   error_code Ec;
-  while (!Ec && !Parser->is_done() && Buffer.size() > 0) {
-    std::size_t Used = Parser->put(Buffer.data(), Ec);
-    Buffer.consume(Used);
-    Core->BytesReceived += Used;
-  }
+  while (!Ec && canParse())
+    parseSome(Ec);
   refuse(std::move(*Verdict.Answer));
   return false;
 }
--- a/packages/net/lib/ServerSession.h
+++ b/packages/net/lib/ServerSession.h
@@ -44,6 +44,8 @@
   void beginRequest();
   /// Parses what has been received, then continues with the next step.
   void parse();
+  bool canParse() const;
+  void parseSome(error_code &Ec);
   void receive();
   void writeContinue();
   /// A field of the current request; empty if absent.
--- a/packages/net/tests/ServerTest.cpp
+++ b/packages/net/tests/ServerTest.cpp
@@ -409,6 +409,28 @@
   BOOST_TEST(S.HandledCount == 0);
 }
 
+// Guards against a process that a client ends by sending the last chunk in
+// pieces: an assertion of Boost.Beast fails on some lengths.
+BOOST_AUTO_TEST_CASE(AcceptsChunksInPiecesOfAnySize) {
+  ServerFixture S;
+  const std::string Header = "POST /size HTTP/1.1\r\nConnection: close\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+  for (const std::string &Body :
+       {std::string("0\r\n\r\n"), std::string("0;e\r\nt: v\r\n\r\n"),
+        std::string("2\r\nab\r\n0\r\n\r\n"),
+        std::string("1;e=f\r\na\r\n1\r\nb\r\n0\r\nt: v\r\n\r\n")})
+    for (std::size_t Split = 0; Split < Body.size(); ++Split) {
+      RawSocket R = RawSocket::connected(S.Port);
+      R.send(Header + Body.substr(0, Split));
+      std::this_thread::sleep_for(std::chrono::milliseconds(3));
+      R.send(Body.substr(Split, 1));
+      std::this_thread::sleep_for(std::chrono::milliseconds(3));
+      R.send(Body.substr(Split + 1));
+      BOOST_TEST(R.readAll().ends_with(Body[0] == '0' ? "\r\n0" : "\r\n2"),
+                 Body << " split after " << Split);
+    }
+}
+
 // Guards against responses in the wrong order on one connection.
 BOOST_AUTO_TEST_CASE(AnswersPipelinedRequestsInOrder) {
   ServerFixture S;
