Admit jobs by the workers outside drained data centres

Cause: the owner published the capacity of drained workers, and the work that runs on them counted as work ahead of new jobs on the others. With no usable worker every job was accepted, however soon it was to end.

Change: the published capacity and backlog leave drained workers out; their number is published while there are any. If all are drained, the rest of the drain is expected to last as long as it has lasted: jobs that can wait for that are accepted, others are refused with that time and the overload after it as Retry-After. The owner publishes its state as soon as a request or a withdrawal is read.

--- a/packages/cluster/include/heathersaddle/cluster/Admission.h
+++ b/packages/cluster/include/heathersaddle/cluster/Admission.h
@@ -11,6 +11,10 @@
   std::int64_t Workers = 0;
   std::int64_t WorkAheadMs = 0; ///< Work of the same or higher urgency, in
                                 ///< milliseconds of a whole worker.
+  /// If there are no workers in use because the operator has drained all data
+  /// centres: the workers there, and for how long this has been so.
+  std::int64_t DrainedWorkers = 0;
+  base::Millis DrainedFor{};
 };
 
 /// Returns the time after which the job could be accepted if it would end too
--- a/packages/cluster/include/heathersaddle/cluster/Ports.h
+++ b/packages/cluster/include/heathersaddle/cluster/Ports.h
@@ -81,8 +81,8 @@
 
 /// A change to the operator's topic; both are empty if it concerns neither.
 struct OperatorChange {
-  std::shared_ptr<const Configuration> Config{};
-  std::optional<DrainChange> Drain{};
+  std::shared_ptr<const Configuration> Config;
+  std::optional<DrainChange> Drain;
 };
 
 /// Records from an offset onwards.
--- a/packages/cluster/lib/Admission.cpp
+++ b/packages/cluster/lib/Admission.cpp
@@ -5,6 +5,13 @@
 // would then end too late to be of full use to its caller, it is refused at
 // once, so that the caller can go elsewhere or retry when the backlog has
 // shrunk enough. Accepted jobs are kept.
+//
+// Load pattern: the operator drains all data centres for seconds to minutes.
+//
+// The remaining duration is unknown; as a rule it is the time it has already
+// lasted, as with an outage of the store. What can wait that long is accepted
+// and waits. Other jobs are refused, and told to retry when the work ahead has
+// shrunk enough after that.
 #include "heathersaddle/cluster/Admission.h"
 #include <algorithm>
 
@@ -23,18 +30,22 @@
 
 std::optional<base::Millis> overloadRetryDelay(const workload::JobSpec &Spec,
                                                const Load &L) {
-  if (!L.Workers || Spec.OccurrenceCount || Spec.isLongRunning())
+  std::int64_t Workers = L.Workers ? L.Workers : L.DrainedWorkers;
+  if (!Workers || Spec.OccurrenceCount || Spec.isLongRunning())
     return std::nullopt;
   auto Wait = static_cast<std::int64_t>(
       static_cast<double>(L.WorkAheadMs) /
-      (static_cast<double>(L.Workers) * PackingEfficiency));
+      (static_cast<double>(Workers) * PackingEfficiency));
   auto Allowed =
       static_cast<std::int64_t>(MaxObjectiveMultiple *
                                 static_cast<double>(Spec.objectiveMs())) -
       Spec.longestChainMs();
-  if (Wait <= Allowed)
+  base::Millis DrainLeft =
+      L.Workers ? base::Millis(0) : std::max(L.DrainedFor, MinRetryDelay);
+  if (Wait + DrainLeft.count() <= Allowed)
     return std::nullopt;
-  return std::clamp(base::Millis(Wait - Allowed), MinRetryDelay, MaxRetryDelay);
+  base::Millis Overload(std::max<std::int64_t>(0, Wait - Allowed));
+  return std::clamp(DrainLeft + Overload, MinRetryDelay, MaxRetryDelay);
 }
 
 /// Load pattern: the store takes seconds for an append, and callers wait for
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -106,6 +106,7 @@
   Shared.OperatorTopicAge = OperatorTopic.age();
   updateStoreState();
   resolveCancels();
+  updateAllDrained();
   elect();
   if (ActiveOwner && DeposedReason.empty())
     ActiveOwner->tick();
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -43,6 +43,9 @@
   /// Whether an earlier copy of the submission was handed to the store here and
   /// may still be stored.
   bool mayBeStored(std::string_view Id) const;
+  /// The load ahead of a new job of the priority.
+  Load loadAhead(unsigned Priority);
+  void updateAllDrained();
   /// The appends of this daemon that store new jobs.
   AppendState appendState() const;
   void onSubmissionStored(const Submission &S, std::uint64_t Offset);
@@ -82,6 +85,8 @@
     std::int64_t WorkMs = 0;
   };
   std::vector<RecentSubmission> RecentSubmissions;
+  /// Since when the operator has all data centres drained; 0: not so.
+  MonoTime AllDrainedSince{};
   struct OpenSubmission {
     unsigned Unanswered = 0; ///< Copies.
     MonoTime MayBeStoredUntil{};
--- a/packages/cluster/lib/OwnerDrains.cpp
+++ b/packages/cluster/lib/OwnerDrains.cpp
@@ -21,6 +21,11 @@
   return Shared.Drained.contains(S.Entry.DataCentre);
 }
 
+bool Owner::isOnDrainedWorker(const TaskProgress &T) const {
+  auto On = Sessions.find(T.Worker);
+  return On != Sessions.end() && isDrained(On->second);
+}
+
 /// Where no request has ever been read, starts are sent even if the operator's
 /// topic cannot be read: operators of such deployments may never drain any.
 ///
@@ -50,6 +55,8 @@
 
 void Owner::drainChanged(const DrainChange &Change) {
   PlanNeeded = true;
+  // Until then, all daemons accept and refuse jobs by the former capacity.
+  RecordWriter.publishSoon();
   if (!Change.Requested || Deposed || RecordWriter.releaseSent())
     return;
   unsigned Unsent = 0;
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -451,13 +451,19 @@
 void Owner::publishLoad(workload::Ownership &O) const {
   std::int64_t Workers = 0;
   workload::Resources Sum;
+  workload::Resources DrainedSum;
   for (const auto &[Id, S] : Sessions)
-    if (S.Listed && S.Described && S.Synced && !S.Entry.Draining &&
-        !isDrained(S)) {
-      ++Workers;
-      Sum += S.Entry.Capacity;
+    if (S.Listed && S.Described && S.Synced && !S.Entry.Draining) {
+      ++(isDrained(S) ? O.DrainedWorkers : Workers);
+      (isDrained(S) ? DrainedSum : Sum) += S.Entry.Capacity;
     }
   O.Workers = Workers;
+  // Jobs wait for the drained workers only if there are no others.
+  bool AllDrained = !Workers && O.DrainedWorkers;
+  if (AllDrained) {
+    Workers = O.DrainedWorkers;
+    Sum = DrainedSum;
+  }
   O.BacklogMs.assign(3, 0);
   if (!Workers)
     return;
@@ -473,9 +479,13 @@
         const workload::Step &Step = J.Spec.Steps[S];
         std::int64_t One = workload::workerMs(Step, Sum, Workers);
         for (unsigned N = 0; N < Step.Count; ++N) {
-          auto Phase = J.task({K, S, N}).Phase;
-          if (Phase != TaskPhase::Done)
-            Work += Phase == TaskPhase::Placed ? One / 2 : One;
+          const TaskProgress &T = J.task({K, S, N});
+          // What runs on a drained worker takes nothing of the others.
+          if (T.Phase == TaskPhase::Done ||
+              (T.Phase == TaskPhase::Placed && !AllDrained &&
+               O.DrainedWorkers && isOnDrainedWorker(T)))
+            continue;
+          Work += T.Phase == TaskPhase::Placed ? One / 2 : One;
         }
       }
     }
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -104,30 +104,27 @@
                           "the gang has more tasks than can be recorded"});
     }
   const workload::Ownership &O = Shared.Ledger.owner();
-  Load L;
-  L.Workers = O.Workers;
   MonoTime T = Shared.mono();
-  std::erase_if(RecentSubmissions, [T](const RecentSubmission &R) {
-    return T - R.At > RecentSubmissionAge;
-  });
-  for (std::size_t P = 0; P < O.BacklogMs.size() && P <= Spec.Priority; ++P)
-    L.WorkAheadMs += O.BacklogMs[P];
-  for (const RecentSubmission &R : RecentSubmissions)
-    if (R.Priority <= Spec.Priority)
-      L.WorkAheadMs += R.WorkMs;
+  Load L = loadAhead(Spec.Priority);
   if (auto RetryDelay = overloadRetryDelay(Spec, L)) {
     // Spreads the retries of callers that were refused at the same time.
     *RetryDelay += Shared.randomUpTo(*RetryDelay / RetryDelaySpread);
-    Shared.count("submissions_refused_overload");
+    bool Drained = !L.Workers;
+    Shared.count(Drained ? "submissions_refused_drained"
+                         : "submissions_refused_overload");
     Shared.log(426, {{"job", Spec.Id},
                      {"queue", Spec.Queue},
-                     {"reason", "backlog"},
+                     {"reason", Drained ? "drained" : "backlog"},
                      {"ahead_ms", L.WorkAheadMs},
                      {"workers", L.Workers},
+                     {"drained_workers", L.DrainedWorkers},
+                     {"drained_for_ms", L.DrainedFor.count()},
                      {"retry_after_ms", RetryDelay->count()},
                      {"epoch", O.Epoch}});
     return Refuse(Refusal{Refusal::Overloaded, *RetryDelay,
-                          "the work ahead would make this job too late"});
+                          Drained
+                              ? "all data centres are drained"
+                              : "the work ahead would make this job too late"});
   }
   AppendState Store = appendState();
   if (auto RetryDelay = slowStoreRetryDelay(Store, CallerWaits)) {
@@ -162,6 +159,36 @@
     Incoming.add(std::move(S));
 }
 
+Load Node::Impl::loadAhead(unsigned Priority) {
+  const workload::Ownership &O = Shared.Ledger.owner();
+  Load L;
+  L.Workers = O.Workers;
+  MonoTime T = Shared.mono();
+  // The owner's record may be older than a withdrawal that was read here.
+  if (AllDrainedSince.count()) {
+    L.DrainedWorkers = O.DrainedWorkers;
+    L.DrainedFor = T - AllDrainedSince;
+  }
+  std::erase_if(RecentSubmissions, [T](const RecentSubmission &R) {
+    return T - R.At > RecentSubmissionAge;
+  });
+  for (std::size_t P = 0; P < O.BacklogMs.size() && P <= Priority; ++P)
+    L.WorkAheadMs += O.BacklogMs[P];
+  for (const RecentSubmission &R : RecentSubmissions)
+    if (R.Priority <= Priority)
+      L.WorkAheadMs += R.WorkMs;
+  return L;
+}
+
+void Node::Impl::updateAllDrained() {
+  const workload::Ownership &O = Shared.Ledger.owner();
+  if (O.Workers || Shared.Drained.empty())
+    AllDrainedSince = {};
+  // A new owner publishes neither number until it has reached the workers.
+  else if (O.DrainedWorkers && !AllDrainedSince.count())
+    AllDrainedSince = Shared.mono();
+}
+
 std::function<void(std::optional<Refusal>)>
 Node::Impl::trackSubmission(const std::string &Id,
                             std::function<void(std::optional<Refusal>)> Done) {
--- a/packages/cluster/lib/Writer.h
+++ b/packages/cluster/lib/Writer.h
@@ -37,6 +37,8 @@
   AppendState appendState() const;
   /// Answers all callers whose submissions are not stored yet.
   void failPendingSubmissions();
+  /// Publishes the owner's state with the next append.
+  void publishSoon() { NextHeartbeatAt = {}; }
   /// Publishes that the owner releases ownership; nothing is appended
   /// afterwards.
   void release();
--- a/packages/cluster/tests/AdmissionTest.cpp
+++ b/packages/cluster/tests/AdmissionTest.cpp
@@ -54,6 +54,27 @@
   BOOST_TEST(!overloadRetryDelay(LongRunningJob, {48, 48 * 600'000}));
 }
 
+// Guards against jobs that are accepted while all data centres are drained and
+// end too late, and against refusals of those that can wait.
+BOOST_AUTO_TEST_CASE(JobThatCannotWaitForTheEndOfADrainIsRefused) {
+  Load L;
+  L.DrainedWorkers = 48;
+  L.DrainedFor = base::Millis(500);
+  BOOST_TEST(!overloadRetryDelay(job(2'500, 1.5), L));
+  L.DrainedFor = base::Millis(9'000);
+  auto After = overloadRetryDelay(job(2'500, 1.5), L);
+  BOOST_REQUIRE(After);
+  BOOST_TEST(After->count() == 9'000);
+  BOOST_TEST(!overloadRetryDelay(job(8'000, 3), L));
+  // The work that waits meanwhile comes first.
+  L.WorkAheadMs = 48 * 60'000;
+  After = overloadRetryDelay(job(8'000, 3), L);
+  BOOST_REQUIRE(After);
+  BOOST_TEST(After->count() == 20'000);
+  L.DrainedWorkers = 0;
+  BOOST_TEST(!overloadRetryDelay(job(8'000, 3), L));
+}
+
 // Guards against callers whose attempts are used up before an outage ends: five
 // attempts, one a second, do not last for an outage of six seconds.
 BOOST_AUTO_TEST_CASE(FiveAttemptsSpanAnOutageOfTenSeconds) {
--- a/packages/cluster/tests/DrainTest.cpp
+++ b/packages/cluster/tests/DrainTest.cpp
@@ -35,6 +35,12 @@
     auto It = Counts.find(Name);
     return It == Counts.end() ? 0 : It->second;
   }
+  /// What the owner published last.
+  workload::Ownership published() {
+    for (auto R = ControlTopic.Records.rbegin();; ++R)
+      if (auto O = workload::Ledger::decodeOwnership(*R); O && *O)
+        return **O;
+  }
   workload::JobSpec gang(const std::string &Id, unsigned Tasks,
                          std::int64_t WorkMs) {
     auto J = job(Id, Tasks, 8, WorkMs);
@@ -371,6 +377,116 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(Admission)
+
+// Guards against jobs that are accepted for workers which get no work, and
+// against refusals because of work that runs on these workers.
+BOOST_AUTO_TEST_CASE(CountsTheCapacityAndTheWorkOfOthersOnly) {
+  drain("dc2");
+  run(300);
+  BOOST_TEST(!submit(anyDaemon(), job("1", 16, 1, 20'000)));
+  run(600);
+  BOOST_REQUIRE(runsIn("dc1") == 16u);
+  BOOST_TEST(published().Workers == 2);
+  BOOST_TEST(published().DrainedWorkers == 2);
+  BOOST_TEST(published().BacklogMs[1] > 0);
+  drain("dc2", false);
+  drain("dc1");
+  run(1'000);
+  BOOST_TEST(published().Workers == 2);
+  BOOST_TEST(published().BacklogMs[1] == 0);
+  drain("dc1", false);
+  run(1'000);
+  BOOST_TEST(published().Workers == 4);
+  BOOST_TEST(published().DrainedWorkers == 0);
+  BOOST_TEST(published().BacklogMs[1] > 0);
+}
+
+// Guards against jobs that are accepted while all data centres are drained
+// although they would end too late, against refusals of those that can wait, of
+// jobs without an end, and after the withdrawal.
+BOOST_AUTO_TEST_CASE(RefusesWhatCannotWaitWhileAllAreDrained) {
+  auto Urgent = [this](const std::string &Id) {
+    auto J = job(Id, 1, 1, 2'000);
+    J.Priority = 0;
+    J.Stretch = 1.5;
+    J.LatencyObjectiveMs = 250;
+    return J;
+  };
+  drain("dc1");
+  drain("dc2");
+  run(1'000);
+  BOOST_TEST(!submit(anyDaemon(), Urgent("1")));
+  run(10'000);
+  for (auto &[Name, N] : Daemons) {
+    auto R = submit(*N, Urgent("refused-" + Name));
+    BOOST_REQUIRE(R);
+    BOOST_TEST((R->Why == Refusal::Overloaded));
+    BOOST_TEST(R->RetryAfter.count() >= 10'000);
+    BOOST_TEST(R->RetryAfter.count() <= 20'000);
+  }
+  BOOST_TEST(!submit(anyDaemon(), job("patient", 1, 1, 20'000)));
+  auto Service = Urgent("service");
+  Service.Steps[0].LongRunning = true;
+  BOOST_TEST(!submit(anyDaemon(), Service));
+  BOOST_TEST(Starts.empty());
+  drain("dc1", false);
+  run(120);
+  BOOST_TEST(!submit(anyDaemon(), Urgent("3")));
+  BOOST_TEST(
+      runUntil([&] { return allShow("3", JobState::Completed); }, 4'000));
+  for (const auto &[Task, Count] : Starts)
+    BOOST_TEST(!Task.Job.starts_with("refused"));
+}
+
+// Guards against refusals after the withdrawal because the owner's record of
+// the drained workers is still the newest one.
+BOOST_AUTO_TEST_CASE(AcceptsOnceTheWithdrawalIsRead) {
+  drain("dc1");
+  drain("dc2");
+  run(10'000);
+  auto J = job("1", 1, 1, 2'000);
+  J.Stretch = 1.5;
+  J.LatencyObjectiveMs = 250;
+  BOOST_TEST(submit(anyDaemon(), J).has_value());
+  AppendDurationMs = 700;
+  run(50);
+  drain("dc1", false);
+  drain("dc2", false);
+  run(130);
+  BOOST_TEST(published().DrainedWorkers == 4);
+  BOOST_TEST(!submit(anyDaemon(), J));
+}
+
+// Guards against jobs that are refused or accepted by the capacity before a
+// request for as long as the owner's records are apart.
+BOOST_AUTO_TEST_CASE(LearnsOfRequestsAtOnce) {
+  for (int N = 0; N < 5; ++N) {
+    drain("dc1", N % 2 == 0);
+    run(130);
+    BOOST_TEST(published().Workers == (N % 2 ? 4 : 2));
+  }
+}
+
+// Guards against a drain that seems to begin anew with each owner, so that jobs
+// are accepted again that cannot run in time.
+BOOST_AUTO_TEST_CASE(RemembersAcrossOwnersSinceWhenAllAreDrained) {
+  drain("dc1");
+  drain("dc2");
+  run(8'000);
+  kill(owner());
+  BOOST_REQUIRE(runUntil([this] { return !owner().empty(); }, 5'000));
+  run(1'000);
+  auto J = job("1", 1, 1, 2'000);
+  J.Stretch = 1.5;
+  J.LatencyObjectiveMs = 250;
+  auto R = submit(anyDaemon(), J);
+  BOOST_REQUIRE(R);
+  BOOST_TEST(R->RetryAfter.count() >= 8'000);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(WhenTheRequestIsWithdrawn)
 
 // Guards against tasks that are lost or run twice if that happens while the
--- a/packages/workload/include/heathersaddle/workload/Ledger.h
+++ b/packages/workload/include/heathersaddle/workload/Ledger.h
@@ -26,7 +26,10 @@
   std::int64_t AppendMs = 0;
   std::int64_t CpuMilli = 0; ///< Used by the owner, in thousandths of a core.
   std::int64_t Workers = 0;  ///< Number of workers in use.
-  Resources MeanCapacity;    ///< Of a worker in use.
+  /// Number of workers that would be in use if their data centres were not
+  /// drained.
+  std::int64_t DrainedWorkers = 0;
+  Resources MeanCapacity; ///< Of a worker in use, or of all if all are drained.
   /// Accepted work that has not ended, in milliseconds of a whole worker: one
   /// entry each for priority 0, priority 1, and all others together.
   std::vector<std::int64_t> BacklogMs;
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -308,6 +308,8 @@
                  {"m", O.MeanCapacity.MemoryMb},
                  {"g", O.MeanCapacity.Gpus},
                  {"l", json::value_from(O.BacklogMs)}};
+  if (O.DrainedWorkers)
+    V["z"] = O.DrainedWorkers;
   return {std::string(OwnerKey), json::serialize(V)};
 }
 
@@ -334,6 +336,7 @@
   O.AppendMs = R.integerOr("t", 0, 0, MaxMs);
   O.CpuMilli = R.integerOr("u", 0, 0, MaxMs);
   O.Workers = R.integerOr("w", 0, 0, MaxMs);
+  O.DrainedWorkers = R.integerOr("z", 0, 0, MaxMs);
   O.MeanCapacity.CpuMilli = R.integerOr("c", 0, 0, MaxMs);
   O.MeanCapacity.MemoryMb = R.integerOr("m", 0, 0, MaxMs);
   O.MeanCapacity.Gpus = R.integerOr("g", 0, 0, MaxMs);
--- a/packages/workload/tests/LedgerTest.cpp
+++ b/packages/workload/tests/LedgerTest.cpp
@@ -204,17 +204,20 @@
 
 // Guards against a missing field: without the address, daemons cannot reach the
 // owner; without the duration of its appends, a slow store looks like an owner
-// that has failed.
-BOOST_AUTO_TEST_CASE(OwnershipKeepsAddressAndAppendTime) {
+// that has failed; without the drained workers, jobs are accepted that cannot
+// run in time.
+BOOST_AUTO_TEST_CASE(OwnershipKeepsAddressAppendTimeAndDrainedWorkers) {
   Ownership O;
   O.Epoch = 3;
   O.Daemon = "a";
   O.Address = "10.0.0.1:7000";
   O.AppendMs = 288;
+  O.DrainedWorkers = 12;
   Ledger L;
   BOOST_REQUIRE(L.apply(Ledger::ownership(O)).has_value());
   BOOST_TEST(L.owner().Address == O.Address);
   BOOST_TEST(L.owner().AppendMs == O.AppendMs);
+  BOOST_TEST(L.owner().DrainedWorkers == O.DrainedWorkers);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
