Drain data centres in the soak

Cause: the soak knew one data centre and no drains, so that nothing checked with real processes what workers see.

Change: half of the workers are in a second data centre; one or both are drained while faults happen, some for longer than the bounds, some withdrawn at once, some with a value that is no object. Rule DRAINED: a start that a worker receives later than 5 s, and the time of disruptions since (6 s at most), after the request. Cold workers after a withdrawal. Drains have a generator of their own, and earlier regression seeds are played without them, so that the faults of all seeds stay what they were.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -112,13 +112,15 @@
 
 
 class Soak:
-    def __init__(self, seed, binary, daemons, workers):
+    def __init__(self, seed, binary, daemons, workers, drains):
         self.seed, self.binary = seed, str(binary)
         # Faults and jobs have generators of their own, so that the same seed
         # gives the same faults and jobs whatever the timing.
         self.rng = random.Random(seed)
         self.fault_rng = random.Random(seed + 2)
         self.job_rng = random.Random(seed + 3)
+        self.drain_rng = random.Random(seed + 4) if drains else None
+        self.drain_count = 0
         self.world = World(seed)
         self.store = Store(random.Random(seed + 1))
         self.folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -148,7 +150,8 @@
         store = await self.store.server.start("127.0.0.1")
         self.publish_config()
         for number in range(self.daemon_and_worker_counts[1]):
-            worker = Worker(self.world, f"w-{number}", f"r{number // 4}",
+            worker = Worker(self.world, f"w-{number}",
+                            f"dc{1 + number // 4 % 2}", f"r{number // 4}",
                             self.rng.choice([4, 8]),
                             self.rng.choice([1.0, 0.985]))
             proxy = Proxy(await worker.server.start("127.0.0.1"))
@@ -198,9 +201,10 @@
     # Faults. Each one restores the deployment when it ends.
 
     async def disrupt_link(self, proxy, seconds, variant):
-        proxy.set_mode(["delay", "silent", "one_way", "reset"][variant % 4])
-        await asyncio.sleep(seconds)
-        proxy.set_mode("ok")
+        with self.world.disruption():
+            proxy.set_mode(["delay", "silent", "one_way", "reset"][variant % 4])
+            await asyncio.sleep(seconds)
+            proxy.set_mode("ok")
 
     async def disrupt_store(self, seconds, variant):
         mode = ["busy", "silent", "lost", "late", "slow"][variant % 5]
@@ -211,7 +215,8 @@
         else:
             self.store.lost_answer_share, self.store.late_appends = \
                 0.35, mode == "late"
-        await asyncio.sleep(seconds)
+        with self.world.disruption():
+            await asyncio.sleep(seconds)
         self.store.failure_mode, self.store.lost_answer_share, \
             self.store.delay_s = "", 0.0, 0.0
 
@@ -252,7 +257,8 @@
         elif kind == "stop":
             await daemon.stop(seconds / 3)
         elif kind == "freeze":
-            await daemon.freeze(seconds)
+            with self.world.disruption():
+                await daemon.freeze(seconds)
         elif kind == "hup":
             daemon.signal(signal.SIGHUP)
         elif kind == "all":
@@ -268,6 +274,31 @@
         else:
             self.publish_config()
 
+    async def drain_zones(self):
+        """Drains one or both zones, again and again. Requests are withdrawn
+        while they are carried out, or hold for longer than the bounds of the
+        platform."""
+        rng, end = self.drain_rng, time.monotonic() + FAULT_DURATION_S
+        while rng and time.monotonic() < end:
+            await asyncio.sleep(rng.uniform(0.3, 2))
+            zones = rng.choice([["dc1"], ["dc2"], ["dc1", "dc2"]])
+            seconds = rng.choice([rng.uniform(0.01, 0.5), rng.uniform(1, 4),
+                                  rng.uniform(8, 16)])
+            self.log_event(f"drain {' '.join(zones)} {seconds:.1f} s")
+            self.drain_count += 1
+            for zone in zones:
+                # A value that cannot be read counts as a request, too.
+                self.store.put("keyed.op", f"evacuate/{zone}",
+                               rng.choice([{}, {}, "unreadable"]))
+                self.world.drained_at[zone] = time.monotonic()
+            await asyncio.sleep(seconds)
+            for zone in zones:
+                del self.world.drained_at[zone]
+                self.store.put("keyed.op", f"evacuate/{zone}", None)
+            for worker in self.world.workers.values():
+                if worker.zone in zones:
+                    worker.cold_until = time.monotonic() + rng.uniform(0, 3)
+
     async def inject_faults(self):
         """Injects overlapping faults, some in quick succession, and waits
         until all are over."""
@@ -364,7 +395,7 @@
         await self.start()
         ticker = asyncio.create_task(self.tick_loop())
         await asyncio.sleep(1.5)
-        faults = asyncio.create_task(self.inject_faults())
+        faults = asyncio.gather(self.inject_faults(), self.drain_zones())
         job_tasks = await self.submit_jobs()
         await faults
         self.log_event("all faults are over")
@@ -386,7 +417,8 @@
 
 
 def run_seed(args):
-    soak = Soak(args.one, args.binary, args.daemons, args.workers)
+    soak = Soak(args.one, args.binary, args.daemons, args.workers,
+                not args.without_drains)
     loop = asyncio.new_event_loop()
     try:
         accepted, ended = loop.run_until_complete(soak.run())
@@ -400,7 +432,8 @@
         print(f"  {line}")
     print(f"seed {args.one}: jobs={len(soak.world.jobs)} accepted={accepted} "
           + " ".join(f"{k}={v}" for k, v in ended.items())
-          + f" faults={soak.fault_count} violations={len(violations)}")
+          + f" faults={soak.fault_count} drains={soak.drain_count} "
+          f"violations={len(violations)}")
     if violations:
         print(f"  logs in {soak.folder}")
     else:
@@ -410,11 +443,12 @@
     os._exit(1 if violations else 0)
 
 
-def run_seed_process(seed, args):
+def run_seed_process(seed, args, drains):
     result = subprocess.run(
         [sys.executable, __file__, "--one", str(seed), "--binary",
          str(args.binary), "--daemons", str(args.daemons), "--workers",
-         str(args.workers)], capture_output=True, text=True, check=False)
+         str(args.workers)] + ([] if drains else ["--without-drains"]),
+        capture_output=True, text=True, check=False)
     print(result.stdout + result.stderr, end="", flush=True)
     lines = [line for line in result.stdout.splitlines()
              if line.startswith("seed ")]
@@ -436,23 +470,31 @@
     parser.add_argument("--workers", type=int, default=8)
     parser.add_argument("--binary", type=Path, default=BINARY)
     parser.add_argument("--one", type=int, help=argparse.SUPPRESS)
+    parser.add_argument("--without-drains", action="store_true",
+                        help="drain no data centre")
     args = parser.parse_args()
     if args.one is not None:
         run_seed(args)
     first = args.first
     if first is None:
         first = random.SystemRandom().randrange(1_000_000)
-    regressions = [
-        int(line.split()[0])
+    # Those that failed before the soak knew drains are played without them, as
+    # the pool would be another one.
+    regressions = {
+        int(line.split()[0]): " with drains: " in line
         for line in REGRESSIONS.read_text(encoding="utf-8").splitlines()
-        if line and not line.startswith("#")]
-    seeds = regressions + [seed for seed in range(first, first + args.seeds)
-                           if seed not in regressions]
+        if line and not line.startswith("#")}
+    seeds = list(regressions) + [
+        seed for seed in range(first, first + args.seeds)
+        if seed not in regressions]
     print(f"soak: {len(regressions)} regression seeds, {args.seeds} new seeds "
           f"from {first}", flush=True)
     with ThreadPoolExecutor(args.jobs) as pool:
-        results = list(pool.map(lambda seed: run_seed_process(seed, args),
-                                seeds))
+        results = list(pool.map(
+            lambda seed: run_seed_process(
+                seed, args,
+                regressions.get(seed, True) and not args.without_drains),
+            seeds))
     faults = sum(f for f, _ in results)
     violations = sum(v for _, v in results)
     print(f"soak: seeds={len(seeds)} faults={faults} violations={violations}")
--- a/scripts/soak/platform.py
+++ b/scripts/soak/platform.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import contextlib
 import json
 import random
 import time
@@ -15,6 +16,10 @@
 
 
 MAX_LEASE_MS = 6000  # Equals hold_max_ms in the settings of soak.py.
+# Bounds of the platform: nothing may be started in a data centre from this time
+# after the request to drain it, or by the stretch later after disruptions.
+DRAIN_NOTICE_S = 5
+MAX_STRETCH_S = 6
 FINAL_STATES = ("completed", "failed", "cancelled")
 
 
@@ -141,9 +146,10 @@
     """A worker with a lease, runs and a list of unacknowledged run ends. Its
     clock runs at `clock_rate` of real time."""
 
-    def __init__(self, world, name, rack, gpus, clock_rate):
+    def __init__(self, world, name, zone, rack, gpus, clock_rate):
         self.world, self.name, self.rack, self.gpus = world, name, rack, gpus
-        self.clock_rate = clock_rate
+        self.zone, self.clock_rate = zone, clock_rate
+        self.cold_until = 0  # It counts as cold until then.
         self.server = Server(self.handle)
         self.seq = 0
         self.alive = True
@@ -169,9 +175,11 @@
 
     def registry_entry(self, address):
         self.seq += 1
-        return {"service": "render", "addr": address, "zone": "dc1",
+        return {"service": "render", "addr": address, "zone": self.zone,
                 "version": "v1", "slots": 8, "state": "ready",
-                "cold_left_ms": 0, "seq": self.seq, "born": self.incarnation,
+                "cold_left_ms": max(
+                    0, int((self.cold_until - time.monotonic()) * 1000)),
+                "seq": self.seq, "born": self.incarnation,
                 "capacity": {"cpu": 64000, "mem_mb": 256000,
                              "gpu": self.gpus},
                 "labels": ["a", self.rack]}
@@ -214,6 +222,7 @@
         if headers.get("x-heathersaddle-expect-instance") != self.name:
             return 421, b"{}"
         call = json.loads(body)
+        call["received_at"] = time.monotonic()
         if path == "/heathersaddle/hold":
             status, answer = await self.handle_hold(call)
         else:
@@ -326,10 +335,48 @@
         self.acked_at = {}     # Task -> time when its success was acknowledged.
         self.failed_runs = {}  # Task -> numbers of the runs that failed.
         self.crashes = {}      # Task -> workers that crashed under it.
+        self.drained_at = {}   # Zone -> when the operator asked to drain it.
+        self.drained_starts = 0  # Received in drained zones, in time.
+        self.disruptions = []  # Begin and end of each; None: not over.
 
     def report_violation(self, rule, text):
         self.violations.append(f"{rule}: {text}")
 
+    @contextlib.contextmanager
+    def disruption(self):
+        """Disrupts calls between daemons, the store and workers."""
+        interval = [time.monotonic(), None]
+        self.disruptions.append(interval)
+        try:
+            yield
+        finally:
+            interval[1] = time.monotonic()
+
+    def disrupted_time(self, begin, end):
+        """The time from begin to end in which there was a disruption."""
+        total, covered_to = 0, begin
+        for first, last in sorted(self.disruptions, key=lambda d: d[0]):
+            last = min(end, end if last is None else last)
+            total += max(0, last - max(first, covered_to))
+            covered_to = max(covered_to, last)
+        return total
+
+    def check_drain(self, worker, run, call):
+        """Checks a start by when the worker received it."""
+        requested_at = self.drained_at.get(worker.zone)
+        if requested_at is None or call["received_at"] < requested_at:
+            return
+        after = call["received_at"] - requested_at
+        stretch = min(MAX_STRETCH_S, self.disrupted_time(
+            requested_at, call["received_at"]))
+        if after > DRAIN_NOTICE_S + stretch:
+            self.report_violation(
+                "DRAINED", f"{run.task} starts on {worker.name} {after:.1f} s "
+                f"after the request to drain {worker.zone}, disruptions of "
+                f"{stretch:.1f} s")
+        else:
+            self.drained_starts += 1
+
     def job_of(self, task):
         return self.jobs.get(task.split(".")[0])
 
@@ -349,6 +396,7 @@
             return self.report_violation(
                 "UNASKED", f"{run.task} belongs to no job")
         job.start_count += 1
+        self.check_drain(worker, run, call)
         if call["task_spec"] != job.payload:
             self.report_violation("UNASKED",
                                   f"{run.task} has the wrong payload")
