Ask the advisor again if all tickets are for drained workers

Cause: a call to the advisor names thirty workers. If these are drained, their tickets still counted, so that the step waited until they expired, 3 s or what the queue's configuration says.

Change: tickets for drained workers do not count when it is decided whether to ask about further workers.

Result: a new case of cluster_test, in which thirty workers with tickets are drained while a placement is being stored, passes, and fails without the change.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -402,7 +402,7 @@
 
   // OwnerDrains.cpp: data centres that the operator wants drained.
   bool isDrained(const Session &S) const;
-  bool isOnDrainedWorker(const TaskProgress &T) const;
+  bool isDrainedWorker(std::string_view Worker) const;
   /// Whether starts have to wait until more is known of the requests.
   bool startsWaitForDrains(const Session &S);
 
--- a/packages/cluster/lib/OwnerAdvice.cpp
+++ b/packages/cluster/lib/OwnerAdvice.cpp
@@ -33,7 +33,12 @@
   }
   const workload::Step &S = J.Spec.Steps[Step];
   std::size_t RequiredTickets = S.Gang ? S.Count : 1;
-  if (A.Tickets.size() < RequiredTickets && !A.InFlight && T >= A.NextAskAt) {
+  std::size_t UsableTickets = A.Tickets.size();
+  if (!Shared.Drained.empty())
+    UsableTickets -= static_cast<std::size_t>(std::count_if(
+        A.Tickets.begin(), A.Tickets.end(),
+        [this](const auto &T) { return isDrainedWorker(T.first); }));
+  if (UsableTickets < RequiredTickets && !A.InFlight && T >= A.NextAskAt) {
     if (AdviceCalls < MaxAdviceCalls)
       requestAdvice(Id, J, A);
     else if (!std::exchange(A.HeldBack, true))
--- a/packages/cluster/lib/OwnerDrains.cpp
+++ b/packages/cluster/lib/OwnerDrains.cpp
@@ -21,9 +21,9 @@
   return Shared.Drained.contains(S.Entry.DataCentre);
 }
 
-bool Owner::isOnDrainedWorker(const TaskProgress &T) const {
-  auto On = Sessions.find(T.Worker);
-  return On != Sessions.end() && isDrained(On->second);
+bool Owner::isDrainedWorker(std::string_view Worker) const {
+  auto It = Sessions.find(Worker);
+  return It != Sessions.end() && isDrained(It->second);
 }
 
 /// Where no request has ever been read, starts are sent even if the operator's
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -483,7 +483,7 @@
           // What runs on a drained worker takes nothing of the others.
           if (T.Phase == TaskPhase::Done ||
               (T.Phase == TaskPhase::Placed && !AllDrained &&
-               O.DrainedWorkers && isOnDrainedWorker(T)))
+               O.DrainedWorkers && isDrainedWorker(T.Worker)))
             continue;
           Work += T.Phase == TaskPhase::Placed ? One / 2 : One;
         }
--- a/packages/cluster/tests/DrainTest.cpp
+++ b/packages/cluster/tests/DrainTest.cpp
@@ -169,6 +169,27 @@
       runUntil([&] { return allShow("1", JobState::Completed); }, 3'000));
 }
 
+// Guards against work whose tickets are all for drained workers and that waits
+// until these expire: a call names thirty workers.
+BOOST_AUTO_TEST_CASE(AsksTheAdvisorAboutOtherWorkers) {
+  for (int N = 10; N < 40; ++N)
+    addWorker("a" + std::to_string(N), "r3");
+  run(300);
+  for (auto &[Id, W] : Workers)
+    AllowedWorkers.insert(Id);
+  AppendDurationMs = 200;
+  auto J = job("1", 1, 1, 500);
+  J.NeedsAdvice = true;
+  JobsNeedingTicket = {"1"};
+  BOOST_TEST(!submit(anyDaemon(), J));
+  run(40);
+  BOOST_REQUIRE(Starts.empty());
+  drain("dc1");
+  run(1'200);
+  BOOST_TEST(startsIn("dc1") == 0u);
+  BOOST_TEST(startsIn("dc2") == 1u);
+}
+
 // Guards against room in a drained data centre that stays held for urgent work.
 BOOST_AUTO_TEST_CASE(DoesNotWaitForRoomThatIsHeldThere) {
   for (auto &[Id, W] : Workers)
