Choose the workers of identical tasks from a heap

The candidates are ranked once; only the chosen one is ranked again. Ties are decided by the order of the candidates, as before.

--- a/packages/dispatch/lib/Packing.cpp
+++ b/packages/dispatch/lib/Packing.cpp
@@ -6,7 +6,6 @@
 #include "heathersaddle/dispatch/Crashes.h"
 #include <algorithm>
 #include <limits>
-#include <tuple>
 
 namespace heathersaddle::dispatch {
 
@@ -66,34 +65,57 @@
             It != Counts->second.end())
           TasksOnWorker[C] = It->second;
   }
-  std::vector<std::size_t> Where;
-  while (Where.size() < Count) {
-    const std::size_t *Best = nullptr;
-    std::tuple<int, int, std::int64_t, std::int64_t, std::int64_t> BestKey;
-    for (const std::size_t &C : Candidates) {
-      const Worker &On = F.Workers[C];
-      if (!Need.fitsIn(Free[C]) || !mayShare(On, W) ||
-          (S.MaxPerWorker && TasksOnWorker[C] >= S.MaxPerWorker))
-        continue;
-      // A task that may crash the worker goes where the least work is lost.
-      std::int64_t Sign = W.Crashes ? -1 : 1;
-      auto Key =
-          std::make_tuple(penalty(On, W) + companyPenalty(On, W),
-                          Speeds.rank(On, W), Sign * (Free[C].Gpus - Need.Gpus),
-                          Sign * (Free[C].CpuMilli - Need.CpuMilli),
-                          Sign * (Free[C].MemoryMb - Need.MemoryMb));
-      if (!Best || Key < BestKey) {
-        Best = &C;
-        BestKey = Key;
-      }
+  // A task that may crash the worker goes where the least work is lost.
+  std::int64_t Sign = W.Crashes ? -1 : 1;
+  // The best candidate is at the front of a heap, so that each task costs the
+  // logarithm of the number of candidates.
+  struct Candidate {
+    int Penalty;
+    int SpeedRank;
+    Resources Left; ///< Signed room beside the task.
+    std::size_t Position;
+    std::size_t Worker;
+    bool operator<(const Candidate &O) const {
+      return std::tie(O.Penalty, O.SpeedRank, O.Left.Gpus, O.Left.CpuMilli,
+                      O.Left.MemoryMb, O.Position) <
+             std::tie(Penalty, SpeedRank, Left.Gpus, Left.CpuMilli,
+                      Left.MemoryMb, Position);
     }
-    if (!Best)
-      break;
+  };
+  auto MayTakeOne = [&](std::size_t C) {
+    return Need.fitsIn(Free[C]) &&
+           (!S.MaxPerWorker || TasksOnWorker[C] < S.MaxPerWorker);
+  };
+  auto LeftOn = [&](std::size_t C) {
+    return Resources{Sign * (Free[C].CpuMilli - Need.CpuMilli),
+                     Sign * (Free[C].MemoryMb - Need.MemoryMb),
+                     Sign * (Free[C].Gpus - Need.Gpus)};
+  };
+  std::vector<Candidate> Best;
+  for (std::size_t N = 0; N < Candidates.size(); ++N) {
+    std::size_t C = Candidates[N];
+    const Worker &On = F.Workers[C];
+    if (MayTakeOne(C) && mayShare(On, W))
+      Best.push_back({penalty(On, W) + companyPenalty(On, W),
+                      Speeds.rank(On, W), LeftOn(C), N, C});
+  }
+  std::make_heap(Best.begin(), Best.end());
+  std::vector<std::size_t> Where;
+  while (Where.size() < Count && !Best.empty()) {
     // The choice is made for each task: a worker with a penalty gets one only
     // if no better worker has room, and the rest of the step does not follow.
-    Free[*Best] -= Need;
-    ++TasksOnWorker[*Best];
-    Where.push_back(*Best);
+    std::pop_heap(Best.begin(), Best.end());
+    std::size_t C = Best.back().Worker;
+    Free[C] -= Need;
+    if (S.MaxPerWorker)
+      ++TasksOnWorker[C];
+    Where.push_back(C);
+    if (MayTakeOne(C)) {
+      Best.back().Left = LeftOn(C);
+      std::push_heap(Best.begin(), Best.end());
+    } else {
+      Best.pop_back();
+    }
   }
   return Where;
 }
--- a/packages/dispatch/lib/Planner.cpp
+++ b/packages/dispatch/lib/Planner.cpp
@@ -376,8 +376,9 @@
   // Sorted first, because pointers into the queue are kept below.
   sortByUrgency(Queue, NowMs);
   std::map<std::string_view, std::size_t> Index;
-  for (std::size_t N = 0; N < F.Workers.size(); ++N)
-    Index[F.Workers[N].Id] = N;
+  if (!Holds.empty())
+    for (std::size_t N = 0; N < F.Workers.size(); ++N)
+      Index[F.Workers[N].Id] = N;
   // The urgent units, which may have holds.
   std::map<UnitId, const WaitingTasks *> Urgent;
   for (const WaitingTasks &W : Queue)
