--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -83,6 +83,7 @@
     {445, "calls_held_back", Warning},
     {458, "worker_speed_changed", Info},
     {459, "worker_speeds_differ", Info},
+    {460, "worker_speeds_forgotten", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/lib/OwnerPace.cpp
+++ b/packages/cluster/lib/OwnerPace.cpp
@@ -93,7 +93,8 @@
           Step, J->Spec.Queue,
           static_cast<double>(J->Spec.Steps[Step.Step].EstimateMs), Runs);
   }
-  Speeds.refresh(Workers);
+  if (Speeds.refresh(Workers))
+    Shared.log(460, {{"workers", Sessions.size()}});
   std::size_t Known = 0;
   for (auto &[Worker, S] : Sessions) {
     dispatch::SpeedEstimate E = Speeds.estimate(S.Speed);
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -71,7 +71,11 @@
   return S;
 }
 
-Owner::~Owner() { *Alive = false; }
+Owner::~Owner() {
+  *Alive = false;
+  // What a former owner estimated says nothing about the workers now.
+  Shared.Stats.Gauges.clear();
+}
 
 void Owner::depose(std::string_view Reason) {
   if (Deposed)
--- a/packages/dispatch/include/heathersaddle/dispatch/WorkerSpeed.h
+++ b/packages/dispatch/include/heathersaddle/dispatch/WorkerSpeed.h
@@ -39,7 +39,7 @@
   /// Mean of the latest deviations from the means, in standard deviations.
   double Drift = 0;
   bool Changed = false; ///< Since the latest SpeedModel::refresh().
-  int Class = 0; ///< As of the latest SpeedModel::refresh().
+  int Class = 0;        ///< As of the latest SpeedModel::refresh().
 };
 
 /// The measured progress of one run.
@@ -69,9 +69,9 @@
                    double EstimateMs, std::span<const RunProgressTime> Runs);
   /// Removes what was learned of the steps of \p Job.
   void forgetJob(std::string_view Job);
-  /// Learns by how much the workers differ, and sets their classes. Returns the
-  /// number of workers whose class has changed.
-  std::size_t refresh(std::span<WorkerSpeed *const> Workers);
+  /// Learns by how much the workers differ, and sets their classes. Returns
+  /// whether all estimates start again since many workers have changed.
+  bool refresh(std::span<WorkerSpeed *const> Workers);
   SpeedEstimate estimate(const WorkerSpeed &W) const;
   /// Whether the workers differ by more than the error of the estimates.
   bool workersDiffer() const { return Differ; }
--- a/packages/dispatch/lib/WorkerSpeed.cpp
+++ b/packages/dispatch/lib/WorkerSpeed.cpp
@@ -251,13 +251,15 @@
   Steps.erase(First, Last);
 }
 
-std::size_t SpeedModel::refresh(std::span<WorkerSpeed *const> Workers) {
+bool SpeedModel::refresh(std::span<WorkerSpeed *const> Workers) {
   RecentChanges *= ChangesThatRemain;
   for (WorkerSpeed *W : Workers)
     RecentChanges += std::exchange(W->Changed, false);
-  if (RecentChanges >=
+  bool StartsAgain =
+      RecentChanges >=
       std::max(MinCommonChanges,
-               MinCommonShare * static_cast<double>(Workers.size()))) {
+               MinCommonShare * static_cast<double>(Workers.size()));
+  if (StartsAgain) {
     RecentChanges = 0;
     for (WorkerSpeed *W : Workers)
       W->forget();
@@ -311,7 +313,6 @@
   } else {
     Differ = false;
   }
-  std::size_t Changed = 0;
   for (WorkerSpeed *W : Workers) {
     double Place = logFactor(*W) / SpeedClassWidth;
     int Class = W->Class;
@@ -319,10 +320,9 @@
       Class = 0;
     else if (std::abs(Place - Class) > 0.5 + ClassHysteresis)
       Class = static_cast<int>(std::lround(Place));
-    Changed += Class != W->Class;
     W->Class = Class;
   }
-  return Changed;
+  return StartsAgain;
 }
 
 } // namespace heathersaddle::dispatch
