Test that speed choices are not due to the order of workers

Three tests of SpeedChoiceTest passed with estimates ignored, as the right worker was also the first or the fullest, and no unit test guarded the common change of speeds.

The pools are arranged so that only the speed decides, and a replay checks that urgent jobs recover when most speeds change.

--- a/packages/cluster/lib/OwnerPace.cpp
+++ b/packages/cluster/lib/OwnerPace.cpp
@@ -68,6 +68,7 @@
 void Owner::updateSpeeds() {
   std::map<UnitId, std::vector<dispatch::RunProgressTime>> ByStep;
   std::vector<dispatch::WorkerSpeed *> Workers;
+  Workers.reserve(Sessions.size());
   for (auto &[Worker, S] : Sessions) {
     Workers.push_back(&S.Speed);
     bool Changed = false;
--- a/packages/dispatch/lib/WorkerSpeed.cpp
+++ b/packages/dispatch/lib/WorkerSpeed.cpp
@@ -169,6 +169,7 @@
     double Weight;
   };
   std::vector<Element> Elements;
+  Elements.reserve(Runs.size());
   for (const RunProgressTime &R : Runs) {
     // While it is not known that workers differ, they may do so.
     double Uncertain = Differ ? variance(*R.On) : UnknownSpeedVariance / 2;
@@ -184,6 +185,7 @@
   double Prior = LogEstimate + Q.LogRatio;
   // Weighted around the median, so that tasks in the tail hardly count.
   std::vector<double> Sorted;
+  Sorted.reserve(Elements.size() + 1);
   for (const Element &E : Elements)
     Sorted.push_back(E.LogTime);
   if (Level.All.SumOfWeights > 0)
--- a/packages/dispatch/tests/PlanTimeTest.cpp
+++ b/packages/dispatch/tests/PlanTimeTest.cpp
@@ -66,12 +66,14 @@
     for (bool SpeedsDiffer : {false, true}) {
       std::mt19937_64 Random(5);
       std::vector<double> Ms;
+      Ms.reserve(200);
       for (unsigned N = 0; N < 200; ++N) {
         Fleet F = makePool(Workers, SpeedsDiffer, Random);
         std::deque<workload::Job> Jobs{makeJob(1, 0, 5, 4, true),
                                        makeJob(2, 1, 13, 2, false),
                                        makeJob(3, 2, 39, 1, false)};
         std::vector<WaitingTasks> Queue;
+        Queue.reserve(Jobs.size());
         for (const workload::Job &J : Jobs) {
           WaitingTasks &W = Queue.emplace_back();
           W.Job = &J;
--- a/packages/dispatch/tests/Replay.cpp
+++ b/packages/dispatch/tests/Replay.cpp
@@ -195,6 +195,7 @@
   }
   for (auto &[Number, Runs] : ByJob) {
     std::vector<RunProgressTime> Times;
+    Times.reserve(Runs.size());
     bool Any = false;
     for (Run *R : Runs) {
       R->Observed = R->Progress.isPrecise();
@@ -208,6 +209,7 @@
                         static_cast<double>(Spec.Steps[0].EstimateMs), Times);
   }
   std::vector<WorkerSpeed *> All;
+  All.reserve(Speeds.size());
   for (WorkerSpeed &W : Speeds)
     All.push_back(&W);
   Model.refresh(All);
--- a/packages/dispatch/tests/ReplayTest.cpp
+++ b/packages/dispatch/tests/ReplayTest.cpp
@@ -80,6 +80,13 @@
   BOOST_TEST(R.lateUrgent() < 0.12);
 }
 
+// Guards against estimates that outlive a change of most speeds, on workers on
+// which nothing runs at that time. Without that rule 35 in 100 are late.
+BOOST_AUTO_TEST_CASE(ChangedSpeedsAreNoticed) {
+  auto R = replay(spreads()[4], {.Seed = 3});
+  BOOST_TEST(R.lateUrgent() < 0.27);
+}
+
 // Prints the figures of design/worker-speed.md; about a minute.
 BOOST_AUTO_TEST_CASE(Figures, *boost::unit_test::disabled()) {
   for (const Spread &S : spreads())
--- a/packages/dispatch/tests/SpeedChoiceTest.cpp
+++ b/packages/dispatch/tests/SpeedChoiceTest.cpp
@@ -126,6 +126,7 @@
 // a class of speed.
 BOOST_AUTO_TEST_CASE(TasksGoToTheFastestWorkerWithTheTightestFit) {
   addRack("r1", {0.6, 1.6, 1.6, 1.0});
+  occupy(0, 6);
   occupy(2, 4);
   wait(0, 2, 1, false);
   for (std::size_t W : planOne())
@@ -168,7 +169,7 @@
 // Guards against work that is late on slow workers since it has waited for so
 // long that only fast ones would bring it in time.
 BOOST_AUTO_TEST_CASE(TakesFasterWorkersAfterAWait) {
-  addRack("r1", {1.6, 0.6, 1.0, 0.6});
+  addRack("r1", {0.6, 1.6, 1.0, 0.6});
   WaitingTasks &W = wait(1, 1, 8, false);
   W.ObjectiveMs = NowMs + 2'100;
   BOOST_TEST(fastest(planOne()) == 1.6);
@@ -186,7 +187,7 @@
 BOOST_AUTO_TEST_CASE(LearnedRunTimesGiveItNoFasterWorkers) {
   addRack("r1", {1.6, 0.6, 1.0});
   wait(1, 1, 8, false).RunTimeRatio = 8;
-  BOOST_TEST(fastest(planOne()) < 1.6);
+  BOOST_TEST(fastest(planOne()) == 0.6);
 }
 
 // Guards against workers that stay unknown as nothing is placed there.
--- a/packages/dispatch/tests/WorkerSpeedTest.cpp
+++ b/packages/dispatch/tests/WorkerSpeedTest.cpp
@@ -37,6 +37,7 @@
     double Estimate = 2'000;
     double LogTime = std::log(Estimate) + EstimateError * normal();
     std::vector<RunProgressTime> Runs;
+    Runs.reserve(Tasks);
     for (unsigned N = 0; N < Tasks; ++N) {
       auto On = Random() % Speeds.size();
       double Deviation = TaskSpread * normal();
@@ -58,6 +59,7 @@
   }
   void refresh() {
     std::vector<WorkerSpeed *> All;
+    All.reserve(Speeds.size());
     for (WorkerSpeed &W : Speeds)
       All.push_back(&W);
     Model.refresh(All);
