--- a/packages/cluster/lib/OwnerPace.cpp
+++ b/packages/cluster/lib/OwnerPace.cpp
@@ -68,6 +68,7 @@
 void Owner::updateSpeeds() {
   std::map<UnitId, std::vector<dispatch::RunProgressTime>> ByStep;
   std::vector<dispatch::WorkerSpeed *> Workers;
+  Workers.reserve(Sessions.size());
   for (auto &[Worker, S] : Sessions) {
     Workers.push_back(&S.Speed);
     bool Changed = false;
@@ -93,7 +94,8 @@
           Step, J->Spec.Queue,
           static_cast<double>(J->Spec.Steps[Step.Step].EstimateMs), Runs);
   }
-  Speeds.refresh(Workers);
+  if (Speeds.refresh(Workers))
+    Shared.log(460, {{"workers", Sessions.size()}});
   std::size_t Known = 0;
   for (auto &[Worker, S] : Sessions) {
     dispatch::SpeedEstimate E = Speeds.estimate(S.Speed);
--- a/packages/dispatch/lib/WorkerSpeed.cpp
+++ b/packages/dispatch/lib/WorkerSpeed.cpp
@@ -169,6 +169,7 @@
     double Weight;
   };
   std::vector<Element> Elements;
+  Elements.reserve(Runs.size());
   for (const RunProgressTime &R : Runs) {
     // While it is not known that workers differ, they may do so.
     double Uncertain = Differ ? variance(*R.On) : UnknownSpeedVariance / 2;
@@ -184,6 +185,7 @@
   double Prior = LogEstimate + Q.LogRatio;
   // Weighted around the median, so that tasks in the tail hardly count.
   std::vector<double> Sorted;
+  Sorted.reserve(Elements.size() + 1);
   for (const Element &E : Elements)
     Sorted.push_back(E.LogTime);
   if (Level.All.SumOfWeights > 0)
@@ -251,13 +253,15 @@
   Steps.erase(First, Last);
 }
 
-std::size_t SpeedModel::refresh(std::span<WorkerSpeed *const> Workers) {
+bool SpeedModel::refresh(std::span<WorkerSpeed *const> Workers) {
   RecentChanges *= ChangesThatRemain;
   for (WorkerSpeed *W : Workers)
     RecentChanges += std::exchange(W->Changed, false);
-  if (RecentChanges >=
+  bool StartsAgain =
+      RecentChanges >=
       std::max(MinCommonChanges,
-               MinCommonShare * static_cast<double>(Workers.size()))) {
+               MinCommonShare * static_cast<double>(Workers.size()));
+  if (StartsAgain) {
     RecentChanges = 0;
     for (WorkerSpeed *W : Workers)
       W->forget();
@@ -311,7 +315,6 @@
   } else {
     Differ = false;
   }
-  std::size_t Changed = 0;
   for (WorkerSpeed *W : Workers) {
     double Place = logFactor(*W) / SpeedClassWidth;
     int Class = W->Class;
@@ -319,10 +322,9 @@
       Class = 0;
     else if (std::abs(Place - Class) > 0.5 + ClassHysteresis)
       Class = static_cast<int>(std::lround(Place));
-    Changed += Class != W->Class;
     W->Class = Class;
   }
-  return Changed;
+  return StartsAgain;
 }
 
 } // namespace heathersaddle::dispatch
