--- a/packages/net/include/heathersaddle/net/HttpClient.h
+++ b/packages/net/include/heathersaddle/net/HttpClient.h
@@ -44,8 +44,10 @@
   HttpClient(const HttpClient &) = delete;
   HttpClient &operator=(const HttpClient &) = delete;
 
-  /// \p Address is "HOST:PORT".
-  void send(std::string_view Address, ClientRequest Request, Callback Done);
+  /// \p Address is "HOST:PORT". The returned function abandons the request,
+  /// unless it is complete: it then fails as if its time limit had passed.
+  std::function<void()> send(std::string_view Address, ClientRequest Request,
+                             Callback Done);
 
   /// Bytes received and sent, headers included.
   std::uint64_t bytesIn() const;
--- a/packages/net/lib/HttpClient.cpp
+++ b/packages/net/lib/HttpClient.cpp
@@ -163,6 +163,9 @@
   void keepIdle(const ConnectionPtr &C);
   void handleFailure(const ConnectionPtr &C, const error_code &Ec);
   void handleTimeout(Endpoint &Remote, const ExchangePtr &E);
+  void abandon(const std::string &Address, const ExchangePtr &E);
+  /// Completes the request without a response, and closes its connection.
+  void giveUp(Endpoint &Remote, const ExchangePtr &E);
   void closeConnection(const ConnectionPtr &C);
   void makeRoom();
   void removeFromIdle(const ConnectionPtr &C);
@@ -475,11 +478,29 @@
 }
 
 void HttpClient::Impl::handleTimeout(Endpoint &Remote, const ExchangePtr &E) {
+  bool Waiting = std::find(Remote.Queue.begin(), Remote.Queue.end(), E) !=
+                 Remote.Queue.end();
+  if (Waiting)
+    ++QueueTimeouts;
+  else
+    Remote.Breaker.failed(now(), Limits, Random);
+  giveUp(Remote, E);
+}
+
+void HttpClient::Impl::abandon(const std::string &Address,
+                               const ExchangePtr &E) {
+  auto Remote = Endpoints.find(Address);
+  if (!E->Done || Remote == Endpoints.end())
+    return;
+  Remote->second.Breaker.abandoned();
+  giveUp(Remote->second, E);
+}
+
+void HttpClient::Impl::giveUp(Endpoint &Remote, const ExchangePtr &E) {
   auto Waiting = std::find(Remote.Queue.begin(), Remote.Queue.end(), E);
   if (Waiting != Remote.Queue.end()) {
     Remote.Queue.erase(Waiting);
     Remote.Breaker.abandoned();
-    ++QueueTimeouts;
     return completeWithError(Remote, E, ErrorCode::Unavailable,
                              "no connection was free in time");
   }
@@ -491,7 +512,6 @@
       discardUndelivered(C->Socket);
     closeConnection(C);
   }
-  Remote.Breaker.failed(now(), Limits, Random);
   completeWithError(
       Remote, E, WriteStarted ? ErrorCode::Timeout : ErrorCode::Unavailable,
       WriteStarted ? "no response in time" : "no connection in time");
@@ -526,14 +546,19 @@
   asio::post(Pimpl->ClientStrand, [Pimpl = Pimpl] { Pimpl->closeAll(); });
 }
 
-void HttpClient::send(std::string_view Address, ClientRequest Request,
-                      Callback Done) {
+std::function<void()> HttpClient::send(std::string_view Address,
+                                       ClientRequest Request, Callback Done) {
   auto E = std::make_shared<Exchange>(Pimpl->ClientStrand, std::move(Request),
                                       std::move(Done));
   asio::post(Pimpl->ClientStrand,
              [Pimpl = Pimpl, Address = std::string(Address), E] {
                Pimpl->enqueue(Address, E);
              });
+  return [Weak = std::weak_ptr(Pimpl), Address = std::string(Address), E] {
+    if (auto Pimpl = Weak.lock())
+      asio::post(Pimpl->ClientStrand,
+                 [Pimpl, Address, E] { Pimpl->abandon(Address, E); });
+  };
 }
 
 std::uint64_t HttpClient::bytesIn() const { return Pimpl->BytesReceived; }
--- a/packages/net/tests/ClientTest.cpp
+++ b/packages/net/tests/ClientTest.cpp
@@ -120,6 +120,42 @@
   BOOST_TEST(Connection.readUntil("\r\n").starts_with("GET /next "));
 }
 
+// Guards against a request that goes on, or blocks a connection or the breaker,
+// after its caller has abandoned it.
+BOOST_AUTO_TEST_CASE(AbandonedRequestsEndAtOnce) {
+  boost::asio::io_context Context;
+  HttpClient C(Context, {.MaxConnections = 1, .BreakerFailures = 1});
+  RawSocket Peer;
+  auto Port = Peer.bindFreePort();
+  Peer.startListening();
+  std::vector<ErrorCode> Codes;
+  auto Send = [&] {
+    return C.send(test::loopbackAddress(Port),
+                  {.Method = "POST", .Target = "/"}, [&](Result R) {
+                    Codes.push_back(R ? ErrorCode::Internal : R.error().Code);
+                  });
+  };
+  auto AbandonSent = Send();
+  auto AbandonQueued = Send();
+  for (int N = 0; N < 5; ++N)
+    Context.run_one_for(std::chrono::milliseconds(5));
+  AbandonQueued();
+  AbandonSent();
+  AbandonSent();
+  while (Codes.size() < 2)
+    Context.run_one();
+  BOOST_REQUIRE(
+      (Codes == std::vector{ErrorCode::Unavailable, ErrorCode::Timeout}));
+  RawSocket First(Peer.acceptOne());
+  BOOST_TEST(First.readAll().starts_with("POST / "));
+  // The next request is sent on a new connection.
+  Send();
+  for (int N = 0; N < 5; ++N)
+    Context.run_one_for(std::chrono::milliseconds(5));
+  RawSocket Second(Peer.acceptOne());
+  BOOST_TEST(Second.readUntil("\r\n").starts_with("POST / "));
+}
+
 // Guards against a request that the kernel delivers, when the server reads
 // again, after its caller was told that there is no answer.
 BOOST_AUTO_TEST_CASE(RequestIsNotDeliveredAfterItsTimeLimit) {
