Explain why unexplored workers come first

The comment described another rule than the one below it, which places patient work on workers of unknown speed before known ones that suffice.

Only the comment changes; dispatch_test passes (86 cases).

--- a/packages/dispatch/lib/SpeedChoice.cpp
+++ b/packages/dispatch/lib/SpeedChoice.cpp
@@ -96,7 +96,7 @@
   int Class = speedClass(On, W);
   if (Order == Kind::FastestFirst)
     return -Class;
-  // A slower worker of the class that is known need not be used again.
+  // Before known workers that suffice, so that it is soon known, too.
   if (W.Job->Spec.Priority != 0 && W.NeededSpeed < 0 && isUnexplored(On))
     return -1;
   return Class >= From ? Class - From : TooSlow + From - Class;
