Start the workers of the abuse tests in a data centre

Cause: the soak's workers got a data centre when drains were added, so no abuse test could start. Change: the abuse tests pass one.

--- a/scripts/abuse/deployment.py
+++ b/scripts/abuse/deployment.py
@@ -208,7 +208,7 @@
             "limits": {}, "tenants": [{"name": "maison", "api_keys": [KEY],
                                        "reserved": {}}]})
         for index in range(WORKER_COUNT):
-            worker = Worker(self.world, f"w-{index}", "r0", 8, 1.0)
+            worker = Worker(self.world, f"w-{index}", "dc1", "r0", 8, 1.0)
             worker.address = await worker.server.start("127.0.0.1")
             self.servers.append(worker.server)
             self.world.workers[worker.name] = worker
