--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -212,6 +212,8 @@
   /// Runs that were taken for lost when their lease had expired. If the worker
   /// turns out to have been replaced, it has crashed under them.
   std::set<RunId> LapsedRuns;
+  /// Those of them that the worker has not shown to have begun.
+  std::set<RunId> UnconfirmedLapsedRuns;
   MonoTime LapsedAt{};
   unsigned SyncFailures = 0;
   std::map<RunId, RunState> Runs;
@@ -463,14 +465,13 @@
   void forgetLapsedRuns(Session &S);
   /// Takes over the runs whose lease expired under earlier owners.
   void adoptLapsedRuns();
-  /// Counts the crash of the worker against the tasks of those of \p Runs that
-  /// may have begun, and of the runs whose lease expired before it was known.
+  /// Counts the crash of the worker against the tasks of \p Runs and of the
+  /// runs whose lease expired before it was known.
   void recordCrash(Session &S, const std::set<RunId> &Runs);
-  /// Whether the worker may have begun the run, so that a crash may be due to
-  /// it: a start without an answer may have been sent to a worker that had
-  /// lost power before.
+  /// Whether the worker may have shown that it began the run. A start without
+  /// an answer may have been sent to a worker that had lost power before.
   static bool mayHaveBegun(const Session &S, const RunId &Id);
-  void countCrash(const UnitId &Unit, unsigned Run, const Session &S,
+  void countCrash(const UnitId &Unit, unsigned Run, const WorkerEntry &Worker,
                   bool Alone, bool Late);
   /// Handles the recorded runs that an earlier incarnation of the worker had,
   /// when the worker answers this owner for the first time.
@@ -528,9 +529,18 @@
   /// Since when each step has had tasks that wait without a break.
   std::map<UnitId, MonoTime> WaitingSince;
   std::vector<dispatch::WorkerCrash> RecentCrashes;
+  /// A crash under a run that the worker has not shown to have begun.
+  struct UnconfirmedCrash {
+    WorkerEntry Worker;
+    unsigned Run = 0;
+    bool Alone = false;
+    bool Late = false;
+  };
   struct Suspension {
     MonoTime Since{};
     bool Certain = false; ///< To be given up in any case.
+    /// Counted unless it turns out to be part of an outage.
+    std::optional<UnconfirmedCrash> Crash{};
   };
   /// Units that do not start until it is decided whether they are given up.
   std::map<UnitId, Suspension> Suspended;
--- a/packages/cluster/lib/OwnerCrashes.cpp
+++ b/packages/cluster/lib/OwnerCrashes.cpp
@@ -3,10 +3,13 @@
 //
 // A worker has crashed if another incarnation has taken its place, under its id
 // or at its address, and it was not about to leave. A lease that expires is no
-// sign of a crash. Only runs that may have begun count: work is also placed on
-// workers that have lost power unnoticed, which is no fault of its own. The
-// count is kept in the job's record, so that later owners continue it;
-// dispatch/lib/Crashes.cpp decides what follows from it.
+// sign of a crash. The count is kept in the job's record, so that later owners
+// continue it; dispatch/lib/Crashes.cpp decides what follows from it.
+//
+// A run that its worker has not shown to have begun counts only once it is
+// known that the crash is no part of an outage: work is also placed on workers
+// that have lost power unnoticed, which is no fault of its own. A task that
+// crashes its worker at once, before the start is answered, still counts.
 #include "Owner.h"
 #include <algorithm>
 
@@ -44,7 +47,7 @@
   S.LapsedAt = Shared.mono();
   for (const RunId &Id : runsPresent(S)) {
     if (!mayHaveBegun(S, Id))
-      continue;
+      S.UnconfirmedLapsedRuns.insert(Id);
     S.LapsedRuns.insert(Id);
     Job *J = Shared.Ledger.find(Id.Task.Job);
     if (!J || !isCurrentRun(Id))
@@ -56,6 +59,7 @@
 }
 
 void Owner::forgetLapsedRuns(Session &S) {
+  S.UnconfirmedLapsedRuns.clear();
   for (const RunId &Id : std::exchange(S.LapsedRuns, {})) {
     Job *J = Shared.Ledger.find(Id.Task.Job);
     if (!J || J->ended())
@@ -85,28 +89,30 @@
 
 void Owner::recordCrash(Session &S, const std::set<RunId> &Runs) {
   std::set<RunId> Lapsed = S.LapsedRuns;
+  std::set<RunId> UnconfirmedLapsed = S.UnconfirmedLapsedRuns;
   forgetLapsedRuns(S);
   if (S.Entry.Draining)
     return;
   MonoTime T = Shared.mono();
-  std::map<UnitId, unsigned> Units;
-  std::map<UnitId, unsigned> LapsedUnits;
-  auto Add = [&](const RunId &Id, std::map<UnitId, unsigned> &To) {
+  struct Suspect {
+    unsigned Run = 0;
+    bool Confirmed = false;
+  };
+  std::map<UnitId, Suspect> Units;
+  std::map<UnitId, Suspect> LapsedUnits;
+  auto Add = [&](const RunId &Id, bool Confirmed,
+                 std::map<UnitId, Suspect> &To) {
     const Job *J = Shared.Ledger.find(Id.Task.Job);
     if (!J || Id.Task.Key.Step >= J->Spec.Steps.size())
       return;
-    unsigned &Run = To[unitOf(*J, Id.Task.Key)];
-    Run = std::max(Run, Id.Run);
+    Suspect &Unit = To[unitOf(*J, Id.Task.Key)];
+    Unit.Run = std::max(Unit.Run, Id.Run);
+    Unit.Confirmed |= Confirmed;
   };
-  std::set<UnitId> Begun;
-  for (const RunId &Id : Runs) {
-    Add(Id, Units);
-    if (const Job *J = Shared.Ledger.find(Id.Task.Job);
-        J && J->Spec.has(Id.Task.Key) && mayHaveBegun(S, Id))
-      Begun.insert(unitOf(*J, Id.Task.Key));
-  }
+  for (const RunId &Id : Runs)
+    Add(Id, mayHaveBegun(S, Id), Units);
   for (const RunId &Id : Lapsed)
-    Add(Id, LapsedUnits);
+    Add(Id, !UnconfirmedLapsed.contains(Id), LapsedUnits);
   dispatch::WorkerCrash Crash{S.Entry.Id, T, {}};
   for (const auto *Group : {&Units, &LapsedUnits})
     for (const auto &[Unit, Run] : *Group)
@@ -116,14 +122,21 @@
     return T - C.At > 3 * dispatch::OutageWindow;
   });
   RecentCrashes.push_back(std::move(Crash));
-  for (const auto &[Unit, Run] : Units)
-    if (Begun.contains(Unit))
-      countCrash(Unit, Run, S, Alone, false);
-  for (const auto &[Unit, Run] : LapsedUnits)
-    countCrash(Unit, Run, S, false, true);
+  auto Count = [&](const UnitId &Unit, const Suspect &Of, bool IsAlone,
+                   bool Late) {
+    if (Of.Confirmed)
+      return countCrash(Unit, Of.Run, S.Entry, IsAlone, Late);
+    Suspended.try_emplace(
+        Unit,
+        Suspension{T, false, UnconfirmedCrash{S.Entry, Of.Run, IsAlone, Late}});
+  };
+  for (const auto &[Unit, Of] : Units)
+    Count(Unit, Of, Alone, false);
+  for (const auto &[Unit, Of] : LapsedUnits)
+    Count(Unit, Of, false, true);
 }
 
-void Owner::countCrash(const UnitId &Unit, unsigned Run, const Session &S,
+void Owner::countCrash(const UnitId &Unit, unsigned Run, const WorkerEntry &On,
                        bool Alone, bool Late) {
   Job &J = *Shared.Ledger.find(Unit.Job);
   TaskKey First{Unit.Occurrence, Unit.Step, Unit.Index};
@@ -146,7 +159,7 @@
   RecordWriter.markChanged(J.Spec.Id);
   unsigned Crashes = Known->second.Crashes;
   Shared.count("crashes_counted");
-  Shared.log(441, {{"worker", S.Entry.Id},
+  Shared.log(441, {{"worker", On.Id},
                    {"job", Unit.Job},
                    {"occurrence", Unit.Occurrence},
                    {"step", Unit.Step},
@@ -157,16 +170,15 @@
   // Two crashes of one worker may be its own fault, also if an earlier owner
   // has seen the first.
   auto &Workers = Known->second.CrashedWorkers;
-  const std::string &Worker =
-      S.Entry.Address.empty() ? S.Entry.Id : S.Entry.Address;
-  bool OnAnother =
+  const std::string &Worker = On.Address.empty() ? On.Id : On.Address;
+  bool Another =
       std::find(Workers.begin(), Workers.end(), Worker) == Workers.end();
   Workers.push_back(Worker);
-  FailedWorkers[{Unit.Job, Unit.Occurrence, Unit.Step, 0}].insert(S.Entry.Id);
-  auto Verdict = dispatch::judgeCrash(Crashes, Alone && OnAnother);
+  FailedWorkers[{Unit.Job, Unit.Occurrence, Unit.Step, 0}].insert(On.Id);
+  auto Verdict = dispatch::judgeCrash(Crashes, Alone && Another);
   if (Verdict != dispatch::CrashVerdict::RunAgain)
-    Suspended[Unit] = {Shared.mono(),
-                       Verdict == dispatch::CrashVerdict::GiveUp};
+    Suspended[Unit] = {Shared.mono(), Verdict == dispatch::CrashVerdict::GiveUp,
+                       std::nullopt};
 }
 
 void Owner::findRunsOfEarlierIncarnation(Session &S, const WorkerReply &Reply) {
@@ -204,6 +216,7 @@
 void Owner::checkSuspendedUnits() {
   MonoTime T = Shared.mono();
   std::vector<UnitId> GivenUp;
+  std::vector<std::pair<UnitId, UnconfirmedCrash>> Crashed;
   std::erase_if(Suspended, [&](const auto &Entry) {
     const auto &[Unit, State] = Entry;
     const Job *J = Shared.Ledger.find(Unit.Job);
@@ -212,11 +225,17 @@
     // Other crashes of the same outage may be seen later.
     if (!State.Certain && T - State.Since < dispatch::OutageWindow)
       return false;
-    if (State.Certain || !dispatch::isOutage(RecentCrashes, Unit, State.Since))
+    bool Outage = dispatch::isOutage(RecentCrashes, Unit, State.Since);
+    if (State.Crash && !Outage)
+      Crashed.emplace_back(Unit, *State.Crash);
+    else if (!State.Crash && (State.Certain || !Outage))
       GivenUp.push_back(Unit);
     PlanNeeded = true;
     return true;
   });
+  for (const auto &[Unit, Crash] : Crashed)
+    if (Shared.Ledger.find(Unit.Job))
+      countCrash(Unit, Crash.Run, Crash.Worker, Crash.Alone, Crash.Late);
   for (const UnitId &Unit : GivenUp) {
     Job *J = Shared.Ledger.find(Unit.Job);
     if (!J || J->ended())
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -308,9 +308,11 @@
         T > silentRunsEndAt(S) + LeaseMargin) {
       // The registry has not listed it since this owner began. Whether it ran
       // other work is not known.
-      for (const RunId &Id : runsPresent(S))
-        if (mayHaveBegun(S, Id))
-          S.LapsedRuns.insert(Id);
+      for (const RunId &Id : runsPresent(S)) {
+        S.LapsedRuns.insert(Id);
+        if (!mayHaveBegun(S, Id))
+          S.UnconfirmedLapsedRuns.insert(Id);
+      }
       recordCrash(S, {});
       markRunsLost(S, "the worker is gone");
     }
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -127,6 +127,7 @@
   std::map<TaskName, unsigned> CrashesUnder;
   std::map<TaskName, unsigned> StartsAfterThreeCrashes;
   std::int64_t CrashDelayMs = 50;
+  bool CrashBeforeAnswer = false; ///< Their starts are not answered.
   std::int64_t RestartMs = 3'000;
   /// A worker that restarts gets another id at the same address.
   bool NewIdAfterCrash = false;
