--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -484,8 +484,11 @@
         async with self.lock:
             await asyncio.sleep(self.decide_s
                                 + self.each_s * len(call["workers"]))
+        job = call["step"].split(".")[0]
+        self.world.advice_calls[job] = self.world.advice_calls.get(job, 0) + 1
+        allowed = self.world.allowed_for.get(job, self.world.allowed)
         good = [[n, self.world.ticket(call["step"], self.world.workers[n])]
-                for n in call["workers"] if n in self.world.allowed]
+                for n in call["workers"] if n in allowed]
         self.world.note(f"advice on {call['step']}: asked about "
                         f"{' '.join(call['workers'])}; good: "
                         f"{' '.join(n for n, _ in good) or 'none'}")
@@ -549,7 +552,8 @@
         self.failing = {}  # Job: after how many seconds each run fails.
         # The queues with advice, and the workers that may run their steps.
         self.advised, self.valid_ms, self.allowed = advised, valid_ms, set()
-        self.queue_of = {}
+        self.allowed_for = {}  # The workers for a job, if they are others.
+        self.advice_calls, self.queue_of = {}, {}
         self.version, self.quiet = 0, False
         self.tenants = reserved or {"a": 0, "b": 0}
         self.net = f"{random.randint(60, 250)}.{random.randint(1, 250)}"
