Judge crashes under a task by how soon they come, not by their number

Cause: a job was judged by two numbers, two crashes of workers on which nothing else ran or four in any case. The crashes of all members of a gang were one count, a crash after seconds of work counted like one 20 ms after the start, nothing ended the count, and how often workers crash by themselves hardly mattered.

Change: a crash counts against the task whose own worker crashed, if its run had not been shown at work for 1.6 s; a run that was clears the task. The weight of a crash follows from the time that the run had taken and from the rate at which workers crash without the task, in the pool or in a group of the worker. It is kept in the job's record, reviewed 2 s later when the rest of an outage is known, and fails a job only after three to five crashes in a row of two workers or more. Until then suspects run alone, on other workers and after pauses. Starts without an answer are weighed by the time since the worker was last heard of, at once, so that a change of owner does not lose them.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -99,6 +99,7 @@
     {461, "topic_late", Warning},
     {462, "topic_current", Info},
     {463, "event_loop_late", Warning},
+    {464, "task_cleared", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -13,6 +13,7 @@
 #include "heathersaddle/dispatch/Planner.h"
 #include "heathersaddle/dispatch/Stall.h"
 #include "heathersaddle/dispatch/WorkerSpeed.h"
+#include <deque>
 #include <set>
 #include <tuple>
 
@@ -22,7 +23,7 @@
 /// a checkpoint and a worker's name of usual length, with a reserve.
 inline constexpr std::size_t TaskEntryBytes = 128;
 /// The part of an entry without the checkpoint and the worker's name.
-inline constexpr std::size_t TaskEntryFixedBytes = 72;
+inline constexpr std::size_t TaskEntryFixedBytes = 76;
 
 /// The first syncs of an owner get more time than later ones, as they go to all
 /// workers at once.
@@ -91,6 +92,13 @@
   /// Its worker crashed under it. It is stopped in the next incarnation, where
   /// its start may still arrive.
   bool Crashed = false;
+  bool Adopted = false; ///< An earlier owner recorded it.
+  /// When its unit was at work, by the worker's clock; -1: not known to be.
+  std::int64_t AtWorkFromClockMs = -1;
+  /// Its worker has shown it at work for dispatch::ClearedAfter.
+  bool ShownAtWork = false;
+  /// So were all members of its gang, so that it does not crash its worker.
+  bool Cleared = false;
   /// The incarnation of the worker that it was placed on; 0: not known.
   std::int64_t WorkerStartMs = 0;
   std::string_view StopReason; ///< Set with the stage Stopping.
@@ -138,6 +146,13 @@
   std::uint64_t LatestCall = 0; ///< Number of the latest call when it was read.
 };
 
+/// A run that was taken for lost when its lease had expired.
+struct LapsedRun {
+  bool Begun = false;    ///< As RunState::MayHaveBegun.
+  bool Cleared = false;  ///< As RunState::Cleared.
+  base::Millis RanFor{}; ///< How long it may have been at work by then.
+};
+
 /// The session with a worker: what this owner knows about its current
 /// incarnation and about all runs that may hold resources on it.
 struct Session {
@@ -174,6 +189,10 @@
   /// When the first call was sent, or its answer was due, that followed the
   /// latest answer; 0: there is none.
   MonoTime UnansweredSince{};
+  MonoTime LatestAnswerAt{}; ///< Of this incarnation.
+  /// The earliest time, after that, at which a call failed or its answer was
+  /// due and did not come.
+  std::optional<MonoTime> SilentSince;
   MonoTime LatestLossAt{}; ///< When a call was last found to have no answer.
   MonoTime NextSyncAt{};
   MonoTime ClockReadAt{};
@@ -209,11 +228,8 @@
   /// When each start without an answer was sent last. A stop blocks a delayed
   /// start only in the incarnation that received the stop.
   std::map<RunId, MonoTime> UnansweredStarts;
-  /// Runs that were taken for lost when their lease had expired. If the worker
-  /// turns out to have been replaced, it has crashed under them.
-  std::set<RunId> LapsedRuns;
-  /// Those of them that the worker has not shown to have begun.
-  std::set<RunId> UnconfirmedLapsedRuns;
+  /// If the worker turns out to have been replaced, it has crashed under them.
+  std::map<RunId, LapsedRun> LapsedRuns;
   MonoTime LapsedAt{};
   unsigned SyncFailures = 0;
   std::map<RunId, RunState> Runs;
@@ -349,12 +365,15 @@
   /// Takes note of whether a call was answered, and how long after \p DueAt,
   /// the earliest time at which its answer was due.
   void recordAnswer(Session &S, WorkerVerdict V, MonoTime DueAt);
+  /// Takes note of an answer of the known incarnation.
+  void noteAnswer(Session &S);
   /// How long the worker may wait before it answers the next sync.
   Millis syncWait(const Session &S) const;
   /// Handles answers, to calls sent to \p Address, that end this owner's term
   /// or the worker's session; returns whether it was one.
   bool endsSession(Session &S, WorkerVerdict V, const std::string &Address);
-  void onRunReported(Session &S, const RunningTask &T);
+  /// \p ClockMs is the worker's clock at the report.
+  void onRunReported(Session &S, const RunningTask &T, std::int64_t ClockMs);
   void onEndReported(Session &S, const EndedTask &T);
 
   // OwnerPace.cpp: the speeds of workers, and detection of slow workers.
@@ -435,8 +454,17 @@
   bool startsWaitForDrains(const Session &S);
 
   // OwnerRuns.cpp: the stages and ends of runs.
+  struct UnitMember {
+    RunId Id;
+    const Session *On = nullptr;
+    RunState *Run = nullptr;
+  };
+  /// The run \p R on \p S, or all members of its gang; empty if one of them is
+  /// not confirmed.
+  std::vector<UnitMember> confirmedMembers(Session &S, RunState &R,
+                                           const RunId &Id);
   /// The worker has confirmed the run.
-  void onConfirmed(RunState &R, const RunId &Id);
+  void onConfirmed(Session &S, RunState &R, const RunId &Id);
   /// A worker has shown that it has started a run of the job. Until then the
   /// job counts as queued, as its starts may come to nothing.
   void markBegun(std::string_view Job);
@@ -458,8 +486,24 @@
   bool isCurrentRun(const RunId &Id) const;
 
   // OwnerCrashes.cpp: tasks that crash their workers.
+  /// A run that was present on a worker when it crashed.
+  struct CrashedRun {
+    RunId Id;
+    LapsedRun State;
+    bool Late = false; ///< Its lease had expired before the crash was known.
+  };
+  /// A crash under a run that may have caused it.
+  struct SuspectedRun {
+    CrashedRun Run;
+    std::string WorkerAddress; ///< Or its id, if the address is not known.
+    dispatch::WorkerCrash Crash;
+    dispatch::CrashCircumstances Circumstances;
+    unsigned Decibans = 0; ///< As counted.
+  };
   /// The runs that this incarnation of the worker may have carried out.
   static std::set<RunId> runsPresent(const Session &S);
+  /// What is known now of a run on a worker that is no longer heard of.
+  LapsedRun lapsedRun(const Session &S, const RunId &Id) const;
   /// Whether another worker has answered this owner at the worker's address.
   bool isReplaced(const Session &S) const;
   /// Counts the crashes of other workers at the worker's address under runs
@@ -475,19 +519,38 @@
   /// Counts the crash of the worker against the tasks of \p Runs and of the
   /// runs whose lease expired before it was known.
   void recordCrash(Session &S, const std::set<RunId> &Runs);
-  /// Whether the worker may have shown that it began the run. A start without
-  /// an answer may have been sent to a worker that had lost power before.
-  static bool mayHaveBegun(const Session &S, const RunId &Id);
-  void countCrash(const UnitId &Unit, unsigned Run, const WorkerEntry &Worker,
-                  bool Alone, bool Late);
+  void countCrash(SuspectedRun Suspect);
+  /// Weakens the evidence of a crash by the crashes that have been seen since.
+  void reviewCrash(const SuspectedRun &Suspect);
+  void reviewCrashes();
+  /// The number of listed workers in each group, and the groups of one.
+  dispatch::GroupSizes groupSizes() const;
+  static std::set<std::string, std::less<>> groupsOf(const WorkerEntry &E);
+  /// Takes note that the run is at work at \p ClockMs by its worker's clock.
+  void noteAtWork(Session &S, RunState &R, const RunId &Id,
+                  std::int64_t ClockMs);
+  /// Ends the row of crashes of the run's task.
+  void clearSuspicion(RunState &R, const RunId &Id);
+  /// The longest wait before the worker reports again, if the run is that of a
+  /// suspect and has not been at work for long.
+  std::optional<Millis> suspectWait(const Session &S, const RunState &R,
+                                    const RunId &Id) const;
   /// Handles the recorded runs that an earlier incarnation of the worker had,
   /// when the worker answers this owner for the first time.
   void findRunsOfEarlierIncarnation(Session &S, const WorkerReply &Reply);
+  /// Whether the task certainly crashes its workers, so that its job fails.
+  static bool crashesItsWorkers(const TaskProgress &T);
   /// Whether the task is to be given up if a worker on which its lease expired
   /// turns out to have crashed.
-  bool mayHaveCrashedTooOften(const TaskName &Task,
-                              const workload::TaskProgress &T) const;
+  bool mayHaveCrashedTooOften(const Job &J, const TaskKey &K,
+                              const TaskProgress &T) const;
+  /// Avoids the workers that have crashed under the task, in any incarnation:
+  /// another crash of theirs would tell little.
+  void avoidCrashedWorkers(dispatch::WaitingTasks &W,
+                           const TaskProgress &T) const;
   void checkSuspendedUnits();
+  /// Fails the job if a task of the unit crashes its workers.
+  void giveUpIfItCrashesWorkers(const UnitId &Unit);
 
   // OwnerAdvice.cpp: queues for which an advisor chooses the workers.
   /// The tickets for a step; null while there is none.
@@ -535,22 +598,10 @@
   std::map<std::string, MonoTime> UnsubmittedCancelsSince;
   /// Since when each step has had tasks that wait without a break.
   std::map<UnitId, MonoTime> WaitingSince;
-  std::vector<dispatch::WorkerCrash> RecentCrashes;
-  /// A crash under a run that the worker has not shown to have begun.
-  struct UnconfirmedCrash {
-    WorkerEntry Worker;
-    unsigned Run = 0;
-    bool Alone = false;
-    bool Late = false;
-  };
-  struct Suspension {
-    MonoTime Since{};
-    bool Certain = false; ///< To be given up in any case.
-    /// Counted unless it turns out to be part of an outage.
-    std::optional<UnconfirmedCrash> Crash{};
-  };
-  /// Units that do not start until it is decided whether they are given up.
-  std::map<UnitId, Suspension> Suspended;
+  dispatch::CrashHistory Crashes;
+  std::deque<SuspectedRun> CountedCrashes; ///< To be reviewed; oldest first.
+  /// Until when units do not start, as their workers have crashed.
+  std::map<UnitId, MonoTime> SuspendedUntil;
   /// Workers on which a task of the step has failed.
   std::map<UnitId, std::set<std::string>> FailedWorkers;
   double UrgentDemand = 0; ///< In GPUs; decays exponentially.
--- a/packages/cluster/lib/OwnerOrders.cpp
+++ b/packages/cluster/lib/OwnerOrders.cpp
@@ -186,6 +186,10 @@
     updateClock(S, Reply);
     if (endsSession(S, Reply.Verdict, Address))
       return;
+    if (Reply.Verdict != WorkerVerdict::NoAnswer &&
+        Reply.Verdict != WorkerVerdict::NotDelivered &&
+        Reply.Verdict != WorkerVerdict::OtherIncarnation)
+      noteAnswer(S);
     if (Kind == OrderKind::Start)
       onStarted(S, R, Id, SentAt, Reply);
     else
@@ -220,13 +224,13 @@
   };
   switch (Reply.Verdict) {
   case WorkerVerdict::Ok:
-    onConfirmed(R, Id);
+    onConfirmed(S, R, Id);
     S.NextSyncAt = std::min(S.NextSyncAt, T);
     return;
   case WorkerVerdict::RunTooOld:
     // The run has ended, or was stopped before this start arrived; the next
     // sync shows which.
-    onConfirmed(R, Id);
+    onConfirmed(S, R, Id);
     S.NextSyncAt = T;
     return;
   case WorkerVerdict::DeadlinePassed:
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -44,38 +44,48 @@
   RecordWriter.markChanged(Id);
 }
 
-void Owner::onConfirmed(RunState &R, const RunId &Id) {
+std::vector<Owner::UnitMember> Owner::confirmedMembers(Session &S, RunState &R,
+                                                       const RunId &Id) {
+  const Job *J = Shared.Ledger.find(Id.Task.Job);
+  if (!J || !J->Spec.has(Id.Task.Key))
+    return {};
+  const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
+  if (!Step.Gang)
+    return {{Id, &S, &R}};
+  std::vector<UnitMember> Members;
+  for (unsigned N = 0; N < Step.Count; ++N) {
+    TaskKey K{Id.Task.Key.Occurrence, Id.Task.Key.Step, N};
+    auto On = Sessions.find(J->task(K).Worker);
+    if (On == Sessions.end())
+      return {};
+    auto Run = On->second.Runs.find({{Id.Task.Job, K}, Id.Run});
+    if (Run == On->second.Runs.end() ||
+        Run->second.Stage != RunStage::Confirmed)
+      return {};
+    Members.push_back({Run->first, &On->second, &Run->second});
+  }
+  return Members;
+}
+
+void Owner::onConfirmed(Session &S, RunState &R, const RunId &Id) {
   MonoTime T = Shared.mono();
   R.Stage = RunStage::Confirmed;
   R.MayHaveBegun = true;
   R.ConfirmedAt = R.ProgressAt = T;
-  const Job *J = Shared.Ledger.find(Id.Task.Job);
-  if (!J || !J->Spec.has(Id.Task.Key))
+  auto Members = confirmedMembers(S, R, Id);
+  if (Members.empty())
     return;
-  const workload::Step &Step = J->Spec.Steps[Id.Task.Key.Step];
-  std::vector<RunState *> Members;
-  if (Step.Gang) {
-    for (unsigned N = 0; N < Step.Count; ++N) {
-      TaskKey K{Id.Task.Key.Occurrence, Id.Task.Key.Step, N};
-      auto On = Sessions.find(J->task(K).Worker);
-      if (On == Sessions.end())
-        return;
-      auto Run = On->second.Runs.find({{Id.Task.Job, K}, Id.Run});
-      if (Run == On->second.Runs.end() ||
-          Run->second.Stage != RunStage::Confirmed)
-        return;
-      Members.push_back(&Run->second);
-    }
-  } else {
-    Members.push_back(&R);
-  }
   // The starting point of a run that resumes from a checkpoint, or that an
   // earlier owner started, is unknown.
-  bool Fresh = J->task(Id.Task.Key).Checkpoint.empty();
-  for (RunState *M : Members) {
-    M->AllMembersConfirmed = true;
-    if (Fresh && M->SentAt.count())
-      M->Speed.begin(T);
+  bool Fresh =
+      Shared.Ledger.find(Id.Task.Job)->task(Id.Task.Key).Checkpoint.empty();
+  for (const UnitMember &M : Members) {
+    M.Run->AllMembersConfirmed = true;
+    if (M.Run->AtWorkFromClockMs < 0 && M.On->ClockMs >= 0)
+      M.Run->AtWorkFromClockMs =
+          M.On->ClockMs + (T - M.On->ClockReadAt).count();
+    if (Fresh && M.Run->SentAt.count())
+      M.Run->Speed.begin(T);
   }
 }
 
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -78,9 +78,8 @@
   learnService(J->Spec.Service);
   PlanNeeded = true;
   for (const auto &[K, T] : J->Tasks)
-    if (T.Phase != TaskPhase::Done && dispatch::judgeCrash(T.Crashes, false) ==
-                                          dispatch::CrashVerdict::GiveUp)
-      Suspended[unitOf(*J, K)] = {Shared.mono(), true};
+    if (T.Phase != TaskPhase::Done && crashesItsWorkers(T))
+      SuspendedUntil.try_emplace(unitOf(*J, K), Shared.mono());
   if (J->CancelRequested)
     endJob(*J, JobState::Cancelled, "the caller has cancelled it");
   else
@@ -102,6 +101,7 @@
   bool MayGiveOrders = isConfirmed();
   if (!Stopping && MayGiveOrders) {
     checkWorkers();
+    reviewCrashes();
     checkSuspendedUnits();
     MonoTime T = Shared.mono();
     if (!Deposed && T - PlannedAt >= std::max(PlanDuration * PlanPauseFactor,
@@ -174,17 +174,20 @@
           bool New = It == J.Tasks.end();
           if (New ? !FreeEntriesAfter : It->second.Phase != TaskPhase::Waiting)
             continue;
-          if (!Suspended.empty() && Suspended.contains(unitOf(J, {K, S, N})))
+          if (!SuspendedUntil.empty() &&
+              SuspendedUntil.contains(unitOf(J, {K, S, N})))
             continue;
-          if (!New && mayHaveCrashedTooOften({Id, {K, S, N}}, It->second))
+          if (!New && mayHaveCrashedTooOften(J, It->first, It->second))
             continue;
           FreeEntriesAfter -= New;
           if (!New && It->second.Crashes && !Step.Gang) {
             Suspects.push_back(N);
             continue;
           }
-          if (!New)
+          if (!New && It->second.Crashes) {
             W.Crashes = std::max(W.Crashes, It->second.Crashes);
+            avoidCrashedWorkers(W, It->second);
+          }
           W.Tasks.push_back(N);
         }
         if ((W.Tasks.empty() && Suspects.empty()) ||
@@ -211,12 +214,14 @@
         W.RunTimeRatio = Speeds.runTimeRatio(J.Spec.Queue);
         if (auto It = FailedWorkers.find({Id, K, S, 0});
             It != FailedWorkers.end())
-          W.AvoidedWorkers = It->second;
+          W.AvoidedWorkers.insert(It->second.begin(), It->second.end());
         // Each suspected task is placed by itself.
         for (unsigned N : Suspects) {
           dispatch::WaitingTasks &Alone = Queue.emplace_back(W);
+          const TaskProgress &T = J.task({K, S, N});
           Alone.Tasks = {N};
-          Alone.Crashes = J.task({K, S, N}).Crashes;
+          Alone.Crashes = T.Crashes;
+          avoidCrashedWorkers(Alone, T);
         }
         if (!W.Tasks.empty())
           Queue.push_back(std::move(W));
--- a/packages/cluster/lib/OwnerSyncs.cpp
+++ b/packages/cluster/lib/OwnerSyncs.cpp
@@ -202,10 +202,14 @@
 }
 
 void Owner::recordAnswer(Session &S, WorkerVerdict V, MonoTime DueAt) {
-  if (V == WorkerVerdict::NotDelivered)
-    return;
   MonoTime T = Shared.mono();
   bool Lost = V == WorkerVerdict::NoAnswer;
+  if (Lost || V == WorkerVerdict::NotDelivered) {
+    MonoTime SilentBy = std::min(T, std::max(DueAt, S.LatestAnswerAt));
+    S.SilentSince = std::min(S.SilentSince.value_or(SilentBy), SilentBy);
+  }
+  if (V == WorkerVerdict::NotDelivered)
+    return;
   S.Losses.record(Lost);
   if (Lost) {
     ++S.LossesSinceAnswer;
@@ -222,6 +226,11 @@
   S.Pacing.answered(std::max(Millis(0), T - DueAt));
 }
 
+void Owner::noteAnswer(Session &S) {
+  S.LatestAnswerAt = Shared.mono();
+  S.SilentSince = std::nullopt;
+}
+
 Millis Owner::syncWait(const Session &S) const {
   if (S.Runs.empty())
     return Millis(0);
@@ -237,6 +246,8 @@
     const Job *J = Shared.Ledger.find(Id.Task.Job);
     if (J && J->Spec.Priority == 0)
       Wait = std::min(Wait, MaxUrgentSyncWait);
+    if (auto Longest = suspectWait(S, R, Id))
+      Wait = std::min(Wait, *Longest);
     if (R.Stage == RunStage::Stopping && R.StopConfirmed)
       Wait =
           std::min(Wait, std::max(Millis(0), R.ConfirmedAt +
@@ -319,6 +330,7 @@
   if (S.SyncFailures >= 2)
     Shared.log(411, {{"worker", Id}, {"runs", S.Runs.size()}});
   S.SyncFailures = 0;
+  noteAnswer(S);
   if (S.SyncLeaseUntilMs >= 0)
     S.HeldLeaseEndsAt = S.SyncLeaseEndsAt;
   S.KnownAliveAt = std::max(S.KnownAliveAt, S.SyncSentAt);
@@ -350,7 +362,7 @@
   std::set<RunId> Listed;
   for (const RunningTask &Task : R.Running) {
     Listed.insert({Task.Task, Task.Run});
-    onRunReported(S, Task);
+    onRunReported(S, Task, R.ClockMs);
   }
   if (R.Ended.size() < MaxListedEnds) {
     std::vector<RunId> UnlistedRuns;
@@ -397,7 +409,8 @@
     PlanNeeded = true;
 }
 
-void Owner::onRunReported(Session &S, const RunningTask &T) {
+void Owner::onRunReported(Session &S, const RunningTask &T,
+                          std::int64_t ClockMs) {
   RunId Id{T.Task, T.Run};
   auto It = S.Runs.find(Id);
   if (It == S.Runs.end()) {
@@ -435,9 +448,9 @@
     R.Percent = T.Percent;
     R.ProgressAt = Time;
   }
-  if (R.Stage == RunStage::Starting) {
-    onConfirmed(R, Id);
-  }
+  if (R.Stage == RunStage::Starting)
+    onConfirmed(S, R, Id);
+  noteAtWork(S, R, Id, ClockMs);
 }
 
 void Owner::onEndReported(Session &S, const EndedTask &T) {
--- a/packages/cluster/lib/OwnerWorkers.cpp
+++ b/packages/cluster/lib/OwnerWorkers.cpp
@@ -22,8 +22,8 @@
     : Shared(C), Epoch(Epoch), RecordWriter(C, Epoch, Sequence, ClaimedAt),
       Registry(C, "registry", FollowerReadInterval,
                maxAgeForStarts(C.Settings.WorkerDrainNotice)),
-      Budget(callLimits(C.Settings)), Leases(C.Settings.MaxLease),
-      FormerLeasesEnd(FormerLeasesEnd) {
+      Crashes(C.mono()), Budget(callLimits(C.Settings)),
+      Leases(C.Settings.MaxLease), FormerLeasesEnd(FormerLeasesEnd) {
   RecordWriter.OnDeposed = [this](std::string_view Reason) { depose(Reason); };
   RecordWriter.FillHeartbeat = [this](workload::Ownership &O) {
     publishLoad(O);
@@ -102,6 +102,7 @@
       R.Room = J.Spec.Steps[K.Step].room();
       R.WorkerStartMs = T.WorkerStartMs;
       R.Stage = J.ended() ? RunStage::Stopping : RunStage::Starting;
+      R.Adopted = true;
       R.MayHaveArrived = true;
       R.MayHaveBegun = J.State != JobState::Queued;
       R.StartAttempts = 1;
@@ -308,13 +309,9 @@
     }
     if (!S.Listed && S.Entry.Address.empty() && !S.Runs.empty() &&
         T > silentRunsEndAt(S) + LeaseMargin) {
-      // The registry has not listed it since this owner began. Whether it ran
-      // other work is not known.
-      for (const RunId &Id : runsPresent(S)) {
-        S.LapsedRuns.insert(Id);
-        if (!mayHaveBegun(S, Id))
-          S.UnconfirmedLapsedRuns.insert(Id);
-      }
+      // The registry has not listed it since this owner began.
+      for (const RunId &Id : runsPresent(S))
+        S.LapsedRuns.emplace(Id, lapsedRun(S, Id));
       recordCrash(S, {});
       markRunsLost(S, "the worker is gone");
     }
--- a/packages/cluster/tests/CrashingTaskTest.cpp
+++ b/packages/cluster/tests/CrashingTaskTest.cpp
@@ -24,6 +24,19 @@
     CrashingTasks.insert(Task);
     return Task;
   }
+  /// Waits until the task has run for \p Ms, and crashes its worker.
+  void expectCrashUnder(const TaskName &Task, std::int64_t Ms) {
+    std::string On;
+    auto IsRunning = [&] {
+      for (const auto &[Id, W] : Workers)
+        for (const auto &R : W.Runs)
+          if (W.Up && R.Task == Task && Clock - R.StartedMs >= Ms)
+            On = Id;
+      return !On.empty();
+    };
+    BOOST_REQUIRE(runUntil(IsRunning, Ms + RestartMs + 8'000));
+    crash(On);
+  }
   /// Replaces the owner after each start, at different moments.
   void expectGivenUpAcrossChangesOfTheOwner() {
     TaskName Bad = crashes("bad");
@@ -413,6 +426,61 @@
       runUntil([&] { return allShow("1", JobState::Completed); }, 30'000));
 }
 
+// Guards against a gang that is given up because the workers of two of its
+// members have crashed: each member has lost one worker only.
+BOOST_AUTO_TEST_CASE(IsNotGivenUpIfEachMemberOfItsGangLosesAWorker) {
+  auto J = job("gang", 2, 8, 12'000);
+  J.Steps[0].Gang = true;
+  GangSizes["gang"] = 2;
+  BOOST_TEST(!submit(anyDaemon(), J));
+  for (unsigned Member = 0; Member < 4; ++Member) {
+    expectCrashUnder({"gang", {0, 0, Member % 2}}, 3'000);
+    BOOST_REQUIRE(!allShow("gang", JobState::Failed));
+  }
+  BOOST_TEST(
+      runUntil([&] { return allShow("gang", JobState::Completed); }, 30'000));
+}
+
+// Guards against a count of crashes that does not look at what the runs had
+// shown: the task had been at work for long each time.
+BOOST_AUTO_TEST_CASE(IsNotGivenUpHoweverOftenItsWorkersCrashAtWork) {
+  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 8, 6'000)));
+  for (unsigned N = 0; N < 10; ++N) {
+    expectCrashUnder({"1", {0, 0, 0}}, 3'000);
+    BOOST_REQUIRE(!allShow("1", JobState::Failed));
+  }
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 30'000));
+}
+
+// Guards against a verdict after two crashes on lone workers, which may hit a
+// healthy task soon after its start.
+BOOST_AUTO_TEST_CASE(IsNotGivenUpAfterTwoEarlyCrashes) {
+  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 8, 4'000)));
+  for (unsigned N = 0; N < 2; ++N)
+    expectCrashUnder({"1", {0, 0, 0}}, 300);
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 30'000));
+}
+
+// Guards against a count that never falls: the workers of a task that runs for
+// months crash now and then, also soon after a start.
+BOOST_AUTO_TEST_CASE(IsClearedByARunThatGoesOn) {
+  BOOST_TEST(!submit(anyDaemon(), job("1", 1, 8, 5'000)));
+  for (unsigned N = 0; N < 12; ++N) {
+    expectCrashUnder({"1", {0, 0, 0}}, N % 3 == 2 ? 3'000 : 300);
+    BOOST_REQUIRE(!allShow("1", JobState::Failed));
+    // What a run has shown is known to the next owner, too.
+    if (N % 4 == 2) {
+      run(200);
+      kill(owner());
+      addDaemon("d" + std::to_string(N));
+    }
+  }
+  BOOST_TEST(
+      runUntil([&] { return allShow("1", JobState::Completed); }, 30'000));
+}
+
 // Guards against the blame of a crash that falls on all that ran beside it.
 BOOST_AUTO_TEST_CASE(IsNotGivenUpBesideTasksThatCrashTheirWorkers) {
   for (unsigned N = 0; N < 3; ++N) {
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -323,8 +323,11 @@
       ++CrashesUnder[R.Task];
       Crashes = true;
     }
-  if (Crashes)
+  if (Crashes) {
+    for (const auto &R : W.Runs)
+      RunsLostBesideCrashingTasks += !CrashingTasks.contains(R.Task);
     return crash(W.Entry.Id);
+  }
   for (std::size_t N = W.Runs.size(); N-- > 0;) {
     auto &R = W.Runs[N];
     if (!R.GangFinished && isGangIncomplete(R))
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -126,6 +126,7 @@
   /// after the third of these crashes.
   std::map<TaskName, unsigned> CrashesUnder;
   std::map<TaskName, unsigned> StartsAfterThreeCrashes;
+  unsigned RunsLostBesideCrashingTasks = 0;
   std::int64_t CrashDelayMs = 50;
   bool CrashBeforeAnswer = false; ///< Their starts are not answered.
   std::int64_t RestartMs = 3'000;
--- a/packages/workload/include/heathersaddle/workload/Job.h
+++ b/packages/workload/include/heathersaddle/workload/Job.h
@@ -144,11 +144,14 @@
   unsigned Failures = 0;
   unsigned FailedRun = 0; ///< The latest run that was counted as a failure.
   std::string Checkpoint;
-  /// Runs under which a worker crashed, those of its gang's members included.
+  /// Runs in a row under which its worker crashed soon after the start.
   unsigned Crashes = 0;
-  unsigned CrashedRun = 0; ///< The latest run that was counted as a crash.
-  /// The addresses of the workers that crashed; of a gang, with its first task.
+  /// The latest run that was counted as a crash, or that ended such a row.
+  unsigned CrashedRun = 0;
+  /// The addresses of the workers that crashed; of many, the latest ones.
   std::vector<std::string> CrashedWorkers;
+  /// How strongly these crashes speak for its having caused them, in decibans.
+  unsigned CrashDecibans = 0;
   std::string WorkerAddress; ///< Where Worker was called; may be empty.
   LapsedRun Lapsed;
   bool operator==(const TaskProgress &) const = default;
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -177,7 +177,7 @@
       if (!T.WorkerAddress.empty())
         Row.emplace_back(T.WorkerAddress);
     }
-    if (T.Crashes || T.Lapsed.Run) {
+    if (T.CrashedRun || T.Lapsed.Run) {
       Row.emplace_back(T.Crashes);
       Row.emplace_back(T.CrashedRun);
     }
@@ -185,10 +185,11 @@
       Row.emplace_back(json::array{T.Lapsed.Run, T.Lapsed.Worker,
                                    T.Lapsed.WorkerStartMs,
                                    T.Lapsed.WorkerAddress});
-    if (!T.CrashedWorkers.empty()) {
+    if (T.Crashes) {
       if (!T.Lapsed.Run)
         Row.emplace_back(json::array());
       Row.emplace_back(json::value_from(T.CrashedWorkers));
+      Row.emplace_back(T.CrashDecibans);
     }
     Rows.push_back(std::move(Row));
     ++It;
@@ -279,6 +280,10 @@
         for (std::size_t N = 0; N < Workers.size(); ++N)
           T.CrashedWorkers.push_back(StringAt(Workers, N));
       }
+      // Crashes that earlier versions counted are no evidence.
+      if (Row.size() > CrashesAt + 4)
+        T.CrashDecibans =
+            static_cast<unsigned>(NumberAt(Row, CrashesAt + 4, MaxNumber));
       Tasks.emplace(K, std::move(T));
     }
   if (J.HasSubmission &&
--- a/packages/workload/tests/LedgerTest.cpp
+++ b/packages/workload/tests/LedgerTest.cpp
@@ -78,6 +78,9 @@
   J.Tasks[{1, 1, 1}].Lapsed = {4, "w4", 20, ""};
   J.Tasks[{1, 1, 1}].CrashedWorkers = {"10.0.0.1:80", "10.0.0.4:80"};
   J.Tasks[{2, 0, 0}].CrashedWorkers = {"10.0.0.4:80"};
+  J.Tasks[{2, 0, 0}].CrashDecibans = 43;
+  // Its suspicion has been cleared.
+  J.Tasks[{1, 0, 1}] = {TaskPhase::Waiting, 6, "", 0, 0, 0, "", 0, 5};
   BOOST_REQUIRE(L.apply(Ledger::submission(J.Spec)).has_value());
   BOOST_REQUIRE(L.apply(Ledger::progress(J)).has_value());
   const Job *Read = L.find(J.Spec.Id);
