Never fail a lasting step for the crashes of its workers

Callers saw a job with a lasting step shown as failed after two of its workers had crashed, and not started again. Such steps have to start again however they end.

Cause: the bound on crashes had no exception for them, on purpose: the test IsGivenUpIfItRunsForLong demanded that such a job fails. That test contradicts the users' pages (PROTOCOL.md, long_running).

Change: crashes isolate and slow down a task of a lasting step, but do not end its job.

--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -539,7 +539,9 @@
   /// when the worker answers this owner for the first time.
   void findRunsOfEarlierIncarnation(Session &S, const WorkerReply &Reply);
   /// Whether the task certainly crashes its workers, so that its job fails.
-  static bool crashesItsWorkers(const TaskProgress &T);
+  /// Tasks that last start again however they end.
+  static bool crashesItsWorkers(const Job &J, const TaskKey &K,
+                                const TaskProgress &T);
   /// Whether the task is to be given up if a worker on which its lease expired
   /// turns out to have crashed.
   bool mayHaveCrashedTooOften(const Job &J, const TaskKey &K,
--- a/packages/cluster/lib/OwnerCrashes.cpp
+++ b/packages/cluster/lib/OwnerCrashes.cpp
@@ -227,7 +227,7 @@
                    {"crashes", T.Crashes},
                    {"decibans", T.CrashDecibans}});
   Millis Pause = dispatch::pauseAfterCrash(T.Crashes);
-  if (crashesItsWorkers(T))
+  if (crashesItsWorkers(*J, K, T))
     Pause = std::max(Pause, dispatch::OutageWindow);
   if (Pause.count()) {
     MonoTime &Until = SuspendedUntil[Unit];
@@ -332,8 +332,10 @@
   recordCrash(S, Earlier);
 }
 
-bool Owner::crashesItsWorkers(const TaskProgress &T) {
-  return dispatch::crashesItsWorkers(T.Crashes, T.CrashedWorkers.size(),
+bool Owner::crashesItsWorkers(const Job &J, const TaskKey &K,
+                              const TaskProgress &T) {
+  return !J.Spec.Steps[K.Step].LongRunning &&
+         dispatch::crashesItsWorkers(T.Crashes, T.CrashedWorkers.size(),
                                      T.CrashDecibans);
 }
 
@@ -345,7 +347,7 @@
   ++Next.Crashes;
   Next.CrashedWorkers.push_back(T.Lapsed.WorkerAddress);
   Next.CrashDecibans += dispatch::crashEvidence({dispatch::ClearedAfter});
-  if (!crashesItsWorkers(Next))
+  if (!crashesItsWorkers(J, K, Next))
     return false;
   auto On = Sessions.find(T.Lapsed.Worker);
   return On != Sessions.end() &&
@@ -382,7 +384,7 @@
   for (unsigned Last = Step.Gang ? Step.Count - 1 : K.Index; K.Index <= Last;
        ++K.Index) {
     const TaskProgress &Task = J->task(K);
-    if (Task.Phase == TaskPhase::Done || !crashesItsWorkers(Task))
+    if (Task.Phase == TaskPhase::Done || !crashesItsWorkers(*J, K, Task))
       continue;
     std::string Workers;
     for (const std::string &Worker : Task.CrashedWorkers)
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -78,7 +78,7 @@
   learnService(J->Spec.Service);
   PlanNeeded = true;
   for (const auto &[K, T] : J->Tasks)
-    if (T.Phase != TaskPhase::Done && crashesItsWorkers(T))
+    if (T.Phase != TaskPhase::Done && crashesItsWorkers(*J, K, T))
       SuspendedUntil.try_emplace(unitOf(*J, K), Shared.mono());
   if (J->CancelRequested)
     endJob(*J, JobState::Cancelled, "the caller has cancelled it");
