Do not stop the run of a suspect before it tells something

A task under which workers have crashed is to be started five times at most.

Cause: the planner stopped any run of lower priority, also one whose next start would be one more that may crash a worker.

--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -338,13 +338,17 @@
         const workload::Step &Step = J->Spec.Steps[K.Step];
         Out.Unit = unitOf(*J, K);
         Out.Ends = !Step.LongRunning;
+        unsigned Crashes = J->task(K).Crashes;
         if (!R.Crashed)
-          W.TenantCrashes = std::max(W.TenantCrashes, J->task(K).Crashes);
+          W.TenantCrashes = std::max(W.TenantCrashes, Crashes);
         Out.Account = J->Spec.Account;
         Out.Priority = J->Spec.Priority;
         Out.Guaranteed = GuaranteedJobs.contains(J->Spec.Id);
-        Out.Stoppable =
-            R.Stage == RunStage::Confirmed && !J->ended() && !Step.LongRunning;
+        // The run of a suspect is not stopped before it tells something: its
+        // next start would be one more that may crash a worker.
+        bool Tells = Crashes >= dispatch::AloneFromCrashes && !R.Cleared;
+        Out.Stoppable = R.Stage == RunStage::Confirmed && !J->ended() &&
+                        !Step.LongRunning && !Tells;
         auto Ran = (T - R.PlacedAt).count();
         if (R.Stage != RunStage::Stopping)
           Out.EndEstimateMs =
--- a/packages/cluster/tests/CrashingTaskTest.cpp
+++ b/packages/cluster/tests/CrashingTaskTest.cpp
@@ -325,6 +325,30 @@
   BOOST_TEST(Starts[Bad] <= MaxStartsOfCrashingTask);
 }
 
+// Guards against starts that are spent for nothing: the run of a suspect was
+// stopped for urgent work before it could crash its worker or clear its task.
+BOOST_AUTO_TEST_CASE(IsNotStoppedBeforeItsRunTells) {
+  TaskName Bad = crashes("bad");
+  CrashDelayMs = 1'200;
+  BOOST_TEST(!submit(anyDaemon(), job("bad", 1, 8, 4'000)));
+  BOOST_REQUIRE(runUntil([&] { return Starts[Bad] == 3; }, 30'000));
+  run(100);
+  for (unsigned N = 0; N < 6; ++N) {
+    auto J = job("urgent" + std::to_string(N), 1, 8, 1'000);
+    J.Queue = "q0";
+    J.Priority = 0;
+    BOOST_TEST(!submit(anyDaemon(), J));
+  }
+  BOOST_TEST(runUntil([&] { return CrashesUnder[Bad] == 3; }, 2'000));
+  BOOST_TEST(Starts[Bad] == 3u);
+  for (unsigned N = 0; N < 6; ++N)
+    BOOST_TEST(runUntil(
+        [&] {
+          return allShow("urgent" + std::to_string(N), JobState::Completed);
+        },
+        20'000));
+}
+
 // Guards against combinations that the other tests leave out: jobs of all kinds
 // beside each other, with owners that are replaced at any moment.
 BOOST_AUTO_TEST_CASE(IsGivenUpAmongRandomWork) {
