Keep one job's record from stopping all others

Cause: three faults in a row. The size of a job's record was estimated, without the escapes of JSON and without rows of tasks that are done, so checkpoints were kept that did not fit. Nothing limited a record where it was made: the submission of a job was stored as it came, and long names of workers or notes on crashes were added later. The writer took the store's 400 for a refusal that passes and repeated the same append, with the records of all jobs, for ever.

Change: the size of a record comes from the code that writes it (ProgressWriter). RecordRoom decides by it which tasks and checkpoints fit, with room for the placement of each task that waits. Rows of done tasks are merged whichever run ended them. What makes a record too large later is left out: checkpoints first, then notes on crashed workers. A submission that is too large gets 413 from the daemon that receives it. AppendVerdict::Rejected says that the store never takes this content; the writer then looks for the record at fault, in halves, after a probe with the owner's record alone has shown that the content matters, and withholds it (events 465 to 467, gauge jobs_not_recorded). Callbacks wait for the records of their own jobs only.

--- a/packages/base/lib/Event.cpp
+++ b/packages/base/lib/Event.cpp
@@ -100,6 +100,9 @@
     {462, "topic_current", Info},
     {463, "event_loop_late", Warning},
     {464, "task_cleared", Info},
+    {465, "record_shrunk", Warning},
+    {466, "record_withheld", Error},
+    {467, "record_stored_again", Info},
 };
 
 static constexpr std::array<std::string_view, 4> Severities = {
--- a/packages/cluster/include/heathersaddle/cluster/Node.h
+++ b/packages/cluster/include/heathersaddle/cluster/Node.h
@@ -65,7 +65,8 @@
     Unresolved,  ///< The store did not answer; retry with the same id.
     Cancelled,   ///< Was cancelled before it was submitted; never runs.
     Abandoned,   ///< Certainly not run; its caller has gone or may have gone.
-    Invalid      ///< Can never run.
+    Invalid,     ///< Can never run.
+    TooLarge     ///< Can never be stored.
   };
   Kind Why = Unavailable;
   base::Millis RetryAfter{1'000};
@@ -195,6 +196,9 @@
               std::function<void(std::optional<Refusal>)> Done,
               base::Millis CallerWaits = DefaultCallerWait,
               std::function<bool()> IsCallerConnected = {});
+  /// Why no daemon can ever accept the job; none if one may accept it. The
+  /// answer depends only on the job and on the limits of the store.
+  std::optional<Refusal> refusalForGood(const workload::JobSpec &Spec);
   StatusResult status(std::string_view Job) const;
   /// Completes with Found or Unknown once the cancellation is stored.
   void cancel(std::string_view Job, std::function<void(Lookup)> Done);
--- a/packages/cluster/include/heathersaddle/cluster/Ports.h
+++ b/packages/cluster/include/heathersaddle/cluster/Ports.h
@@ -129,6 +129,7 @@
   Superseded, ///< A later epoch has appended.
   OutOfOrder, ///< Another writer uses the same epoch.
   Refused,    ///< Certainly not appended; may be retried.
+  Rejected,   ///< Certainly not appended, and never will be with this content.
   Unresolved  ///< May have been appended, or may still be.
 };
 
--- a/packages/cluster/lib/Core.h
+++ b/packages/cluster/lib/Core.h
@@ -3,6 +3,7 @@
 
 #include "DrainedDataCentres.h"
 #include "heathersaddle/cluster/Node.h"
+#include <algorithm>
 #include <random>
 
 namespace heathersaddle::cluster {
@@ -10,13 +11,18 @@
 using base::Millis;
 using base::MonoTime;
 
-/// The store frames each record with its length and the length of its key.
-inline constexpr std::size_t RecordFramingBytes = 5;
+/// The store frames each record with its length and the length of its key. The
+/// latter counts as a part of the record.
+inline constexpr std::size_t RecordKeyLengthBytes = 1;
+inline constexpr std::size_t RecordFramingBytes = 4 + RecordKeyLengthBytes;
 /// The bytes that a record adds to an append.
 inline std::size_t storedBytes(const KeyValue &R) {
   return R.Key.size() + R.Value.size() + RecordFramingBytes;
 }
 
+/// Bytes reserved in each append for the owner's own record and for removals.
+inline constexpr std::size_t ReservedAppendBytes = 32'768;
+
 /// The part of a notice that a start needs to arrive at its worker.
 inline constexpr Millis StartDeliveryTime{1'000};
 /// A topic is up to this old while nothing is wrong: two waits of a read, the
@@ -60,6 +66,20 @@
   static constexpr Millis SlowAppend{150};
   bool storeIsSlow() const { return AppendTook >= SlowAppend; }
 
+  /// The most bytes of key and value of a record that the store takes, also in
+  /// an append with the owner's own record.
+  std::size_t maxRecordBytes() const {
+    std::size_t Reserved = ReservedAppendBytes + RecordFramingBytes;
+    std::size_t Append =
+        Settings.AppendBytes - std::min(Settings.AppendBytes, Reserved);
+    std::size_t Record = Settings.RecordBytes -
+                         std::min(Settings.RecordBytes, RecordKeyLengthBytes);
+    return std::min(Append, Record);
+  }
+  bool fitsStore(const KeyValue &R) const {
+    return R.Key.size() + R.Value.size() <= maxRecordBytes();
+  }
+
   MonoTime mono() const { return Clock().Mono; }
   base::WallMs wall() const { return Clock().Wall; }
   void log(unsigned Event, base::LogFields Fields) {
--- a/packages/cluster/lib/Election.cpp
+++ b/packages/cluster/lib/Election.cpp
@@ -171,6 +171,7 @@
     OwnerSilentSince = Shared.mono();
     return;
   case AppendVerdict::Refused:
+  case AppendVerdict::Rejected:
   case AppendVerdict::Unresolved:
     ClaimRetryAt = Shared.mono() + Shared.jitter(ClaimRetryDelay);
     return;
--- a/packages/cluster/lib/Intake.cpp
+++ b/packages/cluster/lib/Intake.cpp
@@ -72,7 +72,9 @@
     return;
   std::size_t Bytes = 0;
   std::size_t Count = 0;
-  while (Count < std::min(PendingSubmissions.size(), MaxBatchJobs)) {
+  std::size_t MaxCount = SentSingly ? 1 : MaxBatchJobs;
+  SentSingly -= SentSingly > 0;
+  while (Count < std::min(PendingSubmissions.size(), MaxCount)) {
     Bytes += storedBytes(PendingSubmissions[Count].Record);
     if (Count && Bytes > Shared.Settings.AppendBytes)
       break;
@@ -108,7 +110,8 @@
 
 void Intake::onResult(const AppendResult &R) {
   bool Stored = R.Verdict == AppendVerdict::Appended;
-  bool Refused = R.Verdict == AppendVerdict::Refused;
+  bool Rejected = R.Verdict == AppendVerdict::Rejected;
+  bool Refused = Rejected || R.Verdict == AppendVerdict::Refused;
   if (!Stored && !Refused && AttemptsLeft && !Unreachable()) {
     EarlierAttemptUnanswered = true;
     return send();
@@ -122,6 +125,20 @@
     }
     return flush();
   }
+  // The store takes all records of an append or none, so one that it does not
+  // take must not keep the others from being stored.
+  if (Rejected) {
+    Shared.count("appends_rejected");
+    if (Batch.size() == 1) {
+      refuseRejected(Shared, Batch.front());
+      return flush();
+    }
+    SentSingly = Batch.size();
+    PendingSubmissions.insert(PendingSubmissions.begin(),
+                              std::make_move_iterator(Batch.begin()),
+                              std::make_move_iterator(Batch.end()));
+    return flush();
+  }
   // A refusal is not conclusive if an earlier attempt had no answer.
   for (const Submission &S : Batch)
     refuse(Shared, S, Refused && !EarlierAttemptUnanswered);
@@ -150,4 +167,12 @@
               StoreRetryAfter, "the store did not accept the job"});
 }
 
+void refuseRejected(Core &C, const Submission &S) {
+  C.count("submissions_refused_invalid");
+  C.log(426,
+        {{"job", S.Job}, {"queue", S.Queue}, {"reason", "store_rejected"}});
+  S.Done(Refusal{Refusal::Invalid, Millis(0),
+                 "the store does not take the job's record"});
+}
+
 } // namespace heathersaddle::cluster
--- a/packages/cluster/lib/Intake.h
+++ b/packages/cluster/lib/Intake.h
@@ -33,6 +33,9 @@
 /// Logs that the record was not stored and answers the caller accordingly.
 void refuse(Core &C, const Submission &S, bool CertainlyNotStored);
 
+/// Answers the caller that the store does not take the record and never will.
+void refuseRejected(Core &C, const Submission &S);
+
 /// Stores submissions with at most one append in flight; the next append holds
 /// all submissions that arrived in the meantime.
 class Intake {
@@ -59,6 +62,9 @@
   Core &Shared;
   std::vector<Submission> PendingSubmissions;
   std::vector<Submission> InFlightSubmissions;
+  /// How many of the next submissions are sent one by one, since an append with
+  /// all of them was rejected.
+  std::size_t SentSingly = 0;
   unsigned AttemptsLeft = 0;
   /// An earlier attempt may still take effect.
   bool EarlierAttemptUnanswered = false;
--- a/packages/cluster/lib/Node.cpp
+++ b/packages/cluster/lib/Node.cpp
@@ -145,6 +145,8 @@
     Gauges["control_state_age_seconds"] = Seconds(ControlTopic.age());
   Gauges["control_delay_now_seconds"] = Seconds(Shared.ControlDelay);
   Gauges["traffic_delay_now_seconds"] = Seconds(TrafficDelay);
+  Gauges["jobs_not_recorded"] =
+      ActiveOwner ? static_cast<double>(ActiveOwner->withheldJobs()) : 0;
   Gauges.erase("registry_age_seconds");
   if (ActiveOwner && ActiveOwner->registryAge())
     Gauges["registry_age_seconds"] = Seconds(*ActiveOwner->registryAge());
@@ -228,6 +230,9 @@
                   std::move(IsCallerConnected));
   });
 }
+std::optional<Refusal> Node::refusalForGood(const workload::JobSpec &Spec) {
+  return Pimpl->modify([&] { return Pimpl->refusalForGood(Spec); });
+}
 StatusResult Node::status(std::string_view Job) const {
   return Pimpl->status(Job);
 }
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -52,6 +52,9 @@
 
   // Requests.cpp: callers' requests.
   MonoTime waitsUntil(Millis CallerWaits);
+  /// Why no daemon can ever accept the job, counted and logged; none if one
+  /// may.
+  std::optional<Refusal> refusalForGood(const workload::JobSpec &Spec);
   void submit(workload::JobSpec Spec,
               std::function<void(std::optional<Refusal>)> Done,
               Millis CallerWaits, std::function<bool()> IsCallerConnected);
--- a/packages/cluster/lib/Owner.h
+++ b/packages/cluster/lib/Owner.h
@@ -5,6 +5,7 @@
 #include "CopyPacing.h"
 #include "EntryVerdict.h"
 #include "LossEstimate.h"
+#include "RecordRoom.h"
 #include "Tail.h"
 #include "Writer.h"
 #include "heathersaddle/cluster/LeaseTerms.h"
@@ -19,12 +20,6 @@
 
 namespace heathersaddle::cluster {
 
-/// Size, in bytes, reserved for a task's entry in a job's record: its numbers,
-/// a checkpoint and a worker's name of usual length, with a reserve.
-inline constexpr std::size_t TaskEntryBytes = 128;
-/// The part of an entry without the checkpoint and the worker's name.
-inline constexpr std::size_t TaskEntryFixedBytes = 76;
-
 /// The first syncs of an owner get more time than later ones, as they go to all
 /// workers at once.
 inline constexpr Millis FirstSyncTimeout{1'200};
@@ -54,9 +49,6 @@
 using workload::TaskPhase;
 using workload::TaskProgress;
 
-/// An upper estimate, in bytes, of the record of \p J's progress.
-std::size_t recordBytes(const Job &J);
-
 /// The step of a task, as a unit with index 0 like that of a gang.
 inline UnitId stepOf(const TaskName &Task) {
   return {Task.Job, Task.Key.Occurrence, Task.Key.Step, 0};
@@ -274,6 +266,8 @@
   void beginStop();
   bool released() const { return RecordWriter.released(); }
   std::uint64_t epoch() const { return Epoch; }
+  /// The number of jobs whose records the store does not take.
+  std::size_t withheldJobs() const { return RecordWriter.withheldJobs(); }
   /// All registry entries that were stored this long ago have been read; none
   /// before the registry was first read to its end.
   std::optional<Millis> registryAge() const {
@@ -568,6 +562,8 @@
   void schedule();
   dispatch::Fleet buildFleet(std::int64_t NowMs);
   std::vector<dispatch::WaitingTasks> buildQueue(std::int64_t NowMs);
+  /// The room in the records of jobs, by the names of the workers now.
+  RecordRoom recordRoom() const;
   std::int64_t urgentDemand();
   void markGuaranteed(std::vector<dispatch::WaitingTasks> &Queue);
   /// Why the placement can't be carried out; empty if it can.
--- a/packages/cluster/lib/OwnerRuns.cpp
+++ b/packages/cluster/lib/OwnerRuns.cpp
@@ -264,20 +264,23 @@
 void Owner::storeCheckpoint(Job &J, const TaskKey &Task,
                             const std::string &Saved) {
   const workload::Step &Step = J.Spec.Steps[Task.Step];
-  std::size_t Added = Saved.size() * (Step.Gang ? Step.Count : 1);
-  if (recordBytes(J) + Added > Shared.Settings.RecordBytes) {
-    Shared.count("checkpoints_dropped");
-    Shared.log(436, {{"job", J.Spec.Id},
-                     {"step", Task.Step},
-                     {"index", Task.Index},
-                     {"bytes", Added},
-                     {"record_bytes", recordBytes(J)}});
-    return;
-  }
   // All members of a gang have the same checkpoint.
+  std::vector<std::pair<TaskProgress *, std::string>> Former;
   for (unsigned N = 0; N < Step.Count; ++N)
-    if (Step.Gang || N == Task.Index)
-      J.Tasks[{Task.Occurrence, Task.Step, N}].Checkpoint = Saved;
+    if (Step.Gang || N == Task.Index) {
+      TaskProgress &T = J.Tasks[{Task.Occurrence, Task.Step, N}];
+      Former.emplace_back(&T, std::exchange(T.Checkpoint, Saved));
+    }
+  if (recordRoom().fits(J))
+    return;
+  for (auto &[T, Checkpoint] : Former)
+    T->Checkpoint = std::move(Checkpoint);
+  Shared.count("checkpoints_dropped");
+  Shared.log(436, {{"job", J.Spec.Id},
+                   {"step", Task.Step},
+                   {"index", Task.Index},
+                   {"bytes", Saved.size() * Former.size()},
+                   {"record_bytes", workload::progressBytes(J)}});
 }
 
 void Owner::completeIfDone(Job &J) {
@@ -290,7 +293,7 @@
   J.EndedMs = Shared.wall();
   J.EndUnstored = true;
   RecordWriter.markChanged(J.Spec.Id);
-  RecordWriter.afterStored([this, Id = J.Spec.Id] {
+  RecordWriter.afterStored({J.Spec.Id}, [this, Id = J.Spec.Id] {
     if (Job *Ended = Shared.Ledger.find(Id))
       Ended->EndUnstored = false;
   });
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -39,26 +39,6 @@
 /// Number of consecutive failed syncs after which a worker counts as silent.
 static constexpr unsigned SilentSyncFailures = 2;
 
-std::size_t recordBytes(const Job &J) {
-  std::size_t Used = 0;
-  for (const auto &[K, T] : J.Tasks) {
-    if (T.Phase == TaskPhase::Done)
-      continue;
-    std::size_t Bytes = TaskEntryFixedBytes + T.Checkpoint.size() +
-                        T.Worker.size() + T.WorkerAddress.size() +
-                        T.Lapsed.Worker.size() + T.Lapsed.WorkerAddress.size();
-    for (const std::string &Worker : T.CrashedWorkers)
-      Bytes += Worker.size();
-    Used += std::max(TaskEntryBytes, Bytes);
-  }
-  return Used;
-}
-
-/// How many more tasks of \p J can get an entry in its record.
-static std::size_t recordableTasks(const Job &J, std::size_t RecordBytes) {
-  return (RecordBytes - std::min(RecordBytes, recordBytes(J))) / TaskEntryBytes;
-}
-
 void Owner::jobChanged(std::string_view Id) {
   Job *J = Shared.Ledger.find(Id);
   if (!J) {
@@ -148,14 +128,25 @@
   PlannedAt = Shared.mono();
 }
 
+RecordRoom Owner::recordRoom() const {
+  std::size_t LongestId = 0;
+  std::size_t LongestAddress = 0;
+  for (const auto &[Id, S] : Sessions) {
+    LongestId = std::max(LongestId, Id.size());
+    LongestAddress = std::max(LongestAddress, S.Entry.Address.size());
+  }
+  return {Shared.maxRecordBytes(), LongestId + LongestAddress};
+}
+
 std::vector<dispatch::WaitingTasks> Owner::buildQueue(std::int64_t NowMs) {
   std::vector<dispatch::WaitingTasks> Queue;
   auto SeenBefore = std::exchange(WaitingSince, {});
+  RecordRoom Room = recordRoom();
   for (const std::string &Id : UnfinishedJobs) {
-    const Job &J = *Shared.Ledger.find(Id);
+    Job &J = *Shared.Ledger.find(Id);
     std::vector<std::int64_t> ChainBefore(J.Spec.Steps.size(), 0);
     std::int64_t LongestChain = J.Spec.longestChainMs();
-    std::size_t FreeEntries = recordableTasks(J, Shared.Settings.RecordBytes);
+    std::size_t FreeEntries = Room.freeEntries(J);
     for (std::size_t S = 0; S < J.Spec.Steps.size(); ++S)
       for (unsigned D : J.Spec.Steps[S].DependsOn)
         ChainBefore[S] = std::max(ChainBefore[S],
@@ -435,7 +426,7 @@
       }
       S.Runs.emplace(Id, std::move(R));
       RecordWriter.afterStored(
-          [this, Worker, Id] { makeStartDue(Worker, Id); });
+          {J.Spec.Id}, [this, Worker, Id] { makeStartDue(Worker, Id); });
     }
     if (FirstPlacement)
       Shared.recordLatency("job_first_placed", J.Spec.Priority,
--- a/packages/cluster/lib/OwnerSyncs.cpp
+++ b/packages/cluster/lib/OwnerSyncs.cpp
@@ -390,7 +390,13 @@
   if (NewestEnd > S.LastStoredEnd) {
     // A later sync acknowledges the ends, once their effect is stored.
     S.NextSyncAt = T + MaxAckDelay;
+    // All ends that are not acknowledged are listed, so it is acknowledged only
+    // with the ends before it.
+    std::set<std::string> Jobs;
+    for (const EndedTask &E : R.Ended)
+      Jobs.insert(E.Task.Job);
     RecordWriter.afterStored(
+        {Jobs.begin(), Jobs.end()},
         [this, Id, NewestEnd, ProcessStartMs = S.Entry.ProcessStartMs] {
           auto Found = Sessions.find(Id);
           if (Found == Sessions.end() ||
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -55,6 +55,31 @@
   return T - Pauses.maxWaited(T) + CallerWaits;
 }
 
+std::optional<Refusal>
+Node::Impl::refusalForGood(const workload::JobSpec &Spec) {
+  auto Refuse = [&](Refusal::Kind Why, std::string_view Reason,
+                    std::string_view Message) {
+    Shared.count("submissions_refused_invalid");
+    Shared.log(426, {{"job", Spec.Id},
+                     {"queue", Spec.Queue},
+                     {"reason", Reason},
+                     {"max_bytes", Shared.maxRecordBytes()}});
+    return Refusal{Why, Millis(0), std::string(Message)};
+  };
+  for (const workload::Step &S : Spec.Steps)
+    if (S.Gang && S.Count * TaskEntryBytes > Shared.maxRecordBytes())
+      return Refuse(Refusal::Invalid, "gang_too_wide",
+                    "the gang has more tasks than can be recorded");
+  if (workload::maxSubmissionBytes(Spec) <= Shared.maxRecordBytes())
+    return std::nullopt;
+  workload::JobSpec Stored = Spec;
+  Stored.AcceptedMs = std::max(Stored.AcceptedMs, Shared.wall());
+  if (!Shared.fitsStore(workload::Ledger::submission(Stored)))
+    return Refuse(Refusal::TooLarge, "too_large",
+                  "the job takes more bytes than can be stored");
+  return std::nullopt;
+}
+
 void Node::Impl::submit(workload::JobSpec Spec,
                         std::function<void(std::optional<Refusal>)> Done,
                         Millis CallerWaits,
@@ -107,16 +132,8 @@
     return Refuse(Refusal{Refusal::Unavailable, RetryDelay,
                           "the store cannot be reached"});
   }
-  for (const workload::Step &S : Spec.Steps)
-    if (S.Gang && S.Count * TaskEntryBytes > Shared.Settings.RecordBytes) {
-      Shared.count("submissions_refused_invalid");
-      Shared.log(426, {{"job", Spec.Id},
-                       {"queue", Spec.Queue},
-                       {"reason", "gang_too_wide"},
-                       {"tasks", S.Count}});
-      return Done(Refusal{Refusal::Invalid, Millis(0),
-                          "the gang has more tasks than can be recorded"});
-    }
+  if (auto Never = refusalForGood(Spec))
+    return Done(std::move(Never));
   const workload::Ownership &O = Shared.Ledger.owner();
   MonoTime T = Shared.mono();
   Load L = loadAhead(Spec.Priority);
@@ -304,8 +321,9 @@
         Shared.count(Stored ? "cancels_accepted" : "cancels_failed");
         Shared.log(427, {{"job", Id}, {"stored", Stored}});
         if (!Stored)
-          return Done(R.Verdict == AppendVerdict::Refused ? Lookup::Stale
-                                                          : Lookup::Unresolved);
+          return Done(R.Verdict == AppendVerdict::Unresolved
+                          ? Lookup::Unresolved
+                          : Lookup::Stale);
         if (ControlTopic.following())
           (void)Shared.Ledger.applyExceptProgress(Record);
         if (ActiveOwner)
--- a/packages/cluster/tests/World.cpp
+++ b/packages/cluster/tests/World.cpp
@@ -146,7 +146,24 @@
       carryOut(Daemon, std::move(A));
 }
 
+bool World::takesContent(const AppendAction &A) {
+  std::size_t Bytes = 0;
+  bool Taken = true;
+  for (const KeyValue &Record : A.Records) {
+    std::size_t Size = Record.Key.size() + Record.Value.size() + 1;
+    LargestRecord = std::max(LargestRecord, Size);
+    Bytes += Size + 4;
+    Taken &= Size <= RecordBytes && !RejectedKeys.contains(Record.Key);
+  }
+  LargestAppend = std::max(LargestAppend, Bytes);
+  return Taken && Bytes <= AppendBytes;
+}
+
 AppendResult World::append(const AppendAction &A) {
+  if (!takesContent(A)) {
+    ++AppendsRejected;
+    return {AppendVerdict::Rejected, 0};
+  }
   if (A.Fence) {
     if (A.Fence->Epoch < ControlTopic.Epoch)
       return {AppendVerdict::Superseded, 0};
@@ -159,13 +176,6 @@
     ControlTopic.Epoch = A.Fence->Epoch;
     ControlTopic.Sequence = A.Fence->Sequence;
   }
-  std::size_t Bytes = 0;
-  for (const KeyValue &Record : A.Records) {
-    std::size_t Size = Record.Key.size() + Record.Value.size() + 1;
-    LargestRecord = std::max(LargestRecord, Size);
-    Bytes += Size + 4;
-  }
-  LargestAppend = std::max(LargestAppend, Bytes);
   AppendResult R{AppendVerdict::Appended, ControlTopic.Records.size()};
   ControlTopic.Records.insert(ControlTopic.Records.end(), A.Records.begin(),
                               A.Records.end());
--- a/packages/cluster/tests/World.h
+++ b/packages/cluster/tests/World.h
@@ -186,10 +186,13 @@
   std::size_t LinkBytesPerMs = 0;
   /// Number of next appends that are carried out but not answered.
   unsigned AppendAnswersToLose = 0;
-  /// Size limits set for daemons that are added later, and the largest sizes
-  /// that were appended.
+  /// Size limits of the store, which are also set for daemons that are added
+  /// later, and the largest sizes of what was sent to it.
   std::size_t RecordBytes = 262'144;
   std::size_t AppendBytes = 2'097'152;
+  /// Keys of records that the store takes in no append, for whatever reason.
+  std::set<std::string> RejectedKeys;
+  unsigned AppendsRejected = 0; ///< For a size or a key.
   std::size_t LargestRecord = 0;
   std::size_t LargestAppend = 0;
   std::int64_t Clock = 10'000; ///< The virtual time in milliseconds.
@@ -236,6 +239,8 @@
   /// Whether the ticket is one for the worker and has not expired.
   bool isTicketValid(const StartAction &A) const;
   AppendResult append(const AppendAction &A);
+  /// Whether the store takes the records of the append.
+  bool takesContent(const AppendAction &A);
   /// Answers a read once there are records, its records have been deleted or
   /// the time is \p Until.
   void pollControlTopic(const std::string &Daemon,
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -3,6 +3,7 @@
 // reads every record. A row of progress is an array for one task or for
 // consecutive tasks that are done. Tasks that were never placed have no row.
 #include "heathersaddle/workload/Ledger.h"
+#include "ProgressWriter.h"
 #include "heathersaddle/base/Json.h"
 #include <algorithm>
 #include <limits>
@@ -149,57 +150,9 @@
 }
 
 KeyValue Ledger::progress(const Job &J) {
-  json::array Rows;
-  for (auto It = J.Tasks.begin(); It != J.Tasks.end();) {
-    const auto &[K, T] = *It;
-    if (T.Phase == TaskPhase::Done) {
-      unsigned Last = K.Index;
-      for (++It; It != J.Tasks.end() && It->second.Phase == TaskPhase::Done &&
-                 It->second.Run == T.Run &&
-                 It->first == TaskKey{K.Occurrence, K.Step, Last + 1};
-           ++It)
-        ++Last;
-      json::array Row{K.Occurrence, K.Step, K.Index,
-                      static_cast<unsigned>(T.Phase), T.Run};
-      if (Last != K.Index)
-        Row.emplace_back(Last);
-      Rows.push_back(std::move(Row));
-      continue;
-    }
-    json::array Row{K.Occurrence, K.Step, K.Index,
-                    static_cast<unsigned>(T.Phase), T.Run};
-    Row.emplace_back(T.Failures);
-    Row.emplace_back(T.FailedRun);
-    Row.emplace_back(T.Checkpoint);
-    if (T.Phase == TaskPhase::Placed) {
-      Row.emplace_back(T.Worker);
-      Row.emplace_back(T.WorkerStartMs);
-      if (!T.WorkerAddress.empty())
-        Row.emplace_back(T.WorkerAddress);
-    }
-    if (T.CrashedRun || T.Lapsed.Run) {
-      Row.emplace_back(T.Crashes);
-      Row.emplace_back(T.CrashedRun);
-    }
-    if (T.Lapsed.Run)
-      Row.emplace_back(json::array{T.Lapsed.Run, T.Lapsed.Worker,
-                                   T.Lapsed.WorkerStartMs,
-                                   T.Lapsed.WorkerAddress});
-    if (T.Crashes) {
-      if (!T.Lapsed.Run)
-        Row.emplace_back(json::array());
-      Row.emplace_back(json::value_from(T.CrashedWorkers));
-      Row.emplace_back(T.CrashDecibans);
-    }
-    Rows.push_back(std::move(Row));
-    ++It;
-  }
-  json::object O{{"s", static_cast<unsigned>(J.State)}};
-  if (J.ended())
-    O["e"] = J.EndedMs;
-  else
-    O["t"] = std::move(Rows);
-  return {"p/" + J.Spec.Id, json::serialize(O)};
+  std::string Value;
+  ProgressWriter(Value).job(J);
+  return {std::string(ProgressKeyPrefix) + J.Spec.Id, std::move(Value)};
 }
 
 /// Progress may name tasks that the job does not have, for example if the
