Read responses in pieces without breaking the parser's precondition

Cause: once Boost.Beast 1.81 has seen the first line of the last chunk, it requires five bytes at the next call, in an assertion. HttpClient passed on what had arrived. The server waits for them since, in code of its own that the client did not share.

Change: ParserInput.h gives both parsers their input and keeps the precondition. The client reads the socket itself; an answer that cannot be parsed ends its exchange and connection. One limit of 64 KiB holds for a header; Beast's limit of 8 KiB was applied to incomplete headers only, so that it depended on the pieces. A body in chunks that is not complete lacks five bytes at least, so waiting for them delays nothing.

Result: ResponsesInPieces, three tests that cut answers of each kind at every byte, and ReadsRequestsWhereverTheyAreCut for the server, which passed before.

--- a/packages/net/lib/HttpClient.cpp
+++ b/packages/net/lib/HttpClient.cpp
@@ -14,6 +14,7 @@
 // otherwise the kernel would deliver them when the path to the server is back.
 #include "heathersaddle/net/HttpClient.h"
 #include "CircuitBreaker.h"
+#include "ParserInput.h"
 #include "Target.h"
 #include <algorithm>
 #include <atomic>
@@ -56,6 +57,7 @@
 /// buffer grows for a larger response and shrinks after it, since thousands of
 /// connections may be open.
 static constexpr std::size_t FirstReadBytes = 2'048;
+static constexpr std::size_t MinReadBytes = 512;
 static constexpr std::size_t MaxReadBytes = 65'536;
 
 namespace {
@@ -187,8 +189,11 @@
   void connectTo(const ConnectionPtr &C, const tcp::endpoint &Destination);
   void sendRequest(const ConnectionPtr &C);
   void readResponse(const ConnectionPtr &C);
-  /// Called when the header of the response has been read.
-  void readBody(const ConnectionPtr &C);
+  void beginResponse(const ConnectionPtr &C) const;
+  void receive(const ConnectionPtr &C);
+  void parse(const ConnectionPtr &C);
+  /// Called when the server has closed its side of the connection.
+  void handleEnd(const ConnectionPtr &C);
   void handleResponse(const ConnectionPtr &C);
   void keepIdle(const ConnectionPtr &C);
   void handleFailure(const ConnectionPtr &C, const error_code &Ec);
@@ -416,48 +421,67 @@
 }
 
 void HttpClient::Impl::readResponse(const ConnectionPtr &C) {
+  beginResponse(C);
+  C->Buffer.reserve(FirstReadBytes);
+  receive(C);
+}
+
+void HttpClient::Impl::beginResponse(const ConnectionPtr &C) const {
   C->Parser.emplace();
   C->Parser->body_limit(Limits.MaxResponseBytes);
+  // Only what is incomplete is compared with this limit, so that a lower one
+  // than that of the buffer would depend on the pieces that arrive.
+  C->Parser->header_limit(MaxReadBytes);
   if (C->Message.method() == http::verb::head)
     C->Parser->skip(true);
-  C->Buffer.reserve(FirstReadBytes);
-  http::async_read_header(
-      C->Socket, C->Buffer, *C->Parser,
+}
+
+void HttpClient::Impl::receive(const ConnectionPtr &C) {
+  std::size_t Free = C->Buffer.capacity() - C->Buffer.size();
+  C->Socket.async_read_some(
+      C->Buffer.prepare(std::clamp(Free, MinReadBytes, MaxReadBytes)),
       [Self = shared_from_this(), C](error_code Ec, std::size_t Bytes) {
         Self->BytesReceived += Bytes;
         if (C->SocketClosed)
           return;
+        if (Ec == asio::error::eof)
+          return Self->handleEnd(C);
         if (Ec)
           return Self->handleFailure(C, Ec);
-        Self->readBody(C);
+        C->Buffer.commit(Bytes);
+        Self->parse(C);
       });
 }
 
-void HttpClient::Impl::readBody(const ConnectionPtr &C) {
-  auto Length = C->Parser->content_length_remaining();
-  if (Length && !C->Parser->is_done()) {
-    // What has arrived with the header is often the whole body.
-    error_code Ec;
-    C->Parser->eager(true);
-    std::size_t Used = C->Parser->put(C->Buffer.data(), Ec);
-    C->Buffer.consume(Used);
-    if (Ec && Ec != http::error::need_more)
-      return handleFailure(C, Ec);
-    C->Buffer.reserve(static_cast<std::size_t>(
-        std::min<std::uint64_t>(*Length, MaxReadBytes)));
-  }
+void HttpClient::Impl::parse(const ConnectionPtr &C) {
+  error_code Ec;
+  parseAvailable(*C->Parser, C->Buffer, Ec);
+  if (Ec)
+    return handleFailure(C, Ec);
   if (C->Parser->is_done())
     return handleResponse(C);
-  http::async_read(
-      C->Socket, C->Buffer, *C->Parser,
-      [Self = shared_from_this(), C](error_code Ec, std::size_t Bytes) {
-        Self->BytesReceived += Bytes;
-        if (C->SocketClosed)
-          return;
-        if (Ec)
-          return Self->handleFailure(C, Ec);
-        Self->handleResponse(C);
-      });
+  // Only a header, or that of a chunk, can't be parsed in parts.
+  if (C->Buffer.size() >= MaxReadBytes)
+    return handleFailure(C, http::error::buffer_overflow);
+  if (C->Parser->is_header_done()) {
+    // The rest, if its length is known; otherwise twice as much as now.
+    std::uint64_t Rest = C->Parser->content_length_remaining().value_or(
+        2 * C->Buffer.capacity());
+    C->Buffer.reserve(
+        static_cast<std::size_t>(std::min<std::uint64_t>(Rest, MaxReadBytes)));
+  }
+  receive(C);
+}
+
+void HttpClient::Impl::handleEnd(const ConnectionPtr &C) {
+  if (!C->Parser->got_some())
+    return handleFailure(C, http::error::end_of_stream);
+  // A response without a length ends with the connection.
+  error_code Ec;
+  C->Parser->put_eof(Ec);
+  if (Ec)
+    return handleFailure(C, Ec);
+  handleResponse(C);
 }
 
 void HttpClient::Impl::handleResponse(const ConnectionPtr &C) {
--- a/packages/net/lib/ServerSession.cpp
+++ b/packages/net/lib/ServerSession.cpp
@@ -9,6 +9,7 @@
 // response. ClientBudget decides whether there is room; the session reports to
 // it through its Ticket.
 #include "ServerSession.h"
+#include "ParserInput.h"
 #include "Target.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -22,10 +23,6 @@
 static constexpr std::size_t MaxLingerBytes = 1024UL * 1024;
 static constexpr std::chrono::milliseconds LingerTimeLimit{2'000};
 static constexpr std::size_t ReadChunkBytes = 4096;
-/// Boost.Beast 1.81 requires in an assertion that the parser gets no fewer
-/// bytes of the last chunk once it has seen its first line. A chunked body that
-/// is not complete lacks at least as many: "0", and two line ends.
-static constexpr std::size_t MinChunkInputBytes = 5;
 /// What a request costs while it is handled, besides its headers and two copies
 /// of its body: as received, or as a job, and as forwarded to another daemon.
 static constexpr std::size_t HandlingBytes = 4096;
@@ -202,15 +199,10 @@
   receive();
 }
 
-bool Session::canParse() const {
-  bool InChunks = Parser->is_header_done() && Parser->chunked();
-  return !Parser->is_done() &&
-         Buffer.size() >= (InChunks ? MinChunkInputBytes : 1);
-}
+bool Session::canParse() const { return net::canParse(*Parser, Buffer); }
 
 void Session::parseSome(error_code &Ec) {
-  std::size_t Used = Parser->put(Buffer.data(), Ec);
-  Buffer.consume(Used);
+  std::size_t Used = net::parseSome(*Parser, Buffer, Ec);
   RequestBytes += Used;
   Core->BytesReceived += Used;
 }
--- a/packages/net/tests/ClientTest.cpp
+++ b/packages/net/tests/ClientTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -265,6 +266,191 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+BOOST_AUTO_TEST_SUITE(ResponsesInPieces)
+
+namespace {
+
+/// A client and a server whose responses the test sends piece by piece. The
+/// client reads each piece before the next one is sent.
+class PieceByPiece {
+public:
+  PieceByPiece()
+      : Client(Context,
+               {.MaxResponseBytes = 1'000, .BreakerFailures = 1'000'000}),
+        Port(Listener.bindFreePort()) {
+    Listener.startListening();
+  }
+  /// Sends a request and \p Pieces as the response to it, then closes the
+  /// connection if \p Close is set or the request has no result.
+  Result exchange(const std::vector<std::string> &Pieces, bool Close = false) {
+    std::optional<Result> Got;
+    Client.send(test::loopbackAddress(Port),
+                {.Method = "POST", .Target = "/", .Body = "b"},
+                [&](Result R) { Got = std::move(R); });
+    runUntil([&] { return Client.bytesOut() > Sent; });
+    Sent = Client.bytesOut();
+    if (!Connection || isClosed()) {
+      Connection.emplace(Listener.acceptOne());
+      Connection->sendInPieces();
+    }
+    Connection->readUntil("\r\n\r\nb");
+    std::uint64_t Received = Client.bytesIn();
+    for (const std::string &Piece : Pieces) {
+      Connection->send(Piece);
+      Received += Piece.size();
+      runUntil([&] { return Got || Client.bytesIn() == Received; });
+    }
+    if (Close || !Got)
+      Connection->close();
+    runUntil([&] { return Got.has_value(); });
+    BOOST_REQUIRE(Got.has_value());
+    return *Got;
+  }
+  /// Whether the client has closed the connection.
+  bool isClosed() {
+    Context.poll();
+    return Connection->isClosedByPeer();
+  }
+
+private:
+  void runUntil(const std::function<bool()> &Done) {
+    auto End = std::chrono::steady_clock::now() + std::chrono::seconds(10);
+    while (!Done() && std::chrono::steady_clock::now() < End) {
+      Context.run_one_for(std::chrono::milliseconds(10));
+      Context.restart();
+    }
+  }
+  boost::asio::io_context Context;
+  HttpClient Client;
+  RawSocket Listener;
+  std::uint16_t Port;
+  std::optional<RawSocket> Connection;
+  std::uint64_t Sent = 0;
+};
+
+/// All ways to cut \p Text once, or twice around one byte, and into bytes.
+std::vector<std::vector<std::string>> cuts(const std::string &Text) {
+  std::vector<std::vector<std::string>> All(1);
+  for (char C : Text)
+    All[0].emplace_back(1, C);
+  for (std::size_t N = 0; N < Text.size(); ++N) {
+    All.push_back({Text.substr(0, N), Text.substr(N)});
+    All.push_back({Text.substr(0, N), Text.substr(N, 1), Text.substr(N + 1)});
+  }
+  for (auto &Pieces : All)
+    std::erase(Pieces, "");
+  return All;
+}
+
+struct CompleteResponse {
+  std::string Text;
+  unsigned Status = 200;
+  std::string Body;
+  bool EndsConnection = false; ///< By what its header says.
+};
+
+const std::vector<CompleteResponse> &completeResponses() {
+  static const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  static const std::string Chunked =
+      "HTTP/1.1 503 Unavailable\r\nTransfer-Encoding: chunked\r\n\r\n";
+  static const std::vector<CompleteResponse> All{
+      {Ok + "Content-Length: 5\r\n\r\nhello", 200, "hello"},
+      {Ok + "Content-Length: 0\r\n\r\n", 200, ""},
+      {Ok + "Connection: close\r\nContent-Length: 2\r\n\r\nab", 200, "ab",
+       true},
+      {"HTTP/1.1 204 No Content\r\n\r\n", 204, ""},
+      {"HTTP/1.1 304 Not Modified\r\n\r\n", 304, ""},
+      {Chunked + "0\r\n\r\n", 503, ""},
+      {Chunked + "000\r\n\r\n", 503, ""},
+      {Chunked + "0;a=b;c=\"d\"\r\n\r\n", 503, ""},
+      {Chunked + "0\r\nTrailer: value\r\n\r\n", 503, ""},
+      {Chunked + "5\r\nhello\r\n0\r\n\r\n", 503, "hello"},
+      {Chunked + "2;e=f\r\nhe\r\n3\r\nllo\r\n0;g\r\nT: v\r\nU: w\r\n\r\n", 503,
+       "hello"},
+      {Ok + "\r\nuntil the end", 200, "until the end", true},
+      {"HTTP/1.0 200 OK\r\n\r\nold", 200, "old", true},
+  };
+  return All;
+}
+
+} // namespace
+
+// Guards against a process that a worker, the store or another daemon ends by a
+// response whose last chunk arrives in pieces: an assertion of Boost.Beast
+// failed on some lengths.
+BOOST_AUTO_TEST_CASE(AreReadWhereverTheyAreCut) {
+  PieceByPiece Exchanges;
+  for (const CompleteResponse &Expected : completeResponses())
+    for (const auto &Pieces : cuts(Expected.Text)) {
+      auto R = Exchanges.exchange(Pieces, Expected.EndsConnection);
+      BOOST_REQUIRE_MESSAGE(R, Expected.Text);
+      BOOST_TEST(R->Status == Expected.Status, Expected.Text);
+      BOOST_TEST(R->Body == Expected.Body, Expected.Text);
+      BOOST_TEST(Exchanges.isClosed() == Expected.EndsConnection,
+                 Expected.Text);
+    }
+}
+
+// Guards against a response that is taken for complete although the connection
+// ended before its end.
+BOOST_AUTO_TEST_CASE(AreUnresolvedIfTheyEndTooEarly) {
+  PieceByPiece Exchanges;
+  for (const CompleteResponse &Whole : completeResponses()) {
+    std::size_t HeaderEnd = Whole.Text.rfind("\r\n\r\n");
+    bool UntilTheEnd =
+        Whole.EndsConnection && Whole.Text.find("Length") == std::string::npos;
+    std::size_t Bytes = UntilTheEnd ? HeaderEnd + 4 : Whole.Text.size();
+    for (std::size_t N = 0; N < Bytes; ++N) {
+      auto R = Exchanges.exchange({Whole.Text.substr(0, N)}, true);
+      BOOST_REQUIRE_MESSAGE(!R, Whole.Text << " cut after " << N);
+      BOOST_TEST((R.error().Code == ErrorCode::Unresolved));
+    }
+  }
+}
+
+// Guards against a malformed response that does more than to end its exchange
+// and its connection.
+BOOST_AUTO_TEST_CASE(EndTheirExchangeIfTheyAreMalformed) {
+  const std::string Ok = "HTTP/1.1 200 OK\r\n";
+  const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::pair<std::string, ErrorCode> Cases[] = {
+      {"nonsense\r\n\r\n", ErrorCode::Unresolved},
+      {"HTTP/1.1 2000 OK\r\n\r\n", ErrorCode::Unresolved},
+      {Ok + "no colon\r\n\r\n", ErrorCode::Unresolved},
+      {Ok + "Content-Length: -1\r\n\r\n", ErrorCode::Unresolved},
+      {Ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+       ErrorCode::Unresolved},
+      {Ok + "Long: " + std::string(70'000, 'x'), ErrorCode::Unresolved},
+      {Ok + "Content-Length: 1001\r\n\r\n", ErrorCode::TooLarge},
+      {Chunked + "g\r\nhello\r\n", ErrorCode::Unresolved},
+      {Chunked + "-1\r\nhello\r\n", ErrorCode::Unresolved},
+      {Chunked + "ffffffffffffffffff\r\n", ErrorCode::Unresolved},
+      {Chunked + "3e9\r\nhello", ErrorCode::TooLarge},
+      {Chunked + "5\r\nhelloXX0\r\n\r\n", ErrorCode::Unresolved},
+      {Chunked + "5;=\r\nhello\r\n0\r\n\r\n", ErrorCode::Unresolved},
+      {Chunked + "0;=\r\n\r\n", ErrorCode::Unresolved},
+      {Chunked + "0\r\nno colon\r\n\r\n", ErrorCode::Unresolved},
+      {Chunked + "0;" + std::string(70'000, 'x'), ErrorCode::Unresolved},
+  };
+  PieceByPiece Exchanges;
+  for (const auto &[Text, Code] : Cases) {
+    std::vector<std::string> Bytes;
+    for (char C : Text.substr(0, 400))
+      Bytes.emplace_back(1, C);
+    Bytes.push_back(Text.substr(Bytes.size()));
+    for (const auto &Pieces : {std::vector{Text}, Bytes}) {
+      auto R = Exchanges.exchange(Pieces);
+      BOOST_REQUIRE_MESSAGE(!R, Text.substr(0, 200));
+      BOOST_TEST((R.error().Code == Code), Text.substr(0, 200));
+      auto Next = Exchanges.exchange({OkResponse});
+      BOOST_REQUIRE(Next);
+      BOOST_TEST(Next->Body == "ok");
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_AUTO_TEST_SUITE(TotalConnections)
 
 namespace {
--- a/packages/net/tests/Raw.h
+++ b/packages/net/tests/Raw.h
@@ -2,8 +2,10 @@
 #define HEATHERSADDLE_NET_TESTS_RAW_H
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <cstdint>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdexcept>
 #include <string>
 #include <sys/socket.h>
@@ -44,6 +46,12 @@
     if (setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof Bytes))
       throw std::runtime_error("setsockopt");
   }
+  /// Lets each send() arrive by itself and at once.
+  void sendInPieces() const {
+    int One = 1;
+    if (setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &One, sizeof One))
+      throw std::runtime_error("setsockopt");
+  }
   void startListening() const {
     if (listen(Fd, 16))
       throw std::runtime_error("listen");
@@ -59,6 +67,12 @@
       Done += static_cast<std::size_t>(N);
     }
   }
+  /// Whether the other side has closed and all input has been read.
+  bool isClosedByPeer() const {
+    char C;
+    ssize_t N = recv(Fd, &C, 1, MSG_PEEK | MSG_DONTWAIT);
+    return N == 0 || (N < 0 && errno != EAGAIN);
+  }
   void shutdownSend() const { shutdown(Fd, SHUT_WR); }
   /// Reads until the other side closes.
   std::string readAll() const {
--- a/packages/net/tests/ServerTest.cpp
+++ b/packages/net/tests/ServerTest.cpp
@@ -6,6 +6,7 @@
 #include "heathersaddle/net/HttpServer.h"
 #include <algorithm>
 #include <atomic>
+#include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <fcntl.h>
@@ -432,6 +433,57 @@
     }
 }
 
+// Guards against a request that is refused, or ends the process, since its
+// bytes arrive in unusual pieces. Runs on one thread, so that each piece is
+// read before the next one is sent.
+BOOST_AUTO_TEST_CASE(ReadsRequestsWhereverTheyAreCut) {
+  boost::asio::io_context Context;
+  std::vector<std::string> Bodies;
+  HttpServer Server(Context, {}, [&](Request R, const Respond &Reply) {
+    Bodies.push_back(std::move(R.Body));
+    Reply({.Body = "done"});
+  });
+  auto Port = Server.listen("127.0.0.1", 0).value();
+  auto Run = [&] {
+    while (Context.poll())
+      ;
+    Context.restart();
+  };
+  const std::string Post = "POST /a HTTP/1.1\r\nHost: h\r\n";
+  const std::string Chunked = Post + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::pair<std::string, std::string> Cases[] = {
+      {"GET /a?b=%41 HTTP/1.1\r\nHost: h\r\n\r\n", ""},
+      {Post + "Content-Length: 5\r\n\r\nhello", "hello"},
+      {Post + "Content-Length: 0\r\n\r\n", ""},
+      {Chunked + "0\r\n\r\n", ""},
+      {Chunked + "000\r\n\r\n", ""},
+      {Chunked + "0;a=b;c=\"d\"\r\nT: v\r\n\r\n", ""},
+      {Chunked + "2;e=f\r\nhe\r\n3\r\nllo\r\n0;g\r\nT: v\r\nU: w\r\n\r\n",
+       "hello"}};
+  for (const auto &[Text, Body] : Cases)
+    for (std::size_t First = 0; First < Text.size(); ++First)
+      for (std::size_t Bytes : {1UL, 2UL, Text.size()}) {
+        RawSocket R = RawSocket::connected(Port);
+        R.sendInPieces();
+        Run();
+        for (std::size_t At = 0, Size = First; At < Text.size();
+             At += Size, Size = Bytes) {
+          R.send(Text.substr(At, Size));
+          Run();
+        }
+        for (int Tries = 0; Bodies.empty() && Tries < 1'000; ++Tries) {
+          Context.run_one_for(std::chrono::milliseconds(10));
+          Context.restart();
+        }
+        Run();
+        BOOST_REQUIRE_MESSAGE(Bodies.size() == 1,
+                              Text << " cut after " << First);
+        BOOST_TEST(Bodies[0] == Body);
+        Bodies.clear();
+        BOOST_TEST(hasStatus(R.readUntil("done"), "200"));
+      }
+}
+
 // Guards against responses in the wrong order on one connection.
 BOOST_AUTO_TEST_CASE(AnswersPipelinedRequestsInOrder) {
   ServerFixture S;
