Do not ask for the length of a body before its header is complete

A server that stops within the header of an answer ends the process that waits for it, at the time limit of the request.

Cause: since the message of a time-out names how much of the body has arrived. responseProgress() asked the parser for the length of the body once it had seen a byte, and the parser requires a complete header, in an assertion (basic_parser.ipp:52).

Change: until the header is complete, the message names the bytes of it.

Result: TimeOutWhereverTheyStop stops after every byte of an answer. It aborts before the change and passes with it.

--- a/packages/net/lib/HttpClient.cpp
+++ b/packages/net/lib/HttpClient.cpp
@@ -147,6 +147,10 @@
     return Unread ? "no response in time: " + std::to_string(Unread) +
                         " bytes had arrived and were not read"
                   : "no response in time";
+  if (!C.Parser->is_header_done())
+    return "no response in time: " + std::to_string(C.Buffer.size()) +
+           " bytes of an incomplete header were read, " +
+           std::to_string(Unread) + " more had arrived";
   return "no response in time: " +
          std::to_string(C.Parser->get().body().size()) + " of " +
          std::to_string(C.Parser->content_length().value_or(0)) +
--- a/packages/net/tests/ClientTest.cpp
+++ b/packages/net/tests/ClientTest.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <memory>
 #include <optional>
 #include <thread>
 #include <vector>
@@ -391,6 +392,33 @@
     }
 }
 
+// Guards against a process that a server ends by stopping within a response:
+// how much of it had arrived was asked of a parser without its header.
+BOOST_AUTO_TEST_CASE(TimeOutWhereverTheyStop) {
+  const std::string Text = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello";
+  Executor Threads(1);
+  HttpClient C(Threads.context(), {.MaxConnections = 100});
+  RawSocket Listener;
+  auto Port = Listener.bindFreePort();
+  Listener.startListening();
+  std::vector<std::future<Result>> Results;
+  std::vector<std::unique_ptr<RawSocket>> Servers;
+  for (std::size_t N = 0; N < Text.size(); ++N) {
+    Results.push_back(start(C, Port,
+                            {.Method = "POST",
+                             .Target = "/",
+                             .TimeLimit = std::chrono::milliseconds(1'000)}));
+    Servers.push_back(std::make_unique<RawSocket>(Listener.acceptOne()));
+    Servers.back()->readUntil("\r\n\r\n");
+    Servers.back()->send(Text.substr(0, N));
+  }
+  for (std::size_t N = 0; N < Text.size(); ++N) {
+    auto R = Results[N].get();
+    BOOST_REQUIRE_MESSAGE(!R, "stopped after " << N);
+    BOOST_TEST((R.error().Code == ErrorCode::Timeout), "stopped after " << N);
+  }
+}
+
 // Guards against a response that is taken for complete although the connection
 // ended before its end.
 BOOST_AUTO_TEST_CASE(AreUnresolvedIfTheyEndTooEarly) {
