Pass over interim responses

A server that sends 100, 102 or 103 before its answer made the client end the exchange with the interim response, so that a start which was carried out counted as not answered.

Cause: an exchange ended with the first complete message.

Change: interim responses are read and dropped, within the time limit of the request. 101 stays final, and its connection is not used again.

--- a/packages/net/lib/HttpClient.cpp
+++ b/packages/net/lib/HttpClient.cpp
@@ -158,6 +158,14 @@
          " more had arrived";
 }
 
+/// Whether the response announces another one to the same request.
+bool isInterim(const http::response_parser<http::string_body> &Parser) {
+  return Parser.is_done() &&
+         http::to_status_class(Parser.get().result_int()) ==
+             http::status_class::informational &&
+         Parser.get().result() != http::status::switching_protocols;
+}
+
 ClientResponse toClientResponse(http::response<http::string_body> &&From) {
   ClientResponse R;
   R.Status = From.result_int();
@@ -460,6 +468,10 @@
 void HttpClient::Impl::parse(const ConnectionPtr &C) {
   error_code Ec;
   parseAvailable(*C->Parser, C->Buffer, Ec);
+  while (!Ec && isInterim(*C->Parser)) {
+    beginResponse(C);
+    parseAvailable(*C->Parser, C->Buffer, Ec);
+  }
   if (Ec)
     return handleFailure(C, Ec);
   if (C->Parser->is_done())
@@ -491,7 +503,9 @@
 void HttpClient::Impl::handleResponse(const ConnectionPtr &C) {
   Endpoint &Remote = C->Remote;
   Remote.Breaker.succeeded();
-  bool KeepAlive = C->Parser->keep_alive() && C->Buffer.size() == 0;
+  bool KeepAlive =
+      C->Parser->keep_alive() && C->Buffer.size() == 0 &&
+      C->Parser->get().result() != http::status::switching_protocols;
   auto Response = toClientResponse(C->Parser->release());
   ExchangePtr E = std::exchange(C->CurrentExchange, nullptr);
   if (C->Buffer.size() == 0 && C->Buffer.capacity() > FirstReadBytes)
--- a/packages/net/tests/ClientTest.cpp
+++ b/packages/net/tests/ClientTest.cpp
@@ -370,6 +370,11 @@
        "hello"},
       {Ok + "\r\nuntil the end", 200, "until the end", true},
       {"HTTP/1.0 200 OK\r\n\r\nold", 200, "old", true},
+      {"HTTP/1.1 100 Continue\r\n\r\n" + Chunked + "0\r\n\r\n", 503, ""},
+      {"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+       "HTTP/1.1 102 Processing\r\n\r\n" +
+           Ok + "Content-Length: 2\r\n\r\nok",
+       200, "ok"},
   };
   return All;
 }
