Accept only jobs whose records can be read back

Other numbers, such as a latency_slo_ms of 2^53 - 1, kept the whole manifest from being read.

Cause: the range of a number was defined in three places. The reader of the manifest took up to 2^52, the reader of records 1,000,000, with a cast to unsigned between them, and a job was acknowledged whether or not its record could be read. On event 405 names the records on all daemons, that which had just stored them included.

Change: workload/Limits.h has one definition of each range for all who read and write them. A submission is stored only if its record can be read; else its caller gets 400 at once. Objectives and work are limited before they are cast, and sums of work no longer overflow.

--- a/packages/base/include/heathersaddle/base/Json.h
+++ b/packages/base/include/heathersaddle/base/Json.h
@@ -49,6 +49,10 @@
   /// An optional integer within [Min, Max].
   std::int64_t integerOr(std::string_view Field, std::int64_t Default,
                          std::int64_t Min, std::int64_t Max);
+  /// An optional number. One outside [Min, Max] is taken as the nearest of the
+  /// two; a fraction is dropped.
+  std::int64_t clampedOr(std::string_view Field, std::int64_t Default,
+                         std::int64_t Min, std::int64_t Max);
   /// A required unsigned 64-bit integer.
   std::uint64_t unsigned64(std::string_view Field);
   bool booleanOr(std::string_view Field, bool Default);
--- a/packages/base/lib/Json.cpp
+++ b/packages/base/lib/Json.cpp
@@ -1,5 +1,6 @@
 #include "heathersaddle/base/Json.h"
 #include <algorithm>
+#include <limits>
 
 namespace heathersaddle::base {
 
@@ -109,6 +110,30 @@
   return Number;
 }
 
+std::int64_t JsonReader::clampedOr(std::string_view Field, std::int64_t Default,
+                                   std::int64_t Min, std::int64_t Max) {
+  const json::value *Value = find(Field);
+  if (!Value)
+    return Default;
+  if (Value->is_int64())
+    return std::clamp(Value->as_int64(), Min, Max);
+  if (Value->is_uint64())
+    return std::clamp(
+        static_cast<std::int64_t>(std::min<std::uint64_t>(
+            Value->as_uint64(), std::numeric_limits<std::int64_t>::max())),
+        Min, Max);
+  if (!Value->is_double()) {
+    fail(Field, "must be a number");
+    return Min;
+  }
+  // A double may be too large for the cast.
+  if (Value->as_double() >= static_cast<double>(Max))
+    return Max;
+  if (Value->as_double() <= static_cast<double>(Min))
+    return Min;
+  return static_cast<std::int64_t>(Value->as_double());
+}
+
 std::uint64_t JsonReader::unsigned64(std::string_view Field) {
   const json::value *Value = find(Field);
   boost::system::error_code Ec;
--- a/packages/cluster/lib/NodeImpl.h
+++ b/packages/cluster/lib/NodeImpl.h
@@ -71,6 +71,8 @@
   void updateAllDrained();
   /// The appends of this daemon that store new jobs.
   AppendState appendState() const;
+  /// Applies a record that is stored, before it is read from the topic.
+  void applyRecord(const KeyValue &Record);
   void onSubmissionStored(const Submission &S, std::uint64_t Offset);
   StatusResult status(std::string_view Job) const;
   void cancel(std::string_view Job, std::function<void(Lookup)> Done);
--- a/packages/cluster/lib/OwnerSchedule.cpp
+++ b/packages/cluster/lib/OwnerSchedule.cpp
@@ -1,6 +1,7 @@
 // Builds the planner's input from workers and waiting tasks, and records the
 // placements of its plan. Starts are sent once their placement is stored.
 #include "Owner.h"
+#include "heathersaddle/workload/Limits.h"
 #include <algorithm>
 #include <cmath>
 
@@ -267,7 +268,8 @@
     for (unsigned S = 0; S < J.Spec.Steps.size(); ++S)
       for (unsigned N = 0; N < J.Spec.Steps[S].Count; ++N)
         if (J.task({0, S, N}).Phase != TaskPhase::Done)
-          Needed += J.Spec.Steps[S].Need.Gpus;
+          Needed =
+              std::min(Needed + J.Spec.Steps[S].Need.Gpus, workload::MaxAmount);
   }
   MonoTime T = Shared.mono();
   double Passed = static_cast<double>((T - DemandUpdatedAt).count()) /
@@ -489,11 +491,14 @@
               (T.Phase == TaskPhase::Placed && !AllDrained &&
                O.DrainedWorkers && isDrainedWorker(T.Worker)))
             continue;
-          Work += T.Phase == TaskPhase::Placed ? One / 2 : One;
+          Work = std::min(Work + (T.Phase == TaskPhase::Placed ? One / 2 : One),
+                          workload::MaxWorkMs);
         }
       }
     }
-    O.BacklogMs[std::min<std::size_t>(J.Spec.Priority, 2)] += Work;
+    std::int64_t &Backlog =
+        O.BacklogMs[std::min<std::size_t>(J.Spec.Priority, 2)];
+    Backlog = std::min(Backlog + Work, workload::MaxWorkMs);
   }
   O.MeanCapacity = {Sum.CpuMilli / Workers, Sum.MemoryMb / Workers,
                     Sum.Gpus / Workers};
--- a/packages/cluster/lib/Requests.cpp
+++ b/packages/cluster/lib/Requests.cpp
@@ -3,6 +3,8 @@
 // (Intake.cpp), which is needed only if the owner could not be reached. Queries
 // are answered from the state read from the topic.
 #include "NodeImpl.h"
+#include "heathersaddle/workload/Limits.h"
+#include <algorithm>
 
 namespace heathersaddle::cluster {
 
@@ -171,17 +173,29 @@
                           "the store is too slow to store the job in time"});
   }
   Spec.AcceptedMs = Shared.wall();
+  KeyValue Record = workload::Ledger::submission(Spec);
+  // An acknowledgement means that every daemon knows the job.
+  if (auto Readable = workload::Ledger::checkSubmission(Record); !Readable) {
+    Shared.count("submissions_refused_invalid");
+    Shared.log(426, {{"job", Spec.Id},
+                     {"queue", Spec.Queue},
+                     {"reason", "unreadable_record"},
+                     {"error", Readable.error().toString()}});
+    return Refuse(
+        Refusal{Refusal::Invalid, Millis(0), "the job cannot be recorded"});
+  }
   std::int64_t Work = 0;
   workload::Resources Total = O.MeanCapacity;
   for (const workload::Step &S : Spec.Steps)
-    Work += workload::workerMs(S, Total, 1) * S.Count;
+    Work = std::min(Work + workload::workerMs(S, Total, 1) * S.Count,
+                    workload::MaxWorkMs);
   Submission S{Spec.Id,
                Spec.Queue,
                Spec.Priority,
                Work,
                T,
                T + std::max(Millis(0), CallerWaits - AnswerMargin),
-               workload::Ledger::submission(Spec),
+               std::move(Record),
                trackSubmission(Spec.Id, std::move(Done)),
                false,
                std::move(IsCallerConnected)};
@@ -206,10 +220,11 @@
     return T - R.At > RecentSubmissionAge;
   });
   for (std::size_t P = 0; P < O.BacklogMs.size() && P <= Priority; ++P)
-    L.WorkAheadMs += O.BacklogMs[P];
+    L.WorkAheadMs =
+        std::min(L.WorkAheadMs + O.BacklogMs[P], workload::MaxWorkMs);
   for (const RecentSubmission &R : RecentSubmissions)
     if (R.Priority <= Priority)
-      L.WorkAheadMs += R.WorkMs;
+      L.WorkAheadMs = std::min(L.WorkAheadMs + R.WorkMs, workload::MaxWorkMs);
   return L;
 }
 
@@ -259,12 +274,18 @@
   return Store;
 }
 
+void Node::Impl::applyRecord(const KeyValue &Record) {
+  if (auto Applied = Shared.Ledger.applyExceptProgress(Record); !Applied)
+    Shared.log(405,
+               {{"key", Record.Key}, {"reason", Applied.error().toString()}});
+}
+
 void Node::Impl::onSubmissionStored(const Submission &S, std::uint64_t Offset) {
   Shared.recordLatency("submission_stored", S.Priority,
                        Shared.mono() - S.Started);
   // Makes the job visible here at once; other daemons read it from the topic.
   if (ControlTopic.following())
-    (void)Shared.Ledger.applyExceptProgress(S.Record);
+    applyRecord(S.Record);
   if (S.Cancels) {
     if (ActiveOwner)
       ActiveOwner->jobChanged(S.Job);
@@ -325,7 +346,7 @@
                           ? Lookup::Unresolved
                           : Lookup::Stale);
         if (ControlTopic.following())
-          (void)Shared.Ledger.applyExceptProgress(Record);
+          applyRecord(Record);
         if (ActiveOwner)
           ActiveOwner->jobChanged(Id);
         Done(Lookup::Found);
--- a/packages/cluster/tests/RecordLimitTest.cpp
+++ b/packages/cluster/tests/RecordLimitTest.cpp
@@ -54,6 +54,20 @@
 
 } // namespace
 
+// Guards against an acknowledgement of a job that no daemon can read back: its
+// callers are told later that there is no such job.
+BOOST_FIXTURE_TEST_CASE(JobWhoseRecordCannotBeReadIsRefused, SmallRecords) {
+  for (const auto &[Name, N] : Daemons) {
+    workload::JobSpec J = job("un" + Name, 1, 1, 100);
+    J.Steps[0].Count = 2'000'000;
+    auto R = submit(*N, J);
+    BOOST_REQUIRE(R.has_value());
+    BOOST_TEST((R->Why == Refusal::Invalid));
+    BOOST_TEST(!submit(*N, job("ok" + Name, 1, 1, 100)));
+    BOOST_TEST(completes("ok" + Name));
+  }
+}
+
 BOOST_FIXTURE_TEST_SUITE(StoreWithRecordLimit, SmallRecords)
 
 BOOST_AUTO_TEST_SUITE(NoAppendIsOverTheLimit)
--- a/packages/workload/include/heathersaddle/workload/Job.h
+++ b/packages/workload/include/heathersaddle/workload/Job.h
@@ -120,7 +120,7 @@
 
 /// Estimated run time of one task of \p S, scaled by the share that it takes of
 /// a worker of the mean capacity \p Total / \p Workers. The resource with the
-/// largest share counts.
+/// largest share counts. At most MaxAmount.
 std::int64_t workerMs(const Step &S, const Resources &Total,
                       std::int64_t Workers);
 
--- a/packages/workload/include/heathersaddle/workload/Ledger.h
+++ b/packages/workload/include/heathersaddle/workload/Ledger.h
@@ -70,6 +70,8 @@
   void clear();
 
   static KeyValue submission(const JobSpec &Spec);
+  /// Whether every daemon can read this record of a submission.
+  static base::Expected<void> checkSubmission(const KeyValue &Record);
   static KeyValue cancellation(std::string_view Id, base::WallMs When);
   static KeyValue progress(const Job &J);
   static KeyValue ownership(const Ownership &O);
--- a/packages/workload/lib/Job.cpp
+++ b/packages/workload/lib/Job.cpp
@@ -1,4 +1,5 @@
 #include "heathersaddle/workload/Job.h"
+#include "heathersaddle/workload/Limits.h"
 #include <algorithm>
 
 namespace heathersaddle::workload {
@@ -22,8 +23,10 @@
 }
 
 std::int64_t JobSpec::objectiveMs() const {
-  return static_cast<std::int64_t>(Stretch *
-                                   static_cast<double>(longestChainMs())) +
+  // The product may be too large for the cast.
+  return static_cast<std::int64_t>(
+             std::min(Stretch * static_cast<double>(longestChainMs()),
+                      static_cast<double>(MaxMs))) +
          LatencyObjectiveMs;
 }
 
@@ -38,8 +41,9 @@
   double LargestShare =
       std::max({Share(R.CpuMilli, Total.CpuMilli),
                 Share(R.MemoryMb, Total.MemoryMb), Share(R.Gpus, Total.Gpus)});
-  return static_cast<std::int64_t>(LargestShare *
-                                   static_cast<double>(S.EstimateMs));
+  return static_cast<std::int64_t>(
+      std::min(LargestShare * static_cast<double>(S.EstimateMs),
+               static_cast<double>(MaxAmount)));
 }
 
 const TaskProgress &Job::task(const TaskKey &K) const {
--- a/packages/workload/lib/Ledger.cpp
+++ b/packages/workload/lib/Ledger.cpp
@@ -2,9 +2,14 @@
 // (progress). Values are JSON with short field names, because every daemon
 // reads every record. A row of progress is an array for one task or for
 // consecutive tasks that are done. Tasks that were never placed have no row.
+//
+// A daemon of another version may have written a number that is out of range
+// here. Callers were told that the job is accepted, so the number is taken as
+// the nearest one in range and the job is kept.
 #include "heathersaddle/workload/Ledger.h"
 #include "ProgressWriter.h"
 #include "heathersaddle/base/Json.h"
+#include "heathersaddle/workload/Limits.h"
 #include <algorithm>
 #include <limits>
 
@@ -14,10 +19,6 @@
 using base::Expected;
 using base::JsonReader;
 
-static constexpr std::size_t MaxStringBytes = 64UL * 1024;
-static constexpr std::size_t MaxSteps = 256;
-static constexpr std::int64_t MaxCount = 1'000'000;
-static constexpr std::int64_t MaxMs = std::int64_t{1} << 52;
 static constexpr std::string_view OwnerKey = "owner";
 
 enum StepFlag : unsigned {
@@ -58,10 +59,10 @@
   JsonReader R(V, "read_record", "steps.");
   Step S;
   S.Count = static_cast<unsigned>(R.integer("n", 1, MaxCount));
-  S.Need.CpuMilli = R.integerOr("c", 0, 0, MaxMs);
-  S.Need.MemoryMb = R.integerOr("m", 0, 0, MaxMs);
-  S.Need.Gpus = R.integerOr("g", 0, 0, MaxMs);
-  S.EstimateMs = R.integerOr("e", 0, 0, MaxMs);
+  S.Need.CpuMilli = R.clampedOr("c", 0, 0, MaxAmount);
+  S.Need.MemoryMb = R.clampedOr("m", 0, 0, MaxAmount);
+  S.Need.Gpus = R.clampedOr("g", 0, 0, MaxAmount);
+  S.EstimateMs = R.clampedOr("e", 0, 0, MaxAmount);
   auto Flags = static_cast<unsigned>(R.integerOr("f", 0, 0, 63));
   S.SavesProgress = Flags & SavesProgress;
   S.Gang = Flags & Gang;
@@ -79,10 +80,10 @@
     }
   S.RequiredLabel = R.string("l", "", MaxStringBytes);
   S.DataRack = R.string("r", "", MaxStringBytes);
-  S.MaxPerWorker = static_cast<unsigned>(R.integerOr("w", 0, 0, MaxCount));
+  S.MaxPerWorker = static_cast<unsigned>(R.clampedOr("w", 0, 0, MaxCount));
   S.Image = R.string("i", "", MaxStringBytes);
-  S.LatencyTargetMs = R.integerOr("t", 0, 0, MaxMs);
-  S.MaxUnavailable = static_cast<unsigned>(R.integerOr("a", 0, 0, MaxCount));
+  S.LatencyTargetMs = R.clampedOr("t", 0, 0, MaxAmount);
+  S.MaxUnavailable = static_cast<unsigned>(R.clampedOr("a", 0, 0, MaxCount));
   if (const auto *E = R.error())
     return tl::unexpected(*E);
   return S;
@@ -100,14 +101,15 @@
   S.Service = R.string("s", MaxStringBytes);
   S.Account = R.string("a", "", MaxStringBytes);
   S.Payload = R.string("p", "", MaxStringBytes);
-  S.Priority = static_cast<unsigned>(R.integerOr("y", 0, 0, MaxCount));
-  S.MaxAttempts = static_cast<unsigned>(R.integerOr("x", 1, 1, MaxCount));
-  S.Stretch = static_cast<double>(R.integerOr("h", 1000, 0, MaxMs)) / 1000;
-  S.LatencyObjectiveMs = R.integerOr("o", 0, 0, MaxMs);
+  S.Priority = static_cast<unsigned>(R.clampedOr("y", 0, 0, MaxCount));
+  S.MaxAttempts = static_cast<unsigned>(R.clampedOr("x", 1, 1, MaxCount));
+  S.Stretch =
+      static_cast<double>(R.clampedOr("h", 1000, 0, 1000 * MaxStretch)) / 1000;
+  S.LatencyObjectiveMs = R.clampedOr("o", 0, 0, MaxAmount);
   S.OccurrenceCount = static_cast<unsigned>(R.integerOr("n", 0, 0, MaxCount));
-  S.IntervalMs = R.integerOr("i", 0, 0, MaxMs);
-  S.StartAtMs = R.integerOr("b", 0, 0, MaxMs);
-  S.AcceptedMs = R.integerOr("t", 0, 0, MaxMs);
+  S.IntervalMs = R.clampedOr("i", 0, 0, MaxAmount);
+  S.StartAtMs = R.clampedOr("b", 0, 0, MaxMs);
+  S.AcceptedMs = R.clampedOr("t", 0, 0, MaxMs);
   S.NeedsAdvice = R.booleanOr("v", false);
   if (const auto *Steps = R.array("steps", true, MaxSteps))
     for (const auto &Item : *Steps) {
@@ -125,16 +127,18 @@
   json::array Steps;
   for (const Step &One : S.Steps)
     Steps.push_back(encodeStep(One));
-  json::object O{{"q", S.Queue},
-                 {"s", S.Service},
-                 {"a", S.Account},
-                 {"p", S.Payload},
-                 {"y", S.Priority},
-                 {"x", S.MaxAttempts},
-                 {"h", static_cast<std::int64_t>(S.Stretch * 1000)},
-                 {"o", S.LatencyObjectiveMs},
-                 {"t", S.AcceptedMs},
-                 {"steps", std::move(Steps)}};
+  json::object O{
+      {"q", S.Queue},
+      {"s", S.Service},
+      {"a", S.Account},
+      {"p", S.Payload},
+      {"y", S.Priority},
+      {"x", S.MaxAttempts},
+      {"h", static_cast<std::int64_t>(
+                std::clamp(S.Stretch, 0.0, double{MaxStretch}) * 1000)},
+      {"o", S.LatencyObjectiveMs},
+      {"t", S.AcceptedMs},
+      {"steps", std::move(Steps)}};
   if (S.OccurrenceCount) {
     O["n"] = S.OccurrenceCount;
     O["i"] = S.IntervalMs;
@@ -145,6 +149,12 @@
   return {"j/" + S.Id, json::serialize(O)};
 }
 
+Expected<void> Ledger::checkSubmission(const KeyValue &Record) {
+  if (auto Spec = decodeSpec({}, Record.Value); !Spec)
+    return tl::unexpected(Spec.error());
+  return {};
+}
+
 KeyValue Ledger::cancellation(std::string_view Id, base::WallMs When) {
   return {"x/" + std::string(Id), std::to_string(When)};
 }
@@ -290,17 +300,19 @@
   O.Incarnation = R.string("i", MaxStringBytes);
   O.Address = R.string("a", "", MaxStringBytes);
   O.Released = R.booleanOr("r", false);
-  O.HeartbeatCount = static_cast<std::uint64_t>(R.integerOr("b", 0, 0, MaxMs));
-  O.AppendMs = R.integerOr("t", 0, 0, MaxMs);
-  O.CpuMilli = R.integerOr("u", 0, 0, MaxMs);
-  O.Workers = R.integerOr("w", 0, 0, MaxMs);
-  O.DrainedWorkers = R.integerOr("z", 0, 0, MaxMs);
-  O.MeanCapacity.CpuMilli = R.integerOr("c", 0, 0, MaxMs);
-  O.MeanCapacity.MemoryMb = R.integerOr("m", 0, 0, MaxMs);
-  O.MeanCapacity.Gpus = R.integerOr("g", 0, 0, MaxMs);
+  O.HeartbeatCount = static_cast<std::uint64_t>(R.clampedOr("b", 0, 0, MaxMs));
+  O.AppendMs = R.clampedOr("t", 0, 0, MaxMs);
+  O.CpuMilli = R.clampedOr("u", 0, 0, MaxAmount);
+  O.Workers = R.clampedOr("w", 0, 0, MaxCount);
+  O.DrainedWorkers = R.clampedOr("z", 0, 0, MaxCount);
+  O.MeanCapacity.CpuMilli = R.clampedOr("c", 0, 0, MaxAmount);
+  O.MeanCapacity.MemoryMb = R.clampedOr("m", 0, 0, MaxAmount);
+  O.MeanCapacity.Gpus = R.clampedOr("g", 0, 0, MaxAmount);
   if (const auto *Backlog = R.array("l", false, 16))
     for (const auto &B : *Backlog)
-      O.BacklogMs.push_back(B.is_int64() ? B.as_int64() : 0);
+      O.BacklogMs.push_back(
+          B.is_int64() ? std::clamp<std::int64_t>(B.as_int64(), 0, MaxWorkMs)
+                       : 0);
   if (const auto *E = R.error())
     return tl::unexpected(*E);
   return O;
--- a/packages/workload/tests/LedgerTest.cpp
+++ b/packages/workload/tests/LedgerTest.cpp
@@ -1,5 +1,9 @@
 #include "heathersaddle/workload/Ledger.h"
+#include "heathersaddle/workload/Limits.h"
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <limits>
+#include <random>
 
 using namespace heathersaddle::workload;
 
@@ -40,6 +44,87 @@
   return J;
 }
 
+/// Draws numbers at the bounds of a range, beyond them and inside.
+class BoundaryNumbers {
+public:
+  explicit BoundaryNumbers(std::uint64_t Seed) : Random(Seed) {}
+  /// Within [\p Min, \p Max].
+  std::int64_t within(std::int64_t Min, std::int64_t Max) {
+    switch (Random() % 4) {
+    case 0:
+      return Min;
+    case 1:
+      return Max;
+    case 2:
+      return Max - 1;
+    default:
+      return Min + static_cast<std::int64_t>(
+                       Random() % static_cast<std::uint64_t>(Max - Min + 1));
+    }
+  }
+  /// Of any value that \p Number can have.
+  template <class Number> Number any(std::int64_t Min, std::int64_t Max) {
+    using Type = std::numeric_limits<Number>;
+    const Number Edges[] = {Type::min(), Type::max(),
+                            static_cast<Number>(Max + 1),
+                            static_cast<Number>(Min - 1)};
+    return Random() % 3 ? static_cast<Number>(within(Min, Max))
+                        : Edges[Random() % std::size(Edges)];
+  }
+  bool flip() { return Random() % 2; }
+
+private:
+  std::mt19937_64 Random;
+};
+
+/// The nearest number that a record can hold.
+template <class Number>
+Number nearest(Number N, std::int64_t Min, std::int64_t Max) {
+  if constexpr (sizeof(Number) < sizeof(Max))
+    return static_cast<Number>(
+        std::clamp(static_cast<std::int64_t>(N), Min, Max));
+  else
+    return std::clamp(N, Min, Max);
+}
+
+JobSpec randomSpec(BoundaryNumbers &Draw) {
+  JobSpec J = spec();
+  J.Priority = Draw.any<unsigned>(0, MaxCount);
+  J.MaxAttempts = Draw.any<unsigned>(1, MaxCount);
+  for (std::int64_t *Amount :
+       {&J.LatencyObjectiveMs, &J.IntervalMs, &J.Steps[0].EstimateMs,
+        &J.Steps[1].LatencyTargetMs, &J.Steps[0].Need.CpuMilli,
+        &J.Steps[0].Need.MemoryMb, &J.Steps[1].Need.Gpus})
+    *Amount = Draw.any<std::int64_t>(0, MaxAmount);
+  for (std::int64_t *Time : {&J.StartAtMs, &J.AcceptedMs})
+    *Time = Draw.any<std::int64_t>(0, MaxMs);
+  const double Stretches[] = {
+      -1, 0, 0.0005, 1.5, 1e9, 2e18, 1e300, std::numeric_limits<double>::max()};
+  J.Stretch = Stretches[Draw.within(0, std::ssize(Stretches) - 1)];
+  J.OccurrenceCount = static_cast<unsigned>(Draw.within(1, MaxCount));
+  J.Steps[0].Count = static_cast<unsigned>(Draw.within(1, MaxCount));
+  J.Steps[1].MaxPerWorker = Draw.any<unsigned>(0, MaxCount);
+  J.Steps[1].MaxUnavailable = Draw.any<unsigned>(0, MaxCount);
+  return J;
+}
+
+/// What a daemon that reads the record of \p J is to know.
+JobSpec asRecorded(JobSpec J) {
+  J.Priority = nearest(J.Priority, 0, MaxCount);
+  J.MaxAttempts = nearest(J.MaxAttempts, 1, MaxCount);
+  for (std::int64_t *Amount :
+       {&J.LatencyObjectiveMs, &J.IntervalMs, &J.Steps[0].EstimateMs,
+        &J.Steps[1].LatencyTargetMs, &J.Steps[0].Need.CpuMilli,
+        &J.Steps[0].Need.MemoryMb, &J.Steps[1].Need.Gpus})
+    *Amount = nearest(*Amount, 0, MaxAmount);
+  for (std::int64_t *Time : {&J.StartAtMs, &J.AcceptedMs})
+    *Time = nearest(*Time, 0, MaxMs);
+  J.Stretch = std::clamp(J.Stretch, 0.0, double{MaxStretch});
+  J.Steps[1].MaxPerWorker = nearest(J.Steps[1].MaxPerWorker, 0, MaxCount);
+  J.Steps[1].MaxUnavailable = nearest(J.Steps[1].MaxUnavailable, 0, MaxCount);
+  return J;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(JobLedger)
@@ -60,6 +145,111 @@
   BOOST_TEST(Read->Spec.Stretch == 1.5);
 }
 
+// Guards against jobs that are accepted and lost, as no daemon can read the
+// record of their submission: a number is beyond what its reader takes.
+BOOST_AUTO_TEST_CASE(SubmissionIsReadWhateverItsNumbersAre) {
+  BoundaryNumbers Draw(1);
+  for (int N = 0; N < 5'000; ++N) {
+    Ledger L;
+    JobSpec J = randomSpec(Draw);
+    KeyValue Record = Ledger::submission(J);
+    BOOST_REQUIRE_MESSAGE(Ledger::checkSubmission(Record), Record.Value);
+    BOOST_REQUIRE_MESSAGE(L.apply(Record).has_value(), Record.Value);
+    BOOST_TEST(Ledger::submission(L.find(J.Id)->Spec).Value ==
+               Ledger::submission(asRecorded(J)).Value);
+  }
+}
+
+// Guards against jobs that are lost since a daemon of another version has
+// written a number that this one would not.
+BOOST_AUTO_TEST_CASE(SubmissionOfAnotherVersionIsRead) {
+  for (const char *Field : {"y", "x", "h", "o", "i", "b", "t"})
+    for (const char *Number :
+         {"-9223372036854775808", "-1", "1000001", "2147483647", "4294967296",
+          "9007199254740991", "18446744073709551615", "1e300", "2.5"}) {
+      Ledger L;
+      std::string Text = std::string(R"({"q":"q","s":"s",)") + "\"" + Field +
+                         "\":" + Number + R"(,"n":2,"steps":[{"n":1}]})";
+      BOOST_REQUIRE_MESSAGE(L.apply({"j/" + spec().Id, Text}).has_value(),
+                            Text);
+      const JobSpec &Read = L.find(spec().Id)->Spec;
+      BOOST_TEST(Ledger::checkSubmission(Ledger::submission(Read)).has_value(),
+                 Text);
+      BOOST_TEST(Read.MaxAttempts >= 1u, Text);
+      BOOST_TEST(Read.Stretch >= 0, Text);
+    }
+}
+
+// Guards against progress that no later owner can read, so that it starts
+// tasks that are done.
+BOOST_AUTO_TEST_CASE(ProgressIsReadWhateverItsNumbersAre) {
+  BoundaryNumbers Draw(2);
+  constexpr std::int64_t MaxNumber = std::numeric_limits<unsigned>::max();
+  auto Number = [&] {
+    return static_cast<unsigned>(Draw.within(0, MaxNumber));
+  };
+  for (int N = 0; N < 2'000; ++N) {
+    Ledger L;
+    Job J;
+    J.Spec = spec();
+    J.Spec.OccurrenceCount = J.Spec.Steps[1].Count = MaxCount;
+    J.HasSubmission = true;
+    J.State = JobState::Running;
+    TaskProgress T;
+    T.Phase = static_cast<TaskPhase>(Draw.within(0, 2));
+    T.Run = Number();
+    if (T.Phase != TaskPhase::Done) {
+      T.Failures = Number();
+      T.FailedRun = Number();
+      T.Crashes = std::max(1U, Number());
+      T.CrashedRun = Number();
+      T.CrashDecibans = Number();
+      T.CrashedWorkers = {"c"};
+      T.Lapsed = {std::max(1U, Number()), "l", Draw.within(0, MaxMs), "b"};
+    }
+    if (T.Phase == TaskPhase::Placed) {
+      T.Worker = "w";
+      T.WorkerStartMs = Draw.within(0, MaxMs);
+      T.WorkerAddress = "a";
+    }
+    J.Tasks[{static_cast<unsigned>(Draw.within(0, MaxCount - 1)), 1,
+             static_cast<unsigned>(Draw.within(0, MaxCount - 1))}] = T;
+    BOOST_REQUIRE(L.apply(Ledger::submission(J.Spec)).has_value());
+    KeyValue Record = Ledger::progress(J);
+    BOOST_REQUIRE_MESSAGE(L.apply(Record).has_value(), Record.Value);
+    const Job *Read = L.find(J.Spec.Id);
+    BOOST_TEST((Read->Tasks == J.Tasks), Record.Value);
+    J.State = JobState::Completed;
+    J.EndedMs = Draw.within(1, MaxMs);
+    BOOST_REQUIRE(L.apply(Ledger::progress(J)).has_value());
+    BOOST_TEST(Read->EndedMs == J.EndedMs);
+  }
+}
+
+// Guards against an owner that no daemon recognizes, as a figure of its load is
+// out of range.
+BOOST_AUTO_TEST_CASE(OwnershipIsReadWhateverItsFiguresAre) {
+  BoundaryNumbers Draw(3);
+  for (int N = 0; N < 2'000; ++N) {
+    Ownership O;
+    O.Epoch = static_cast<std::uint64_t>(Draw.within(1, MaxMs));
+    O.Daemon = "a";
+    for (std::int64_t *Figure :
+         {&O.AppendMs, &O.CpuMilli, &O.Workers, &O.DrainedWorkers,
+          &O.MeanCapacity.CpuMilli, &O.MeanCapacity.MemoryMb,
+          &O.MeanCapacity.Gpus})
+      *Figure = Draw.any<std::int64_t>(0, MaxAmount);
+    O.BacklogMs = {Draw.any<std::int64_t>(0, MaxWorkMs)};
+    KeyValue Record = Ledger::ownership(O);
+    auto Read = Ledger::decodeOwnership(Record);
+    BOOST_REQUIRE_MESSAGE(Read && *Read, Record.Value);
+    BOOST_TEST((*Read)->Epoch == O.Epoch);
+    BOOST_TEST((*Read)->BacklogMs[0] == nearest(O.BacklogMs[0], 0, MaxWorkMs));
+    BOOST_TEST((*Read)->MeanCapacity.Gpus ==
+               nearest(O.MeanCapacity.Gpus, 0, MaxAmount));
+  }
+}
+
 // Guards against progress that changes when it is written and read back.
 BOOST_AUTO_TEST_CASE(ProgressKeepsEveryTask) {
   Ledger L;
@@ -203,6 +393,21 @@
   BOOST_TEST(J.objectiveMs() == 2'500 * 3 / 2 + 250);
 }
 
+// Guards against sums that overflow: the objective of a job with a large
+// stretch, or its work on small workers, became negative.
+BOOST_AUTO_TEST_CASE(StaysInRangeForLargeNumbers) {
+  JobSpec J = spec();
+  J.Stretch = double{MaxStretch};
+  J.LatencyObjectiveMs = MaxAmount;
+  for (Step &S : J.Steps) {
+    S.EstimateMs = MaxAmount;
+    S.Need = {MaxAmount, MaxAmount, MaxAmount};
+  }
+  BOOST_TEST(J.objectiveMs() >= MaxMs);
+  BOOST_TEST(J.objectiveMs() <= MaxMs + MaxAmount);
+  BOOST_TEST(workerMs(J.Steps[0], {1, 1, 1}, 1) == MaxAmount);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // Guards against a missing field: without the address, daemons cannot reach the
