--- a/packages/cluster/lib/Writer.cpp
+++ b/packages/cluster/lib/Writer.cpp
@@ -121,8 +121,11 @@
   std::size_t Items = 0;
   // Of a record that was rejected the store is asked without others.
   if (std::string Retried = nextWithheldJob(); !Retried.empty()) {
-    addRecord(workload::Ledger::progress(*Shared.Ledger.find(Retried)));
-    InFlightJobs.push_back(std::move(Retried));
+    // What is not in the append must not count as stored.
+    if (addRecord(workload::Ledger::progress(*Shared.Ledger.find(Retried))))
+      InFlightJobs.push_back(std::move(Retried));
+    else
+      withhold(Retried, TooLargeRetryDelay, "too_large");
     return;
   }
   while (!ChangedJobs.empty() && Items < std::min(MaxItems, MaxBatchJobs)) {
